--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+.PHONY: build test lint generate demo bench capacity
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race ./...
+
+lint:
+	test -z "$$(go tool gofumpt -l .)" || { go tool gofumpt -l .; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+# Needs protoc; the generated code is committed, so that the build does not.
+generate:
+	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH="$(CURDIR)/bin:$$PATH" protoc -I proto --go_out=. --go_opt=module=github.com/basiltally/basiltally proto/basiltally/v1/*.proto
