--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,75 @@
+// Package daemon wires the subsystems into the system's long-running processes
+// and defines their settings files.
+package daemon
+
+import "time"
+
+// Process holds what every process needs to know of itself.
+type Process struct {
+	VM               string `ini:"vm" required:"true" doc:"Name of the VM, as in the platform's VM list."`
+	Region           string `ini:"region" required:"true" doc:"Region of the VM."`
+	DataCentre       string `ini:"data_centre" required:"true" doc:"Data centre of the VM."`
+	OperatorsAddress string `ini:"operators_address" default:"127.0.0.1:9100" unit:"host:port" doc:"Address of /healthz, /readyz, /metrics and the operators' endpoints. Keep it off the callers' network."`
+	LogFormat        string `ini:"log_format" default:"text" doc:"text or json."`
+	LogLevel         string `ini:"log_level" default:"info" doc:"debug, info, warn or error."`
+	Profiling        bool   `ini:"profiling" default:"false" doc:"Serves Go profiles under /debug/pprof on the operators' address."`
+}
+
+// Store locates the platform's object API.
+type Store struct {
+	Address string        `ini:"address" required:"true" unit:"host:port" doc:"Address of the object API."`
+	Timeout time.Duration `ini:"timeout" default:"2s" unit:"duration" range:"50ms..30s" doc:"Longest wait for one call; a watch waits longer."`
+}
+
+// Peer configures the links between the system's processes.
+type Peer struct {
+	Listen             string `ini:"listen" default:"127.0.0.1:9200" unit:"host:port" doc:"Address on which the process accepts peers. The VM list names it to the others."`
+	TLSCertificateFile string `ini:"tls_certificate_file" default:"" doc:"PEM file with this VM's certificate. Empty turns TLS off; set all three files or none."`
+	TLSKeyFile         string `ini:"tls_key_file" default:"" doc:"PEM file with the certificate's key."`
+	TLSAuthorityFile   string `ini:"tls_authority_file" default:"" doc:"PEM file with the authorities that sign the peers' certificates."`
+}
+
+// Assign holds the timings of leases and support.
+type Assign struct {
+	Support         time.Duration `ini:"support" default:"1s" unit:"duration" range:"200ms..10s" doc:"Duration of a support promise between VMs. The same on all VMs."`
+	Heartbeat       time.Duration `ini:"heartbeat" default:"250ms" unit:"duration" range:"20ms..2s" doc:"Interval of support requests and target renewals."`
+	Lease           time.Duration `ini:"lease" default:"1s" unit:"duration" range:"200ms..10s" doc:"Duration of a target's lease."`
+	LostAfter       time.Duration `ini:"lost_after" default:"750ms" unit:"duration" range:"100ms..30s" doc:"Silence after which a target is probed through peers and then called lost."`
+	RequestDeadline time.Duration `ini:"request_deadline" default:"10s" unit:"duration" range:"100ms..1h" doc:"Longest request; waited out before a slot leaves a target that does not check tokens."`
+	GroupSlots      int           `ini:"group_slots" default:"256" unit:"slots" range:"1..65536" doc:"Hashed slots of a group that is created by this process."`
+	Candidates      int           `ini:"candidates" default:"3" unit:"VMs" range:"1..9" doc:"Candidate VMs of a group that is created by this process; odd."`
+}
+
+// BundleSource locates the configuration bundle and the keys that sign it.
+type BundleSource struct {
+	File         string   `ini:"file" default:"" doc:"Bundle document used until the store or a peer gives a newer one."`
+	ApproversDir string   `ini:"approvers_dir" default:"" doc:"Directory of the approvers' public keys; empty accepts no bundle but the file's."`
+	Approvals    int      `ini:"approvals" default:"1" unit:"approvers" range:"1..9" doc:"Named approvers whose signatures a bundle needs."`
+	Approvers    []string `ini:"approvers" default:"" doc:"Names of approvers; each has a file NAME.pub in approvers_dir. Empty takes all files."`
+}
+
+// AssignSettings is the settings file of basiltally-assign.
+type AssignSettings struct {
+	Process Process      `ini:"process"`
+	Store   Store        `ini:"store"`
+	Peer    Peer         `ini:"peer"`
+	Assign  Assign       `ini:"assign"`
+	Bundle  BundleSource `ini:"bundle"`
+}
+
+// Entry configures the callers' side of basiltally-entry.
+type Entry struct {
+	Listen        string        `ini:"listen" default:"127.0.0.1:8080" unit:"host:port" doc:"Address on which callers connect."`
+	AssignAddress string        `ini:"assign_address" default:"127.0.0.1:9200" unit:"host:port" doc:"Peer address of the assign process on the same VM."`
+	DrainLimit    time.Duration `ini:"drain_limit" default:"10m" unit:"duration" range:"0s..24h" doc:"Longest graceful stop; requests still running then are cut off. 0s waits without limit."`
+	HeaderTimeout time.Duration `ini:"header_timeout" default:"5s" unit:"duration" range:"100ms..5m" doc:"Longest wait for a request's header."`
+	MaxHeader     int           `ini:"max_header" default:"16384" unit:"bytes" range:"1024..1048576" doc:"Largest request header."`
+}
+
+// EntrySettings is the settings file of basiltally-entry.
+type EntrySettings struct {
+	Process Process      `ini:"process"`
+	Peer    Peer         `ini:"peer"`
+	Entry   Entry        `ini:"entry"`
+	Bundle  BundleSource `ini:"bundle"`
+}
