Add the object API client and the stand-ins of the platform

store/memstore keeps objects with store-wide revisions and a bounded watch history; store/objectapi calls the object API over HTTP and tells a refused write from one of unknown outcome; standin/ serves the object API, the VM list and targets that keep leases by the control protocol; target.Client renews leases over one connection per target. store.VM has a new field Pool.

Shown by go test -race ./store/memstore and a run of basiltally-standin with three keyed and two plain targets, called with curl.

--- /dev/null
+++ b/cmd/basiltally-standin/flags.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/store"
+)
+
+// Flags is the command line.
+type Flags struct {
+	Store     string            `help:"Listen address of the object API and VM list." default:"127.0.0.1:7000" placeholder:"HOST:PORT"`
+	Targets   map[string]string `help:"Targets as pool=COUNT@HOST:PORT; the address is the first target's." mapsep:"," placeholder:"POOL=COUNT@HOST:PORT"`
+	Keyed     []string          `help:"Pools whose targets refuse requests without a granted slot." placeholder:"POOL"`
+	Unchecked []string          `help:"Pools whose targets check no fencing tokens." placeholder:"POOL"`
+	Locations []string          `help:"Locations over which targets are spread in turn." default:"local/local-1" placeholder:"REGION/DATA-CENTRE"`
+	Entries   map[string]string `help:"VMs of the system in the VM list." mapsep:"," placeholder:"ID=HOST:PORT/REGION/DATA-CENTRE"`
+
+	Slots        int           `help:"Requests that one target runs at once." default:"6"`
+	Queue        int           `help:"Requests that wait for a slot of one target." default:"12"`
+	Work         time.Duration `help:"Time that a request runs unless it asks for another with work_ms=N." default:"0s"`
+	BulkPrefixes []string      `help:"Path prefixes answered with a large body." default:"/archive/,/drawings/" placeholder:"PATH"`
+	BulkBytes    int           `help:"Size of a large body in bytes, unless the request asks for another with bytes=N." default:"1048576"`
+
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// location is a place of the platform.
+type location struct{ region, dataCentre string }
+
+// targetSpec is one target to start.
+type targetSpec struct {
+	vm        store.VM
+	keyed     bool
+	unchecked bool
+}
+
+func parseLocations(texts []string) ([]location, error) {
+	var locations []location
+	for _, text := range texts {
+		region, dataCentre, ok := strings.Cut(text, "/")
+		if !ok || region == "" || dataCentre == "" {
+			return nil, errors.Errorf("location %q: want REGION/DATA-CENTRE", text)
+		}
+		locations = append(locations, location{region, dataCentre})
+	}
+	if len(locations) == 0 {
+		return nil, errors.New("no locations")
+	}
+	return locations, nil
+}
+
+// targetSpecs lists the targets of all pools.
+func (f *Flags) targetSpecs() ([]targetSpec, error) {
+	locations, err := parseLocations(f.Locations)
+	if err != nil {
+		return nil, err
+	}
+	var specs []targetSpec
+	for pool, text := range f.Targets {
+		vms, err := poolVMs(pool, text, locations)
+		if err != nil {
+			return nil, errors.WithMessagef(err, "targets of pool %s", pool)
+		}
+		for _, vm := range vms {
+			specs = append(specs, targetSpec{
+				vm:        vm,
+				keyed:     contains(f.Keyed, pool),
+				unchecked: contains(f.Unchecked, pool),
+			})
+		}
+	}
+	return specs, nil
+}
+
+func poolVMs(pool, text string, locations []location) ([]store.VM, error) {
+	countText, address, ok := strings.Cut(text, "@")
+	if !ok {
+		return nil, errors.Errorf("%q: want COUNT@HOST:PORT", text)
+	}
+	count, err := strconv.Atoi(countText)
+	if err != nil || count < 1 {
+		return nil, errors.Errorf("%q is not a count", countText)
+	}
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, errors.Errorf("%q is not a port", portText)
+	}
+	vms := make([]store.VM, count)
+	for i := range vms {
+		loc := locations[i%len(locations)]
+		vms[i] = store.VM{
+			ID:         fmt.Sprintf("%s-%d", pool, i),
+			Address:    net.JoinHostPort(host, strconv.Itoa(port+i)),
+			Region:     loc.region,
+			DataCentre: loc.dataCentre,
+			Kind:       "target",
+			Pool:       pool,
+		}
+	}
+	return vms, nil
+}
+
+// entryVMs lists the VMs of the system.
+func (f *Flags) entryVMs() ([]store.VM, error) {
+	var vms []store.VM
+	for id, text := range f.Entries {
+		parts := strings.Split(text, "/")
+		if len(parts) != 3 {
+			return nil, errors.Errorf("entry %s: %q: want HOST:PORT/REGION/DATA-CENTRE", id, text)
+		}
+		vms = append(vms, store.VM{
+			ID:         id,
+			Address:    parts[0],
+			Region:     parts[1],
+			DataCentre: parts[2],
+			Kind:       "entry",
+		})
+	}
+	return vms, nil
+}
+
+func contains(list []string, s string) bool {
+	for _, item := range list {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/basiltally-standin/run.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/standin/objectapi"
+	"github.com/basiltally/basiltally/standin/target"
+	"github.com/basiltally/basiltally/standin/vmlist"
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/memstore"
+)
+
+// shutdownTimeout bounds the wait for requests in progress.
+const shutdownTimeout = 5 * time.Second
+
+// server is one stand-in with its listener.
+type server interface {
+	Serve(ln net.Listener) error
+	Shutdown(ctx context.Context) error
+}
+
+// listening is a server and the address it listens on.
+type listening struct {
+	name   string
+	ln     net.Listener
+	server server
+}
+
+// run serves all stand-ins until the context ends.
+func run(ctx context.Context, flags Flags, logger *slog.Logger) error {
+	servers, err := listenAll(flags)
+	if err != nil {
+		closeAll(servers)
+		return err
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() {
+			err := s.server.Serve(s.ln)
+			failed <- errors.Wrapf(err, "serve %s", s.name)
+		}()
+		logger.Info("listening", "standin", s.name, "address", s.ln.Addr().String())
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	shutdownAll(servers)
+	logger.Info("stopped")
+	return err
+}
+
+// listenAll opens the listeners and makes the servers.
+func listenAll(flags Flags) ([]listening, error) {
+	specs, err := flags.targetSpecs()
+	if err != nil {
+		return nil, err
+	}
+	vms, err := flags.entryVMs()
+	if err != nil {
+		return nil, err
+	}
+	for _, spec := range specs {
+		vms = append(vms, spec.vm)
+	}
+	slices.SortFunc(vms, func(a, b store.VM) int { return strings.Compare(a.ID, b.ID) })
+	objects := objectapi.New(objectapi.Options{
+		Store: memstore.New(memstore.Options{}),
+		VMs:   vmlist.New(vms),
+	})
+	servers, err := listen(nil, "object-api", flags.Store, objects)
+	for _, spec := range specs {
+		if err != nil {
+			break
+		}
+		servers, err = listen(servers, spec.vm.ID, spec.vm.Address, newTarget(flags, spec))
+	}
+	return servers, err
+}
+
+func newTarget(flags Flags, spec targetSpec) *target.Server {
+	return target.New(target.Options{
+		ID:           ownership.TargetID(spec.vm.ID),
+		Pool:         spec.vm.Pool,
+		Keyed:        spec.keyed,
+		IgnoreTokens: spec.unchecked,
+		Slots:        flags.Slots,
+		Queue:        flags.Queue,
+		Work:         flags.Work,
+		BulkPrefixes: flags.BulkPrefixes,
+		BulkBytes:    flags.BulkBytes,
+	})
+}
+
+func listen(servers []listening, name, address string, s server) ([]listening, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return servers, errors.Wrapf(err, "listen for %s", name)
+	}
+	return append(servers, listening{name: name, ln: ln, server: s}), nil
+}
+
+func closeAll(servers []listening) {
+	for _, s := range servers {
+		_ = s.ln.Close()
+	}
+}
+
+func shutdownAll(servers []listening) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.server.Shutdown(ctx)
+	}
+}
--- /dev/null
+++ b/standin/objectapi/server.go
@@ -0,0 +1,195 @@
+// Package objectapi is a stand-in for the platform's object API and VM list,
+// served over HTTP. It is meant for tests and for a first run.
+package objectapi
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/objectapi"
+)
+
+const (
+	// maxWatch bounds a long poll.
+	maxWatch = time.Minute
+	// maxConcurrency bounds the calls in progress, watches included.
+	maxConcurrency = 64 << 10
+)
+
+// Options configures a Server.
+type Options struct {
+	// Store holds the objects.
+	Store store.Store
+	// VMs is the VM list.
+	VMs store.VMLister
+}
+
+// Server serves the object API.
+type Server struct {
+	opts   Options
+	http   *fasthttp.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// New returns a Server.
+func New(opts Options) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{opts: opts, ctx: ctx, cancel: cancel}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		Concurrency:           maxConcurrency,
+		MaxRequestBodySize:    2 * store.MaxValueBytes,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	return s
+}
+
+// Serve answers calls on the listener until Shutdown.
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+
+// Shutdown ends waiting watches and stops the server.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.cancel()
+	return s.http.ShutdownWithContext(ctx)
+}
+
+func (s *Server) handle(rc *fasthttp.RequestCtx) {
+	switch string(rc.Path()) {
+	case objectapi.ObjectPath:
+		s.handleObject(rc)
+	case objectapi.ListPath:
+		s.handleList(rc)
+	case objectapi.WatchPath:
+		s.handleWatch(rc)
+	case objectapi.VMsPath:
+		s.handleVMs(rc)
+	default:
+		rc.Error("no such path", http.StatusNotFound)
+	}
+}
+
+func (s *Server) handleObject(rc *fasthttp.RequestCtx) {
+	key := string(rc.QueryArgs().Peek(objectapi.ArgKey))
+	switch string(rc.Method()) {
+	case http.MethodGet:
+		obj, err := s.opts.Store.Get(s.ctx, key)
+		s.answer(rc, obj.Version, obj.Value, err)
+	case http.MethodPut:
+		expected, err := versionArg(rc, objectapi.ArgExpected)
+		if err != nil {
+			rc.Error(err.Error(), http.StatusBadRequest)
+			return
+		}
+		version, err := s.opts.Store.Put(s.ctx, key, rc.PostBody(), expected)
+		s.answer(rc, version, nil, err)
+	case http.MethodDelete:
+		expected, err := versionArg(rc, objectapi.ArgExpected)
+		if err != nil {
+			rc.Error(err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.answer(rc, 0, nil, s.opts.Store.Delete(s.ctx, key, expected))
+	default:
+		rc.Error("method not allowed", http.StatusMethodNotAllowed)
+	}
+}
+
+func (s *Server) answer(rc *fasthttp.RequestCtx, version store.Version, body []byte, err error) {
+	if err != nil {
+		s.fail(rc, err)
+		return
+	}
+	rc.Response.Header.Set(objectapi.HeaderVersion, strconv.FormatUint(uint64(version), 10))
+	rc.SetContentType("application/octet-stream")
+	rc.SetBody(body)
+}
+
+func (s *Server) handleList(rc *fasthttp.RequestCtx) {
+	prefix := string(rc.QueryArgs().Peek(objectapi.ArgPrefix))
+	objects, revision, err := s.opts.Store.List(s.ctx, prefix)
+	if err != nil {
+		s.fail(rc, err)
+		return
+	}
+	body := objectapi.ListBody{Revision: revision, Objects: make([]objectapi.WireObject, len(objects))}
+	for i, obj := range objects {
+		body.Objects[i] = objectapi.WireObject{Key: obj.Key, Value: obj.Value, Version: obj.Version}
+	}
+	writeJSON(rc, body)
+}
+
+func (s *Server) handleWatch(rc *fasthttp.RequestCtx) {
+	after, err := versionArg(rc, objectapi.ArgAfter)
+	if err != nil {
+		rc.Error(err.Error(), http.StatusBadRequest)
+		return
+	}
+	timeout := time.Duration(rc.QueryArgs().GetUintOrZero(objectapi.ArgTimeout)) * time.Millisecond
+	ctx, cancel := context.WithTimeout(s.ctx, min(timeout, maxWatch))
+	defer cancel()
+	events, err := s.opts.Store.Watch(ctx, string(rc.QueryArgs().Peek(objectapi.ArgPrefix)), after)
+	if err != nil {
+		s.fail(rc, err)
+		return
+	}
+	body := objectapi.WatchBody{Events: make([]objectapi.WireObject, len(events))}
+	for i, e := range events {
+		body.Events[i] = objectapi.WireObject{Key: e.Key, Value: e.Value, Version: e.Version, Deleted: e.Deleted}
+	}
+	writeJSON(rc, body)
+}
+
+func (s *Server) handleVMs(rc *fasthttp.RequestCtx) {
+	vms, err := s.opts.VMs.ListVMs(s.ctx)
+	if err != nil {
+		s.fail(rc, err)
+		return
+	}
+	writeJSON(rc, objectapi.VMsBody{VMs: vms})
+}
+
+func (s *Server) fail(rc *fasthttp.RequestCtx, err error) {
+	rc.Error(err.Error(), statusOf(err))
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, store.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, store.ErrCompacted):
+		return http.StatusGone
+	case errors.Is(err, store.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, context.Canceled):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+func versionArg(rc *fasthttp.RequestCtx, name string) (store.Version, error) {
+	v, err := strconv.ParseUint(string(rc.QueryArgs().Peek(name)), 10, 64)
+	return store.Version(v), errors.Wrap(err, name)
+}
+
+func writeJSON(rc *fasthttp.RequestCtx, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		rc.Error(err.Error(), http.StatusInternalServerError)
+		return
+	}
+	rc.SetContentType("application/json")
+	rc.SetBody(data)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -69,7 +69,9 @@
 	Region     string `json:"region"`
 	DataCentre string `json:"data_centre"`
 	// Kind is "entry" for VMs of the system and "target" for back ends.
-	Kind    string `json:"kind"`
+	Kind string `json:"kind"`
+	// Pool names the pool of a target; empty for VMs of the system.
+	Pool    string `json:"pool,omitempty"`
 	Leaving bool   `json:"leaving"`
 }
 
--- /dev/null
+++ b/target/client.go
@@ -0,0 +1,175 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultTimeout     = 500 * time.Millisecond
+	DefaultConnections = 1
+	DefaultIdle        = time.Minute
+)
+
+// maxReplyBytes bounds the body of a reply.
+const maxReplyBytes = 1 << 20
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	// Timeout bounds a call whose context has no earlier deadline; default 500 ms.
+	Timeout time.Duration
+	// Connections bounds the control connections to one target; default 1.
+	Connections int
+	// Idle is the time after which an unused connection is closed; default 1 min.
+	Idle time.Duration
+}
+
+// Client calls the control protocol of targets over connections that are kept
+// open. It never repeats a call. A call that ends by its deadline closes its
+// connection, so that the next call opens a new one.
+type Client struct {
+	opts ClientOptions
+
+	mu    sync.Mutex
+	hosts map[string]*fasthttp.HostClient
+}
+
+// NewClient returns a Client.
+func NewClient(opts ClientOptions) *Client {
+	if opts.Timeout <= 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	if opts.Connections <= 0 {
+		opts.Connections = DefaultConnections
+	}
+	if opts.Idle <= 0 {
+		opts.Idle = DefaultIdle
+	}
+	return &Client{opts: opts, hosts: make(map[string]*fasthttp.HostClient)}
+}
+
+// Renew sends a RenewRequest to the target at the address.
+func (c *Client) Renew(ctx context.Context, address string, req RenewRequest) (RenewReply, error) {
+	var reply RenewReply
+	body, err := json.Marshal(req)
+	if err != nil {
+		return reply, errors.Wrap(err, "encode renewal")
+	}
+	err = c.call(ctx, address, http.MethodPost, RenewPath, body, &reply)
+	return reply, errors.Wrapf(err, "renew lease of target %s", address)
+}
+
+// Health asks the target at the address for its health.
+func (c *Client) Health(ctx context.Context, address string) (Health, error) {
+	var health Health
+	err := c.call(ctx, address, http.MethodGet, HealthPath, nil, &health)
+	return health, errors.Wrapf(err, "health of target %s", address)
+}
+
+// Drain asks the target at the address to take no new work.
+func (c *Client) Drain(ctx context.Context, address string) (Health, error) {
+	var health Health
+	err := c.call(ctx, address, http.MethodPost, DrainPath, nil, &health)
+	return health, errors.Wrapf(err, "drain target %s", address)
+}
+
+// Forget closes the idle connections to an address that is used no longer.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	host := c.hosts[address]
+	delete(c.hosts, address)
+	c.mu.Unlock()
+	if host != nil {
+		host.CloseIdleConnections()
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, host := range c.hosts {
+		host.CloseIdleConnections()
+	}
+}
+
+func (c *Client) host(address string) *fasthttp.HostClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	host := c.hosts[address]
+	if host == nil {
+		host = &fasthttp.HostClient{
+			Addr:                      address,
+			DialTimeout:               fasthttp.DialTimeout,
+			MaxConns:                  c.opts.Connections,
+			MaxConnWaitTimeout:        c.opts.Timeout,
+			MaxIdleConnDuration:       c.opts.Idle,
+			MaxResponseBodySize:       maxReplyBytes,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                neverRetry,
+		}
+		c.hosts[address] = host
+	}
+	return host
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// call sends one exchange and returns at once when the context ends; the
+// exchange then ends by its own timeout.
+func (c *Client) call(ctx context.Context, address, method, path string, body []byte, into any) error {
+	timeout := c.opts.Timeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if timeout <= 0 {
+		return context.DeadlineExceeded
+	}
+	type outcome struct {
+		data []byte
+		err  error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		data, err := c.exchange(address, method, path, body, timeout)
+		done <- outcome{data, err}
+	}()
+	select {
+	case out := <-done:
+		if out.err != nil {
+			return out.err
+		}
+		return errors.Wrap(json.Unmarshal(out.data, into), "decode reply")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Client) exchange(address, method, path string, body []byte, timeout time.Duration) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	if err := c.host(address).DoTimeout(req, resp, timeout); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return nil, errors.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
