--- /dev/null
+++ b/lease/supporter.go
@@ -0,0 +1,131 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/basiltally/basiltally/ownership"
+)
+
+// Supporter gives promises of support on behalf of one VM, for all groups. Its
+// promises count on its own clock from the answer. It is not safe for
+// concurrent use.
+//
+// A process that has just started may have forgotten promises of its
+// predecessor, so it gives none until one full support time has passed.
+type Supporter struct {
+	support time.Duration
+	readyAt time.Duration
+	groups  map[ownership.GroupID]*promise
+}
+
+// promise is what a Supporter remembers of one group.
+type promise struct {
+	holder            ownership.VMID
+	incarnation       uint64
+	until             time.Duration
+	successor         ownership.VMID
+	term              uint64
+	round             uint32
+	candidatesVersion uint64
+}
+
+// NewSupporter returns a Supporter of a process that started at the clock
+// reading start and promises support for the given time.
+func NewSupporter(start, support time.Duration) *Supporter {
+	return &Supporter{
+		support: support,
+		readyAt: start + support,
+		groups:  make(map[ownership.GroupID]*promise),
+	}
+}
+
+// Learn raises the highest term and candidate list version known of a group,
+// from a record that was read.
+func (s *Supporter) Learn(group ownership.GroupID, term, candidatesVersion uint64) {
+	p := s.group(group)
+	p.raise(term, 0)
+	p.candidatesVersion = max(p.candidatesVersion, candidatesVersion)
+}
+
+// Answer decides on a request at the clock reading now.
+func (s *Supporter) Answer(now time.Duration, req SupportRequest) SupportReply {
+	p := s.group(req.Group)
+	if req.Release {
+		p.release(req)
+		return p.reply(now, req.Group, false)
+	}
+	if now < s.readyAt || !p.allows(now, req) {
+		return p.reply(now, req.Group, false)
+	}
+	if !req.Query {
+		p.grant(now+s.support, req)
+	}
+	return p.reply(now, req.Group, true)
+}
+
+func (s *Supporter) group(id ownership.GroupID) *promise {
+	p, ok := s.groups[id]
+	if !ok {
+		p = &promise{}
+		s.groups[id] = p
+	}
+	return p
+}
+
+func (p *promise) allows(now time.Duration, req SupportRequest) bool {
+	if req.CandidatesVersion < p.candidatesVersion {
+		return false
+	}
+	if now >= p.until {
+		return true
+	}
+	if p.successor != "" {
+		return p.successor == req.From
+	}
+	return p.holder == req.From && p.incarnation == req.Incarnation
+}
+
+func (p *promise) grant(until time.Duration, req SupportRequest) {
+	p.holder = req.From
+	p.incarnation = req.Incarnation
+	p.successor = ""
+	p.until = max(p.until, until)
+	p.candidatesVersion = req.CandidatesVersion
+	p.raise(req.Term, req.Round)
+}
+
+// release lets the successor have the rest of the promise. A request of a VM
+// that does not hold the promise has no effect.
+func (p *promise) release(req SupportRequest) {
+	if p.holder == req.From && p.incarnation == req.Incarnation {
+		p.successor = req.Successor
+	}
+}
+
+func (p *promise) raise(term uint64, round uint32) {
+	if term > p.term {
+		p.term, p.round = term, round
+		return
+	}
+	if term == p.term {
+		p.round = max(p.round, round)
+	}
+}
+
+func (p *promise) reply(now time.Duration, group ownership.GroupID, granted bool) SupportReply {
+	r := SupportReply{
+		Group:             group,
+		Granted:           granted,
+		Term:              p.term,
+		Round:             p.round,
+		CandidatesVersion: p.candidatesVersion,
+	}
+	if now < p.until {
+		r.Supported = p.holder
+		if p.successor != "" {
+			r.Supported = p.successor
+		}
+		r.Remaining = p.until - now
+	}
+	return r
+}
