Load settings and bundle documents from INI

Settings structs describe their own keys by tags; a bundle document is parsed by the same section decoder and then cross-checked. Every fault of a file is reported at once with file, section, key and reason. The INI library stops at the first malformed line and merges duplicates, so lines are checked before it runs and duplicates are kept apart and refused.

Ruled out: reporting the library's own first error only.

--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,202 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/settings"
+)
+
+// Sections of a bundle document. Tenants, classes and pools carry a quoted
+// name: [tenant "wales"], [class "wales/tolerance-sheet"], [pool "sheets"].
+const (
+	bundleSection = "bundle"
+	tenantSection = "tenant"
+	classSection  = "class"
+	poolSection   = "pool"
+)
+
+// MaxDocumentBytes bounds a bundle document, so that it fits one object of the
+// store together with its signatures.
+const MaxDocumentBytes = 512 << 10
+
+var (
+	namedSection = regexp.MustCompile(`^(tenant|class|pool) "([^"]*)"$`)
+	validName    = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	validPrefix  = regexp.MustCompile(`^/([A-Za-z0-9._~-]+/)*$`)
+)
+
+type bundleKeys struct {
+	Version            uint64 `ini:"version" required:"true" range:"1.."`
+	LinkBytesPerSecond int64  `ini:"link_bytes_per_second" range:"1.." default:"100000000"`
+}
+
+type tenantKeys struct{}
+
+type classKeys struct {
+	Kind        string        `ini:"kind" required:"true" enum:"keyed-read,at-most-once,bulk"`
+	PathPrefix  string        `ini:"path_prefix" required:"true"`
+	Pool        string        `ini:"pool" required:"true"`
+	Deadline    time.Duration `ini:"deadline" default:"1s" range:"1ms..24h"`
+	MaxBody     int           `ini:"max_body" default:"1048576" range:"0..1099511627776"`
+	QueueLength int           `ini:"queue_length" default:"100" range:"0..1000000"`
+	Rate        float64       `ini:"rate" default:"0" range:"0..10000000"`
+	Burst       int           `ini:"burst" default:"0" range:"0..10000000"`
+	Hedge       bool          `ini:"hedge" default:"false"`
+}
+
+type poolKeys struct {
+	Keyed             bool          `ini:"keyed" default:"false"`
+	Groups            []string      `ini:"groups" required:"true"`
+	TargetSlots       int           `ini:"target_slots" required:"true" range:"1..100000"`
+	TargetConnections int           `ini:"target_connections" required:"true" range:"1..1000000"`
+	ChecksTokens      bool          `ini:"checks_tokens" default:"false"`
+	ProbeInterval     time.Duration `ini:"probe_interval" default:"1s" range:"50ms..10m"`
+}
+
+// parser collects the bundle and the faults of one document.
+type parser struct {
+	file   string
+	bundle Bundle
+	errs   settings.Errors
+	// classTenants runs parallel to classes: the tenant part of each section name.
+	classes      []Class
+	classTenants []string
+}
+
+// Parse reads a bundle document and checks it whole. The error lists every
+// fault as settings.Errors; name is the file that they are reported under.
+func Parse(name string, data []byte) (*Bundle, error) {
+	if len(data) > MaxDocumentBytes {
+		reason := fmt.Sprintf("%d bytes exceed the limit of %d", len(data), MaxDocumentBytes)
+		return nil, settings.Errors{{File: name, Reason: reason}}
+	}
+	p := &parser{file: name}
+	sections, errs := settings.ParseSections(name, data)
+	p.errs = errs
+	hasBundle := false
+	for _, s := range sections {
+		hasBundle = hasBundle || s.Name == bundleSection
+		p.section(s)
+	}
+	if !hasBundle {
+		p.fault(bundleSection, "", "section is missing")
+	}
+	p.assembleTenants()
+	p.check()
+	if len(p.errs) > 0 {
+		return nil, p.errs
+	}
+	return &p.bundle, nil
+}
+
+func (p *parser) fault(section, key, format string, args ...any) {
+	p.errs = append(p.errs, settings.Error{File: p.file, Section: section, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (p *parser) section(s *settings.Section) {
+	if s.Name == bundleSection {
+		p.bundleKeys(s)
+		return
+	}
+	match := namedSection.FindStringSubmatch(s.Name)
+	if match == nil {
+		p.fault(s.Name, "", "unknown section")
+		return
+	}
+	sort, name := match[1], match[2]
+	switch sort {
+	case tenantSection:
+		p.tenant(s, name)
+	case classSection:
+		p.class(s, name)
+	case poolSection:
+		p.pool(s, name)
+	}
+}
+
+func (p *parser) bundleKeys(s *settings.Section) {
+	var keys bundleKeys
+	p.errs = append(p.errs, s.Decode(&keys)...)
+	p.bundle.Version = keys.Version
+	p.bundle.LinkBytesPerSecond = keys.LinkBytesPerSecond
+}
+
+func (p *parser) tenant(s *settings.Section, name string) {
+	p.errs = append(p.errs, s.Decode(&tenantKeys{})...)
+	p.checkName(s.Name, name)
+	p.bundle.Tenants = append(p.bundle.Tenants, Tenant{Name: name})
+}
+
+func (p *parser) class(s *settings.Section, name string) {
+	var keys classKeys
+	p.errs = append(p.errs, s.Decode(&keys)...)
+	tenant, class, ok := strings.Cut(name, "/")
+	if !ok {
+		p.fault(s.Name, "", "want a name of the form tenant/class")
+		return
+	}
+	p.checkName(s.Name, class)
+	p.classTenants = append(p.classTenants, tenant)
+	p.classes = append(p.classes, Class{
+		Name:        class,
+		Kind:        Kind(keys.Kind),
+		PathPrefix:  keys.PathPrefix,
+		Pool:        keys.Pool,
+		Deadline:    keys.Deadline,
+		MaxBody:     keys.MaxBody,
+		QueueLength: keys.QueueLength,
+		Rate:        keys.Rate,
+		Burst:       keys.Burst,
+		Hedge:       keys.Hedge,
+	})
+}
+
+func (p *parser) pool(s *settings.Section, name string) {
+	var keys poolKeys
+	p.errs = append(p.errs, s.Decode(&keys)...)
+	p.checkName(s.Name, name)
+	pool := Pool{
+		Name:              name,
+		Keyed:             keys.Keyed,
+		TargetSlots:       keys.TargetSlots,
+		TargetConnections: keys.TargetConnections,
+		ChecksTokens:      keys.ChecksTokens,
+		ProbeInterval:     keys.ProbeInterval,
+	}
+	for _, g := range keys.Groups {
+		pool.Groups = append(pool.Groups, ownership.GroupID(g))
+	}
+	p.bundle.Pools = append(p.bundle.Pools, pool)
+}
+
+func (p *parser) checkName(section, name string) {
+	if !validName.MatchString(name) {
+		p.fault(section, "", "%q: want a name of 1 to 63 lower-case letters, digits and hyphens", name)
+	}
+}
+
+// assembleTenants hands each class to its tenant.
+func (p *parser) assembleTenants() {
+	index := make(map[string]int, len(p.bundle.Tenants))
+	for i, t := range p.bundle.Tenants {
+		index[t.Name] = i
+	}
+	for i, class := range p.classes {
+		at, ok := index[p.classTenants[i]]
+		if !ok {
+			p.fault(classTitle(p.classTenants[i], class.Name), "", "unknown tenant %q", p.classTenants[i])
+			continue
+		}
+		p.bundle.Tenants[at].Classes = append(p.bundle.Tenants[at].Classes, class)
+	}
+}
+
+func tenantTitle(name string) string { return fmt.Sprintf("%s %q", tenantSection, name) }
+func classTitle(tenant, name string) string {
+	return fmt.Sprintf("%s %q", classSection, tenant+"/"+name)
+}
+func poolTitle(name string) string { return fmt.Sprintf("%s %q", poolSection, name) }
--- /dev/null
+++ b/settings/section.go
@@ -0,0 +1,209 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Section is one section of a parsed file.
+type Section struct {
+	File string
+	Name string
+	// keys holds each key once, in the order of the file.
+	keys []entry
+}
+
+type entry struct {
+	name, value string
+	// duplicate is set if the section has the key more than once.
+	duplicate bool
+}
+
+// loadOptions make the library keep what it would otherwise merge or rewrite,
+// so that duplicates can be reported and values are taken as written.
+var loadOptions = ini.LoadOptions{
+	IgnoreContinuation:         true,
+	IgnoreInlineComment:        true,
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+	PreserveEmptyShadowValues:  true,
+	AllowNonUniqueSections:     true,
+	KeyValueDelimiters:         "=",
+}
+
+// ParseSections splits a document into sections. Sections and faults are both
+// returned, so that a caller can go on to find more faults.
+func ParseSections(file string, data []byte) ([]*Section, Errors) {
+	if !utf8.Valid(data) {
+		return nil, Errors{{File: file, Reason: "not valid UTF-8"}}
+	}
+	clean, errs := checkLines(file, data)
+	parsed, err := ini.LoadSources(loadOptions, clean)
+	if err != nil {
+		return nil, append(errs, Error{File: file, Reason: err.Error()})
+	}
+	var sections []*Section
+	seen := make(map[string]bool)
+	for _, s := range parsed.Sections() {
+		section := readSection(file, s)
+		if s.Name() == ini.DefaultSection {
+			errs = append(errs, section.outside()...)
+			continue
+		}
+		if seen[s.Name()] {
+			errs = append(errs, section.fault("", "duplicate section"))
+			continue
+		}
+		seen[s.Name()] = true
+		sections = append(sections, section)
+	}
+	return sections, errs
+}
+
+// checkLines reports the lines that are no comment, section or key and returns
+// the document without them. Every value is a single line.
+func checkLines(file string, data []byte) ([]byte, Errors) {
+	var errs Errors
+	var clean bytes.Buffer
+	section := ""
+	for i, raw := range strings.Split(string(data), "\n") {
+		line := strings.TrimSpace(raw)
+		reason := checkLine(line)
+		if reason != "" {
+			reason = fmt.Sprintf("line %d: %s", i+1, reason)
+			errs = append(errs, Error{File: file, Section: section, Reason: reason})
+			continue
+		}
+		if strings.HasPrefix(line, "[") {
+			section = line[1 : len(line)-1]
+		}
+		clean.WriteString(line + "\n")
+	}
+	return clean.Bytes(), errs
+}
+
+func checkLine(line string) string {
+	if line == "" || line[0] == '#' || line[0] == ';' {
+		return ""
+	}
+	if strings.ContainsFunc(line, func(r rune) bool { return r < ' ' && r != '\t' || r == utf8.RuneError || r == '\ufeff' }) {
+		return "control character"
+	}
+	if line[0] == '[' {
+		if len(line) < 3 || line[len(line)-1] != ']' || strings.Contains(line[:len(line)-1], "]") {
+			return "malformed section header"
+		}
+		if line == "["+ini.DefaultSection+"]" {
+			return "reserved section name"
+		}
+		return ""
+	}
+	key, value, ok := strings.Cut(line, "=")
+	if !ok {
+		return "want key = value"
+	}
+	return checkKeyValue(strings.TrimSpace(key), strings.TrimSpace(value))
+}
+
+func checkKeyValue(key, value string) string {
+	for _, r := range key {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '_' {
+			return "malformed key name"
+		}
+	}
+	if key == "" {
+		return "empty key name"
+	}
+	if strings.HasPrefix(value, "`") || strings.HasPrefix(value, `"""`) {
+		return "values of several lines are not supported"
+	}
+	return ""
+}
+
+func readSection(file string, s *ini.Section) *Section {
+	section := &Section{File: file, Name: s.Name()}
+	for _, k := range s.Keys() {
+		values := k.ValueWithShadows()
+		e := entry{name: k.Name(), value: k.Value(), duplicate: len(values) > 1}
+		section.keys = append(section.keys, e)
+	}
+	return section
+}
+
+func (s *Section) outside() Errors {
+	var errs Errors
+	for _, k := range s.keys {
+		errs = append(errs, Error{File: s.File, Key: k.name, Reason: "key outside any section"})
+	}
+	return errs
+}
+
+func (s *Section) fault(key, reason string) Error {
+	return Error{File: s.File, Section: s.Name, Key: key, Reason: reason}
+}
+
+// Decode fills dst, a pointer to a section struct, and returns the faults of
+// the section. It panics if the struct's tags are malformed.
+func (s *Section) Decode(dst any) Errors {
+	errs, err := s.decode(reflect.ValueOf(dst).Elem())
+	if err != nil {
+		panic(err)
+	}
+	return errs
+}
+
+func (s *Section) decode(dst reflect.Value) (Errors, error) {
+	fields, err := keyFields(dst)
+	if err != nil {
+		return nil, errors.Wrapf(err, "section %s", s.Name)
+	}
+	known := make(map[string]bool, len(fields))
+	var errs Errors
+	for _, f := range fields {
+		known[f.name] = true
+		if err := f.setDefault(); err != nil {
+			return nil, errors.Wrapf(err, "section %s", s.Name)
+		}
+		if reason := s.set(f); reason != "" {
+			errs = append(errs, s.fault(f.name, reason))
+		}
+	}
+	for _, k := range s.keys {
+		if !known[k.name] {
+			errs = append(errs, s.fault(k.name, "unknown key"))
+		}
+	}
+	if len(errs) == 0 {
+		errs = validate(dst.Addr().Interface(), s.File, s.Name)
+	}
+	return errs, nil
+}
+
+// set gives the field its value from the section and returns what is wrong with it.
+func (s *Section) set(f field) string {
+	for _, k := range s.keys {
+		if k.name != f.name {
+			continue
+		}
+		if k.duplicate {
+			return "duplicate key"
+		}
+		if f.required && k.value == "" {
+			return "required, but empty"
+		}
+		if err := f.set(k.value); err != nil {
+			return err.Error()
+		}
+		return ""
+	}
+	if f.required {
+		return "required, but missing"
+	}
+	return ""
+}
