--- /dev/null
+++ b/assigner/records.go
@@ -0,0 +1,102 @@
+package assigner
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/assign"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/store"
+)
+
+const (
+	// listTimeout and watchTimeout bound one call each.
+	listTimeout  = 2 * time.Second
+	watchTimeout = 30 * time.Second
+	// recordRetry is the pause after a failed list or watch.
+	recordRetry = time.Second
+)
+
+// remember keeps the newest record of a group, to hand it on to peers and to
+// learn which VMs are candidates.
+func (a *Assigner) remember(id ownership.GroupID, object store.Object) {
+	a.mu.Lock()
+	known := a.records[id]
+	newer := object.Version > known.Version
+	if newer {
+		a.records[id] = object
+	}
+	a.mu.Unlock()
+	record, err := ownership.UnmarshalRecord(object.Value)
+	if !newer || err != nil {
+		return
+	}
+	a.supporterMu.Lock()
+	a.supporter.Learn(id, record.Term, record.CandidatesVersion)
+	a.supporterMu.Unlock()
+}
+
+// followRecords lists the groups' records and watches them for changes.
+func (a *Assigner) followRecords(ctx context.Context) {
+	for ctx.Err() == nil {
+		version, err := a.listRecords(ctx)
+		for err == nil && ctx.Err() == nil {
+			version, err = a.watchRecords(ctx, version)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(recordRetry):
+		}
+	}
+}
+
+func (a *Assigner) listRecords(ctx context.Context) (store.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	objects, version, err := a.opts.Store.List(ctx, RecordPrefix)
+	a.metrics.storeCall("list", err)
+	if err != nil {
+		return 0, err
+	}
+	for _, object := range objects {
+		a.recordSeen(object)
+	}
+	return version, nil
+}
+
+func (a *Assigner) watchRecords(ctx context.Context, after store.Version) (store.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	events, err := a.opts.Store.Watch(ctx, RecordPrefix, after)
+	a.metrics.storeCall("watch", err)
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return after, err
+	}
+	for _, e := range events {
+		after = max(after, e.Version)
+		if !e.Deleted {
+			a.recordSeen(e.Object)
+		}
+	}
+	return after, nil
+}
+
+func (a *Assigner) recordSeen(object store.Object) {
+	id := ownership.GroupID(strings.TrimPrefix(object.Key, RecordPrefix))
+	record, err := ownership.UnmarshalRecord(object.Value)
+	if err != nil {
+		a.opts.Logger.Error("record is damaged", "group", id, "error", err)
+		return
+	}
+	a.remember(id, object)
+	a.reconcile()
+	a.mu.Lock()
+	g := a.groups[id]
+	a.mu.Unlock()
+	if g != nil {
+		g.deliver(assign.RecordChanged{Record: record, Version: object.Version})
+	}
+}
--- a/assigner/support.go
+++ b/assigner/support.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/basiltally/basiltally/assign"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
@@ -24,20 +25,41 @@
 type supportLink struct {
 	to      ownership.VMID
 	address string
-	self    ownership.VMID
-	inc     uint64
-	client  *peer.Client
-	now     func() time.Duration
-	deliver func(from ownership.VMID, reply *pb.SupportReply)
+	a       *Assigner
 
 	mu      sync.Mutex
-	pending map[string]*pb.GroupSupportRequest
-	wake    chan struct{}
+	pending map[ownership.GroupID]assign.AskSupport
+	// asked holds the requests sent and not yet answered, by send instant.
+	asked map[int64][]assign.AskSupport
+	wake  chan struct{}
 }
 
-func (l *supportLink) ask(r *pb.GroupSupportRequest) {
+// link returns the link to a VM, or nil if the VM list does not name it.
+func (a *Assigner) link(to ownership.VMID) *supportLink {
+	vm, ok := a.opts.Members.Snapshot().VM(to)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.links[to]
+	if l != nil && (!ok || l.address == vm.Address) {
+		return l
+	}
+	if !ok {
+		return nil
+	}
+	l = &supportLink{
+		to: to, address: vm.Address, a: a, wake: make(chan struct{}, 1),
+		pending: make(map[ownership.GroupID]assign.AskSupport), asked: make(map[int64][]assign.AskSupport),
+	}
+	a.links[to] = l
+	ctx := a.ctx
+	a.wg.Go(func() { l.run(ctx) })
+	return l
+}
+
+// ask queues a request; a later one for the same group takes its place.
+func (l *supportLink) ask(r assign.AskSupport) {
 	l.mu.Lock()
-	l.pending[r.Group] = r
+	l.pending[r.Request.Group] = r
 	l.mu.Unlock()
 	select {
 	case l.wake <- struct{}{}:
@@ -45,17 +67,36 @@
 	}
 }
 
-func (l *supportLink) take() []*pb.GroupSupportRequest {
+// take removes the queued requests and notes them as asked.
+func (l *supportLink) take(sentAt int64) []*pb.GroupSupportRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make([]*pb.GroupSupportRequest, 0, len(l.pending))
 	for _, r := range l.pending {
-		out = append(out, r)
+		out = append(out, supportRequestToProto(r.Request))
+		l.asked[sentAt] = append(l.asked[sentAt], r)
 	}
 	clear(l.pending)
 	return out
 }
 
+// drop forgets all requests, after the stream failed.
+func (l *supportLink) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.pending)
+	clear(l.asked)
+}
+
+// answered returns and forgets the requests that a reply echoes.
+func (l *supportLink) answered(echo int64) []assign.AskSupport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asked := l.asked[echo]
+	delete(l.asked, echo)
+	return asked
+}
+
 func (l *supportLink) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -70,12 +111,13 @@
 // exchange opens a stream and uses it until it fails or falls silent.
 func (l *supportLink) exchange(ctx context.Context) {
 	dialContext, cancel := context.WithTimeout(ctx, silentLinkLimit)
-	s, err := l.client.Open(dialContext, l.address)
+	s, err := l.a.opts.Peers.Open(dialContext, l.address)
 	cancel()
 	if err != nil {
-		l.take()
+		l.drop()
 		return
 	}
+	defer l.drop()
 	defer s.Close()
 	defer context.AfterFunc(ctx, func() { s.Close() })()
 	failed := make(chan struct{})
@@ -83,14 +125,14 @@
 	for {
 		time.Sleep(coalesceInterval)
 		if err := l.send(s); err != nil {
-			l.client.Forget(l.address)
+			l.a.opts.Peers.Forget(l.address)
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-failed:
-			l.client.Forget(l.address)
+			l.a.opts.Peers.Forget(l.address)
 			return
 		case <-l.wake:
 		}
@@ -98,11 +140,12 @@
 }
 
 func (l *supportLink) send(s *peer.Stream) error {
-	groups := l.take()
+	sentAt := int64(l.a.now())
+	groups := l.take(sentAt)
 	if len(groups) == 0 {
 		return nil
 	}
-	m := &pb.SupportRequest{Vm: string(l.self), Incarnation: l.inc, SentNanos: int64(l.now()), Groups: groups}
+	m := &pb.SupportRequest{Vm: string(l.a.opts.Self), Incarnation: l.a.opts.Incarnation, SentNanos: sentAt, Groups: groups}
 	return s.Send(&pb.Envelope{Body: &pb.Envelope_SupportRequest{SupportRequest: m}})
 }
 
@@ -117,7 +160,25 @@
 			return
 		}
 		if r := m.GetSupportReply(); r != nil {
-			l.deliver(l.to, r)
+			l.deliver(r)
+		}
+	}
+}
+
+// deliver hands each group its reply. The core counts support from the instant
+// of its own request, which is earlier than the message was sent.
+func (l *supportLink) deliver(m *pb.SupportReply) {
+	replies := make(map[string]*pb.GroupSupportReply, len(m.Groups))
+	for _, r := range m.Groups {
+		replies[r.Group] = r
+	}
+	for _, asked := range l.answered(m.EchoSentNanos) {
+		r := replies[string(asked.Request.Group)]
+		l.a.mu.Lock()
+		g := l.a.groups[asked.Request.Group]
+		l.a.mu.Unlock()
+		if r != nil && g != nil {
+			g.supportAnswered(l.to, m.Incarnation, asked, supportReplyFromProto(r))
 		}
 	}
 }
--- a/ownership/codec.go
+++ b/ownership/codec.go
@@ -9,6 +9,12 @@
 
 // MarshalRecord encodes a record for the store.
 func MarshalRecord(r *Record) ([]byte, error) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(RecordToProto(r))
+	return b, errors.Wrapf(err, "encode record of group %s", r.Group)
+}
+
+// RecordToProto converts a record to its message.
+func RecordToProto(r *Record) *pb.GroupRecord {
 	m := &pb.GroupRecord{
 		Group: string(r.Group), Term: r.Term, Assigner: string(r.Assigner), Incarnation: r.Incarnation, Nonce: r.Nonce,
 		CandidatesVersion: r.CandidatesVersion, Targets: targetsToProto(r.Targets), SlotCount: r.SlotCount,
@@ -20,8 +26,7 @@
 	for _, p := range r.Pins {
 		m.Pins = append(m.Pins, &pb.Pin{KeyHi: p.Key.Hi, KeyLo: p.Key.Lo, Slot: uint32(p.Slot), Owner: p.Owner + 1})
 	}
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
-	return b, errors.Wrapf(err, "encode record of group %s", r.Group)
+	return m
 }
 
 // UnmarshalRecord decodes a record and checks its shape.
@@ -30,6 +35,11 @@
 	if err := proto.Unmarshal(b, &m); err != nil {
 		return nil, errors.Wrap(err, "decode group record")
 	}
+	return RecordFromProto(&m)
+}
+
+// RecordFromProto converts a message to a record and checks its shape.
+func RecordFromProto(m *pb.GroupRecord) (*Record, error) {
 	r := &Record{
 		Group: GroupID(m.Group), Term: m.Term, Assigner: VMID(m.Assigner), Incarnation: m.Incarnation, Nonce: m.Nonce,
 		CandidatesVersion: m.CandidatesVersion, Targets: targetsFromProto(m.Targets), SlotCount: m.SlotCount,
