--- /dev/null
+++ b/balance/gate.go
@@ -0,0 +1,150 @@
+// Package balance decides how many requests an entry runs at once on each
+// target, which of them wait, and which target takes the next one.
+package balance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basiltally/basiltally/result"
+)
+
+// serviceWeight is the weight of a new sample in the mean service time.
+const serviceWeight = 0.1
+
+// Gate limits the requests that run at once and keeps the others in a bounded
+// queue, first in, first out. It refuses a request that would miss its deadline
+// in the queue as soon as that can be foreseen.
+type Gate struct {
+	mu      sync.Mutex
+	limit   int
+	running int
+	queue   []*waiter
+	maxWait int
+	// service is the exponentially weighted mean of the service time.
+	service time.Duration
+}
+
+type waiter struct {
+	deadline time.Time
+	// grant receives nil or the refusal; it has room for one.
+	grant chan error
+}
+
+// NewGate returns a Gate that runs limit requests and lets maxWaiting wait.
+func NewGate(limit, maxWaiting int) *Gate {
+	return &Gate{limit: limit, maxWait: maxWaiting}
+}
+
+// SetLimit changes the limit. Requests above it finish undisturbed.
+func (g *Gate) SetLimit(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit = limit
+	g.admitLocked()
+}
+
+// Load returns the number of requests that run and that wait.
+func (g *Gate) Load() (running, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running, len(g.queue)
+}
+
+// Acquire waits for a place until the context ends. The deadline is the one of
+// the request. After a nil error the caller must call Release.
+func (g *Gate) Acquire(ctx context.Context, deadline time.Time) error {
+	w, err := g.enter(deadline)
+	if w == nil {
+		return err
+	}
+	select {
+	case err := <-w.grant:
+		return err
+	case <-ctx.Done():
+	}
+	if g.leave(w) {
+		return result.New(result.QueueDeadline, "%v while waiting for a slot", context.Cause(ctx))
+	}
+	// The grant was decided meanwhile.
+	return <-w.grant
+}
+
+// enter takes a place or queues a waiter.
+func (g *Gate) enter(deadline time.Time) (*waiter, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running < g.limit && len(g.queue) == 0 {
+		g.running++
+		return nil, nil
+	}
+	if len(g.queue) >= g.maxWait {
+		return nil, overload(result.QueueFull, g.service)
+	}
+	if g.hopelessLocked(deadline, len(g.queue)+1) {
+		return nil, overload(result.QueueDeadline, g.service)
+	}
+	w := &waiter{deadline: deadline, grant: make(chan error, 1)}
+	g.queue = append(g.queue, w)
+	return w, nil
+}
+
+// hopelessLocked reports whether a request behind ahead others would miss its deadline.
+func (g *Gate) hopelessLocked(deadline time.Time, ahead int) bool {
+	wait := g.service * time.Duration(ahead) / time.Duration(max(g.limit, 1))
+	return time.Until(deadline) < wait+g.service
+}
+
+func (g *Gate) leave(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, q := range g.queue {
+		if q == w {
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Release gives a place back. A service time above zero is a sample for the
+// estimate of waiting times.
+func (g *Gate) Release(service time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.sampleLocked(service)
+	g.admitLocked()
+}
+
+func (g *Gate) sampleLocked(service time.Duration) {
+	if service <= 0 {
+		return
+	}
+	if g.service == 0 {
+		g.service = service
+		return
+	}
+	g.service += time.Duration(serviceWeight * float64(service-g.service))
+}
+
+// admitLocked hands free places to waiters and refuses those that would miss their deadline.
+func (g *Gate) admitLocked() {
+	for g.running < g.limit && len(g.queue) > 0 {
+		w := g.queue[0]
+		g.queue = g.queue[1:]
+		if g.hopelessLocked(w.deadline, 0) {
+			w.grant <- overload(result.QueueDeadline, g.service)
+			continue
+		}
+		g.running++
+		w.grant <- nil
+	}
+}
+
+func overload(code result.Code, service time.Duration) error {
+	e := result.New(code, "mean service time %v", service)
+	e.RetryAfter = time.Second
+	return e
+}
--- /dev/null
+++ b/dispatch/body.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/result"
+)
+
+// errShort reports that a body ended before its stated length or last chunk.
+var errShort = errors.New("dispatch: the body ended early")
+
+// progressReader reads from the connection and extends the deadline with each read.
+type progressReader struct{ x *exchange }
+
+// Read implements io.Reader.
+func (r progressReader) Read(p []byte) (int, error) {
+	r.extend()
+	return r.x.conn.reader.Read(p)
+}
+
+func (r progressReader) extend() {
+	if r.x.conn.reader.Buffered() > 0 {
+		return
+	}
+	r.x.conn.SetReadDeadline(r.x.progressDeadline(r.x.dispatcher.opts.ProgressTimeout))
+}
+
+// fixedBody is a body of a stated length.
+type fixedBody struct {
+	src  io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *fixedBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.src.Read(p)
+	b.left -= int64(n)
+	if b.left == 0 {
+		return n, io.EOF
+	}
+	if err == io.EOF {
+		err = errShort
+	}
+	return n, err
+}
+
+// chunkedBody is a body in chunks, up to the end of its trailer.
+type chunkedBody struct {
+	src    progressReader
+	chunks io.Reader
+	done   bool
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
+	b.src.extend()
+	n, err := b.chunks.Read(p)
+	if err == io.ErrUnexpectedEOF {
+		return n, errShort
+	}
+	if err != io.EOF {
+		return n, err
+	}
+	if err := b.skipTrailer(); err != nil {
+		return n, err
+	}
+	b.done = true
+	return n, io.EOF
+}
+
+// skipTrailer reads up to the empty line that ends the message.
+func (b *chunkedBody) skipTrailer() error {
+	for {
+		b.src.extend()
+		line, err := b.src.x.conn.reader.ReadSlice('\n')
+		if err == io.EOF || err == bufio.ErrBufferFull {
+			return errShort
+		}
+		if err != nil {
+			return err
+		}
+		if len(line) <= len("\r\n") {
+			return nil
+		}
+	}
+}
+
+// stream is the body of an answer on its way to the caller. Reading an error
+// makes the server abort the caller's connection, so that the caller cannot
+// take a short body for a whole one.
+type stream struct {
+	exchange *exchange
+	body     io.Reader
+	prefix   []byte
+	whole    bool
+	failure  error
+	closed   bool
+}
+
+// Read implements io.Reader.
+func (s *stream) Read(p []byte) (int, error) {
+	if len(s.prefix) > 0 {
+		n := copy(p, s.prefix)
+		s.prefix = s.prefix[n:]
+		return n, nil
+	}
+	n, err := s.body.Read(p)
+	switch err {
+	case nil:
+	case io.EOF:
+		s.whole = true
+	default:
+		s.failure = s.exchange.classify(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (s *stream) Close() error { return s.CloseWithError(nil) }
+
+// CloseWithError ends the exchange and the request; the error is the one of
+// writing to the caller.
+func (s *stream) CloseWithError(err error) error {
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	x := s.exchange
+	if s.whole {
+		x.succeed()
+	} else {
+		x.discard()
+	}
+	if x.req.Streaming() {
+		x.req.End(s.outcome(err))
+	}
+	return nil
+}
+
+func (s *stream) outcome(err error) error {
+	switch {
+	case s.failure != nil:
+		return s.failure
+	case s.whole && err == nil:
+		return nil
+	default:
+		return result.New(result.CallerGone, "the answer was not taken whole")
+	}
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,187 @@
+// Package dispatch is the last filter: it sends the request to its target and
+// receives the answer.
+//
+// It runs the HTTP exchange on its own connections, because a client library
+// that retries by itself hides whether a byte of a request may have left.
+package dispatch
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/basiltally/basiltally/balance"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+)
+
+// maxBackoffDoublings bounds the suspension of dials after failures.
+const maxBackoffDoublings = 6
+
+// DialFunc opens a connection to a target.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Options of the Dispatcher.
+type Options struct {
+	// Dial opens connections. Default: TCP.
+	Dial DialFunc
+	// DialTimeout bounds one dial. Default 500 ms.
+	DialTimeout time.Duration
+	// DialRate is the number of dials per second to one target, with DialBurst.
+	// Default 20 and 12.
+	DialRate  float64
+	DialBurst int
+	// DialBackoff suspends dials to a target after a failure, doubled with each
+	// further one up to 64 times. Default 50 ms.
+	DialBackoff time.Duration
+	// MaxIdle is the longest time that a connection is kept idle. Default 30 s.
+	MaxIdle time.Duration
+	// MaxIdleAtMostOnce is the same for at-most-once requests, which cannot be
+	// sent again when the connection has gone silent meanwhile. Default 2 s.
+	MaxIdleAtMostOnce time.Duration
+	// SilenceTimeout is the longest wait for the first byte of the answer to an
+	// idempotent request before the connection is given up. Default 500 ms.
+	SilenceTimeout time.Duration
+	// ProgressTimeout is the longest time without a byte within an answer or
+	// while a request body is sent. Default 5 s.
+	ProgressTimeout time.Duration
+	// BufferBytes is the longest body that is read whole before the answer is
+	// relayed; longer ones are streamed. Default 64 KiB.
+	BufferBytes int
+	// ShortSlots and BulkSlots are the requests that this entry runs at once on
+	// one target, short ones and long transfers apart. Default 4 and 2.
+	ShortSlots, BulkSlots int
+	// MaxWaiting bounds the requests that wait for a slot of one target. Default 256.
+	MaxWaiting int
+}
+
+func (o Options) withDefaults() Options {
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	setDefault(&o.DialTimeout, 500*time.Millisecond)
+	setDefault(&o.DialRate, 20)
+	setDefault(&o.DialBurst, 12)
+	setDefault(&o.DialBackoff, 50*time.Millisecond)
+	setDefault(&o.MaxIdle, 30*time.Second)
+	setDefault(&o.MaxIdleAtMostOnce, 2*time.Second)
+	setDefault(&o.SilenceTimeout, 500*time.Millisecond)
+	setDefault(&o.ProgressTimeout, 5*time.Second)
+	setDefault(&o.BufferBytes, 64<<10)
+	setDefault(&o.ShortSlots, 4)
+	setDefault(&o.BulkSlots, 2)
+	setDefault(&o.MaxWaiting, 256)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Dispatcher sends requests to targets. It is the last Handler of the pipeline.
+type Dispatcher struct {
+	opts Options
+
+	mu    sync.Mutex
+	lanes map[laneKey]*lane
+}
+
+// laneKey separates short requests and long transfers to a target.
+type laneKey struct {
+	target  ownership.TargetID
+	address string
+	bulk    bool
+}
+
+type lane struct {
+	gate *balance.Gate
+	pool *pool
+}
+
+// New returns a Dispatcher.
+func New(opts Options) *Dispatcher {
+	return &Dispatcher{opts: opts.withDefaults(), lanes: map[laneKey]*lane{}}
+}
+
+// Run closes idle connections until the context ends, then all idle ones.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	tick := time.NewTicker(d.opts.MaxIdle / 4)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			d.closeIdle(d.opts.MaxIdle)
+		case <-ctx.Done():
+			d.closeIdle(0)
+			return nil
+		}
+	}
+}
+
+func (d *Dispatcher) closeIdle(maxIdle time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.lanes {
+		l.pool.closeIdle(maxIdle)
+	}
+}
+
+func (d *Dispatcher) lane(t *ownership.Target, bulk bool) *lane {
+	key := laneKey{t.ID, t.Address, bulk}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.lanes[key]
+	if !ok {
+		slots := d.opts.ShortSlots
+		if bulk {
+			slots = d.opts.BulkSlots
+		}
+		l = &lane{
+			gate: balance.NewGate(slots, d.opts.MaxWaiting),
+			pool: newPool(t.Address, &d.opts),
+		}
+		d.lanes[key] = l
+	}
+	return l
+}
+
+// Serve implements pipeline.Handler with one exchange.
+func (d *Dispatcher) Serve(req *pipeline.Request) error {
+	l := d.lane(req.Owner.Target, req.Bulk())
+	if err := l.gate.Acquire(req.Context, req.Deadline); err != nil {
+		return err
+	}
+	req.Started()
+	x := &exchange{dispatcher: d, lane: l, req: req, started: time.Now()}
+	c, err := l.pool.get(req.Context, d.maxIdle(req), req.Fresh)
+	if err != nil {
+		l.gate.Release(0)
+		return connectError(req, err)
+	}
+	x.conn = c
+	return x.run()
+}
+
+func (d *Dispatcher) maxIdle(req *pipeline.Request) time.Duration {
+	if req.AtMostOnce() {
+		return d.opts.MaxIdleAtMostOnce
+	}
+	return d.opts.MaxIdle
+}
+
+func connectError(req *pipeline.Request, err error) error {
+	if req.Context.Err() != nil {
+		return result.Wrap(result.QueueDeadline, err, "target %s", req.Owner.Target.ID)
+	}
+	return result.Wrap(result.ConnectFailed, err, "target %s", req.Owner.Target.ID)
+}
--- /dev/null
+++ b/dispatch/exchange.go
@@ -0,0 +1,318 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+	"github.com/basiltally/basiltally/target"
+)
+
+const (
+	// chunkedLength and closeDelimited are fasthttp's content lengths of bodies
+	// without a stated length.
+	chunkedLength  = -1
+	closeDelimited = -2
+	// writeBufferBytes is the buffer of a request on its way to the target.
+	writeBufferBytes = 4 << 10
+)
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	dispatcher *Dispatcher
+	lane       *lane
+	req        *pipeline.Request
+	conn       *conn
+	started    time.Time
+	// sentBefore is Request.MaySent before this exchange.
+	sentBefore bool
+	// stopWatch ends the watch over the request's context; it returns false if
+	// the context ended first, which closed the connection.
+	stopWatch func() bool
+}
+
+func (x *exchange) run() error {
+	x.watch()
+	x.sentBefore = x.req.MaySent
+	if err := x.send(); err != nil {
+		return x.fail(err)
+	}
+	if err := x.receiveHeader(); err != nil {
+		return x.fail(err)
+	}
+	if err := x.checkHeader(); err != nil {
+		return x.fail(err)
+	}
+	return x.receiveBody()
+}
+
+// watch closes the connection when the caller is gone, which cancels the
+// request at the target. An at-most-once request runs on until its deadline, so
+// that its outcome can be recorded for the caller's resend.
+func (x *exchange) watch() {
+	if x.req.AtMostOnce() {
+		x.stopWatch = func() bool { return true }
+		return
+	}
+	x.stopWatch = context.AfterFunc(x.req.Context, func() { x.conn.Close() })
+}
+
+// send writes the request.
+func (x *exchange) send() error {
+	if x.req.BeforeSend != nil {
+		if err := x.req.BeforeSend(); err != nil {
+			return err
+		}
+	}
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	x.fill(out)
+	x.conn.sent = 0
+	x.conn.SetDeadline(x.progressDeadline(x.dispatcher.opts.ProgressTimeout))
+	w := bufio.NewWriterSize(progressWriter{x}, writeBufferBytes)
+	if err := out.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// progressWriter extends the deadline with each write and notes that bytes may have left.
+type progressWriter struct{ x *exchange }
+
+// Write implements io.Writer.
+func (w progressWriter) Write(p []byte) (int, error) {
+	x := w.x
+	x.conn.SetWriteDeadline(x.progressDeadline(x.dispatcher.opts.ProgressTimeout))
+	n, err := x.conn.Write(p)
+	if n > 0 && !x.req.MaySent {
+		x.req.MaySent = true
+	}
+	return n, err
+}
+
+// fill copies the caller's request and adds the headers of the target protocol.
+func (x *exchange) fill(out *fasthttp.Request) {
+	req := x.req
+	req.HTTP.Header.CopyTo(&out.Header)
+	h := &out.Header
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	h.Set(target.HeaderRequestID, req.ID)
+	h.Set(target.HeaderGroup, string(req.Group))
+	h.Set(target.HeaderSlot, strconv.FormatUint(uint64(req.Owner.Slot), 10))
+	h.Set(target.HeaderToken, req.Owner.Token.String())
+	remaining := max(time.Until(req.Deadline).Milliseconds(), 1)
+	h.Set(target.HeaderDeadline, strconv.FormatInt(remaining, 10))
+	if len(h.Host()) == 0 {
+		h.SetHost(req.Owner.Target.Address)
+	}
+	if stream := req.HTTP.BodyStream(); stream != nil {
+		req.BodyTaken = true
+		out.SetBodyStream(stream, req.HTTP.Header.ContentLength())
+		return
+	}
+	out.SetBodyRaw(req.HTTP.Body())
+}
+
+// hopByHop are headers that concern one connection only, and those of the
+// caller's that could be taken for the entry's own.
+var hopByHop = []string{
+	fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, fasthttp.HeaderProxyConnection,
+	fasthttp.HeaderTE, fasthttp.HeaderUpgrade, fasthttp.HeaderExpect,
+	target.HeaderResult,
+}
+
+func (x *exchange) receiveHeader() error {
+	x.conn.SetReadDeadline(x.progressDeadline(x.firstByteTimeout()))
+	h := &x.req.Answer.Header
+	for {
+		if err := h.Read(x.conn.reader); err != nil {
+			return err
+		}
+		if h.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+		// Informational answers precede the real one.
+		h.Reset()
+	}
+}
+
+// firstByteTimeout is short only where the request may be sent again.
+func (x *exchange) firstByteTimeout() time.Duration {
+	if x.req.AtMostOnce() {
+		return time.Until(x.req.Deadline)
+	}
+	return x.dispatcher.opts.SilenceTimeout
+}
+
+// progressDeadline returns the instant after the timeout, at most the request's deadline.
+func (x *exchange) progressDeadline(timeout time.Duration) time.Time {
+	t := time.Now().Add(timeout)
+	if x.req.Deadline.Before(t) {
+		return x.req.Deadline
+	}
+	return t
+}
+
+// checkHeader compares the correlation id and recognises refusals.
+func (x *exchange) checkHeader() error {
+	h := &x.req.Answer.Header
+	if id := h.Peek(target.HeaderRequestID); string(id) != x.req.ID {
+		return result.New(result.AnswerMismatch, "the answer is to request %q", id)
+	}
+	refusal := string(h.Peek(target.HeaderResult))
+	if refusal == "" {
+		return nil
+	}
+	return x.refused(refusal)
+}
+
+// refused returns the error for a target that asserts that it did not run the request.
+func (x *exchange) refused(refusal string) error {
+	code, ok := refusalCodes[refusal]
+	if !ok {
+		return result.New(result.AnswerMismatch, "unknown refusal %q", refusal)
+	}
+	x.req.MaySent = x.sentBefore
+	e := result.New(code, "target %s", x.req.Owner.Target.ID)
+	if code == result.TargetShed {
+		e.RetryAfter = time.Second
+	}
+	return e
+}
+
+var refusalCodes = map[string]result.Code{
+	target.RefusedNotOwner: result.StaleOwner,
+	target.RefusedShed:     result.TargetShed,
+	target.RefusedDraining: result.TargetLeaving,
+	target.RefusedDeadline: result.DeadlineTooShort,
+}
+
+// receiveBody reads a short body whole and makes a longer one a stream.
+func (x *exchange) receiveBody() error {
+	b, err := x.body()
+	if err != nil {
+		return x.fail(err)
+	}
+	x.cleanHeader()
+	limit := x.dispatcher.opts.BufferBytes
+	prefix, err := readUpTo(b, x.req.Answer.Header.ContentLength(), limit)
+	if err != nil {
+		return x.fail(err)
+	}
+	if len(prefix) <= limit {
+		x.req.Answer.SetBodyRaw(prefix)
+		x.succeed()
+		return nil
+	}
+	s := &stream{exchange: x, body: b, prefix: prefix}
+	x.req.BeginStream()
+	x.req.Answer.SetBodyStream(s, x.req.Answer.Header.ContentLength())
+	return nil
+}
+
+// readUpTo reads the whole body, or one byte more than the limit. The length is
+// the stated one, or negative.
+func readUpTo(body io.Reader, length, limit int) ([]byte, error) {
+	if length < 0 || length > limit {
+		return io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := buf.ReadFrom(body)
+	return buf.Bytes(), err
+}
+
+// body returns a reader that ends with io.EOF only after the whole body.
+func (x *exchange) body() (io.Reader, error) {
+	h := &x.req.Answer.Header
+	src := progressReader{x}
+	if x.req.HTTP.Header.IsHead() || bodyless(h.StatusCode()) {
+		return &fixedBody{src: src}, nil
+	}
+	switch n := h.ContentLength(); n {
+	case chunkedLength:
+		return &chunkedBody{src: src, chunks: httputil.NewChunkedReader(x.conn.reader)}, nil
+	case closeDelimited:
+		return nil, result.New(result.ShortBody, "the answer states no length")
+	default:
+		return &fixedBody{src: src, left: int64(n)}, nil
+	}
+}
+
+func bodyless(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// cleanHeader removes what concerns the target's connection only.
+func (x *exchange) cleanHeader() {
+	h := &x.req.Answer.Header
+	x.conn.closing = h.ConnectionClose()
+	h.ResetConnectionClose()
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// fail closes the connection, which tells the target to cancel, and returns the
+// error with the code that follows from what may have been sent.
+func (x *exchange) fail(err error) error {
+	refusal, refused := err.(*result.Error)
+	code := refusal
+	if !refused {
+		code = x.classify(err)
+	}
+	x.discard()
+	x.req.Answer.Reset()
+	return code
+}
+
+func (x *exchange) classify(err error) *result.Error {
+	id := x.req.Owner.Target.ID
+	switch {
+	case x.conn.sent == 0 && x.req.Context.Err() != nil:
+		return result.Wrap(result.QueueDeadline, err, "target %s", id)
+	case x.conn.sent == 0:
+		return result.Wrap(result.ConnectFailed, err, "target %s", id)
+	case context.Cause(x.req.Context) == pipeline.ErrCallerGone:
+		return result.Wrap(result.CallerGone, err, "target %s", id)
+	case x.req.Context.Err() != nil || isTimeout(err):
+		return result.Wrap(result.TargetTimeout, err, "target %s", id)
+	case errors.Is(err, errShort):
+		return result.Wrap(result.ShortBody, err, "target %s", id)
+	default:
+		return result.Wrap(result.TargetLost, err, "target %s", id)
+	}
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// discard gives the slot back and closes the connection.
+func (x *exchange) discard() {
+	x.stopWatch()
+	x.conn.Close()
+	x.lane.gate.Release(0)
+}
+
+// succeed gives the slot back and keeps the connection if nothing is left on it.
+func (x *exchange) succeed() {
+	open := x.stopWatch()
+	x.lane.gate.Release(time.Since(x.started))
+	if !open || x.conn.closing || x.conn.reader.Buffered() > 0 {
+		x.conn.Close()
+		return
+	}
+	x.lane.pool.put(x.conn)
+}
--- /dev/null
+++ b/dispatch/pool.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// readBufferBytes bounds the header of a target's answer.
+const readBufferBytes = 8 << 10
+
+// errBackoff reports that a target is not dialled because dials failed a moment ago.
+var errBackoff = errors.New("dispatch: connecting is suspended after failures")
+
+// conn is a connection to a target. One exchange uses it at a time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// idleSince is the instant at which the last exchange ended.
+	idleSince time.Time
+	// closing is set if the target closes the connection after the answer.
+	closing bool
+	// sent counts the bytes written in the current exchange.
+	sent int64
+}
+
+// Write counts the bytes that may have left.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent += int64(n)
+	return n, err
+}
+
+// pool holds the connections to one target in one lane. The number of open
+// connections follows from the gate in front of the pool.
+type pool struct {
+	address string
+	dial    DialFunc
+	opts    *Options
+	pace    *rate.Limiter
+
+	mu       sync.Mutex
+	idle     []*conn
+	failures int
+	// blockedUntil suspends dials after failures.
+	blockedUntil time.Time
+}
+
+func newPool(address string, opts *Options) *pool {
+	return &pool{
+		address: address,
+		dial:    opts.Dial,
+		opts:    opts,
+		pace:    rate.NewLimiter(rate.Limit(opts.DialRate), opts.DialBurst),
+	}
+}
+
+// get returns an idle connection not older than maxIdle, or a new one.
+func (p *pool) get(ctx context.Context, maxIdle time.Duration, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.popIdle()
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleSince) <= maxIdle && alive(c.Conn) {
+			return c, nil
+		}
+		c.Close()
+	}
+	return p.open(ctx)
+}
+
+func (p *pool) popIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *pool) open(ctx context.Context) (*conn, error) {
+	if p.blocked() {
+		return nil, errBackoff
+	}
+	if err := p.pace.Wait(ctx); err != nil {
+		return nil, errors.Wrap(err, "waiting to connect")
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	nc, err := p.dial(ctx, p.address)
+	p.dialled(err)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc}
+	c.reader = bufio.NewReaderSize(nc, readBufferBytes)
+	return c, nil
+}
+
+func (p *pool) blocked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.blockedUntil)
+}
+
+// dialled doubles the suspension with each failure in a row.
+func (p *pool) dialled(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		p.failures = 0
+		return
+	}
+	wait := p.opts.DialBackoff << min(p.failures, maxBackoffDoublings)
+	p.failures++
+	p.blockedUntil = time.Now().Add(wait)
+}
+
+// put keeps a connection whose exchange was completed.
+func (p *pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, c)
+}
+
+// closeIdle closes connections that have been idle for longer than maxIdle.
+func (p *pool) closeIdle(maxIdle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if time.Since(c.idleSince) > maxIdle {
+			c.Close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.idle = kept
+}
--- /dev/null
+++ b/frontend/frontend.go
@@ -0,0 +1,310 @@
+// Package frontend serves the callers' HTTP: connections live on gnet event
+// loops, fasthttp parses the requests and writes the answers.
+package frontend
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/pipeline/relay"
+	"github.com/basiltally/basiltally/result"
+)
+
+// drainPoll is the interval at which a stop looks for open connections.
+const drainPoll = 10 * time.Millisecond
+
+// Options of a Frontend.
+type Options struct {
+	// Address is the host:port to listen on.
+	Address string
+	// Handler serves the requests: the first filter of the pipeline.
+	Handler pipeline.Handler
+	// HeaderBytes bounds the header of a request. Default 8 KiB.
+	HeaderBytes int
+	// BodyBytes bounds the body of a request, whatever its class. Default 4 MiB.
+	BodyBytes int
+	// OutboundBytes bounds what is buffered for a slow caller. Default 128 KiB.
+	OutboundBytes int
+	// HeaderTimeout bounds the time from the first byte of a request to the end
+	// of its header and a short body. Default 5 s.
+	HeaderTimeout time.Duration
+	// IdleTimeout closes connections without a request. Default 60 s.
+	IdleTimeout time.Duration
+	// WriteStall aborts an answer of which the caller takes no byte for so long.
+	// Default 30 s.
+	WriteStall time.Duration
+	// MaxConnections refuses further connections. Default 20000.
+	MaxConnections int
+	// DrainLinger keeps idle connections open after a stop has begun, so that
+	// requests on their way are refused with an answer. Default 2 s.
+	DrainLinger time.Duration
+	// HardLimit bounds a stop: what is then in flight is cut off. Zero waits
+	// without a limit.
+	HardLimit time.Duration
+	// EventLoops is the number of event loops. Default: one per processor.
+	EventLoops int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.HeaderBytes, 8<<10)
+	setDefault(&o.BodyBytes, 4<<20)
+	setDefault(&o.OutboundBytes, 128<<10)
+	setDefault(&o.HeaderTimeout, 5*time.Second)
+	setDefault(&o.IdleTimeout, 60*time.Second)
+	setDefault(&o.WriteStall, 30*time.Second)
+	setDefault(&o.MaxConnections, 20000)
+	setDefault(&o.DrainLinger, 2*time.Second)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Frontend is the callers' side of an entry.
+type Frontend struct {
+	gnet.BuiltinEventEngine
+	opts     Options
+	http     *fasthttp.Server
+	engine   gnet.Engine
+	booted   chan struct{}
+	idPrefix string
+	sequence atomic.Uint64
+	// draining refuses new requests, closing also new connections.
+	draining, closing atomic.Bool
+	open              atomic.Int64
+	conns             sync.Map // of *conn to nothing
+}
+
+// New returns a Frontend that is not serving yet.
+func New(opts Options) *Frontend {
+	f := &Frontend{
+		opts:     opts.withDefaults(),
+		booted:   make(chan struct{}),
+		idPrefix: newPrefix(),
+	}
+	f.http = &fasthttp.Server{
+		Handler:                      f.serve,
+		ErrorHandler:                 f.serveError,
+		ReadBufferSize:               f.opts.HeaderBytes,
+		MaxRequestBodySize:           f.opts.BodyBytes,
+		ReadTimeout:                  f.opts.HeaderTimeout,
+		IdleTimeout:                  f.opts.IdleTimeout,
+		Concurrency:                  f.opts.MaxConnections,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		ConnState:                    connState,
+		Logger:                       discardLogger{},
+	}
+	return f
+}
+
+// newPrefix returns the part of request ids that tells entries and their starts apart.
+func newPrefix() string {
+	var b [8]byte
+	rand.Read(b[:]) // Never fails.
+	return hex.EncodeToString(b[:]) + "-"
+}
+
+// Run serves until the context ends and all requests in flight are finished.
+func (f *Frontend) Run(ctx context.Context) error {
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.runEngine() }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-ctx.Done():
+	}
+	f.drain()
+	if err := f.engine.Stop(context.WithoutCancel(ctx)); err != nil {
+		return errors.Wrap(err, "stop the event loops")
+	}
+	return <-stopped
+}
+
+func (f *Frontend) runEngine() error {
+	err := gnet.Run(f, "tcp://"+f.opts.Address,
+		gnet.WithMulticore(true),
+		gnet.WithNumEventLoop(f.opts.EventLoops),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithReusePort(false),
+	)
+	return errors.Wrapf(err, "listen on %s", f.opts.Address)
+}
+
+// Ready is closed once the listener is open.
+func (f *Frontend) Ready() <-chan struct{} { return f.booted }
+
+// drain refuses new requests, lets those in flight finish and waits until the
+// callers have taken their answers.
+func (f *Frontend) drain() {
+	<-f.booted
+	f.draining.Store(true)
+	slog.Info("entry is draining", "connections", f.open.Load())
+	time.Sleep(f.opts.DrainLinger)
+	f.closing.Store(true)
+	f.conns.Range(func(c, _ any) bool {
+		c.(*conn).finish()
+		return true
+	})
+	f.waitClosed()
+}
+
+func (f *Frontend) waitClosed() {
+	started := time.Now()
+	for f.open.Load() > 0 {
+		if f.opts.HardLimit > 0 && time.Since(started) > f.opts.HardLimit {
+			slog.Warn("hard limit of the stop reached, requests are cut off", "connections", f.open.Load())
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+// connState follows which connections are between requests.
+func connState(nc net.Conn, state fasthttp.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		c.setIdle(false)
+	case fasthttp.StateIdle:
+		c.setIdle(true)
+	}
+}
+
+// OnBoot implements gnet.EventHandler.
+func (f *Frontend) OnBoot(eng gnet.Engine) gnet.Action {
+	f.engine = eng
+	close(f.booted)
+	return gnet.None
+}
+
+// OnOpen implements gnet.EventHandler.
+func (f *Frontend) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	if f.open.Add(1) > int64(f.opts.MaxConnections) || f.closing.Load() {
+		return nil, gnet.Close
+	}
+	c := newConn(gc, limits{
+		inbound:    f.opts.HeaderBytes + f.opts.BodyBytes,
+		outbound:   f.opts.OutboundBytes,
+		writeStall: f.opts.WriteStall,
+	})
+	gc.SetContext(c)
+	f.conns.Store(c, nil)
+	go func() { _ = f.http.ServeConn(c) }()
+	return nil, gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (f *Frontend) OnTraffic(gc gnet.Conn) gnet.Action {
+	buf, _ := gc.Next(-1)
+	c, ok := gc.Context().(*conn)
+	if !ok || !c.feed(buf) {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (f *Frontend) OnClose(gc gnet.Conn, err error) gnet.Action {
+	f.open.Add(-1)
+	if c, ok := gc.Context().(*conn); ok {
+		f.conns.Delete(c)
+		c.closed(err)
+	}
+	return gnet.None
+}
+
+// serve handles one parsed request.
+func (f *Frontend) serve(hc *fasthttp.RequestCtx) {
+	req := f.newRequest(hc)
+	if f.draining.Load() {
+		f.refuse(req, result.New(result.EntryDraining, "this entry is stopping"))
+	} else {
+		pipeline.Run(f.opts.Handler, req)
+	}
+	if f.draining.Load() {
+		hc.SetConnectionClose()
+	}
+}
+
+// newRequest returns a request whose context ends with the caller's connection.
+func (f *Frontend) newRequest(hc *fasthttp.RequestCtx) *pipeline.Request {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	req := &pipeline.Request{
+		ID:      f.nextID(),
+		Start:   time.Now(),
+		HTTP:    &hc.Request,
+		Answer:  &hc.Response,
+		Context: ctx,
+	}
+	c, ok := hc.Conn().(*conn)
+	if ok {
+		c.notifyGone(func() { cancel(pipeline.ErrCallerGone) })
+	}
+	req.OnEnd(func(error) {
+		if ok {
+			c.notifyGone(nil)
+		}
+		cancel(nil)
+	})
+	return req
+}
+
+func (f *Frontend) refuse(req *pipeline.Request, e *result.Error) {
+	e.RetryAfter = time.Second
+	relay.WriteError(req.Answer, e, req.ID)
+	req.End(e)
+}
+
+func (f *Frontend) nextID() string {
+	return f.idPrefix + strconv.FormatUint(f.sequence.Add(1), 36)
+}
+
+// serveError answers a request that could not be parsed or received.
+func (f *Frontend) serveError(hc *fasthttp.RequestCtx, err error) {
+	relay.WriteError(&hc.Response, receiveError(err), "")
+	hc.SetConnectionClose()
+}
+
+func receiveError(err error) *result.Error {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return result.New(result.BodyTooLarge, "the body exceeds the limit of the entry")
+	case errors.As(err, &small):
+		return result.New(result.BadRequest, "the header is too long")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return result.New(result.HeaderTimeout, "the request did not arrive in time")
+	default:
+		return result.Wrap(result.BadRequest, err, "the request cannot be parsed")
+	}
+}
+
+// discardLogger drops fasthttp's lines on single connections; counters tell of them.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/pipeline/identify/identify.go
@@ -0,0 +1,217 @@
+// Package identify is the filter that finds the tenant, the class, the key and
+// the deadline of a request.
+package identify
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+)
+
+// maxIdempotencyKey is the longest accepted idempotency key in bytes.
+const maxIdempotencyKey = 256
+
+// Options of the filter.
+type Options struct {
+	// Bundle returns the configuration bundle in force, or nil if there is none.
+	Bundle func() *config.Bundle
+}
+
+type filter struct {
+	opts  Options
+	index atomic.Pointer[index]
+	next  pipeline.Handler
+}
+
+// New returns the filter.
+func New(opts Options) pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return &filter{opts: opts, next: next}
+	}
+}
+
+// Serve implements pipeline.Handler.
+func (f *filter) Serve(req *pipeline.Request) error {
+	ix := f.current()
+	if ix == nil {
+		return result.New(result.ConfigStale, "no configuration bundle is in force")
+	}
+	if err := ix.identify(req); err != nil {
+		return err
+	}
+	return f.next.Serve(req)
+}
+
+func (f *filter) current() *index {
+	bundle := f.opts.Bundle()
+	if bundle == nil {
+		return nil
+	}
+	ix := f.index.Load()
+	if ix == nil || ix.bundle != bundle {
+		ix = newIndex(bundle)
+		f.index.Store(ix)
+	}
+	return ix
+}
+
+// index is a bundle arranged for lookups.
+type index struct {
+	bundle  *config.Bundle
+	tenants map[string]*tenantIndex
+	// only is the single tenant, if there is just one.
+	only *tenantIndex
+}
+
+type tenantIndex struct {
+	tenant *config.Tenant
+	// classes are sorted by falling length of the path prefix.
+	classes []classIndex
+}
+
+type classIndex struct {
+	class *config.Class
+	pool  *config.Pool
+}
+
+func newIndex(b *config.Bundle) *index {
+	ix := &index{bundle: b, tenants: map[string]*tenantIndex{}}
+	for i := range b.Tenants {
+		t := newTenantIndex(b, &b.Tenants[i])
+		ix.tenants[t.tenant.Name] = t
+		ix.only = t
+	}
+	if len(b.Tenants) != 1 {
+		ix.only = nil
+	}
+	return ix
+}
+
+func newTenantIndex(b *config.Bundle, t *config.Tenant) *tenantIndex {
+	ti := &tenantIndex{tenant: t}
+	for i := range t.Classes {
+		c := &t.Classes[i]
+		ti.classes = append(ti.classes, classIndex{c, b.PoolByName(c.Pool)})
+	}
+	sort.SliceStable(ti.classes, func(i, j int) bool {
+		return len(ti.classes[i].class.PathPrefix) > len(ti.classes[j].class.PathPrefix)
+	})
+	return ti
+}
+
+func (ix *index) identify(req *pipeline.Request) error {
+	t, err := ix.tenant(req.HTTP)
+	if err != nil {
+		return err
+	}
+	path := requestPath(req.HTTP)
+	c, err := t.class(path)
+	if err != nil {
+		return err
+	}
+	req.Tenant = t.tenant
+	req.Class = c.class
+	req.Pool = c.pool
+	if err := setKey(req, path[len(c.class.PathPrefix):]); err != nil {
+		return err
+	}
+	if err := setIdempotencyKey(req); err != nil {
+		return err
+	}
+	if n := req.HTTP.Header.ContentLength(); n > c.class.MaxBody {
+		return result.New(result.BodyTooLarge, "the body has %d bytes, the limit is %d", n, c.class.MaxBody)
+	}
+	return setDeadline(req)
+}
+
+func (ix *index) tenant(h *fasthttp.Request) (*tenantIndex, error) {
+	name := h.Header.Peek(pipeline.HeaderTenant)
+	if len(name) == 0 && ix.only != nil {
+		return ix.only, nil
+	}
+	t, ok := ix.tenants[string(name)]
+	if !ok {
+		return nil, result.New(result.UnknownTenant, "tenant %q", name)
+	}
+	return t, nil
+}
+
+// requestPath returns the path as sent, without the query.
+func requestPath(h *fasthttp.Request) string {
+	uri := string(h.Header.RequestURI())
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
+
+func (t *tenantIndex) class(path string) (classIndex, error) {
+	for _, c := range t.classes {
+		if strings.HasPrefix(path, c.class.PathPrefix) && c.pool != nil {
+			return c, nil
+		}
+	}
+	return classIndex{}, result.New(result.UnknownClass, "path %q", path)
+}
+
+func setKey(req *pipeline.Request, rest string) error {
+	if len(req.Pool.Groups) == 0 {
+		return result.New(result.NoTarget, "pool %s has no group", req.Pool.Name)
+	}
+	if !req.Pool.Keyed {
+		req.Group = req.Pool.Groups[0]
+		return nil
+	}
+	key, _, _ := strings.Cut(strings.TrimPrefix(rest, "/"), "/")
+	if key == "" {
+		return result.New(result.BadRequest, "the path has no key after %s", req.Class.PathPrefix)
+	}
+	req.Key = key
+	req.KeyHash = ownership.HashKey([]byte(key))
+	req.Group = req.Pool.Groups[req.KeyHash.GroupIndex(len(req.Pool.Groups))]
+	return nil
+}
+
+func setIdempotencyKey(req *pipeline.Request) error {
+	if !req.AtMostOnce() {
+		return nil
+	}
+	key := req.HTTP.Header.Peek(pipeline.HeaderIdempotency)
+	if len(key) == 0 {
+		return result.New(result.MissingIDKey, "class %s needs the header %s", req.Class.Name, pipeline.HeaderIdempotency)
+	}
+	if len(key) > maxIdempotencyKey {
+		return result.New(result.BadRequest, "%s has more than %d bytes", pipeline.HeaderIdempotency, maxIdempotencyKey)
+	}
+	req.IdempotencyKey = string(key)
+	return nil
+}
+
+func setDeadline(req *pipeline.Request) error {
+	limit := req.Class.Deadline
+	if asked := req.HTTP.Header.Peek(pipeline.HeaderDeadline); len(asked) > 0 {
+		ms, err := strconv.ParseInt(string(asked), 10, 64)
+		if err != nil {
+			return result.New(result.BadRequest, "%s: %q is no number of milliseconds", pipeline.HeaderDeadline, asked)
+		}
+		if ms <= 0 {
+			return result.New(result.DeadlineTooShort, "the deadline has passed")
+		}
+		if ms < limit.Milliseconds() {
+			limit = time.Duration(ms) * time.Millisecond
+		}
+	}
+	req.Deadline = req.Start.Add(limit)
+	ctx, cancel := context.WithDeadline(req.Context, req.Deadline)
+	req.Context = ctx
+	req.OnEnd(func(error) { cancel() })
+	return nil
+}
--- /dev/null
+++ b/pipeline/once/once.go
@@ -0,0 +1,151 @@
+// Package once is the filter that claims the idempotency key of an at-most-once
+// request before it is dispatched, and records its outcome afterwards.
+package once
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/claim"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+)
+
+// Options of the filter.
+type Options struct {
+	// Claimer makes the claims; without one, at-most-once requests are refused.
+	Claimer claim.Claimer
+	// FinishTimeout bounds the recording of an outcome. The caller's answer waits
+	// for it, so that a resend finds the outcome. Default 250 ms.
+	FinishTimeout time.Duration
+}
+
+type filter struct {
+	opts Options
+	next pipeline.Handler
+}
+
+// New returns the filter.
+func New(opts Options) pipeline.Filter {
+	if opts.FinishTimeout == 0 {
+		opts.FinishTimeout = 250 * time.Millisecond
+	}
+	return func(next pipeline.Handler) pipeline.Handler {
+		return &filter{opts: opts, next: next}
+	}
+}
+
+// Serve implements pipeline.Handler.
+func (f *filter) Serve(req *pipeline.Request) error {
+	if !req.AtMostOnce() {
+		return f.next.Serve(req)
+	}
+	if f.opts.Claimer == nil {
+		return result.New(result.ClaimStoreDown, "this entry has no claim service")
+	}
+	if err := readBody(req); err != nil {
+		return err
+	}
+	d, err := f.claim(req)
+	if err != nil {
+		return err
+	}
+	switch d.Kind {
+	case claim.Run:
+		return f.run(req, d.Ref)
+	case claim.Replay:
+		return replay(req, &d.Answer)
+	default:
+		return result.New(d.Code(), "key %q", req.IdempotencyKey)
+	}
+}
+
+func (f *filter) claim(req *pipeline.Request) (claim.Decision, error) {
+	d, err := f.opts.Claimer.Claim(req.Context, claim.Request{
+		Tenant:      req.Tenant.Name,
+		Class:       req.Class.Name,
+		Key:         req.IdempotencyKey,
+		Fingerprint: fingerprint(req.HTTP),
+		Run:         time.Until(req.Deadline),
+	})
+	if err == nil {
+		return d, nil
+	}
+	if refusal, ok := err.(*result.Error); ok {
+		return d, refusal
+	}
+	return d, result.Wrap(result.ClaimStoreDown, err, "the claim was not made durable")
+}
+
+func (f *filter) run(req *pipeline.Request, ref claim.Ref) error {
+	req.BeforeSend = func() error {
+		if ref.MayDispatch(time.Now()) {
+			return nil
+		}
+		return result.New(result.QueueDeadline, "the claim is too old for a dispatch")
+	}
+	err := f.next.Serve(req)
+	f.finish(req, ref, err)
+	return err
+}
+
+// finish records the outcome, also if the caller is gone. A failure leaves the
+// claim in doubt, which is safe, so it changes nothing for this caller.
+func (f *filter) finish(req *pipeline.Request, ref claim.Ref, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(req.Context), f.opts.FinishTimeout)
+	defer cancel()
+	if err != nil && pipeline.AsError(req, err).Outcome() == result.NotRun {
+		_ = f.opts.Claimer.Release(ctx, ref)
+		return
+	}
+	_ = f.opts.Claimer.Finish(ctx, ref, outcome(req, err))
+}
+
+// outcome describes the answer. One that is streamed is too long to be kept,
+// and not known to be whole yet, so a resend is told in doubt.
+func outcome(req *pipeline.Request, err error) claim.Outcome {
+	if err != nil || req.Streaming() {
+		return claim.Outcome{Unknown: true}
+	}
+	return claim.Outcome{
+		Status:      req.Answer.StatusCode(),
+		ContentType: string(req.Answer.Header.ContentType()),
+		Body:        append([]byte(nil), req.Answer.Body()...),
+	}
+}
+
+func replay(req *pipeline.Request, a *claim.Answer) error {
+	if !a.Whole() {
+		return result.New(result.ClaimInDoubt, "the request is done; its answer of %d bytes was not kept", a.Length)
+	}
+	req.Replayed = true
+	req.Answer.SetStatusCode(a.Status)
+	req.Answer.Header.SetContentType(a.ContentType)
+	req.Answer.SetBody(a.Body)
+	return nil
+}
+
+// readBody reads a streamed request body into memory, within the limit of the class.
+func readBody(req *pipeline.Request) error {
+	stream := req.HTTP.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	limit := req.Class.MaxBody
+	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	if err != nil {
+		return result.Wrap(result.BadRequest, err, "the request body ended early")
+	}
+	if len(body) > limit {
+		return result.New(result.BodyTooLarge, "the limit is %d bytes", limit)
+	}
+	req.HTTP.SetBody(body)
+	return nil
+}
+
+func fingerprint(h *fasthttp.Request) claim.Fingerprint {
+	return claim.FingerprintOf(h.Header.Method(), h.Header.RequestURI(), h.Body())
+}
--- /dev/null
+++ b/pipeline/pipeline_test.go
@@ -0,0 +1,224 @@
+package pipeline_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/claim"
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/dispatch"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/pipeline/account"
+	"github.com/basiltally/basiltally/pipeline/admit"
+	"github.com/basiltally/basiltally/pipeline/identify"
+	"github.com/basiltally/basiltally/pipeline/locate"
+	"github.com/basiltally/basiltally/pipeline/once"
+	"github.com/basiltally/basiltally/pipeline/relay"
+	"github.com/basiltally/basiltally/target"
+	"github.com/basiltally/basiltally/views"
+)
+
+func testBundle() *config.Bundle {
+	return &config.Bundle{
+		Version: 1,
+		Tenants: []config.Tenant{{Name: "wales", Classes: []config.Class{
+			{Name: "sheets", Kind: config.KeyedRead, PathPrefix: "/sheets/", Pool: "sheets", Deadline: time.Second, MaxBody: 1 << 10, QueueLength: 64},
+			{Name: "filings", Kind: config.AtMostOnce, PathPrefix: "/filings", Pool: "filings", Deadline: time.Second, MaxBody: 1 << 20, QueueLength: 64},
+			{Name: "drawings", Kind: config.Bulk, PathPrefix: "/drawings/", Pool: "drawings", Deadline: time.Minute, QueueLength: 64},
+		}}},
+		Pools: []config.Pool{
+			{Name: "sheets", Keyed: true, Groups: []ownership.GroupID{"sheets-0"}},
+			{Name: "filings", Groups: []ownership.GroupID{"filings-0"}},
+			{Name: "drawings", Groups: []ownership.GroupID{"drawings-0"}},
+		},
+	}
+}
+
+// fakeTarget answers on in-memory connections and counts runs by request id.
+type fakeTarget struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// script overrides the behaviour of the next exchanges, in order.
+	script []func(f *fakeTarget, nc net.Conn, r *http.Request)
+	dials  int
+}
+
+func (f *fakeTarget) dial(context.Context, string) (net.Conn, error) {
+	f.mu.Lock()
+	f.dials++
+	f.mu.Unlock()
+	client, server := net.Pipe()
+	go f.serve(server)
+	return client, nil
+}
+
+func (f *fakeTarget) serve(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		f.next()(f, nc, r)
+	}
+}
+
+func (f *fakeTarget) next() func(*fakeTarget, net.Conn, *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.script) == 0 {
+		return whole
+	}
+	s := f.script[0]
+	f.script = f.script[1:]
+	return s
+}
+
+func (f *fakeTarget) run(r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[r.Header.Get(target.HeaderRequestID)]++
+}
+
+func (f *fakeTarget) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, runs := range f.runs {
+		n += runs
+	}
+	return n
+}
+
+func answer(nc net.Conn, r *http.Request, status int, extra string, body string) {
+	fmt.Fprintf(nc, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, target.HeaderRequestID, r.Header.Get(target.HeaderRequestID), extra, len(body), body)
+}
+
+// whole runs the request and answers it.
+func whole(f *fakeTarget, nc net.Conn, r *http.Request) {
+	f.run(r)
+	answer(nc, r, 200, "", "answer to "+r.URL.Path)
+}
+
+// bench is a pipeline in front of one fake target.
+type bench struct {
+	target  *fakeTarget
+	views   *views.Holder
+	handler pipeline.Handler
+	count   int
+}
+
+type firstReady struct{}
+
+func (firstReady) Pick(_ *pipeline.Request, v *ownership.View) *ownership.Target {
+	return &v.Targets[0]
+}
+
+func newBench(claimer claim.Claimer) *bench {
+	b := &bench{target: &fakeTarget{runs: map[string]int{}}, views: views.NewHolder()}
+	for _, g := range []ownership.GroupID{"sheets-0", "filings-0", "drawings-0"} {
+		b.views.Apply(testView(g, 1))
+	}
+	bundle := testBundle()
+	d := dispatch.New(dispatch.Options{Dial: b.target.dial})
+	b.handler = pipeline.Chain(d,
+		account.New(account.NewMetrics(prometheus.NewRegistry())),
+		relay.New(),
+		identify.New(identify.Options{Bundle: func() *config.Bundle { return bundle }}),
+		admit.NewAdmission().Filter(),
+		once.New(once.Options{Claimer: claimer}),
+		locate.New(locate.Options{Views: b.views, Picker: firstReady{}}),
+	)
+	return b
+}
+
+func testView(g ownership.GroupID, seq uint64) *ownership.View {
+	return &ownership.View{
+		Group: g, Term: 1, Seq: seq,
+		Targets:   []ownership.Target{{ID: "t1", Address: "t1:1"}},
+		States:    []ownership.TargetState{ownership.TargetReady},
+		SlotCount: 1,
+		Slots:     []ownership.SlotState{{Owner: 0, Seq: seq}},
+	}
+}
+
+// outcome is what the caller is told.
+type outcome struct {
+	status  int
+	code    string
+	outcome string
+	body    string
+	err     error
+}
+
+func (b *bench) do(method, path string, headers ...string) outcome {
+	b.count++
+	var hc fasthttp.RequestCtx
+	hc.Request.Header.SetMethod(method)
+	hc.Request.SetRequestURI(path)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		hc.Request.Header.Set(name, value)
+	}
+	req := &pipeline.Request{
+		ID: fmt.Sprintf("r%d", b.count), Start: time.Now(),
+		HTTP: &hc.Request, Answer: &hc.Response, Context: context.Background(),
+	}
+	pipeline.Run(b.handler, req)
+	return readOutcome(&hc.Response)
+}
+
+// readOutcome writes the answer as the server does and reads it as a caller does.
+func readOutcome(answer *fasthttp.Response) outcome {
+	var wire bytes.Buffer
+	w := bufio.NewWriter(&wire)
+	if err := answer.Write(w); err == nil {
+		w.Flush()
+	}
+	r, err := http.ReadResponse(bufio.NewReader(&wire), nil)
+	if err != nil {
+		return outcome{err: err}
+	}
+	body, err := io.ReadAll(r.Body)
+	return outcome{r.StatusCode, r.Header.Get(pipeline.HeaderCode), r.Header.Get(pipeline.HeaderOutcome), string(body), err}
+}
+
+func TestReadIsAnsweredByOwner(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	got := b.do("GET", "/sheets/a1/latest")
+	is.NoErr(got.err)
+	is.Equal(got.status, 200)
+	is.Equal(got.code, "0")
+	is.Equal(got.outcome, "done")
+	is.Equal(got.body, "answer to /sheets/a1/latest")
+	is.Equal(b.target.total(), 1)
+}
+
+func TestFilingWithoutClaimServiceIsNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	got := b.do("POST", "/filings", "Idempotency-Key: k1")
+	is.Equal(got.code, "1301")
+	is.Equal(got.outcome, "not-run")
+	is.Equal(b.target.total(), 0)
+}
--- a/result/result.go
+++ b/result/result.go
@@ -92,6 +92,7 @@
 	ClaimInDoubt    Code = 2101
 	ClaimInProgress Code = 2102
 	AnswerDiscarded Code = 2103
+	CallerGone      Code = 2104
 
 	VersionConflict    Code = 3001
 	StoreUnavailable   Code = 3002
@@ -143,6 +144,7 @@
 	{ClaimInDoubt, "claim-in-doubt", Unknown, http.StatusConflict, "The idempotency key was claimed earlier and its outcome was not recorded."},
 	{ClaimInProgress, "claim-in-progress", Unknown, http.StatusConflict, "A request with this idempotency key is being executed."},
 	{AnswerDiscarded, "answer-discarded", Unknown, http.StatusBadGateway, "The answer came from a superseded owner and was dropped."},
+	{CallerGone, "caller-gone", Unknown, http.StatusBadGateway, "The caller's connection closed before the answer was complete."},
 
 	{VersionConflict, "version-conflict", NotRun, http.StatusConflict, "The object changed meanwhile; the current version is reported."},
 	{StoreUnavailable, "store-unavailable", NotRun, http.StatusServiceUnavailable, "The object API did not accept the write; nothing was changed."},
--- /dev/null
+++ b/views/views.go
@@ -0,0 +1,119 @@
+// Package views holds the ownership views in force on an entry.
+package views
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/basiltally/basiltally/ownership"
+)
+
+// Holder keeps the highest view of each group. Reading takes no lock.
+type Holder struct {
+	mu      sync.Mutex
+	groups  atomic.Pointer[map[ownership.GroupID]*cell]
+	refresh atomic.Pointer[func(ownership.GroupID)]
+}
+
+type cell struct {
+	view atomic.Pointer[ownership.View]
+	// changed is closed and replaced when a view is applied.
+	changed atomic.Pointer[chan struct{}]
+}
+
+// NewHolder returns a Holder without views.
+func NewHolder() *Holder {
+	h := &Holder{}
+	groups := map[ownership.GroupID]*cell{}
+	h.groups.Store(&groups)
+	return h
+}
+
+// OnRefresh sets the function that Refresh calls to ask for a group's newest
+// view. The function must not block.
+func (h *Holder) OnRefresh(f func(ownership.GroupID)) { h.refresh.Store(&f) }
+
+// Apply keeps the view if it is higher than the one held, and reports whether
+// it did. The view must not be changed afterwards.
+func (h *Holder) Apply(v *ownership.View) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.cellLocked(v.Group)
+	held := c.view.Load()
+	if held != nil && !held.Version().Less(v.Version()) {
+		return false
+	}
+	c.view.Store(v)
+	next := make(chan struct{})
+	old := c.changed.Swap(&next)
+	close(*old)
+	return true
+}
+
+// Get returns the view in force of a group, or nil.
+func (h *Holder) Get(group ownership.GroupID) *ownership.View {
+	c, ok := (*h.groups.Load())[group]
+	if !ok {
+		return nil
+	}
+	return c.view.Load()
+}
+
+// Versions returns the version held of each group.
+func (h *Holder) Versions() map[ownership.GroupID]ownership.Token {
+	out := map[ownership.GroupID]ownership.Token{}
+	for group, c := range *h.groups.Load() {
+		if v := c.view.Load(); v != nil {
+			out[group] = v.Version()
+		}
+	}
+	return out
+}
+
+// Await asks for a refresh and waits until the group's view is higher than
+// the version or the context ends. It returns the view in force, or nil.
+func (h *Holder) Await(ctx context.Context, group ownership.GroupID, above ownership.Token) *ownership.View {
+	c := h.cell(group)
+	if f := h.refresh.Load(); f != nil {
+		(*f)(group)
+	}
+	for {
+		changed := *c.changed.Load()
+		v := c.view.Load()
+		if v != nil && above.Less(v.Version()) {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return v
+		}
+	}
+}
+
+func (h *Holder) cell(group ownership.GroupID) *cell {
+	if c, ok := (*h.groups.Load())[group]; ok {
+		return c
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cellLocked(group)
+}
+
+func (h *Holder) cellLocked(group ownership.GroupID) *cell {
+	groups := *h.groups.Load()
+	if c, ok := groups[group]; ok {
+		return c
+	}
+	c := &cell{}
+	changed := make(chan struct{})
+	c.changed.Store(&changed)
+	grown := make(map[ownership.GroupID]*cell, len(groups)+1)
+	for g, held := range groups {
+		grown[g] = held
+	}
+	grown[group] = c
+	h.groups.Store(&grown)
+	return c
+}
