--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/dispatch"
+	"github.com/basiltally/basiltally/frontend"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/pipeline/account"
+	"github.com/basiltally/basiltally/pipeline/admit"
+	"github.com/basiltally/basiltally/pipeline/identify"
+	"github.com/basiltally/basiltally/pipeline/locate"
+	"github.com/basiltally/basiltally/pipeline/once"
+	answers "github.com/basiltally/basiltally/pipeline/relay"
+	"github.com/basiltally/basiltally/relay"
+	"github.com/basiltally/basiltally/telemetry"
+	"github.com/basiltally/basiltally/views"
+)
+
+// entryProcess is the wiring of basiltally-entry.
+type entryProcess struct {
+	settings   *EntrySettings
+	logger     *slog.Logger
+	registry   *prometheus.Registry
+	hub        *relay.Hub
+	views      *views.Holder
+	bundle     atomic.Pointer[config.Bundle]
+	peers      *peer.Client
+	dispatcher *dispatch.Dispatcher
+	admission  *admit.Admission
+	frontend   *frontend.Frontend
+}
+
+// RunEntry runs basiltally-entry until the context ends and the requests in
+// flight are finished.
+func RunEntry(ctx context.Context, s *EntrySettings) error {
+	p, err := newEntryProcess(s)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx)
+}
+
+func newEntryProcess(s *EntrySettings) (*entryProcess, error) {
+	logger, err := telemetry.NewLogger(os.Stderr, s.Log)
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := peer.LoadTLS(s.Peer.TLSCertificateFile, s.Peer.TLSKeyFile, s.Peer.TLSAuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	p := &entryProcess{
+		settings: s, logger: logger.With("vm", s.Process.VM), registry: telemetry.NewRegistry("basiltally-entry"),
+		hub: relay.NewHub(), views: views.NewHolder(),
+		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "entry", TLS: tlsConfig}),
+		dispatcher: dispatch.New(dispatch.Options{}), admission: admit.NewAdmission(),
+	}
+	p.frontend = frontend.New(frontend.Options{
+		Address: s.Entry.Listen, Handler: p.handler(), HeaderBytes: s.Entry.MaxHeader,
+		HeaderTimeout: s.Entry.HeaderTimeout, HardLimit: s.Entry.DrainLimit,
+	})
+	return p, nil
+}
+
+// handler chains the filters in the order in which a request passes them.
+func (p *entryProcess) handler() pipeline.Handler {
+	return pipeline.Chain(
+		p.dispatcher,
+		account.New(account.NewMetrics(p.registry)),
+		answers.New(),
+		identify.New(identify.Options{Bundle: p.bundle.Load}),
+		p.admission.Filter(),
+		once.New(once.Options{}),
+		locate.New(locate.Options{Views: p.views, Picker: &roundRobin{}}),
+	)
+}
+
+// roundRobin takes the ready targets of a view in turn.
+type roundRobin struct{ next atomic.Uint64 }
+
+// Pick implements locate.Picker.
+func (r *roundRobin) Pick(_ *pipeline.Request, v *ownership.View) *ownership.Target {
+	start := int(r.next.Add(1))
+	for i := range v.Targets {
+		j := (start + i) % len(v.Targets)
+		if v.States[j] == ownership.TargetReady {
+			return &v.Targets[j]
+		}
+	}
+	return nil
+}
+
+func (p *entryProcess) run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return p.follower().Run(work) })
+	g.Go(func() error { return p.applyUpdates(work) })
+	g.Go(func() error { return p.dispatcher.Run(work) })
+	g.Go(func() error {
+		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
+	})
+	p.logger.Info("started", "address", p.settings.Entry.Listen)
+	err := p.frontend.Run(ctx)
+	p.logger.Info("stopped")
+	stopWork()
+	return firstError(err, g.Wait())
+}
+
+// follower receives views and bundles from the assign process of the same VM.
+func (p *entryProcess) follower() *relay.Follower {
+	parent := []string{p.settings.Entry.AssignAddress}
+	return &relay.Follower{Hub: p.hub, Client: p.peers, Upstream: func() []string { return parent }}
+}
+
+// applyUpdates moves what the hub receives into the request path.
+func (p *entryProcess) applyUpdates(ctx context.Context) error {
+	sub := p.hub.Subscribe(nil)
+	defer sub.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sub.Wake():
+		}
+		sub.Take()
+		for _, v := range p.hub.Views() {
+			p.views.Apply(v)
+		}
+		p.applyBundle(p.hub.Bundle())
+	}
+}
+
+func (p *entryProcess) applyBundle(b *pb.Bundle) {
+	held := p.bundle.Load()
+	if b == nil || (held != nil && held.Version >= b.Version) {
+		return
+	}
+	next, err := config.Parse("bundle", b.Document)
+	if err != nil {
+		p.logger.Error("bundle refused", "version", b.Version, "error", err)
+		return
+	}
+	p.bundle.Store(next)
+	p.logger.Info("bundle in force", "version", next.Version)
+}
+
+func (p *entryProcess) ready() error {
+	if p.bundle.Load() == nil {
+		return errors.New("no configuration bundle is in force")
+	}
+	if len(p.views.Versions()) == 0 {
+		return errors.New("no ownership view has arrived")
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/basiltally/basiltally/settings"
+	"github.com/basiltally/basiltally/telemetry"
+)
+
+// Exit codes of the processes.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+	// ExitForced follows a second signal during a graceful stop.
+	ExitForced = 3
+)
+
+type commandLine struct {
+	Settings      string           `arg:"" optional:"" type:"path" help:"Settings file (INI)."`
+	Check         bool             `help:"Check the settings file and exit: 0 if it is right, 2 if not."`
+	PrintDefaults bool             `help:"Print a settings file with all keys, their defaults, units and ranges."`
+	Version       kong.VersionFlag `help:"Print the version and exit."`
+}
+
+const description = `Exit codes: 0 clean stop, 1 failure, 2 wrong settings, 3 stopped by a second signal.
+
+SIGTERM or SIGINT stops gracefully: no new work, everything in flight is
+finished. A second one stops at once and cuts off what is in flight.`
+
+// Main runs a process from its command line: S is its settings file.
+func Main[S any](name string, s *S, run func(context.Context, *S) error) {
+	var cli commandLine
+	k := kong.Parse(&cli, kong.Name(name), kong.Description(description), kong.Vars{"version": telemetry.Version()})
+	if cli.PrintDefaults {
+		k.FatalIfErrorf(settings.PrintDefaults(os.Stdout, s))
+		return
+	}
+	if cli.Settings == "" {
+		k.Fatalf("expected a settings file; see --help")
+	}
+	if err := settings.Load(cli.Settings, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(ExitSettings)
+	}
+	if cli.Check {
+		fmt.Printf("%s: ok\n", cli.Settings)
+		return
+	}
+	if err := run(signalContext(), s); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		os.Exit(ExitFailure)
+	}
+}
+
+// signalContext ends with the first signal; the second ends the process.
+func signalContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(ExitForced)
+	}()
+	return ctx
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/assigner"
+	"github.com/basiltally/basiltally/result"
+)
+
+// StatusReply is the answer to GET /v1/status.
+type StatusReply struct {
+	VM            string            `json:"vm"`
+	BundleVersion uint64            `json:"bundle_version"`
+	VMs           int               `json:"vms"`
+	Groups        []assigner.Status `json:"groups"`
+}
+
+func (p *assignProcess) operatorHandlers() map[string]fasthttp.RequestHandler {
+	return map[string]fasthttp.RequestHandler{
+		"/v1/status": p.handleStatus,
+	}
+}
+
+func (p *assignProcess) handleStatus(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, StatusReply{
+		VM: p.settings.Process.VM, BundleVersion: p.hub.Bundle().GetVersion(),
+		VMs: len(p.members.Snapshot().VMs), Groups: p.assigner.Status(),
+	})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		ctx.Error(result.Internal.String(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(b, '\n'))
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -2,17 +2,17 @@
 // and defines their settings files.
 package daemon
 
-import "time"
+import (
+	"time"
+
+	"github.com/basiltally/basiltally/telemetry"
+)
 
 // Process holds what every process needs to know of itself.
 type Process struct {
-	VM               string `ini:"vm" required:"true" doc:"Name of the VM, as in the platform's VM list."`
-	Region           string `ini:"region" required:"true" doc:"Region of the VM."`
-	DataCentre       string `ini:"data_centre" required:"true" doc:"Data centre of the VM."`
-	OperatorsAddress string `ini:"operators_address" default:"127.0.0.1:9100" unit:"host:port" doc:"Address of /healthz, /readyz, /metrics and the operators' endpoints. Keep it off the callers' network."`
-	LogFormat        string `ini:"log_format" default:"text" doc:"text or json."`
-	LogLevel         string `ini:"log_level" default:"info" doc:"debug, info, warn or error."`
-	Profiling        bool   `ini:"profiling" default:"false" doc:"Serves Go profiles under /debug/pprof on the operators' address."`
+	VM         string `ini:"vm" required:"true" doc:"Name of the VM, as in the platform's VM list."`
+	Region     string `ini:"region" required:"true" doc:"Region of the VM."`
+	DataCentre string `ini:"data_centre" required:"true" doc:"Data centre of the VM."`
 }
 
 // Store locates the platform's object API.
@@ -50,11 +50,13 @@
 
 // AssignSettings is the settings file of basiltally-assign.
 type AssignSettings struct {
-	Process Process      `ini:"process"`
-	Store   Store        `ini:"store"`
-	Peer    Peer         `ini:"peer"`
-	Assign  Assign       `ini:"assign"`
-	Bundle  BundleSource `ini:"bundle"`
+	Process   Process               `ini:"process"`
+	Log       telemetry.LogSettings `ini:"log"`
+	Telemetry telemetry.Settings    `ini:"telemetry"`
+	Store     Store                 `ini:"store"`
+	Peer      Peer                  `ini:"peer"`
+	Assign    Assign                `ini:"assign"`
+	Bundle    BundleSource          `ini:"bundle"`
 }
 
 // Entry configures the callers' side of basiltally-entry.
@@ -68,8 +70,10 @@
 
 // EntrySettings is the settings file of basiltally-entry.
 type EntrySettings struct {
-	Process Process      `ini:"process"`
-	Peer    Peer         `ini:"peer"`
-	Entry   Entry        `ini:"entry"`
-	Bundle  BundleSource `ini:"bundle"`
+	Process   Process               `ini:"process"`
+	Log       telemetry.LogSettings `ini:"log"`
+	Telemetry telemetry.Settings    `ini:"telemetry"`
+	Peer      Peer                  `ini:"peer"`
+	Entry     Entry                 `ini:"entry"`
+	Bundle    BundleSource          `ini:"bundle"`
 }
--- /dev/null
+++ b/relay/follow.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basiltally/basiltally/peer"
+)
+
+// replanInterval is the interval at which a tree looks at the members again.
+const replanInterval = time.Second
+
+// Tree keeps a hub up to date from this VM's place in the relay tree. A VM below
+// the roots follows one ancestor; a root follows every source, that is the
+// roots of the other data centres and the members named by Sources.
+type Tree struct {
+	Hub    *Hub
+	Client *peer.Client
+	// Self is this VM.
+	Self string
+	// Members returns the VMs of the system.
+	Members func() []Member
+	// Sources returns the names of VMs that may publish views; nil means all.
+	Sources func() []string
+
+	mu      sync.Mutex
+	place   Place
+	running map[string]context.CancelFunc
+}
+
+// Run follows until the context ends.
+func (t *Tree) Run(ctx context.Context) error {
+	t.running = make(map[string]context.CancelFunc)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(replanInterval)
+	defer ticker.Stop()
+	for {
+		t.replan(ctx, &wg)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// replan starts and stops followers to match the present members.
+func (t *Tree) replan(ctx context.Context, wg *sync.WaitGroup) {
+	members := t.Members()
+	place := Find(t.Self, members)
+	t.mu.Lock()
+	t.place = place
+	t.mu.Unlock()
+	wanted := t.wanted(place, members)
+	for key, cancel := range t.running {
+		if _, ok := wanted[key]; !ok {
+			cancel()
+			delete(t.running, key)
+		}
+	}
+	for key, upstream := range wanted {
+		if t.running[key] != nil {
+			continue
+		}
+		followContext, cancel := context.WithCancel(ctx)
+		t.running[key] = cancel
+		f := &Follower{Hub: t.Hub, Client: t.Client, Upstream: upstream}
+		wg.Go(func() { f.Run(followContext) })
+	}
+}
+
+// wanted names the followers to run: one for the chain of ancestors, or one for
+// each source.
+func (t *Tree) wanted(place Place, members []Member) map[string]Upstream {
+	if !place.Root {
+		return map[string]Upstream{"ancestors": t.ancestors}
+	}
+	sources := t.sourceSet()
+	wanted := make(map[string]Upstream)
+	for _, m := range members {
+		if m.ID == t.Self || (sources != nil && !sources[m.ID]) {
+			continue
+		}
+		address := m.Address
+		wanted[address] = func() []string { return []string{address} }
+	}
+	return wanted
+}
+
+func (t *Tree) sourceSet() map[string]bool {
+	if t.Sources == nil {
+		return nil
+	}
+	set := make(map[string]bool)
+	for _, id := range t.Sources() {
+		set[id] = true
+	}
+	return set
+}
+
+func (t *Tree) ancestors() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.place.Ancestors
+}
