--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint generate demo bench capacity
 
 build:
-	go build ./...
+	go build -o bin/ ./cmd/...
 
 test:
 	go test -race ./...
@@ -15,3 +15,6 @@
 generate:
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH="$(CURDIR)/bin:$$PATH" protoc -I proto --go_out=. --go_opt=module=github.com/basiltally/basiltally proto/basiltally/v1/*.proto
+
+demo: build
+	bin/basiltally-demo
--- /dev/null
+++ b/demo/cluster.go
@@ -0,0 +1,379 @@
+// Package demo starts the whole system as processes on loopback ports, with
+// stand-ins for the platform and the targets, for a first look and for
+// measurements across processes. It is no part of the product.
+package demo
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// startLimit bounds the wait until all entries are ready.
+	startLimit = 30 * time.Second
+	// stopLimit bounds the wait for a process after SIGTERM.
+	stopLimit    = 30 * time.Second
+	pollInterval = 20 * time.Millisecond
+
+	storePort    = 0
+	sheetsPort   = 100
+	filingsPort  = 200
+	drawingsPort = 300
+	vmPort       = 400
+	portsPerVM   = 10
+)
+
+// Offsets of a VM's ports.
+const (
+	peerOffset = iota
+	entryOffset
+	assignTelemetryOffset
+	entryTelemetryOffset
+)
+
+// Options shapes a Cluster.
+type Options struct {
+	// Binaries is the directory of the built binaries; default bin.
+	Binaries string
+	// BasePort is the first loopback port; default 17000.
+	BasePort int
+	// VMs is the number of VMs, spread over three regions; default 3.
+	VMs int
+	// Sheets, Filings and Drawings are the numbers of targets; default 3, 2 and 2.
+	Sheets, Filings, Drawings int
+	// Log receives the processes' logs; nil discards them.
+	Log io.Writer
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	opts Options
+	dir  string
+	mu   sync.Mutex
+	all  map[string]*Process
+}
+
+// Process is one process of the cluster.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+var regions = []string{"south", "west", "north"}
+
+const bundleDocument = `[bundle]
+version = 1
+
+[pool "sheets"]
+keyed = true
+groups = sheets-a
+target_slots = 6
+target_connections = 110
+checks_tokens = true
+
+[pool "filings"]
+groups = filings
+target_slots = 6
+target_connections = 110
+
+[pool "drawings"]
+groups = drawings
+target_slots = 6
+target_connections = 110
+
+[tenant "wales"]
+
+[class "wales/tolerance-sheet"]
+kind = keyed-read
+path_prefix = /sheets/
+pool = sheets
+deadline = 5s
+max_body = 4096
+queue_length = 200
+
+[class "wales/certificate-filing"]
+kind = at-most-once
+path_prefix = /filings/
+pool = filings
+deadline = 10s
+max_body = 1048576
+queue_length = 200
+
+[class "wales/drawing-pack"]
+kind = bulk
+path_prefix = /drawings/
+pool = drawings
+deadline = 10m
+max_body = 4096
+queue_length = 50
+`
+
+// Start starts a cluster and waits until every entry is ready.
+func Start(o Options) (*Cluster, error) {
+	setDefault(&o.Binaries, "bin")
+	setDefault(&o.BasePort, 17000)
+	setDefault(&o.VMs, 3)
+	setDefault(&o.Sheets, 3)
+	setDefault(&o.Filings, 2)
+	setDefault(&o.Drawings, 2)
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	dir, err := os.MkdirTemp("", "basiltally-demo-")
+	if err != nil {
+		return nil, errors.Wrap(err, "directory for settings")
+	}
+	c := &Cluster{opts: o, dir: dir, all: make(map[string]*Process)}
+	if err := c.startAll(); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c *Cluster) startAll() error {
+	if err := os.WriteFile(filepath.Join(c.dir, "bundle.ini"), []byte(bundleDocument), 0o600); err != nil {
+		return errors.Wrap(err, "write bundle")
+	}
+	if err := c.startStandin(); err != nil {
+		return err
+	}
+	for i := range c.opts.VMs {
+		if err := c.StartVM(i); err != nil {
+			return err
+		}
+	}
+	for i := range c.opts.VMs {
+		if err := c.AwaitReady(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startStandin() error {
+	var entries []string
+	for i := range c.opts.VMs {
+		entries = append(entries, fmt.Sprintf("%s=%s/%s/%s", VMName(i), c.vmAddress(i, peerOffset), region(i), dataCentre(i)))
+	}
+	targets := fmt.Sprintf("sheets=%d@%s,filings=%d@%s,drawings=%d@%s",
+		c.opts.Sheets, c.address(sheetsPort), c.opts.Filings, c.address(filingsPort), c.opts.Drawings, c.address(drawingsPort))
+	var locations []string
+	for i := range regions {
+		locations = append(locations, region(i)+"/"+dataCentre(i))
+	}
+	if err := c.spawn("standin", "basiltally-standin", "--store", c.StoreAddress(), "--targets", targets,
+		"--keyed", "sheets", "--locations", strings.Join(locations, ","), "--entries", strings.Join(entries, ","),
+		"--bulk-prefixes", "/drawings/"); err != nil {
+		return err
+	}
+	return await("object API", func() bool { return get("http://" + c.StoreAddress() + "/v1/vms") })
+}
+
+// StartVM starts the assign and the entry process of a VM.
+func (c *Cluster) StartVM(i int) error {
+	if err := c.StartAssign(i); err != nil {
+		return err
+	}
+	return c.StartEntry(i)
+}
+
+// StartAssign starts the assign process of a VM.
+func (c *Cluster) StartAssign(i int) error {
+	path, err := c.writeSettings(VMName(i)+"-assign.ini", fmt.Sprintf(`[process]
+vm = %s
+region = %s
+data_centre = %s
+[telemetry]
+listen = %s
+[store]
+address = %s
+[peer]
+listen = %s
+[assign]
+group_slots = 64
+[bundle]
+file = %s
+`, VMName(i), region(i), dataCentre(i), c.AssignTelemetry(i), c.StoreAddress(), c.vmAddress(i, peerOffset), filepath.Join(c.dir, "bundle.ini")))
+	if err != nil {
+		return err
+	}
+	return c.spawn(VMName(i)+"-assign", "basiltally-assign", path)
+}
+
+// StartEntry starts the entry process of a VM.
+func (c *Cluster) StartEntry(i int) error {
+	path, err := c.writeSettings(VMName(i)+"-entry.ini", fmt.Sprintf(`[process]
+vm = %s
+region = %s
+data_centre = %s
+[telemetry]
+listen = %s
+[entry]
+listen = %s
+assign_address = %s
+`, VMName(i), region(i), dataCentre(i), c.EntryTelemetry(i), c.EntryAddress(i), c.vmAddress(i, peerOffset)))
+	if err != nil {
+		return err
+	}
+	return c.spawn(VMName(i)+"-entry", "basiltally-entry", path)
+}
+
+func (c *Cluster) writeSettings(name, text string) (string, error) {
+	path := filepath.Join(c.dir, name)
+	return path, errors.Wrap(os.WriteFile(path, []byte(text), 0o600), "write settings")
+}
+
+func (c *Cluster) spawn(name, binary string, args ...string) error {
+	cmd := exec.Command(filepath.Join(c.opts.Binaries, binary), args...)
+	cmd.Stdout, cmd.Stderr = c.opts.Log, c.opts.Log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	c.mu.Lock()
+	c.all[name] = p
+	c.mu.Unlock()
+	return nil
+}
+
+// Signal sends a signal to a process by name, e.g. "vm1-assign".
+func (c *Cluster) Signal(name string, s syscall.Signal) error {
+	c.mu.Lock()
+	p := c.all[name]
+	c.mu.Unlock()
+	if p == nil {
+		return errors.Errorf("no process %s", name)
+	}
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", name)
+}
+
+// Wait waits until a process has ended and returns its error.
+func (c *Cluster) Wait(name string) error {
+	c.mu.Lock()
+	p := c.all[name]
+	c.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(stopLimit):
+		return errors.Errorf("%s did not stop within %s", name, stopLimit)
+	}
+}
+
+// Stop stops all processes gracefully, entries first and the stand-ins last,
+// and kills what does not stop in time.
+func (c *Cluster) Stop() error {
+	var first error
+	for _, suffix := range []string{"-entry", "-assign", "standin"} {
+		if err := c.stopAll(suffix); err != nil && first == nil {
+			first = err
+		}
+	}
+	os.RemoveAll(c.dir)
+	return first
+}
+
+func (c *Cluster) stopAll(suffix string) error {
+	c.mu.Lock()
+	var list []*Process
+	for name, p := range c.all {
+		if strings.HasSuffix(name, suffix) {
+			list = append(list, p)
+		}
+	}
+	c.mu.Unlock()
+	var first error
+	for _, p := range list {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, p := range list {
+		select {
+		case <-p.done:
+		case <-time.After(stopLimit):
+			p.cmd.Process.Kill()
+			<-p.done
+			first = errors.Errorf("%s had to be killed", p.Name)
+		}
+	}
+	return first
+}
+
+// AwaitReady waits until a VM's entry may serve.
+func (c *Cluster) AwaitReady(i int) error {
+	return await(VMName(i), func() bool { return get("http://" + c.EntryTelemetry(i) + "/readyz") })
+}
+
+// VMName returns the name of the VM with the index.
+func VMName(i int) string { return fmt.Sprintf("vm%d", i+1) }
+
+func region(i int) string { return regions[i%len(regions)] }
+
+func dataCentre(i int) string { return region(i)[:1] + "1" }
+
+// StoreAddress returns the address of the object API.
+func (c *Cluster) StoreAddress() string { return c.address(storePort) }
+
+// EntryAddress returns the address on which a VM serves callers.
+func (c *Cluster) EntryAddress(i int) string { return c.vmAddress(i, entryOffset) }
+
+// AssignTelemetry and EntryTelemetry return the operators' addresses of a VM's processes.
+func (c *Cluster) AssignTelemetry(i int) string { return c.vmAddress(i, assignTelemetryOffset) }
+
+// EntryTelemetry returns the operators' address of a VM's entry.
+func (c *Cluster) EntryTelemetry(i int) string { return c.vmAddress(i, entryTelemetryOffset) }
+
+// SheetTarget returns the address of a target of the keyed pool.
+func (c *Cluster) SheetTarget(i int) string { return c.address(sheetsPort + i) }
+
+func (c *Cluster) vmAddress(i, offset int) string { return c.address(vmPort + i*portsPerVM + offset) }
+
+func (c *Cluster) address(port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", c.opts.BasePort+port)
+}
+
+func get(url string) bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(url)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
+
+func await(what string, ready func() bool) error {
+	deadline := time.Now().Add(startLimit)
+	for time.Now().Before(deadline) {
+		if ready() {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return errors.Errorf("%s was not ready within %s", what, startLimit)
+}
