--- a/assign/api.go
+++ b/assign/api.go
@@ -106,8 +106,8 @@
 	LeasesFor time.Duration
 }
 
-// HandoverReceived is a Handover from a leaving assigner. Answer it to the
-// sender, so that it gets a HandoverAnswered, once Step has returned.
+// HandoverReceived is a Handover from a leaving assigner; the Core answers it
+// by AnswerHandover.
 type HandoverReceived struct {
 	From     ownership.VMID
 	Handover *Handover
@@ -217,6 +217,10 @@
 	Handover *Handover
 }
 
+// AnswerHandover tells the sender of a Handover that it was taken in; there it
+// becomes a HandoverAnswered.
+type AnswerHandover struct{ To ownership.VMID }
+
 // CommandDone is the result of a command.
 type CommandDone struct {
 	ID     string
@@ -229,15 +233,16 @@
 // Stopped reports that the planned stop is complete.
 type Stopped struct{}
 
-func (ReadRecord) action()   {}
-func (WriteRecord) action()  {}
-func (AskSupport) action()   {}
-func (SendRenew) action()    {}
-func (ProbeVia) action()     {}
-func (Publish) action()      {}
-func (SendHandover) action() {}
-func (CommandDone) action()  {}
-func (Stopped) action()      {}
+func (ReadRecord) action()     {}
+func (WriteRecord) action()    {}
+func (AskSupport) action()     {}
+func (SendRenew) action()      {}
+func (ProbeVia) action()       {}
+func (Publish) action()        {}
+func (SendHandover) action()   {}
+func (AnswerHandover) action() {}
+func (CommandDone) action()    {}
+func (Stopped) action()        {}
 
 // Command is an operator's command to the group's assigner.
 type Command interface{ command() }
--- a/assign/core.go
+++ b/assign/core.go
@@ -1,30 +1,194 @@
 package assign
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/basiltally/basiltally/lease"
+	"github.com/basiltally/basiltally/ownership"
+)
+
+// phase is a stage of a Core on its way to being assigner.
+type phase uint8
+
+const (
+	// following: another VM may be assigner.
+	following phase = iota
+	// querying: asking whether a majority would give support.
+	querying
+	// gathering: asking for support.
+	gathering
+	// takingOver: holding support and waiting for the store.
+	takingOver
+	// registering: telling a majority of the supporters the term and round.
+	registering
+	// leading: acting as assigner.
+	leading
+	// handingOver: a leaving assigner that grants nothing more.
+	handingOver
+	// finished: the planned stop is complete.
+	finished
+)
+
+// roundShift is the position of the round in Token.Seq.
+const roundShift = 32
+
+// roundStep separates the rounds of a term; the rest names the candidate, so
+// that no two candidates ever use the same round of a term.
+const roundStep = 64
+
+// never is a clock reading that is not reached.
+const never = time.Duration(1<<63 - 1)
 
 // Core decides for one group on one VM. It is not safe for concurrent use.
 type Core struct {
 	opts Options
+	now  time.Duration
+	out  []Action
+
+	phase     phase
+	phaseEnd  time.Duration
+	checkAt   time.Duration
+	supportAt time.Duration
+	// willing holds the VMs that would give support.
+	willing map[ownership.VMID]bool
+	// support counts all promises, registered those given for the present term and round.
+	support    *lease.Support
+	registered *lease.Support
+
+	term  uint64
+	round uint32
+	// token is the highest token issued in the present term and round.
+	token ownership.Token
+
+	known     knowledge
+	store     durable
+	lead      *leader
+	inherited inheritance
+	list      []TargetInfo
+	listKnown bool
+	stop      stopState
+	commands  []*command
+	// candidatesVersion is that of the list in use, candidatesSince its start.
+	candidatesVersion uint64
+	candidatesSince   time.Duration
+	hot               hotKeys
+	nonces            uint64
 }
 
-// New returns a Core that has just started: it gives itself one support time
+// New returns a Core that has just started: it waits for one support time
 // before it asks for support.
 func New(opts Options) *Core {
-	return &Core{opts: opts.withDefaults()}
+	c := &Core{opts: opts.withDefaults()}
+	c.opts.Lease = min(c.opts.Lease, lease.Shrink(c.opts.Support, c.opts.RateMargin))
+	c.checkAt = lease.Stretch(c.opts.Support, c.opts.RateMargin)
+	c.known.best = opts.Initial
+	if opts.Initial != nil {
+		c.candidatesVersion = opts.Initial.CandidatesVersion
+	}
+	c.candidatesSince = lease.Never
+	c.store.retryAt = never
+	c.hot.since = make(map[ownership.KeyHash]time.Duration)
+	c.hot.cold = make(map[ownership.KeyHash]time.Duration)
+	return c
 }
 
 // Step takes in one event at the VM's monotonic clock reading now, counted from
 // the start of the process, and returns the actions to execute.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
-	return nil
+	c.now = max(c.now, now)
+	c.out = nil
+	c.checkSupport()
+	c.dispatch(ev)
+	c.runPhase()
+	c.runStore()
+	c.runCommands()
+	if c.phase == leading {
+		c.runLeader()
+	}
+	return c.out
+}
+
+func (c *Core) dispatch(ev Event) {
+	switch ev := ev.(type) {
+	case Tick:
+	case RecordRead:
+		c.recordRead(ev)
+	case WriteDone:
+		c.writeDone(ev)
+	case RecordChanged:
+		c.recordChanged(ev)
+	case SupportAnswered:
+		c.supportAnswered(ev)
+	case TargetAnswered:
+		c.targetAnswered(ev)
+	case TargetFailed:
+	case ProbeAnswered:
+		c.probeAnswered(ev)
+	case ViewReceived:
+		c.viewReceived(ev.View)
+	case HandoverReceived:
+		c.handoverReceived(ev)
+	case HandoverAnswered:
+		c.handoverAnswered(ev)
+	case CommandReceived:
+		c.commandReceived(ev)
+	case Stop:
+		c.beginStop()
+	case TargetsChanged:
+		c.targetsChanged(ev)
+	case KeyLoad:
+		c.keyLoad(ev)
+	}
 }
 
 // NextWake returns the clock reading at which a Tick is due at the latest.
 func (c *Core) NextWake() time.Duration {
-	return 0
+	wake := c.store.wake()
+	for _, cmd := range c.commands {
+		wake = min(wake, cmd.deadline)
+	}
+	switch c.phase {
+	case following:
+		return min(wake, c.checkAt)
+	case leading:
+		return min(wake, c.supportAt, c.lead.wake())
+	case handingOver:
+		return min(wake, c.supportAt, c.stop.retryAt, c.stop.deadline)
+	case finished:
+		return wake
+	default:
+		return min(wake, c.phaseEnd, c.supportAt)
+	}
 }
 
 // Assigning reports whether this Core is the group's assigner at now.
 func (c *Core) Assigning(now time.Duration) bool {
-	return false
+	return c.phase == leading && c.registered.Held(now)
+}
+
+// View returns the newest view that this Core published or received, or nil.
+func (c *Core) View() *ownership.View { return c.known.view }
+
+// Record returns the newest record that this Core knows, or nil. It must not be changed.
+func (c *Core) Record() *ownership.Record { return c.known.best }
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) nonce() string {
+	c.nonces++
+	return fmt.Sprintf("%s/%d/%d", c.opts.Self, c.opts.Incarnation, c.nonces)
+}
+
+func (c *Core) candidates() []ownership.VMID {
+	if c.known.best == nil {
+		return nil
+	}
+	return c.known.best.Candidates
+}
+
+// preference returns the position of this VM in the candidate list, or -1.
+func (c *Core) preference() int {
+	return slices.Index(c.candidates(), c.opts.Self)
 }
--- /dev/null
+++ b/assign/handover.go
@@ -0,0 +1,137 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/basiltally/basiltally/lease"
+	"github.com/basiltally/basiltally/ownership"
+)
+
+// handoverRetry is the time after which a successor that does not answer is
+// asked again, and then the next one.
+const handoverRetry = 150 * time.Millisecond
+
+// stopState is the state of a planned stop.
+type stopState struct {
+	stopping  bool
+	handover  *Handover
+	successor ownership.VMID
+	tries     int
+	retryAt   time.Duration
+	deadline  time.Duration
+}
+
+// beginStop starts a planned stop. From then on this VM grants nothing: not
+// even after a handover that failed.
+func (c *Core) beginStop() {
+	if c.stop.stopping {
+		return
+	}
+	c.stop.stopping = true
+	c.stop.deadline = c.now + c.opts.StopDeadline
+	if c.phase != leading || c.lead.view == nil {
+		c.standDown()
+		c.finishStop()
+		return
+	}
+	c.phase = handingOver
+	c.stop.handover = c.makeHandover()
+	c.stop.retryAt = c.now
+}
+
+func (c *Core) makeHandover() *Handover {
+	if c.lead.viewChanged {
+		c.lead.view = c.lead.buildView(c)
+		c.known.seeView(c.lead.view)
+	}
+	return &Handover{
+		Group:     c.opts.Group,
+		Record:    c.known.best,
+		Version:   c.known.version,
+		View:      c.lead.view,
+		LeasesFor: max(c.lead.leaseEnd()-c.now, 0),
+	}
+}
+
+func (c *Core) runHandover() {
+	if c.now >= c.stop.deadline {
+		c.standDown()
+		return
+	}
+	if c.now < c.stop.retryAt {
+		return
+	}
+	c.stop.retryAt = c.now + handoverRetry
+	c.stop.successor = c.nextSuccessor()
+	c.stop.tries++
+	if c.stop.successor == "" {
+		c.standDown()
+		return
+	}
+	h := *c.stop.handover
+	h.LeasesFor = max(c.lead.leaseEnd()-c.now, 0)
+	c.emit(SendHandover{To: c.stop.successor, Handover: &h})
+}
+
+// nextSuccessor returns each other candidate twice in turn, the most preferred first.
+func (c *Core) nextSuccessor() ownership.VMID {
+	var others []ownership.VMID
+	for _, vm := range c.candidates() {
+		if vm != c.opts.Self {
+			others = append(others, vm)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[c.stop.tries/2%len(others)]
+}
+
+// handoverAnswered releases the support: the successor knows the leases in force.
+func (c *Core) handoverAnswered(ev HandoverAnswered) {
+	if c.phase != handingOver || ev.From != c.stop.successor {
+		return
+	}
+	for _, vm := range c.candidates() {
+		c.ask(vm, lease.SupportRequest{
+			Term:      c.term,
+			Round:     c.round,
+			Release:   true,
+			Successor: ev.From,
+		})
+	}
+	c.lead = nil
+	c.finishStop()
+}
+
+// finishStop ends the stop; commands that are not settled get their answer first.
+func (c *Core) finishStop() {
+	if c.phase == finished {
+		return
+	}
+	c.phase = finished
+	c.failCommands()
+	c.emit(Stopped{})
+}
+
+// handoverReceived takes in what a leaving assigner knows.
+func (c *Core) handoverReceived(ev HandoverReceived) {
+	h := ev.Handover
+	if h == nil || h.View == nil || h.Record == nil || c.stop.stopping {
+		return
+	}
+	c.emit(AnswerHandover{To: ev.From})
+	c.known.learn(h.Record)
+	c.known.seeView(h.View)
+	if c.inherited.view != nil && h.View.Version().Less(c.inherited.view.Version()) {
+		return
+	}
+	c.inherited = inheritance{
+		until:          c.now + lease.Stretch(h.LeasesFor, c.opts.RateMargin),
+		view:           h.View,
+		successorUntil: c.now + handoverTime,
+	}
+	if c.phase == following {
+		c.checkAt = c.now
+	}
+}
--- /dev/null
+++ b/assign/knowledge.go
@@ -0,0 +1,109 @@
+package assign
+
+import (
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/store"
+)
+
+// knowledge is what a Core has learnt, whoever is assigner. The highest term,
+// round, record and view never fall.
+type knowledge struct {
+	// best is the newest record seen anywhere.
+	best *ownership.Record
+	// inStore is the record that the store held at version.
+	inStore *ownership.Record
+	version store.Version
+	// storeSeen is set once the store has answered, with or without a record.
+	storeSeen bool
+	// view is the newest view published or received.
+	view *ownership.View
+	// term and round are the highest seen.
+	term  uint64
+	round uint32
+}
+
+// newer reports whether a is newer than b; b may be nil.
+func newer(a, b *ownership.Record) bool {
+	if b == nil {
+		return true
+	}
+	if a.TableVersion != b.TableVersion {
+		return a.TableVersion > b.TableVersion
+	}
+	if a.Term != b.Term {
+		return a.Term > b.Term
+	}
+	return a.CandidatesVersion > b.CandidatesVersion
+}
+
+func (k *knowledge) raise(term uint64, round uint32) {
+	if term > k.term {
+		k.term, k.round = term, round
+		return
+	}
+	if term == k.term {
+		k.round = max(k.round, round)
+	}
+}
+
+// readFromStore takes in the record that the store holds. It reports whether
+// the store went back: it holds less than was known to be in it.
+func (k *knowledge) readFromStore(rec *ownership.Record, version store.Version) (wentBack bool) {
+	wentBack = k.inStore != nil && (rec.TableVersion < k.inStore.TableVersion || rec.Term < k.inStore.Term)
+	k.inStore = rec
+	k.version = version
+	k.storeSeen = true
+	k.learn(rec)
+	return wentBack
+}
+
+func (k *knowledge) learn(rec *ownership.Record) {
+	k.raise(rec.Term, 0)
+	if newer(rec, k.best) {
+		k.best = rec
+	}
+}
+
+func (k *knowledge) seeView(v *ownership.View) bool {
+	k.raise(v.Term, uint32(v.Seq>>roundShift))
+	if k.view != nil && !k.view.Version().Less(v.Version()) {
+		return false
+	}
+	k.view = v
+	return true
+}
+
+// recordChanged takes in a record that a watch delivered. Watches may lag, so
+// an older version than the one last read says nothing.
+func (c *Core) recordChanged(ev RecordChanged) {
+	if ev.Record == nil || ev.Version == c.known.version {
+		return
+	}
+	if ev.Version < c.known.version {
+		// Late, or the store went back: a read tells.
+		c.store.wantRead = c.store.wantRead || c.phase == leading
+		return
+	}
+	if c.store.write != nil {
+		c.known.learn(ev.Record)
+		return
+	}
+	c.takeInRecord(ev.Record, ev.Version)
+}
+
+func (c *Core) viewReceived(v *ownership.View) {
+	if v == nil || v.Assigner == c.opts.Self {
+		return
+	}
+	c.known.seeView(v)
+}
+
+func cloneRecord(r *ownership.Record) *ownership.Record {
+	n := *r
+	n.Candidates = append([]ownership.VMID(nil), r.Candidates...)
+	n.Targets = append([]ownership.Target(nil), r.Targets...)
+	n.Owners = append([]uint32(nil), r.Owners...)
+	n.Pins = append([]ownership.Pin(nil), r.Pins...)
+	n.Drained = append([]ownership.TargetID(nil), r.Drained...)
+	return &n
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -105,6 +105,8 @@
 	Slot Slot
 	// Owner indexes Record.Targets.
 	Owner uint32
+	// Auto is set if the assigner made the pin because of the key's load.
+	Auto bool
 }
 
 // Record is the durable object of a group. The store holds one per group; every
@@ -127,6 +129,8 @@
 	// Owners gives for each hashed slot an index into Targets or NoOwner.
 	Owners []uint32
 	Pins   []Pin
+	// Drained lists the targets that operators keep without slots.
+	Drained []TargetID
 	// TableVersion is raised by each change of Owners, Pins or Targets.
 	TableVersion uint64
 }
