--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/store/objectapi"
 )
 
 const (
@@ -186,7 +188,7 @@
 		"--bulk-prefixes", "/drawings/"); err != nil {
 		return err
 	}
-	return await("object API", func() bool { return get("http://" + c.StoreAddress() + "/v1/vms") })
+	return await("object API", func() bool { return get("http://" + c.StoreAddress() + objectapi.VMsPath) })
 }
 
 // StartVM starts the assign and the entry process of a VM.
