--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -29,8 +29,6 @@
 const (
 	// assignDrainLimit bounds the hand-over of groups at a planned stop.
 	assignDrainLimit = 10 * time.Second
-	// firstListWait bounds the wait for the VM list before the cores start.
-	firstListWait = 10 * time.Second
 )
 
 // assignProcess is the wiring of basiltally-assign.
