--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -63,6 +63,8 @@
 	records map[ownership.GroupID]store.Object
 	groups  map[ownership.GroupID]*group
 	links   map[ownership.VMID]*supportLink
+	// commands counts the operators' commands, to name them.
+	commands uint64
 }
 
 // New returns an Assigner without groups. Its monotonic clock starts now.
--- a/assigner/serve.go
+++ b/assigner/serve.go
@@ -48,6 +48,9 @@
 		return &pb.Envelope{Body: &pb.Envelope_RecordReply{RecordReply: reply}}, true
 	case *pb.Envelope_Handover:
 		return a.answerHandover(ownership.VMID(from.GetVm()), body.Handover), true
+	case *pb.Envelope_Command:
+		reply := a.answerCommand(ctx, body.Command)
+		return &pb.Envelope{Body: &pb.Envelope_CommandReply{CommandReply: reply}}, true
 	default:
 		return nil, false
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -19,7 +19,8 @@
 
 func (p *assignProcess) operatorHandlers() map[string]fasthttp.RequestHandler {
 	return map[string]fasthttp.RequestHandler{
-		"/v1/status": p.handleStatus,
+		"/v1/status":  p.handleStatus,
+		"/v1/command": p.handleCommand,
 	}
 }
 
@@ -30,6 +31,26 @@
 	})
 }
 
+// CommandRequest is the body of POST /v1/command.
+type CommandRequest struct {
+	Name string   `json:"name"`
+	Args []string `json:"args"`
+}
+
+func (p *assignProcess) handleCommand(ctx *fasthttp.RequestCtx) {
+	var req CommandRequest
+	if !ctx.IsPost() || json.Unmarshal(ctx.PostBody(), &req) != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		writeJSON(ctx, assigner.Reply{Code: result.BadRequest, Detail: `POST {"name": "...", "args": ["..."]}`})
+		return
+	}
+	reply := p.assigner.Execute(ctx, req.Name, req.Args)
+	if reply.Code != result.OK {
+		ctx.SetStatusCode(result.Describe(reply.Code).HTTPStatus)
+	}
+	writeJSON(ctx, reply)
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	b, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
