--- a/cmd/basiltally-standin/flags.go
+++ b/cmd/basiltally-standin/flags.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,6 +29,12 @@
 	BulkPrefixes []string      `help:"Path prefixes answered with a large body." default:"/archive/,/drawings/" placeholder:"PATH"`
 	BulkBytes    int           `help:"Size of a large body in bytes, unless the request asks for another with bytes=N." default:"1048576"`
 
+	MaxConnections  int           `help:"Connections that one target accepts; 0 is no limit." default:"0"`
+	ConnectCost     time.Duration `help:"Processor time of a target per new connection." default:"0s"`
+	ProbeCost       time.Duration `help:"Processor time of a target per health call." default:"0s"`
+	WritesPerSecond float64       `help:"Limit of the object API on writes; 0 is no limit." default:"0"`
+	ReadsPerSecond  float64       `help:"Limit of the object API on reads, waiting watches included; 0 is no limit." default:"0"`
+
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
@@ -71,8 +78,8 @@
 		for _, vm := range vms {
 			specs = append(specs, targetSpec{
 				vm:        vm,
-				keyed:     contains(f.Keyed, pool),
-				unchecked: contains(f.Unchecked, pool),
+				keyed:     slices.Contains(f.Keyed, pool),
+				unchecked: slices.Contains(f.Unchecked, pool),
 			})
 		}
 	}
@@ -129,12 +136,3 @@
 	}
 	return vms, nil
 }
-
-func contains(list []string, s string) bool {
-	for _, item := range list {
-		if item == s {
-			return true
-		}
-	}
-	return false
-}
--- a/cmd/basiltally-standin/run.go
+++ b/cmd/basiltally-standin/run.go
@@ -11,6 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/standin"
+	"github.com/basiltally/basiltally/standin/faultstore"
 	"github.com/basiltally/basiltally/standin/objectapi"
 	"github.com/basiltally/basiltally/standin/target"
 	"github.com/basiltally/basiltally/standin/vmlist"
@@ -72,11 +74,12 @@
 		vms = append(vms, spec.vm)
 	}
 	slices.SortFunc(vms, func(a, b store.VM) int { return strings.Compare(a.ID, b.ID) })
-	objects := objectapi.New(objectapi.Options{
-		Store: memstore.New(memstore.Options{}),
-		VMs:   vmlist.New(vms),
+	objects := faultstore.New(memstore.New(memstore.Options{}), vmlist.New(vms))
+	objects.SetFaults(faultstore.Faults{
+		WritesPerSecond: flags.WritesPerSecond,
+		ReadsPerSecond:  flags.ReadsPerSecond,
 	})
-	servers, err := listen(nil, "object-api", flags.Store, objects)
+	servers, err := listen(nil, "object-api", flags.Store, objectapi.New(objects))
 	for _, spec := range specs {
 		if err != nil {
 			break
@@ -91,12 +94,17 @@
 		ID:           ownership.TargetID(spec.vm.ID),
 		Pool:         spec.vm.Pool,
 		Keyed:        spec.keyed,
-		IgnoreTokens: spec.unchecked,
 		Slots:        flags.Slots,
 		Queue:        flags.Queue,
 		Work:         flags.Work,
 		BulkPrefixes: flags.BulkPrefixes,
 		BulkBytes:    flags.BulkBytes,
+		Faults: target.Faults{
+			IgnoreTokens:   spec.unchecked,
+			MaxConnections: flags.MaxConnections,
+			ConnectCost:    standin.Duration(flags.ConnectCost),
+			ProbeCost:      standin.Duration(flags.ProbeCost),
+		},
 	})
 }
 
--- /dev/null
+++ b/standin/faultstore/faultstore.go
@@ -0,0 +1,358 @@
+// Package faultstore wraps the in-memory object store with the faults, limits
+// and call counts of the platform's object API.
+package faultstore
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/basiltally/basiltally/standin"
+	"github.com/basiltally/basiltally/standin/vmlist"
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/memstore"
+)
+
+// watchCharge is the time for which a waiting watch counts as one read.
+const watchCharge = time.Second
+
+// Faults are the faults and limits in force. The zero value is a healthy store
+// without limits.
+type Faults struct {
+	// Refuse answers all calls at once as unavailable, and ends waiting watches.
+	Refuse bool `json:"refuse,omitempty"`
+	// Hang leaves all calls without an answer until it is lifted.
+	Hang bool `json:"hang,omitempty"`
+	// DelayBefore is waited before a call takes effect, DelayAfter between its
+	// effect and its answer.
+	DelayBefore standin.Duration `json:"delay_before,omitempty"`
+	DelayAfter  standin.Duration `json:"delay_after,omitempty"`
+	// LoseAnswers is the number of next writes that take effect without an answer.
+	LoseAnswers int `json:"lose_answers,omitempty"`
+	// LoseRequests is the number of next writes that have neither effect nor answer.
+	LoseRequests int `json:"lose_requests,omitempty"`
+	// KeyPrefix restricts all the above to keys and prefixes that start with it.
+	KeyPrefix string `json:"key_prefix,omitempty"`
+	// WritesPerSecond and ReadsPerSecond are the limits; zero is no limit.
+	WritesPerSecond float64 `json:"writes_per_second,omitempty"`
+	ReadsPerSecond  float64 `json:"reads_per_second,omitempty"`
+}
+
+// Calls counts calls by kind.
+type Calls struct {
+	Get     int `json:"get"`
+	List    int `json:"list"`
+	Put     int `json:"put"`
+	Delete  int `json:"delete"`
+	Watch   int `json:"watch"`
+	ListVMs int `json:"list_vms"`
+	// Waiting is the number of watches that wait now.
+	Waiting int `json:"waiting_watches"`
+	// ReadsCharged and WritesCharged are what the limits count; a waiting watch
+	// counts as one read for each second.
+	ReadsCharged  int `json:"reads_charged"`
+	WritesCharged int `json:"writes_charged"`
+	// Refused counts calls refused by Refuse, Limited those refused by a limit.
+	Refused int `json:"refused"`
+	Limited int `json:"limited"`
+}
+
+// Store is an object store with faults on demand.
+type Store struct {
+	// Objects is the store below, without faults.
+	Objects *memstore.Store
+	// VMs is the VM list below, without faults.
+	VMs *vmlist.List
+
+	mu       sync.Mutex
+	faults   Faults
+	calls    Calls
+	changed  chan struct{}
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+	snapshot memstore.Snapshot
+}
+
+var (
+	_ store.Store    = (*Store)(nil)
+	_ store.VMLister = (*Store)(nil)
+)
+
+// New returns a healthy Store over the objects and the VM list.
+func New(objects *memstore.Store, vms *vmlist.List) *Store {
+	s := &Store{Objects: objects, VMs: vms, changed: make(chan struct{})}
+	s.SetFaults(Faults{})
+	s.Snapshot()
+	return s
+}
+
+// SetFaults replaces the faults in force and fills the limits' buckets.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.reads = newLimiter(f.ReadsPerSecond)
+	s.writes = newLimiter(f.WritesPerSecond)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Faults returns the faults in force.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Calls returns the counts so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Snapshot keeps the present state for Restore.
+func (s *Store) Snapshot() {
+	snapshot := s.Objects.Snapshot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = snapshot
+}
+
+// Restore puts the objects back to the last Snapshot, as a restored backup does.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	snapshot := s.snapshot
+	s.mu.Unlock()
+	s.Objects.Restore(snapshot)
+}
+
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
+	if err := s.enter(ctx, key, false, func(c *Calls) { c.Get++ }); err != nil {
+		return store.Object{}, err
+	}
+	obj, err := s.Objects.Get(ctx, key)
+	return obj, s.leave(ctx, key, err)
+}
+
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	if err := s.enter(ctx, prefix, false, func(c *Calls) { c.List++ }); err != nil {
+		return nil, 0, err
+	}
+	list, revision, err := s.Objects.List(ctx, prefix)
+	return list, revision, s.leave(ctx, prefix, err)
+}
+
+// Put implements store.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected store.Version) (store.Version, error) {
+	if err := s.enter(ctx, key, true, func(c *Calls) { c.Put++ }); err != nil {
+		return 0, err
+	}
+	version, err := s.Objects.Put(ctx, key, value, expected)
+	if err := s.leaveWrite(ctx, key, err); err != nil {
+		return 0, err
+	}
+	return version, nil
+}
+
+// Delete implements store.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected store.Version) error {
+	if err := s.enter(ctx, key, true, func(c *Calls) { c.Delete++ }); err != nil {
+		return err
+	}
+	return s.leaveWrite(ctx, key, s.Objects.Delete(ctx, key, expected))
+}
+
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Version) ([]store.Event, error) {
+	if err := s.enter(ctx, prefix, false, func(c *Calls) { c.Watch++ }); err != nil {
+		return nil, err
+	}
+	s.count(func(c *Calls) { c.Waiting++ })
+	defer s.count(func(c *Calls) { c.Waiting-- })
+	for {
+		events, err := s.watchSlice(ctx, prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, s.leave(ctx, prefix, err)
+		}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return nil, nil
+		}
+		if err := s.recheckWatch(ctx, prefix); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// ListVMs implements store.VMLister.
+func (s *Store) ListVMs(ctx context.Context) ([]store.VM, error) {
+	if err := s.enter(ctx, "", false, func(c *Calls) { c.ListVMs++ }); err != nil {
+		return nil, err
+	}
+	vms, err := s.VMs.ListVMs(ctx)
+	return vms, s.leave(ctx, "", err)
+}
+
+// watchSlice waits until an event, a change of faults, or the next charge.
+func (s *Store) watchSlice(ctx context.Context, prefix string, after store.Version) ([]store.Event, error) {
+	_, changed := s.inForce(prefix)
+	slice, cancel := context.WithTimeout(ctx, watchCharge)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-slice.Done():
+		}
+	}()
+	events, err := s.Objects.Watch(slice, prefix, after)
+	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
+		return nil, nil
+	}
+	return events, err
+}
+
+// recheckWatch charges a waiting watch again and applies the faults in force.
+func (s *Store) recheckWatch(ctx context.Context, prefix string) error {
+	s.mu.Lock()
+	s.calls.ReadsCharged++
+	s.reads.Reserve()
+	s.mu.Unlock()
+	return s.passFaults(ctx, prefix, false)
+}
+
+// enter counts a call, applies the limit and the faults before its effect.
+func (s *Store) enter(ctx context.Context, key string, write bool, count func(*Calls)) error {
+	s.mu.Lock()
+	count(&s.calls)
+	allowed := s.charge(write)
+	s.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(store.ErrUnavailable, err.Error())
+	}
+	if !allowed {
+		return errors.Wrap(store.ErrUnavailable, "rate limit")
+	}
+	return s.passFaults(ctx, key, write)
+}
+
+// charge takes one call from its limit. The caller holds mu.
+func (s *Store) charge(write bool) bool {
+	limiter := s.reads
+	if write {
+		limiter = s.writes
+		s.calls.WritesCharged++
+	} else {
+		s.calls.ReadsCharged++
+	}
+	if limiter.Allow() {
+		return true
+	}
+	s.calls.Limited++
+	return false
+}
+
+// passFaults applies the faults that strike before a call takes effect.
+func (s *Store) passFaults(ctx context.Context, key string, write bool) error {
+	for {
+		f, changed := s.inForce(key)
+		if f.Refuse {
+			s.count(func(c *Calls) { c.Refused++ })
+			return errors.Wrap(store.ErrUnavailable, "refused")
+		}
+		if f.Hang {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				return hung(write)
+			}
+		}
+		if write && s.take(key, func(f *Faults) *int { return &f.LoseRequests }) {
+			return errors.Wrap(store.ErrUnknown, "request lost")
+		}
+		return sleep(ctx, time.Duration(f.DelayBefore), write)
+	}
+}
+
+// leave applies the delay between a read and its answer.
+func (s *Store) leave(ctx context.Context, key string, err error) error {
+	f, _ := s.inForce(key)
+	if slow := sleep(ctx, time.Duration(f.DelayAfter), false); slow != nil {
+		return slow
+	}
+	return err
+}
+
+// leaveWrite applies the faults between a write's effect and its answer.
+func (s *Store) leaveWrite(ctx context.Context, key string, err error) error {
+	if s.take(key, func(f *Faults) *int { return &f.LoseAnswers }) {
+		return errors.Wrap(store.ErrUnknown, "answer lost")
+	}
+	f, _ := s.inForce(key)
+	if slow := sleep(ctx, time.Duration(f.DelayAfter), true); slow != nil {
+		return slow
+	}
+	return err
+}
+
+// inForce returns the faults that apply to the key, and a channel that closes
+// when the faults change.
+func (s *Store) inForce(key string) (Faults, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !strings.HasPrefix(key, s.faults.KeyPrefix) {
+		return Faults{}, s.changed
+	}
+	return s.faults, s.changed
+}
+
+// take uses up one of a number of faults and tells whether there was one.
+func (s *Store) take(key string, field func(*Faults) *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := field(&s.faults)
+	if *left <= 0 || !strings.HasPrefix(key, s.faults.KeyPrefix) {
+		return false
+	}
+	*left--
+	return true
+}
+
+func (s *Store) count(f func(*Calls)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.calls)
+}
+
+func hung(write bool) error {
+	if write {
+		return errors.Wrap(store.ErrUnknown, "no answer")
+	}
+	return errors.Wrap(store.ErrUnavailable, "no answer")
+}
+
+func sleep(ctx context.Context, d time.Duration, write bool) error {
+	if d <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return hung(write)
+	}
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+}
--- a/standin/objectapi/server.go
+++ b/standin/objectapi/server.go
@@ -3,6 +3,7 @@
 package objectapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -13,6 +14,8 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/standin"
+	"github.com/basiltally/basiltally/standin/faultstore"
 	"github.com/basiltally/basiltally/store"
 	"github.com/basiltally/basiltally/store/objectapi"
 )
@@ -24,26 +27,44 @@
 	maxConcurrency = 64 << 10
 )
 
-// Options configures a Server.
-type Options struct {
-	// Store holds the objects.
-	Store store.Store
-	// VMs is the VM list.
-	VMs store.VMLister
+// Admin is the body of a call to standin.FaultsPath. Absent fields change nothing.
+type Admin struct {
+	// Faults replaces the faults in force.
+	Faults *faultstore.Faults `json:"faults,omitempty"`
+	// Actions are done in order.
+	Actions []Action `json:"actions,omitempty"`
+	// SetVMs changes or adds entries of the VM list, RemoveVMs removes them.
+	SetVMs    []store.VM `json:"set_vms,omitempty"`
+	RemoveVMs []string   `json:"remove_vms,omitempty"`
 }
 
+// Action is a single act on the store.
+type Action string
+
+// Actions on the store.
+const (
+	// Compact drops the history of events.
+	Compact Action = "compact"
+	// Snapshot keeps the present objects; Restore puts the store back to them.
+	Snapshot Action = "snapshot"
+	Restore  Action = "restore"
+	// HoldVMs makes the VM list stale until ReleaseVMs.
+	HoldVMs    Action = "hold-vms"
+	ReleaseVMs Action = "release-vms"
+)
+
 // Server serves the object API.
 type Server struct {
-	opts   Options
+	store  *faultstore.Store
 	http   *fasthttp.Server
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// New returns a Server.
-func New(opts Options) *Server {
+// New returns a Server of the store.
+func New(st *faultstore.Store) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{opts: opts, ctx: ctx, cancel: cancel}
+	s := &Server{store: st, ctx: ctx, cancel: cancel}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		Concurrency:           maxConcurrency,
@@ -73,6 +94,10 @@
 		s.handleWatch(rc)
 	case objectapi.VMsPath:
 		s.handleVMs(rc)
+	case standin.FaultsPath:
+		s.handleAdmin(rc)
+	case standin.CallsPath:
+		writeJSON(rc, s.store.Calls())
 	default:
 		rc.Error("no such path", http.StatusNotFound)
 	}
@@ -82,7 +107,7 @@
 	key := string(rc.QueryArgs().Peek(objectapi.ArgKey))
 	switch string(rc.Method()) {
 	case http.MethodGet:
-		obj, err := s.opts.Store.Get(s.ctx, key)
+		obj, err := s.store.Get(s.ctx, key)
 		s.answer(rc, obj.Version, obj.Value, err)
 	case http.MethodPut:
 		expected, err := versionArg(rc, objectapi.ArgExpected)
@@ -90,7 +115,7 @@
 			rc.Error(err.Error(), http.StatusBadRequest)
 			return
 		}
-		version, err := s.opts.Store.Put(s.ctx, key, rc.PostBody(), expected)
+		version, err := s.store.Put(s.ctx, key, rc.PostBody(), expected)
 		s.answer(rc, version, nil, err)
 	case http.MethodDelete:
 		expected, err := versionArg(rc, objectapi.ArgExpected)
@@ -98,7 +123,7 @@
 			rc.Error(err.Error(), http.StatusBadRequest)
 			return
 		}
-		s.answer(rc, 0, nil, s.opts.Store.Delete(s.ctx, key, expected))
+		s.answer(rc, 0, nil, s.store.Delete(s.ctx, key, expected))
 	default:
 		rc.Error("method not allowed", http.StatusMethodNotAllowed)
 	}
@@ -116,7 +141,7 @@
 
 func (s *Server) handleList(rc *fasthttp.RequestCtx) {
 	prefix := string(rc.QueryArgs().Peek(objectapi.ArgPrefix))
-	objects, revision, err := s.opts.Store.List(s.ctx, prefix)
+	objects, revision, err := s.store.List(s.ctx, prefix)
 	if err != nil {
 		s.fail(rc, err)
 		return
@@ -137,7 +162,7 @@
 	timeout := time.Duration(rc.QueryArgs().GetUintOrZero(objectapi.ArgTimeout)) * time.Millisecond
 	ctx, cancel := context.WithTimeout(s.ctx, min(timeout, maxWatch))
 	defer cancel()
-	events, err := s.opts.Store.Watch(ctx, string(rc.QueryArgs().Peek(objectapi.ArgPrefix)), after)
+	events, err := s.store.Watch(ctx, string(rc.QueryArgs().Peek(objectapi.ArgPrefix)), after)
 	if err != nil {
 		s.fail(rc, err)
 		return
@@ -150,7 +175,7 @@
 }
 
 func (s *Server) handleVMs(rc *fasthttp.RequestCtx) {
-	vms, err := s.opts.VMs.ListVMs(s.ctx)
+	vms, err := s.store.ListVMs(s.ctx)
 	if err != nil {
 		s.fail(rc, err)
 		return
@@ -158,7 +183,66 @@
 	writeJSON(rc, objectapi.VMsBody{VMs: vms})
 }
 
+func (s *Server) handleAdmin(rc *fasthttp.RequestCtx) {
+	var admin Admin
+	decoder := json.NewDecoder(bytes.NewReader(rc.PostBody()))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&admin); err != nil {
+		rc.Error(err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.Apply(admin); err != nil {
+		rc.Error(err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(rc, s.store.Faults())
+}
+
+// Apply sets faults and does the actions.
+func (s *Server) Apply(admin Admin) error {
+	if admin.Faults != nil {
+		s.store.SetFaults(*admin.Faults)
+	}
+	for _, vm := range admin.SetVMs {
+		s.store.VMs.Set(vm)
+	}
+	for _, id := range admin.RemoveVMs {
+		s.store.VMs.Remove(id)
+	}
+	for _, action := range admin.Actions {
+		if err := s.act(action); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Server) act(action Action) error {
+	switch action {
+	case Compact:
+		s.store.Objects.Compact()
+	case Snapshot:
+		s.store.Snapshot()
+	case Restore:
+		s.store.Restore()
+	case HoldVMs:
+		s.store.VMs.Hold()
+	case ReleaseVMs:
+		s.store.VMs.Release()
+	default:
+		return errors.Errorf("unknown action %q", action)
+	}
+	return nil
+}
+
+// fail answers with the error's status, or closes the connection without an
+// answer if the caller is to learn nothing.
 func (s *Server) fail(rc *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, store.ErrUnknown) {
+		rc.HijackSetNoResponse(true)
+		rc.Hijack(func(net.Conn) {})
+		return
+	}
 	rc.Error(err.Error(), statusOf(err))
 }
 
--- /dev/null
+++ b/standin/target/conns.go
@@ -0,0 +1,172 @@
+package target
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/basiltally/basiltally/standin"
+)
+
+// connSet is the listener of one incarnation with its open connections.
+type connSet struct {
+	net.Listener
+	faults func() Faults
+
+	mu      sync.Mutex
+	open    map[*trackedConn]struct{}
+	crashed bool
+}
+
+func newConnSet(faults func() Faults) *connSet {
+	return &connSet{faults: faults, open: make(map[*trackedConn]struct{})}
+}
+
+// listen sets the listener, which must happen before Accept.
+func (s *connSet) listen(ln net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Listener = ln
+}
+
+// Accept implements net.Listener. It resets connections over the limit.
+func (s *connSet) Accept() (net.Conn, error) {
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tracked, ok := s.add(conn); ok {
+			return tracked, nil
+		}
+		reset(conn)
+	}
+}
+
+func (s *connSet) add(conn net.Conn) (*trackedConn, bool) {
+	limit := s.faults().MaxConnections
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashed || limit > 0 && len(s.open) >= limit {
+		return nil, false
+	}
+	tracked := &trackedConn{Conn: conn, set: s}
+	s.open[tracked] = struct{}{}
+	return tracked, true
+}
+
+func (s *connSet) remove(c *trackedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+func (s *connSet) list() []*trackedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var conns []*trackedConn
+	for c := range s.open {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// silence makes the connections that are open now silent; with answersOnly
+// their requests still arrive.
+func (s *connSet) silence(answersOnly bool) {
+	for _, c := range s.list() {
+		c.mute.Store(true)
+		c.deaf.Store(!answersOnly)
+	}
+}
+
+// crash closes the listener and resets all connections.
+func (s *connSet) crash() {
+	s.mu.Lock()
+	s.crashed = true
+	ln := s.Listener
+	s.mu.Unlock()
+	if ln != nil {
+		_ = ln.Close()
+	}
+	for _, c := range s.list() {
+		reset(c.Conn)
+	}
+}
+
+// trackedConn is a connection that can go silent.
+type trackedConn struct {
+	net.Conn
+	set *connSet
+	// deaf drops what arrives, mute drops what is written.
+	deaf, mute atomic.Bool
+	paid       atomic.Bool
+}
+
+// Read implements net.Conn. The first read pays the cost of the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	if c.paid.CompareAndSwap(false, true) {
+		standin.Spin(time.Duration(c.set.faults().ConnectCost))
+	}
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.deaf.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.mute.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. A silent connection stays open to its peer.
+func (c *trackedConn) Close() error {
+	c.set.remove(c)
+	if c.mute.Load() {
+		go func() { _, _ = io.Copy(io.Discard, c.Conn) }()
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// peerClosed tells whether the peer closed the connection, without reading from it.
+func (c *trackedConn) peerClosed() bool {
+	if c == nil || c.deaf.Load() {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) { closed = peekClosed(int(fd)) })
+	return closed || err != nil
+}
+
+func peekClosed(fd int) bool {
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	if err == syscall.EAGAIN || err == syscall.EINTR {
+		return false
+	}
+	return err != nil || n == 0
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/standin/target/incarnation.go
@@ -0,0 +1,121 @@
+package target
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	maxConcurrency  = 64 << 10
+	maxRequestBytes = 1 << 30
+	// listenRetry separates attempts to listen again after a crash.
+	listenRetry = 10 * time.Millisecond
+)
+
+// incarnation is one start of the target: what a crash loses.
+type incarnation struct {
+	clock   *clock
+	grants  *grants
+	slots   *slots
+	conns   *connSet
+	http    *fasthttp.Server
+	ctx     context.Context
+	cancel  context.CancelFunc
+	crashed atomic.Bool
+}
+
+func (s *Server) newIncarnation(number uint64) *incarnation {
+	c := newClock(number)
+	ctx, cancel := context.WithCancel(context.Background())
+	inc := &incarnation{
+		clock:  c,
+		grants: newGrants(c),
+		slots:  newSlots(s.opts.Slots, s.opts.Queue),
+		conns:  newConnSet(s.Faults),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	inc.http = &fasthttp.Server{
+		Handler:               func(rc *fasthttp.RequestCtx) { s.handle(inc, rc) },
+		Concurrency:           maxConcurrency,
+		MaxRequestBodySize:    maxRequestBytes,
+		StreamRequestBody:     true,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                quiet{},
+	}
+	return inc
+}
+
+// quiet drops the server's notes on broken connections, which are intended here.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// warming tells whether the cold start lasts.
+func (inc *incarnation) warming(f Faults) bool {
+	return inc.clock.nanos() < int64(f.ColdStart)
+}
+
+// Serve answers requests on the listener until Shutdown, and starts anew after
+// each crash.
+func (s *Server) Serve(ln net.Listener) error {
+	address := ln.Addr()
+	for {
+		inc := s.current()
+		if s.stopped.Load() {
+			return ln.Close()
+		}
+		inc.conns.listen(ln)
+		err := inc.http.Serve(inc.conns)
+		if s.stopped.Load() || !inc.crashed.Load() {
+			return err
+		}
+		s.restart()
+		time.Sleep(time.Duration(s.Faults().RestartAfter))
+		if ln = s.listenAgain(address); ln == nil {
+			return nil
+		}
+	}
+}
+
+// restart makes the next incarnation the current one.
+func (s *Server) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	s.inc = s.newIncarnation(s.opts.Incarnation + s.number)
+}
+
+// listenAgain returns nil once the server was shut down.
+func (s *Server) listenAgain(address net.Addr) net.Listener {
+	for !s.stopped.Load() {
+		ln, err := net.Listen(address.Network(), address.String())
+		if err == nil {
+			return ln
+		}
+		time.Sleep(listenRetry)
+	}
+	return nil
+}
+
+// crash ends the incarnation at once: its requests get no answer.
+func (s *Server) crash(inc *incarnation) {
+	if !inc.crashed.CompareAndSwap(false, true) {
+		return
+	}
+	s.crashes.Add(1)
+	inc.conns.crash()
+	inc.cancel()
+}
+
+func (s *Server) current() *incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inc
+}
--- a/standin/target/request.go
+++ b/standin/target/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +22,14 @@
 	ArgWork = "work_ms"
 )
 
+// workStep separates checks for cancellation while a request runs.
+const workStep = 2 * time.Millisecond
+
+var (
+	errCancelled = errors.New("the caller left")
+	errBodyCut   = errors.New("the body was cut")
+)
+
 // request is one parsed request of an entry.
 type request struct {
 	path           string
@@ -35,7 +42,8 @@
 	deadline       time.Duration
 	work           time.Duration
 	bytes          int
-	conn           net.Conn
+	marked         bool
+	conn           *trackedConn
 }
 
 // Answer is the JSON body of an answer without a requested size.
@@ -62,8 +70,9 @@
 		idempotencyKey: header(target.HeaderIdempotency),
 		work:           s.opts.Work,
 		bytes:          -1,
-		conn:           rc.Conn(),
+		marked:         header(HeaderCrash) != "",
 	}
+	r.conn, _ = rc.Conn().(*trackedConn)
 	r.hasGroup = r.group != ""
 	if r.hasGroup {
 		slot, err := strconv.ParseUint(header(target.HeaderSlot), 10, 32)
@@ -103,64 +112,121 @@
 }
 
 // handleRequest runs a request of an entry, or refuses it before it runs.
-func (s *Server) handleRequest(rc *fasthttp.RequestCtx) {
+func (s *Server) handleRequest(inc *incarnation, rc *fasthttp.RequestCtx) {
 	r, err := s.parseRequest(rc)
 	if err != nil {
 		rc.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	setRequestID(rc, r.requestID)
-	ctx, cancel := s.requestContext(r)
+	f := s.Faults()
+	setRequestID(rc, f.answerID(r.requestID))
+	ctx, cancel := f.requestContext(inc.ctx, r)
 	defer cancel()
-	if s.draining.Load() {
-		refuse(rc, target.RefusedDraining)
+	if reason := s.refusesAll(f); reason != "" {
+		refuse(rc, reason)
 		return
 	}
-	if err := s.slots.acquire(ctx); err != nil {
+	if err := inc.slots.acquire(ctx); err != nil {
 		refuse(rc, refusal(err))
 		return
 	}
-	release := s.slots.release
+	release := inc.slots.release
 	defer func() { release() }()
-	if !s.entitled(r) {
-		refuse(rc, target.RefusedNotOwner)
-		return
-	}
 	received, err := readBody(rc)
 	if err != nil {
 		rc.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	s.gate.wait()
+	if !s.entitled(inc, r) {
+		refuse(rc, target.RefusedNotOwner)
+		return
+	}
 	runs := s.runs.add(r.requestID, r.idempotencyKey)
-	if err := s.work(ctx, r); err != nil {
+	if r.crashes(f) {
+		s.crash(inc)
+		return
+	}
+	if err := s.work(ctx, inc, r); err != nil {
 		rc.Error(err.Error(), fasthttp.StatusGatewayTimeout)
 		return
 	}
 	if r.bytes >= 0 {
-		rc.SetBodyStream(&bodyStream{remaining: r.bytes, release: release}, r.bytes)
+		rc.SetBodyStream(s.newBody(r, release), r.bytes)
 		release = func() {}
 		return
 	}
 	writeJSON(rc, s.answer(r, runs, received))
 }
 
+// refusesAll returns why the target takes no new requests, or nothing.
+func (s *Server) refusesAll(f Faults) string {
+	switch {
+	case s.isDraining():
+		return target.RefusedDraining
+	case f.Shed:
+		return target.RefusedShed
+	default:
+		return ""
+	}
+}
+
 // requestContext ends at the request's deadline, if it has one.
-func (s *Server) requestContext(r request) (context.Context, context.CancelFunc) {
-	if r.deadline > 0 {
-		return context.WithTimeout(s.ctx, r.deadline)
+func (f Faults) requestContext(ctx context.Context, r request) (context.Context, context.CancelFunc) {
+	if r.deadline > 0 && !f.IgnoreDeadline {
+		return context.WithTimeout(ctx, r.deadline)
 	}
-	return context.WithCancel(s.ctx)
+	return context.WithCancel(ctx)
+}
+
+// answerID returns the correlation identifier of the answer.
+func (f Faults) answerID(id string) string {
+	if f.WrongRequestID {
+		return id + "-wrong"
+	}
+	return id
+}
+
+// crashes tells whether the request crashes the target.
+func (r request) crashes(f Faults) bool {
+	return r.marked || (f.CrashMark != "" && strings.Contains(r.path, f.CrashMark))
 }
 
 // entitled tells whether the target may run the request.
-func (s *Server) entitled(r request) bool {
-	if !s.checksTokens.Load() {
+func (s *Server) entitled(inc *incarnation, r request) bool {
+	if s.Faults().IgnoreTokens {
 		return true
 	}
 	if !r.hasGroup {
 		return !s.opts.Keyed
 	}
-	return s.grants.owns(r.group, r.slot, r.token)
+	return inc.grants.owns(r.group, r.slot, r.token)
+}
+
+// work runs the request until it is done, its deadline passes or the caller leaves.
+func (s *Server) work(ctx context.Context, inc *incarnation, r request) error {
+	end := time.Now().Add(s.workTime(inc, r))
+	for time.Now().Before(end) {
+		s.gate.wait()
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if r.conn.peerClosed() && !s.Faults().IgnoreCancel {
+			s.runs.cancelled()
+			return errCancelled
+		}
+		time.Sleep(min(workStep, time.Until(end)))
+	}
+	return nil
+}
+
+func (s *Server) workTime(inc *incarnation, r request) time.Duration {
+	f := s.Faults()
+	work := r.work + time.Duration(f.ExtraWork)
+	if inc.warming(f) {
+		work += time.Duration(f.ColdWork)
+	}
+	return work
 }
 
 func (s *Server) answer(r request, runs int, received int64) Answer {
@@ -219,19 +285,35 @@
 // the body was sent or the connection broke.
 type bodyStream struct {
 	remaining int
-	release   func()
+	// cut is the number of bytes after which the body breaks off.
+	cut     int
+	gate    *gate
+	release func()
+}
+
+func (s *Server) newBody(r request, release func()) *bodyStream {
+	body := &bodyStream{remaining: r.bytes, cut: r.bytes + 1, gate: &s.gate, release: release}
+	if cut := s.Faults().CutBody; cut > 0 {
+		body.cut = cut
+	}
+	return body
 }
 
 // Read implements io.Reader with the lower-case alphabet, repeated.
 func (b *bodyStream) Read(p []byte) (int, error) {
+	b.gate.wait()
 	if b.remaining <= 0 {
 		return 0, io.EOF
 	}
-	n := min(len(p), b.remaining)
+	if b.cut <= 0 {
+		return 0, errBodyCut
+	}
+	n := min(len(p), b.remaining, b.cut)
 	for i := range n {
 		p[i] = 'a' + byte((b.remaining-i)%26)
 	}
 	b.remaining -= n
+	b.cut -= n
 	return n, nil
 }
 
--- a/standin/target/runs.go
+++ b/standin/target/runs.go
@@ -7,12 +7,14 @@
 
 // Runs tells how often requests were executed, by request ID and by idempotency key.
 type Runs struct {
-	Total           int            `json:"total"`
-	ByRequestID     map[string]int `json:"by_request_id"`
-	ByIdempotency   map[string]int `json:"by_idempotency_key"`
-	NotRecorded     int            `json:"not_recorded"`
-	MaxByRequestID  int            `json:"max_by_request_id"`
-	MaxByIdempotent int            `json:"max_by_idempotency_key"`
+	Total         int            `json:"total"`
+	ByRequestID   map[string]int `json:"by_request_id"`
+	ByIdempotency map[string]int `json:"by_idempotency_key"`
+	NotRecorded   int            `json:"not_recorded"`
+	// Cancelled counts runs that stopped because the caller left.
+	Cancelled       int `json:"cancelled"`
+	MaxByRequestID  int `json:"max_by_request_id"`
+	MaxByIdempotent int `json:"max_by_idempotency_key"`
 }
 
 // runCounter counts executions.
@@ -41,6 +43,12 @@
 	return c.count(c.runs.ByIdempotency, idempotencyKey, &c.runs.MaxByIdempotent)
 }
 
+func (c *runCounter) cancelled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs.Cancelled++
+}
+
 func (c *runCounter) count(counts map[string]int, id string, highest *int) int {
 	if id == "" {
 		return 1
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -1,26 +1,26 @@
 // Package target is a stand-in for a target: it keeps leases and grants by the
-// control protocol, checks fencing tokens, and runs requests in slots. It is
-// meant for tests and for a first run.
+// control protocol, checks fencing tokens, and runs requests in slots, with
+// faults on demand. It is meant for tests and for a first run.
 package target
 
 import (
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/standin"
 	"github.com/basiltally/basiltally/target"
 )
 
-// RunsPath reports how often requests ran, as Runs; the argument "least" selects
-// those that ran at least so often.
-const RunsPath = "/standin/runs"
+// ArgLeast selects, in a call to standin.RunsPath, what ran at least so often.
+const ArgLeast = "least"
 
 // Defaults of Options.
 const (
@@ -29,13 +29,8 @@
 	DefaultBulkBytes = 1 << 20
 )
 
-const (
-	maxConcurrency  = 64 << 10
-	maxRequestBytes = 1 << 30
-	maxControlBytes = 4 << 20
-	// workStep separates checks for cancellation while a request runs.
-	workStep = 2 * time.Millisecond
-)
+// maxControlBytes bounds the body of a control call.
+const maxControlBytes = 4 << 20
 
 // Options configures a Server.
 type Options struct {
@@ -44,8 +39,6 @@
 	Pool string
 	// Keyed targets refuse requests without a group while they check tokens.
 	Keyed bool
-	// IgnoreTokens makes the target run every request, whoever sends it.
-	IgnoreTokens bool
 	// Slots is the number of requests that run at once; default 6.
 	Slots int
 	// Queue is the number of requests that wait for a slot; default 12.
@@ -58,23 +51,27 @@
 	BulkBytes int
 	// Incarnation identifies the start of the process; default the wall clock.
 	Incarnation uint64
+	// Faults are in force from the start.
+	Faults Faults
 }
 
 // Server is one target.
 type Server struct {
-	opts         Options
-	clock        *clock
-	grants       *grants
-	slots        *slots
-	runs         *runCounter
-	draining     atomic.Bool
-	checksTokens atomic.Bool
-	http         *fasthttp.Server
-	ctx          context.Context
-	cancel       context.CancelFunc
+	opts     Options
+	gate     gate
+	faults   atomic.Pointer[Faults]
+	health   healthCache
+	runs     *runCounter
+	crashes  atomic.Int64
+	draining atomic.Bool
+	stopped  atomic.Bool
+
+	mu     sync.Mutex
+	inc    *incarnation
+	number uint64
 }
 
-// New returns a Server.
+// New returns a Server. Renewals work at once, requests once it serves.
 func New(opts Options) *Server {
 	if opts.Slots <= 0 {
 		opts.Slots = DefaultSlots
@@ -88,74 +85,62 @@
 	if opts.Incarnation == 0 {
 		opts.Incarnation = uint64(time.Now().UnixNano())
 	}
-	c := newClock(opts.Incarnation)
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{
-		opts:   opts,
-		clock:  c,
-		grants: newGrants(c),
-		slots:  newSlots(opts.Slots, opts.Queue),
-		runs:   newRunCounter(),
-		ctx:    ctx,
-		cancel: cancel,
-	}
-	s.checksTokens.Store(!opts.IgnoreTokens)
-	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		Concurrency:           maxConcurrency,
-		MaxRequestBodySize:    maxRequestBytes,
-		StreamRequestBody:     true,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
+	s := &Server{opts: opts, runs: newRunCounter()}
+	s.SetFaults(opts.Faults)
+	s.inc = s.newIncarnation(opts.Incarnation)
 	return s
 }
 
-// Serve answers requests on the listener until Shutdown.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
-
 // Shutdown stops the server after the requests in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.cancel()
-	return s.http.ShutdownWithContext(ctx)
+	s.stopped.Store(true)
+	s.gate.unfreeze()
+	inc := s.current()
+	defer inc.cancel()
+	return inc.http.ShutdownWithContext(ctx)
 }
 
 // Renew applies a renewal as the control endpoint does.
 func (s *Server) Renew(req target.RenewRequest) target.RenewReply {
-	reply := s.grants.renew(req)
-	reply.Health = s.Health()
-	return reply
+	return s.renew(s.current(), req)
 }
 
-// Health returns what the target says of itself.
-func (s *Server) Health() target.Health {
-	return target.Health{
-		Draining: s.draining.Load(),
-		Running:  int(s.slots.running.Load()),
-		Queued:   int(s.slots.queued.Load()),
-	}
+func (s *Server) renew(inc *incarnation, req target.RenewRequest) target.RenewReply {
+	s.gate.wait()
+	reply := inc.grants.renew(req)
+	reply.Health = s.Health()
+	return reply
 }
 
 // Runs returns the requests that ran at least least times.
 func (s *Server) Runs(least int) Runs { return s.runs.snapshot(least) }
 
-func (s *Server) handle(rc *fasthttp.RequestCtx) {
-	switch string(rc.Path()) {
+func (s *Server) handle(inc *incarnation, rc *fasthttp.RequestCtx) {
+	path := string(rc.Path())
+	switch path {
+	case standin.FaultsPath:
+		s.handleAdmin(rc)
+		return
+	case standin.RunsPath:
+		writeJSON(rc, s.Runs(rc.QueryArgs().GetUintOrZero(ArgLeast)))
+		return
+	}
+	s.gate.wait()
+	switch path {
 	case target.RenewPath:
-		s.handleRenew(rc)
+		s.handleRenew(inc, rc)
 	case target.HealthPath:
-		writeJSON(rc, s.Health())
+		s.handleHealth(rc)
 	case target.DrainPath:
 		s.draining.Store(true)
 		writeJSON(rc, s.Health())
-	case RunsPath:
-		writeJSON(rc, s.Runs(rc.QueryArgs().GetUintOrZero("least")))
 	default:
-		s.handleRequest(rc)
+		s.handleRequest(inc, rc)
 	}
+	s.gate.wait()
 }
 
-func (s *Server) handleRenew(rc *fasthttp.RequestCtx) {
+func (s *Server) handleRenew(inc *incarnation, rc *fasthttp.RequestCtx) {
 	var req target.RenewRequest
 	body, err := controlBody(rc)
 	if err == nil {
@@ -165,18 +150,16 @@
 		rc.Error(err.Error(), http.StatusBadRequest)
 		return
 	}
-	writeJSON(rc, s.Renew(req))
+	reply := s.renew(inc, req)
+	time.Sleep(time.Duration(s.Faults().ControlDelay))
+	writeJSON(rc, reply)
 }
 
-func (s *Server) work(ctx context.Context, r request) error {
-	end := time.Now().Add(r.work)
-	for time.Now().Before(end) {
-		if err := ctx.Err(); err != nil {
-			return err
-		}
-		time.Sleep(min(workStep, time.Until(end)))
-	}
-	return nil
+func (s *Server) handleHealth(rc *fasthttp.RequestCtx) {
+	f := s.Faults()
+	standin.Spin(time.Duration(f.ProbeCost))
+	time.Sleep(time.Duration(f.ControlDelay))
+	writeJSON(rc, s.Health())
 }
 
 // controlBody reads the body of a control call.
--- a/store/objectapi/client.go
+++ b/store/objectapi/client.go
@@ -97,10 +97,11 @@
 
 // call is one HTTP exchange with the object API.
 type call struct {
-	method  string
-	path    string
-	args    [][2]string
-	body    []byte
+	method string
+	path   string
+	args   [][2]string
+	body   []byte
+	// timeout is zero for the client's own.
 	timeout time.Duration
 }
 
@@ -279,13 +280,7 @@
 // do sends the call. When the context ends first it returns at once and leaves
 // the exchange to end by its own timeout.
 func (c *Client) do(ctx context.Context, cl call) (answer, error) {
-	timeout := cl.timeout
-	if timeout <= 0 {
-		timeout = c.opts.Timeout
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Until(deadline))
-	}
+	timeout := c.timeout(ctx, cl)
 	if ctx.Err() != nil || timeout <= 0 {
 		return answer{}, errors.WithMessage(errNotSent, "context ended")
 	}
@@ -309,6 +304,18 @@
 	}
 }
 
+// timeout bounds an exchange. A watch has its own bound, longer than the
+// context's, so that the context alone ends it.
+func (c *Client) timeout(ctx context.Context, cl call) time.Duration {
+	if cl.timeout > 0 {
+		return cl.timeout
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(c.opts.Timeout, time.Until(deadline))
+	}
+	return c.opts.Timeout
+}
+
 func (c *Client) exchange(cl call, timeout time.Duration) (answer, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- /dev/null
+++ b/target/client_test.go
@@ -0,0 +1,47 @@
+package target_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/ownership"
+	standin "github.com/basiltally/basiltally/standin/target"
+	"github.com/basiltally/basiltally/target"
+)
+
+func TestClientRenewsOverOneConnection(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := standin.New(standin.Options{Incarnation: 1, Faults: standin.Faults{MaxConnections: 1}})
+	go func() { _ = server.Serve(ln) }()
+	client := target.NewClient(target.ClientOptions{Timeout: 10 * time.Second})
+	defer func() {
+		client.Close()
+		_ = server.Shutdown(context.Background())
+	}()
+	address := ln.Addr().String()
+	token := ownership.Token{Term: 1, Seq: 1}
+	reply, err := client.Renew(t.Context(), address, target.RenewRequest{Group: "g", Holder: token})
+	is.NoErr(err)
+	reply, err = client.Renew(t.Context(), address, target.RenewRequest{
+		Group: "g", Holder: token, Echo: reply.Clock, Lease: time.Hour, Version: token, Full: true,
+	})
+	is.NoErr(err)
+	is.Equal(reply.Held, token)
+	is.True(reply.LeaseNanos > 0)
+	health, err := client.Drain(t.Context(), address)
+	is.NoErr(err)
+	is.True(health.Draining)
+
+	is.NoErr(server.Act(standin.Freeze))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = client.Renew(ctx, address, target.RenewRequest{Group: "g", Holder: token})
+	is.True(err != nil) // ends by its context
+	is.NoErr(server.Act(standin.Unfreeze))
+}
