--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -117,6 +117,10 @@
 		return n, nil
 	}
 	n, err := s.body.Read(p)
+	if err := s.exchange.payLink(n); err != nil {
+		s.failure = s.exchange.classify(err)
+		return n, err
+	}
 	switch err {
 	case nil:
 	case io.EOF:
@@ -138,13 +142,14 @@
 	}
 	s.closed = true
 	x := s.exchange
+	outcome := s.outcome(err)
 	if s.whole {
 		x.succeed()
 	} else {
-		x.discard()
+		x.discard(outcome)
 	}
 	if x.req.Streaming() {
-		x.req.End(s.outcome(err))
+		x.req.End(outcome)
 	}
 	return nil
 }
@@ -159,3 +164,12 @@
 		return result.New(result.CallerGone, "the answer was not taken whole")
 	}
 }
+
+// payLink waits until the bytes are within the budget of the link they passed.
+func (x *exchange) payLink(n int) error {
+	region := x.req.Owner.Target.Region
+	if !x.req.Bulk() || region == x.dispatcher.opts.Region {
+		return nil
+	}
+	return x.dispatcher.links.take(x.req.Context, region, n)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -53,6 +54,13 @@
 	// ShortSlots and BulkSlots are the requests that this entry runs at once on
 	// one target, short ones and long transfers apart. Default 4 and 2.
 	ShortSlots, BulkSlots int
+	// Region is the region of this entry. Long transfers from other regions are
+	// paced to LinkBytesPerSecond per region, this entry's share of the budget of
+	// the links; zero does not pace them.
+	Region             string
+	LinkBytesPerSecond int64
+	// Observer is told of the exchanges; may be nil.
+	Observer Observer
 	// MaxWaiting bounds the requests that wait for a slot of one target. Default 256.
 	MaxWaiting int
 }
@@ -61,26 +69,22 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	setDefault(&o.DialTimeout, 500*time.Millisecond)
-	setDefault(&o.DialRate, 20)
-	setDefault(&o.DialBurst, 12)
-	setDefault(&o.DialBackoff, 50*time.Millisecond)
-	setDefault(&o.MaxIdle, 30*time.Second)
-	setDefault(&o.MaxIdleAtMostOnce, 2*time.Second)
-	setDefault(&o.SilenceTimeout, 500*time.Millisecond)
-	setDefault(&o.ProgressTimeout, 5*time.Second)
-	setDefault(&o.BufferBytes, 64<<10)
-	setDefault(&o.ShortSlots, 4)
-	setDefault(&o.BulkSlots, 2)
-	setDefault(&o.MaxWaiting, 256)
-	return o
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+	if o.Observer == nil {
+		o.Observer = noObserver{}
 	}
+	o.DialTimeout = cmp.Or(o.DialTimeout, 500*time.Millisecond)
+	o.DialRate = cmp.Or(o.DialRate, 20)
+	o.DialBurst = cmp.Or(o.DialBurst, 12)
+	o.DialBackoff = cmp.Or(o.DialBackoff, 50*time.Millisecond)
+	o.MaxIdle = cmp.Or(o.MaxIdle, 30*time.Second)
+	o.MaxIdleAtMostOnce = cmp.Or(o.MaxIdleAtMostOnce, 2*time.Second)
+	o.SilenceTimeout = cmp.Or(o.SilenceTimeout, 500*time.Millisecond)
+	o.ProgressTimeout = cmp.Or(o.ProgressTimeout, 5*time.Second)
+	o.BufferBytes = cmp.Or(o.BufferBytes, 64<<10)
+	o.ShortSlots = cmp.Or(o.ShortSlots, 4)
+	o.BulkSlots = cmp.Or(o.BulkSlots, 2)
+	o.MaxWaiting = cmp.Or(o.MaxWaiting, 256)
+	return o
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -88,9 +92,28 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Observer learns from the exchanges how targets do.
+type Observer interface {
+	// Began tells that a request is bound for the target.
+	Began(ownership.TargetID)
+	// Ended tells that it has ended; newConnection is set unless it used a
+	// connection that had been idle.
+	Ended(id ownership.TargetID, err error, newConnection bool)
+}
+
+// noObserver is the Observer if there is none.
+type noObserver struct{}
+
+// Began implements Observer.
+func (noObserver) Began(ownership.TargetID) {}
+
+// Ended implements Observer.
+func (noObserver) Ended(ownership.TargetID, error, bool) {}
+
 // Dispatcher sends requests to targets. It is the last Handler of the pipeline.
 type Dispatcher struct {
-	opts Options
+	opts  Options
+	links *links
 
 	mu    sync.Mutex
 	lanes map[laneKey]*lane
@@ -110,7 +133,11 @@
 
 // New returns a Dispatcher.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts.withDefaults(), lanes: map[laneKey]*lane{}}
+	return &Dispatcher{
+		opts:  opts.withDefaults(),
+		links: newLinks(opts.LinkBytesPerSecond),
+		lanes: map[laneKey]*lane{},
+	}
 }
 
 // Run closes idle connections until the context ends, then all idle ones.
@@ -157,18 +184,8 @@
 
 // Serve implements pipeline.Handler with one exchange.
 func (d *Dispatcher) Serve(req *pipeline.Request) error {
-	l := d.lane(req.Owner.Target, req.Bulk())
-	if err := l.gate.Acquire(req.Context, req.Deadline); err != nil {
-		return err
-	}
-	req.Started()
-	x := &exchange{dispatcher: d, lane: l, req: req, started: time.Now()}
-	c, err := l.pool.get(req.Context, d.maxIdle(req), req.Fresh)
-	if err != nil {
-		l.gate.Release(0)
-		return connectError(req, err)
-	}
-	x.conn = c
+	x := &exchange{dispatcher: d, lane: d.lane(req.Owner.Target, req.Bulk()), req: req}
+	d.opts.Observer.Began(req.Owner.Target.ID)
 	return x.run()
 }
 
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -26,13 +26,15 @@
 	writeBufferBytes = 4 << 10
 )
 
-// exchange is one request and its answer on one connection.
+// exchange is one request and its answer on one connection. It holds a slot of
+// its lane from acquire to end.
 type exchange struct {
 	dispatcher *Dispatcher
 	lane       *lane
 	req        *pipeline.Request
 	conn       *conn
-	started    time.Time
+	// started is the instant at which the slot was acquired.
+	started time.Time
 	// sentBefore is Request.MaySent before this exchange.
 	sentBefore bool
 	// stopWatch ends the watch over the request's context; it returns false if
@@ -41,6 +43,10 @@
 }
 
 func (x *exchange) run() error {
+	if err := x.acquire(); err != nil {
+		x.end(err)
+		return err
+	}
 	x.watch()
 	x.sentBefore = x.req.MaySent
 	if err := x.send(); err != nil {
@@ -55,6 +61,39 @@
 	return x.receiveBody()
 }
 
+// acquire takes a slot and a connection.
+func (x *exchange) acquire() error {
+	req := x.req
+	if err := x.lane.gate.Acquire(req.Context, req.Deadline); err != nil {
+		return err
+	}
+	req.Started()
+	x.started = time.Now()
+	c, err := x.lane.pool.get(req.Context, x.dispatcher.maxIdle(req), req.Fresh)
+	if err != nil {
+		return connectError(req, err)
+	}
+	x.conn = c
+	return nil
+}
+
+// end gives the slot back and tells the observer. The error is nil after a whole answer.
+func (x *exchange) end(err error) {
+	if !x.started.IsZero() {
+		x.lane.gate.Release(x.serviceTime(err))
+	}
+	isNew := x.conn == nil || x.conn.idleSince.IsZero()
+	x.dispatcher.opts.Observer.Ended(x.req.Owner.Target.ID, err, isNew)
+}
+
+// serviceTime is a sample of the gate's mean, which only whole answers give.
+func (x *exchange) serviceTime(err error) time.Duration {
+	if err != nil {
+		return 0
+	}
+	return time.Since(x.started)
+}
+
 // watch closes the connection when the caller is gone, which cancels the
 // request at the target. An at-most-once request runs on until its deadline, so
 // that its outcome can be recorded for the caller's resend.
@@ -92,9 +131,11 @@
 func (w progressWriter) Write(p []byte) (int, error) {
 	x := w.x
 	x.conn.SetWriteDeadline(x.progressDeadline(x.dispatcher.opts.ProgressTimeout))
+	before := x.conn.sent
 	n, err := x.conn.Write(p)
-	if n > 0 && !x.req.MaySent {
+	if before == 0 && n > 0 {
 		x.req.MaySent = true
+		x.req.Attempts++
 	}
 	return n, err
 }
@@ -118,12 +159,26 @@
 	}
 	if stream := req.HTTP.BodyStream(); stream != nil {
 		req.BodyTaken = true
-		out.SetBodyStream(stream, req.HTTP.Header.ContentLength())
+		out.SetBodyStream(callerBody{stream}, req.HTTP.Header.ContentLength())
 		return
 	}
 	out.SetBodyRaw(req.HTTP.Body())
 }
 
+// callerBody marks errors of reading the request body from the caller.
+type callerBody struct{ io.Reader }
+
+// Read implements io.Reader.
+func (b callerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		err = callerError{err}
+	}
+	return n, err
+}
+
+type callerError struct{ error }
+
 // hopByHop are headers that concern one connection only, and those of the
 // caller's that could be taken for the entry's own.
 var hopByHop = []string{
@@ -271,7 +326,7 @@
 	if !refused {
 		code = x.classify(err)
 	}
-	x.discard()
+	x.discard(code)
 	x.req.Answer.Reset()
 	return code
 }
@@ -285,6 +340,8 @@
 		return result.Wrap(result.ConnectFailed, err, "target %s", id)
 	case context.Cause(x.req.Context) == pipeline.ErrCallerGone:
 		return result.Wrap(result.CallerGone, err, "target %s", id)
+	case errors.As(err, new(callerError)):
+		return result.Wrap(result.CallerGone, err, "the request body ended early")
 	case x.req.Context.Err() != nil || isTimeout(err):
 		return result.Wrap(result.TargetTimeout, err, "target %s", id)
 	case errors.Is(err, errShort):
@@ -299,17 +356,17 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// discard gives the slot back and closes the connection.
-func (x *exchange) discard() {
+// discard ends the exchange and closes the connection.
+func (x *exchange) discard(err error) {
 	x.stopWatch()
 	x.conn.Close()
-	x.lane.gate.Release(0)
+	x.end(err)
 }
 
-// succeed gives the slot back and keeps the connection if nothing is left on it.
+// succeed ends the exchange and keeps the connection if nothing is left on it.
 func (x *exchange) succeed() {
 	open := x.stopWatch()
-	x.lane.gate.Release(time.Since(x.started))
+	x.end(nil)
 	if !open || x.conn.closing || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -3,6 +3,7 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -58,24 +59,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.HeaderBytes, 8<<10)
-	setDefault(&o.BodyBytes, 4<<20)
-	setDefault(&o.OutboundBytes, 128<<10)
-	setDefault(&o.HeaderTimeout, 5*time.Second)
-	setDefault(&o.IdleTimeout, 60*time.Second)
-	setDefault(&o.WriteStall, 30*time.Second)
-	setDefault(&o.MaxConnections, 20000)
-	setDefault(&o.DrainLinger, 2*time.Second)
+	o.HeaderBytes = cmp.Or(o.HeaderBytes, 8<<10)
+	o.BodyBytes = cmp.Or(o.BodyBytes, 4<<20)
+	o.OutboundBytes = cmp.Or(o.OutboundBytes, 128<<10)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, 5*time.Second)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, 60*time.Second)
+	o.WriteStall = cmp.Or(o.WriteStall, 30*time.Second)
+	o.MaxConnections = cmp.Or(o.MaxConnections, 20000)
+	o.DrainLinger = cmp.Or(o.DrainLinger, 2*time.Second)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Frontend is the callers' side of an entry.
 type Frontend struct {
 	gnet.BuiltinEventEngine
--- a/pipeline/admit/admit.go
+++ b/pipeline/admit/admit.go
@@ -21,10 +21,15 @@
 type Admission struct {
 	stopping atomic.Bool
 	mu       sync.Mutex
-	classes  sync.Map // of *config.Class to *classState
+	classes  sync.Map // of classKey to *classState
 }
 
+// classKey outlives the bundle in which a class is defined.
+type classKey struct{ tenant, class string }
+
 type classState struct {
+	// config is the definition that the limiter follows.
+	config  atomic.Pointer[config.Class]
 	limiter *rate.Limiter
 	waiting atomic.Int64
 }
@@ -51,11 +56,11 @@
 	if a.stopping.Load() {
 		return refuse(result.EntryDraining, "this entry is stopping")
 	}
-	c := a.class(req.Class)
+	c := a.class(req.Tenant, req.Class)
 	if c.waiting.Load() >= int64(req.Class.QueueLength) {
 		return refuse(result.QueueFull, "class %s", req.Class.Name)
 	}
-	if c.limiter != nil && !c.limiter.Allow() {
+	if !c.limiter.Allow() {
 		return refuse(result.RateLimited, "class %s", req.Class.Name)
 	}
 	c.waiting.Add(1)
@@ -63,21 +68,35 @@
 	return nil
 }
 
-func (a *Admission) class(c *config.Class) *classState {
-	if s, ok := a.classes.Load(c); ok {
+func (a *Admission) class(t *config.Tenant, c *config.Class) *classState {
+	s := a.state(classKey{t.Name, c.Name})
+	if s.config.Load() != c {
+		a.configure(s, c)
+	}
+	return s
+}
+
+func (a *Admission) state(key classKey) *classState {
+	if s, ok := a.classes.Load(key); ok {
 		return s.(*classState)
 	}
+	s, _ := a.classes.LoadOrStore(key, &classState{limiter: rate.NewLimiter(rate.Inf, 0)})
+	return s.(*classState)
+}
+
+// configure applies the definition of a new bundle to the limiter.
+func (a *Admission) configure(s *classState, c *config.Class) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s, ok := a.classes.Load(c); ok {
-		return s.(*classState)
+	if s.config.Swap(c) == c {
+		return
 	}
-	s := &classState{}
+	limit := rate.Inf
 	if c.Rate > 0 {
-		s.limiter = rate.NewLimiter(rate.Limit(c.Rate), max(c.Burst, 1))
+		limit = rate.Limit(c.Rate)
 	}
-	a.classes.Store(c, s)
-	return s
+	s.limiter.SetBurst(max(c.Burst, 1))
+	s.limiter.SetLimit(limit)
 }
 
 func refuse(code result.Code, format string, args ...any) error {
--- a/pipeline/locate/locate.go
+++ b/pipeline/locate/locate.go
@@ -52,30 +52,12 @@
 	}
 }
 
-// Serve implements pipeline.Handler. A target that refuses a request because it
-// does not own the key has not run it, so the request is sent once more after
-// the view was refreshed.
+// Serve implements pipeline.Handler. It drops the answer of an owner that was
+// superseded meanwhile: its state may be older than the new owner's.
 func (f *filter) Serve(req *pipeline.Request) error {
-	v, err := f.locate(req)
-	if err != nil {
-		return err
-	}
-	err = f.serve(req)
-	if !isCode(err, result.StaleOwner) {
-		return err
-	}
-	if v = f.await(req, v.Version()); v == nil {
-		return err
-	}
-	if _, err := f.locate(req); err != nil {
+	if err := f.locate(req); err != nil {
 		return err
 	}
-	return f.serve(req)
-}
-
-// serve calls the next filter and drops the answer of an owner that was
-// superseded meanwhile: its state may be older than the new owner's.
-func (f *filter) serve(req *pipeline.Request) error {
 	if err := f.next.Serve(req); err != nil {
 		return err
 	}
@@ -100,40 +82,30 @@
 }
 
 // locate sets the request's owner, waiting for one if the key has none.
-func (f *filter) locate(req *pipeline.Request) (*ownership.View, error) {
+func (f *filter) locate(req *pipeline.Request) error {
 	v := f.opts.Views.Get(req.Group)
 	if v != nil && f.choose(req, v) {
-		return v, nil
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(req.Context, f.opts.MaxWait)
-	defer cancel()
 	select {
 	case f.waiting <- struct{}{}:
 		defer func() { <-f.waiting }()
 	default:
-		return nil, noOwner(req)
+		return noOwner(req)
 	}
+	ctx, cancel := context.WithTimeout(req.Context, f.opts.MaxWait)
+	defer cancel()
 	for ctx.Err() == nil {
 		v = f.opts.Views.Await(ctx, req.Group, version(v))
 		if v != nil && f.choose(req, v) {
-			return v, nil
+			return nil
 		}
 	}
-	return nil, noOwner(req)
-}
-
-// await waits for a view above the version, bounded like a wait for an owner.
-func (f *filter) await(req *pipeline.Request, above ownership.Token) *ownership.View {
-	ctx, cancel := context.WithTimeout(req.Context, f.opts.MaxWait)
-	defer cancel()
-	v := f.opts.Views.Await(ctx, req.Group, above)
-	if v == nil || !above.Less(v.Version()) {
-		return nil
-	}
-	return v
+	return noOwner(req)
 }
 
 func (f *filter) choose(req *pipeline.Request, v *ownership.View) bool {
+	req.View = v.Version()
 	if req.Keyed() {
 		o, ok := v.Lookup(req.KeyHash)
 		req.Owner = o
@@ -160,8 +132,3 @@
 	}
 	return v.Version()
 }
-
-func isCode(err error, code result.Code) bool {
-	e, ok := err.(*result.Error)
-	return ok && e.Code == code
-}
--- a/pipeline/once/once.go
+++ b/pipeline/once/once.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,7 +45,7 @@
 	if f.opts.Claimer == nil {
 		return result.New(result.ClaimStoreDown, "this entry has no claim service")
 	}
-	if err := readBody(req); err != nil {
+	if err := req.ReadBody(req.Class.MaxBody); err != nil {
 		return err
 	}
 	d, err := f.claim(req)
@@ -128,24 +127,6 @@
 	return nil
 }
 
-// readBody reads a streamed request body into memory, within the limit of the class.
-func readBody(req *pipeline.Request) error {
-	stream := req.HTTP.BodyStream()
-	if stream == nil {
-		return nil
-	}
-	limit := req.Class.MaxBody
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-	if err != nil {
-		return result.Wrap(result.BadRequest, err, "the request body ended early")
-	}
-	if len(body) > limit {
-		return result.New(result.BodyTooLarge, "the limit is %d bytes", limit)
-	}
-	req.HTTP.SetBody(body)
-	return nil
-}
-
 func fingerprint(h *fasthttp.Request) claim.Fingerprint {
 	return claim.FingerprintOf(h.Header.Method(), h.Header.RequestURI(), h.Body())
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,10 @@
 
 	// Owner is the target that the locate filter chose, with its fencing token.
 	Owner ownership.Owner
+	// View is the version of the view in which the owner was found.
+	View ownership.Token
+	// Failed lists the targets on which an attempt failed.
+	Failed []ownership.TargetID
 	// Attempts counts exchanges with targets that may have carried a byte.
 	Attempts int
 	// MaySent is set once a byte of the request may have reached a target that
@@ -173,6 +178,24 @@
 // Idempotent reports whether a second run of the request does no harm.
 func (r *Request) Idempotent() bool { return !r.AtMostOnce() }
 
+// ReadBody reads a streamed request body of up to limit bytes into memory, so
+// that the request can be sent again. A longer body is an error.
+func (r *Request) ReadBody(limit int) error {
+	stream := r.HTTP.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	if err != nil {
+		return result.Wrap(result.BadRequest, err, "the request body ended early")
+	}
+	if len(body) > limit {
+		return result.New(result.BodyTooLarge, "the limit is %d bytes", limit)
+	}
+	r.HTTP.SetBody(body)
+	return nil
+}
+
 // AsError returns err as a *result.Error; other errors become Internal, or
 // TargetTimeout and DeadlineTooShort for a passed deadline.
 func AsError(req *Request, err error) *result.Error {
--- /dev/null
+++ b/pipeline/retry/retry.go
@@ -0,0 +1,190 @@
+// Package retry is the filter that sends a request again where that is safe:
+// after an outcome of not run, or after any failure of an idempotent request.
+package retry
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/basiltally/basiltally/balance"
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+	"github.com/basiltally/basiltally/views"
+)
+
+// Options of the filter.
+type Options struct {
+	Views *views.Holder
+	// Ratio is the number of retries per request, averaged over a class, with a
+	// Reserve of retries for bursts. Default 0.1 and 20.
+	Ratio, Reserve float64
+	// MaxAttempts bounds the exchanges of one request. Default 4.
+	MaxAttempts int
+	// FirstWait is the mean wait before the first retry on the same target,
+	// doubled up to MaxWait. A new view ends the wait. Default 20 ms and 300 ms.
+	FirstWait, MaxWait time.Duration
+	// MaxWaiting bounds the requests that wait for a retry. Default 1024.
+	MaxWaiting int
+	// BodyBytes is the longest request body that is kept for a retry. Default 64 KiB.
+	BodyBytes int
+}
+
+func (o Options) withDefaults() Options {
+	o.Ratio = cmp.Or(o.Ratio, 0.1)
+	o.Reserve = cmp.Or(o.Reserve, 20)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, 4)
+	o.FirstWait = cmp.Or(o.FirstWait, 20*time.Millisecond)
+	o.MaxWait = cmp.Or(o.MaxWait, 300*time.Millisecond)
+	o.MaxWaiting = cmp.Or(o.MaxWaiting, 1024)
+	o.BodyBytes = cmp.Or(o.BodyBytes, 64<<10)
+	return o
+}
+
+type filter struct {
+	opts    Options
+	waiting chan struct{}
+	budgets sync.Map // of budgetKey to *balance.Budget
+	next    pipeline.Handler
+}
+
+type budgetKey struct{ tenant, class string }
+
+// New returns the filter.
+func New(opts Options) pipeline.Filter {
+	opts = opts.withDefaults()
+	return func(next pipeline.Handler) pipeline.Handler {
+		return &filter{opts: opts, waiting: make(chan struct{}, opts.MaxWaiting), next: next}
+	}
+}
+
+// Serve implements pipeline.Handler.
+func (f *filter) Serve(req *pipeline.Request) error {
+	if n := req.HTTP.Header.ContentLength(); n >= 0 && n <= f.opts.BodyBytes {
+		if err := req.ReadBody(f.opts.BodyBytes); err != nil {
+			return err
+		}
+	}
+	a := attempts{budget: f.budget(req.Tenant, req.Class)}
+	a.budget.Earn()
+	for {
+		err := f.next.Serve(req)
+		if err == nil {
+			return nil
+		}
+		e := pipeline.AsError(req, err)
+		a.note(e)
+		if !f.again(req, e, &a) {
+			return a.final(e)
+		}
+	}
+}
+
+// attempts is the state of one request between its attempts.
+type attempts struct {
+	budget *balance.Budget
+	waits  *backoff.ExponentialBackOff
+	// unknown is the last error after which the request may have run.
+	unknown *result.Error
+}
+
+func (a *attempts) note(e *result.Error) {
+	if e.Outcome() == result.Unknown {
+		a.unknown = e
+	}
+}
+
+// final returns the error to report: once an attempt may have run, a later
+// attempt that was certainly not run does not make the request not run.
+func (a *attempts) final(last *result.Error) error {
+	if a.unknown != nil && last.Outcome() == result.NotRun {
+		return a.unknown
+	}
+	return last
+}
+
+// again decides whether to send the request once more, and waits as long as is due.
+func (f *filter) again(req *pipeline.Request, e *result.Error, a *attempts) bool {
+	if !f.safe(req, e) || req.Context.Err() != nil {
+		return false
+	}
+	if costly[e.Code] && (req.Attempts >= f.opts.MaxAttempts || !a.budget.Spend()) {
+		return false
+	}
+	req.Fresh = e.Outcome() == result.Unknown
+	if req.Owner.Target != nil {
+		req.Failed = append(req.Failed, req.Owner.Target.ID)
+	}
+	if !req.Keyed() && len(req.Failed) <= 1 {
+		// Another target may take the request at once.
+		return true
+	}
+	return f.wait(req, f.nextWait(a))
+}
+
+// safe reports whether another attempt can do no harm and may help.
+func (f *filter) safe(req *pipeline.Request, e *result.Error) bool {
+	if req.BodyTaken {
+		return false
+	}
+	switch e.Code {
+	case result.StaleOwner, result.TargetLeaving, result.ConnectFailed:
+		return true
+	case result.TargetShed, result.QueueFull:
+		return !req.Keyed()
+	case result.TargetTimeout, result.TargetLost, result.ShortBody, result.AnswerMismatch, result.AnswerDiscarded:
+		return req.Idempotent()
+	default:
+		return false
+	}
+}
+
+// costly failures have put work on a target, so that retries of them count
+// against the budget.
+var costly = map[result.Code]bool{
+	result.StaleOwner:      true,
+	result.TargetShed:      true,
+	result.TargetLeaving:   true,
+	result.TargetTimeout:   true,
+	result.TargetLost:      true,
+	result.ShortBody:       true,
+	result.AnswerMismatch:  true,
+	result.AnswerDiscarded: true,
+}
+
+// wait waits for a newer view of the group, at most for the duration.
+func (f *filter) wait(req *pipeline.Request, d time.Duration) bool {
+	select {
+	case f.waiting <- struct{}{}:
+		defer func() { <-f.waiting }()
+	default:
+		return false
+	}
+	ctx, cancel := context.WithTimeout(req.Context, d)
+	defer cancel()
+	f.opts.Views.Await(ctx, req.Group, req.View)
+	return req.Context.Err() == nil
+}
+
+func (f *filter) nextWait(a *attempts) time.Duration {
+	if a.waits == nil {
+		a.waits = backoff.NewExponentialBackOff()
+		a.waits.InitialInterval = f.opts.FirstWait
+		a.waits.MaxInterval = f.opts.MaxWait
+		a.waits.Multiplier = 2
+	}
+	return a.waits.NextBackOff()
+}
+
+func (f *filter) budget(t *config.Tenant, c *config.Class) *balance.Budget {
+	key := budgetKey{t.Name, c.Name}
+	if b, ok := f.budgets.Load(key); ok {
+		return b.(*balance.Budget)
+	}
+	b, _ := f.budgets.LoadOrStore(key, balance.NewBudget(f.opts.Ratio, f.opts.Reserve))
+	return b.(*balance.Budget)
+}
