--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -10,10 +10,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/basiltally/basiltally/balance"
 	"github.com/basiltally/basiltally/config"
 	"github.com/basiltally/basiltally/dispatch"
 	"github.com/basiltally/basiltally/frontend"
-	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/pipeline"
@@ -23,6 +23,7 @@
 	"github.com/basiltally/basiltally/pipeline/locate"
 	"github.com/basiltally/basiltally/pipeline/once"
 	answers "github.com/basiltally/basiltally/pipeline/relay"
+	"github.com/basiltally/basiltally/pipeline/retry"
 	"github.com/basiltally/basiltally/relay"
 	"github.com/basiltally/basiltally/telemetry"
 	"github.com/basiltally/basiltally/views"
@@ -37,6 +38,7 @@
 	views      *views.Holder
 	bundle     atomic.Pointer[config.Bundle]
 	peers      *peer.Client
+	selector   *balance.Selector
 	dispatcher *dispatch.Dispatcher
 	admission  *admit.Admission
 	frontend   *frontend.Frontend
@@ -61,11 +63,13 @@
 	if err != nil {
 		return nil, err
 	}
+	selector := balance.NewSelector(balance.SelectorOptions{Region: s.Process.Region})
 	p := &entryProcess{
 		settings: s, logger: logger.With("vm", s.Process.VM), registry: telemetry.NewRegistry("basiltally-entry"),
 		hub: relay.NewHub(), views: views.NewHolder(),
 		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "entry", TLS: tlsConfig}),
-		dispatcher: dispatch.New(dispatch.Options{}), admission: admit.NewAdmission(),
+		selector:   selector,
+		dispatcher: dispatch.New(dispatch.Options{Region: s.Process.Region, Observer: selector}), admission: admit.NewAdmission(),
 	}
 	p.frontend = frontend.New(frontend.Options{
 		Address: s.Entry.Listen, Handler: p.handler(), HeaderBytes: s.Entry.MaxHeader,
@@ -83,25 +87,11 @@
 		identify.New(identify.Options{Bundle: p.bundle.Load}),
 		p.admission.Filter(),
 		once.New(once.Options{}),
-		locate.New(locate.Options{Views: p.views, Picker: &roundRobin{}}),
+		retry.New(retry.Options{Views: p.views}),
+		locate.New(locate.Options{Views: p.views, Picker: p.selector}),
 	)
 }
 
-// roundRobin takes the ready targets of a view in turn.
-type roundRobin struct{ next atomic.Uint64 }
-
-// Pick implements locate.Picker.
-func (r *roundRobin) Pick(_ *pipeline.Request, v *ownership.View) *ownership.Target {
-	start := int(r.next.Add(1))
-	for i := range v.Targets {
-		j := (start + i) % len(v.Targets)
-		if v.States[j] == ownership.TargetReady {
-			return &v.Targets[j]
-		}
-	}
-	return nil
-}
-
 func (p *entryProcess) run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
