--- a/cmd/basiltally-demo/main.go
+++ b/cmd/basiltally-demo/main.go
@@ -13,18 +13,25 @@
 
 type commandLine struct {
 	Binaries string `default:"bin" help:"Directory of the built binaries."`
-	BasePort int    `default:"17000" help:"First loopback port."`
+	BasePort int    `help:"First loopback port; without it a free block is taken."`
 	VMs      int    `default:"3" name:"vms" help:"VMs of the system."`
 	Verbose  bool   `help:"Show the logs of all processes."`
+
+	Tour     struct{}    `cmd:"" default:"1" help:"Send requests of all classes and print who answered."`
+	Failover failoverCmd `cmd:"" help:"Take a target, the assigner or both away and print how long keys are without an answer."`
+}
+
+type failoverCmd struct {
+	Rounds int `default:"5" help:"Rounds of each loss."`
 }
 
 func main() {
 	var cli commandLine
-	k := kong.Parse(&cli, kong.Description("Starts the whole system with stand-ins, sends requests of all classes and stops it. Exit code 0 if every answer was right."))
-	k.FatalIfErrorf(run(&cli))
+	k := kong.Parse(&cli, kong.Description("Starts the whole system with stand-ins on loopback ports, uses it and stops it. Exit code 0 if every answer was right."))
+	k.FatalIfErrorf(run(&cli, k.Command()))
 }
 
-func run(cli *commandLine) error {
+func run(cli *commandLine, command string) error {
 	o := demo.Options{Binaries: cli.Binaries, BasePort: cli.BasePort, VMs: cli.VMs}
 	if cli.Verbose {
 		o.Log = os.Stderr
@@ -33,12 +40,19 @@
 	if err != nil {
 		return err
 	}
-	tourErr := c.Tour(os.Stdout)
-	if err := c.Stop(); err != nil && tourErr == nil {
-		tourErr = err
+	useErr := use(c, cli, command)
+	if err := c.Stop(); err != nil && useErr == nil {
+		useErr = err
 	}
-	if tourErr == nil {
+	if useErr == nil {
 		fmt.Println("stopped cleanly: no process is left running")
 	}
-	return tourErr
+	return useErr
+}
+
+func use(c *demo.Cluster, cli *commandLine, command string) error {
+	if command == "failover" {
+		return c.Failover(os.Stdout, cli.Failover.Rounds)
+	}
+	return c.Tour(os.Stdout)
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -147,12 +147,18 @@
 	p.logger.Info("bundle in force", "version", next.Version)
 }
 
+// ready reports whether every group of the bundle has a view.
 func (p *entryProcess) ready() error {
-	if p.bundle.Load() == nil {
+	b := p.bundle.Load()
+	if b == nil {
 		return errors.New("no configuration bundle is in force")
 	}
-	if len(p.views.Versions()) == 0 {
-		return errors.New("no ownership view has arrived")
+	for _, pool := range b.Pools {
+		for _, id := range pool.Groups {
+			if p.views.Get(id) == nil {
+				return errors.Errorf("no view of group %s has arrived", id)
+			}
+		}
 	}
 	return nil
 }
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -27,6 +28,11 @@
 	stopLimit    = 30 * time.Second
 	pollInterval = 20 * time.Millisecond
 
+	// Blocks of ports, below those that the system gives to connections.
+	firstBlock = 18000
+	lastBlock  = 32000
+	blockPorts = 1000
+
 	storePort    = 0
 	sheetsPort   = 100
 	filingsPort  = 200
@@ -47,7 +53,8 @@
 type Options struct {
 	// Binaries is the directory of the built binaries; default bin.
 	Binaries string
-	// BasePort is the first loopback port; default 17000.
+	// BasePort is the first loopback port; zero takes a block of ports that no
+	// other cluster uses.
 	BasePort int
 	// VMs is the number of VMs, spread over three regions; default 3.
 	VMs int
@@ -61,8 +68,10 @@
 type Cluster struct {
 	opts Options
 	dir  string
-	mu   sync.Mutex
-	all  map[string]*Process
+	// reserved holds the block of ports.
+	reserved net.Listener
+	mu       sync.Mutex
+	all      map[string]*Process
 }
 
 // Process is one process of the cluster.
@@ -125,7 +134,6 @@
 // Start starts a cluster and waits until every entry is ready.
 func Start(o Options) (*Cluster, error) {
 	setDefault(&o.Binaries, "bin")
-	setDefault(&o.BasePort, 17000)
 	setDefault(&o.VMs, 3)
 	setDefault(&o.Sheets, 3)
 	setDefault(&o.Filings, 2)
@@ -138,6 +146,11 @@
 		return nil, errors.Wrap(err, "directory for settings")
 	}
 	c := &Cluster{opts: o, dir: dir, all: make(map[string]*Process)}
+	if o.BasePort == 0 {
+		if err := c.reservePorts(); err != nil {
+			return nil, err
+		}
+	}
 	if err := c.startAll(); err != nil {
 		c.Stop()
 		return nil, err
@@ -145,6 +158,19 @@
 	return c, nil
 }
 
+// reservePorts takes the first block of ports whose last port is free, and
+// holds that one as a sign for other clusters.
+func (c *Cluster) reservePorts() error {
+	for base := firstBlock; base < lastBlock; base += blockPorts {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+blockPorts-1))
+		if err == nil {
+			c.reserved, c.opts.BasePort = l, base
+			return nil
+		}
+	}
+	return errors.New("no block of loopback ports is free")
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
@@ -286,6 +312,19 @@
 	}
 }
 
+// ended reports whether a process has ended by itself.
+func (c *Cluster) ended(name string) bool {
+	c.mu.Lock()
+	p := c.all[name]
+	c.mu.Unlock()
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop stops all processes gracefully, entries first and the stand-ins last,
 // and kills what does not stop in time.
 func (c *Cluster) Stop() error {
@@ -296,6 +335,9 @@
 		}
 	}
 	os.RemoveAll(c.dir)
+	if c.reserved != nil {
+		c.reserved.Close()
+	}
 	return first
 }
 
@@ -327,7 +369,16 @@
 
 // AwaitReady waits until a VM's entry may serve.
 func (c *Cluster) AwaitReady(i int) error {
-	return await(VMName(i), func() bool { return get("http://" + c.EntryTelemetry(i) + "/readyz") })
+	name := VMName(i)
+	ended := false
+	err := await(name, func() bool {
+		ended = c.ended(name+"-entry") || c.ended(name+"-assign")
+		return ended || get("http://"+c.EntryTelemetry(i)+"/readyz")
+	})
+	if ended {
+		return errors.Errorf("a process of %s ended at its start", name)
+	}
+	return err
 }
 
 // VMName returns the name of the VM with the index.
--- /dev/null
+++ b/demo/failover.go
@@ -0,0 +1,249 @@
+package demo
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/daemon"
+	"github.com/basiltally/basiltally/standin"
+	"github.com/basiltally/basiltally/standin/faultstore"
+	"github.com/basiltally/basiltally/standin/target"
+)
+
+const (
+	// failoverKeys is the number of keys that are read without pause.
+	failoverKeys = 30
+	// readPause separates two reads of one key.
+	readPause = 10 * time.Millisecond
+	// observeFor is the time for which keys are watched after a loss.
+	observeFor = 5 * time.Second
+	// settleFor is the time after a repair until the next loss; a target that was
+	// lost gets slots again within it.
+	settleFor = 4 * time.Second
+	// keyedGroup is the group whose assigner is taken away.
+	keyedGroup = "sheets-a"
+)
+
+// loss is one scenario of a failover measurement.
+type loss struct {
+	name      string
+	target    bool
+	assigner  bool
+	storeDown bool
+}
+
+var losses = []loss{
+	{name: "target", target: true},
+	{name: "assigner", assigner: true},
+	{name: "target and assigner", target: true, assigner: true},
+	{name: "target, store down", target: true, storeDown: true},
+	{name: "assigner, store down", assigner: true, storeDown: true},
+	{name: "target and assigner, store down", target: true, assigner: true, storeDown: true},
+}
+
+// Failover takes a target, the assigner or both away, with the store up and
+// down, and prints the longest time without an answer per key.
+func (c *Cluster) Failover(w io.Writer, rounds int) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "loss\trounds\tkeys hit\tp50\tp90\tmax\tfailed reads\n")
+	for _, l := range losses {
+		var gaps []time.Duration
+		failed := 0
+		for range rounds {
+			g, f, err := c.failoverRound(l)
+			if err != nil {
+				return errors.Wrap(err, l.name)
+			}
+			gaps = append(gaps, g...)
+			failed += f
+		}
+		hit := slices.DeleteFunc(slices.Clone(gaps), func(d time.Duration) bool { return d < 200*time.Millisecond })
+		slices.Sort(hit)
+		fmt.Fprintf(table, "%s\t%d\t%d of %d\t%s\t%s\t%s\t%d\n", l.name, rounds, len(hit), len(gaps),
+			quantile(hit, .5), quantile(hit, .9), quantile(hit, 1), failed)
+	}
+	return table.Flush()
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(q*float64(len(sorted)-1))].Round(time.Millisecond)
+}
+
+// failoverRound returns the longest gap between two answers of each key, and
+// the number of reads that failed.
+func (c *Cluster) failoverRound(l loss) ([]time.Duration, int, error) {
+	assigner, err := c.assignerIndex()
+	if err != nil {
+		return nil, 0, err
+	}
+	if l.storeDown {
+		if err := c.storeFaults(faultstore.Faults{Hang: true}); err != nil {
+			return nil, 0, err
+		}
+	}
+	stop := make(chan struct{})
+	readers := c.readKeys(assigner, stop)
+	time.Sleep(time.Second)
+	if err := c.cause(l, assigner); err != nil {
+		return nil, 0, err
+	}
+	time.Sleep(observeFor)
+	close(stop)
+	gaps, failed := readers()
+	return gaps, failed, c.repair(l, assigner)
+}
+
+func (c *Cluster) cause(l loss, assigner int) error {
+	if l.target {
+		if err := c.targetAction(0, target.Freeze); err != nil {
+			return err
+		}
+	}
+	if l.assigner {
+		return c.Signal(VMName(assigner)+"-assign", syscall.SIGKILL)
+	}
+	return nil
+}
+
+func (c *Cluster) repair(l loss, assigner int) error {
+	if l.storeDown {
+		if err := c.storeFaults(faultstore.Faults{}); err != nil {
+			return err
+		}
+	}
+	if l.target {
+		if err := c.targetAction(0, target.Unfreeze); err != nil {
+			return err
+		}
+	}
+	if l.assigner {
+		c.Wait(VMName(assigner) + "-assign")
+		if err := c.StartAssign(assigner); err != nil {
+			return err
+		}
+		if err := c.AwaitReady(assigner); err != nil {
+			return err
+		}
+	}
+	time.Sleep(settleFor)
+	return c.awaitBalanced()
+}
+
+// awaitBalanced waits until the target that was lost owns slots again.
+func (c *Cluster) awaitBalanced() error {
+	return await("group "+keyedGroup, func() bool {
+		for _, g := range c.status(0).Groups {
+			if string(g.Group) == keyedGroup {
+				return g.Lost == 0 && g.Unowned == 0
+			}
+		}
+		return false
+	})
+}
+
+// readKeys reads all keys through the entries of the surviving VMs until stop
+// is closed; the returned function then gives the longest gap of each key.
+func (c *Cluster) readKeys(assigner int, stop <-chan struct{}) func() ([]time.Duration, int) {
+	var wg sync.WaitGroup
+	gaps := make([]time.Duration, failoverKeys)
+	failures := make([]int, failoverKeys)
+	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: failoverKeys}}
+	for i := range failoverKeys {
+		vm := i % c.opts.VMs
+		if vm == assigner {
+			vm = (vm + 1) % c.opts.VMs
+		}
+		wg.Go(func() {
+			last := time.Now()
+			for running := true; running; {
+				select {
+				case <-stop:
+					running = false
+				default:
+				}
+				a, err := c.request(client, vm, http.MethodGet, fmt.Sprintf("/sheets/key-%d", i), "", "")
+				if err != nil || a.code != "0" {
+					failures[i]++
+					time.Sleep(readPause)
+					continue
+				}
+				gaps[i] = max(gaps[i], time.Since(last))
+				last = time.Now()
+				time.Sleep(readPause)
+			}
+			gaps[i] = max(gaps[i], time.Since(last))
+		})
+	}
+	return func() ([]time.Duration, int) {
+		wg.Wait()
+		total := 0
+		for _, f := range failures {
+			total += f
+		}
+		return gaps, total
+	}
+}
+
+// assignerIndex finds the VM that assigns the keyed group.
+func (c *Cluster) assignerIndex() (int, error) {
+	for i := range c.opts.VMs {
+		for _, g := range c.status(i).Groups {
+			if string(g.Group) == keyedGroup && g.Assigning {
+				return i, nil
+			}
+		}
+	}
+	return 0, errors.Errorf("no VM assigns group %s", keyedGroup)
+}
+
+func (c *Cluster) status(vm int) daemon.StatusReply {
+	var s daemon.StatusReply
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + c.AssignTelemetry(vm) + "/v1/status")
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(&s) != nil {
+		return daemon.StatusReply{}
+	}
+	return s
+}
+
+func (c *Cluster) targetAction(i int, action target.Action) error {
+	return postJSON(c.SheetTarget(i), target.Admin{Actions: []target.Action{action}})
+}
+
+func (c *Cluster) storeFaults(f faultstore.Faults) error {
+	return postJSON(c.StoreAddress(), map[string]any{"faults": f})
+}
+
+func postJSON(address string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	resp, err := http.Post("http://"+address+standin.FaultsPath, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return errors.Wrap(err, "set faults")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return errors.Errorf("set faults: status %d: %s", resp.StatusCode, text)
+	}
+	return nil
+}
