--- a/assign/core.go
+++ b/assign/core.go
@@ -152,6 +152,8 @@
 	switch c.phase {
 	case following:
 		return min(wake, c.checkAt)
+	case querying:
+		return min(wake, c.phaseEnd)
 	case leading:
 		return min(wake, c.supportAt, c.lead.wake())
 	case handingOver:
--- /dev/null
+++ b/assign/history_test.go
@@ -0,0 +1,313 @@
+package assign
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/result"
+)
+
+var (
+	histories = flag.Int("histories", 0, "seeded histories to run; 0 runs 10000, or 300 with -short or the race detector")
+	firstSeed = flag.Uint64("seed", 1, "first seed of the histories")
+)
+
+const (
+	faultTime = 5 * time.Second
+	// serviceTime is the time after which every slot must be served again.
+	serviceTime = 3 * time.Second
+)
+
+// history runs one seeded history and returns what was wrong with it.
+func history(seed uint64, trace func(string, ...any)) []string {
+	s := newSim(simConfig{
+		seed:      seed,
+		vms:       3 + 2*int(seed%2),
+		dcs:       3,
+		targets:   2 + int(seed%3),
+		slots:     4,
+		unchecked: seed%16 == 15,
+	})
+	s.trace = trace
+	s.run(1500 * ms)
+	for s.now < faultTime {
+		s.fault()
+		s.runFor(time.Duration(s.rng.Int64N(int64(600 * ms))))
+	}
+	s.heal(s.rng.IntN(4) == 0)
+	healed := s.now
+	s.run(healed + s.allowance())
+	if list := s.unserved(); len(list) > 0 {
+		s.wrong = append(s.wrong, fmt.Sprintf("%v: slots %v not served after the faults ended at %v", s.now, list, healed))
+	}
+	s.checkCommands()
+	return s.wrong
+}
+
+// allowance is the time that the service may take to return.
+func (s *sim) allowance() time.Duration {
+	if s.opts.Initial.Targets[0].ChecksTokens {
+		return serviceTime
+	}
+	return serviceTime + DefaultLease + DefaultRequestDeadline
+}
+
+// fault brings about one random fault.
+func (s *sim) fault() {
+	d := time.Duration(s.rng.Int64N(int64(2500 * ms)))
+	vm := s.vms[s.rng.IntN(len(s.vms))]
+	if a := s.assigner(); a != nil && s.rng.IntN(2) == 0 {
+		vm = a
+	}
+	t := s.targets[s.rng.IntN(len(s.targets))]
+	switch s.rng.IntN(16) {
+	case 0:
+		s.crash(vm, d)
+	case 1:
+		s.crashTarget(t, d)
+	case 2:
+		s.freeze(&vm.simNode, d, false)
+	case 3:
+		s.freeze(&vm.simNode, d, true)
+	case 4:
+		s.freeze(&t.simNode, d, false)
+	case 5:
+		s.cutOne(s.anyNode(), s.anyNode(), d)
+	case 6:
+		a, b := s.anyNode(), s.anyNode()
+		s.cutOne(a, b, d)
+		s.cutOne(b, a, d)
+	case 7:
+		s.isolate(vm.index, d)
+	case 8:
+		s.loss = 0.3 * s.rng.Float64()
+		s.after(d, func() { s.loss = 0 })
+	case 9:
+		s.spike = d
+		s.after(d, func() { s.spike = 0 })
+	case 10:
+		s.store.down = true
+		s.after(d, func() { s.store.down = false })
+	case 11:
+		s.store.loses = 0.5
+		s.after(d, func() { s.store.loses = 0 })
+	case 12:
+		s.store.delay = d
+		s.after(d, func() { s.store.delay = 0 })
+	case 13:
+		s.stopVM(vm, d)
+	case 14:
+		s.cutOne(vm.index, -1, d)
+	case 15:
+		if s.rng.IntN(8) == 0 {
+			s.restore()
+		}
+	}
+	if s.rng.IntN(2) == 0 {
+		s.command()
+	}
+}
+
+// anyNode returns the index of a VM or target.
+func (s *sim) anyNode() int { return s.rng.IntN(len(s.vms) + len(s.targets)) }
+
+func (s *sim) cutOne(from, to int, d time.Duration) {
+	key := [2]int{from, to}
+	s.cut[key] = true
+	s.after(d, func() { delete(s.cut, key) })
+}
+
+func (s *sim) isolate(node int, d time.Duration) {
+	for o := -1; o < len(s.vms)+len(s.targets); o++ {
+		if o != node {
+			s.cutOne(o, node, d)
+			s.cutOne(node, o, d)
+		}
+	}
+}
+
+func (s *sim) crash(vm *simVM, d time.Duration) {
+	if vm.dead {
+		return
+	}
+	s.unfreeze(&vm.simNode)
+	vm.dead = true
+	s.after(d, func() {
+		if vm.dead {
+			s.boot(vm)
+		}
+	})
+}
+
+func (s *sim) crashTarget(t *simTarget, d time.Duration) {
+	if t.dead {
+		return
+	}
+	s.unfreeze(&t.simNode)
+	t.dead = true
+	s.after(d, func() {
+		if t.dead {
+			s.bootTarget(t)
+		}
+	})
+}
+
+// unfreeze drops what a process that ends would have processed.
+func (s *sim) unfreeze(n *simNode) {
+	n.held = nil
+	n.clock.frozen = false
+}
+
+// stopVM stops a VM as planned and replaces it later.
+func (s *sim) stopVM(vm *simVM, d time.Duration) {
+	s.step(vm, Stop{})
+	incarnation := vm.incarnation
+	s.after(d, func() {
+		if !vm.dead && vm.incarnation == incarnation {
+			s.unfreeze(&vm.simNode)
+			s.boot(vm)
+		}
+	})
+}
+
+// heal ends all faults; the store may stay down.
+func (s *sim) heal(storeDown bool) {
+	clear(s.cut)
+	s.loss, s.spike = 0, 0
+	s.store.loses, s.store.delay = 0, 0
+	s.store.down = storeDown
+	for _, vm := range s.vms {
+		s.thaw(&vm.simNode)
+		if vm.dead || vm.stopped {
+			s.boot(vm)
+		}
+	}
+	for _, t := range s.targets {
+		s.thaw(&t.simNode)
+		if t.dead {
+			s.bootTarget(t)
+		}
+	}
+}
+
+// command sends a random command to the assigner.
+func (s *sim) command() {
+	a := s.assigner()
+	if a == nil {
+		return
+	}
+	s.seq++
+	id := fmt.Sprintf("c%d", s.seq)
+	to := s.targets[s.rng.IntN(len(s.targets))].info.ID
+	key := ownership.HashKey([]byte{byte(s.rng.IntN(3))})
+	var what Command
+	switch s.rng.IntN(6) {
+	case 0, 1:
+		what = MoveSlot{Slot: ownership.Slot(s.rng.IntN(4)), To: to}
+	case 2, 3:
+		what = PinKey{Key: key, To: to}
+	case 4:
+		what = UnpinKey{Key: key}
+	case 5:
+		what = DrainTarget{Target: to, Undo: s.rng.IntN(2) == 0}
+	}
+	s.asked[id] = what
+	s.step(a, CommandReceived{ID: id, Command: what})
+}
+
+// checkCommands looks whether each acknowledged command was made durable: the
+// store took a record with its effect, at the acknowledged version.
+func (s *sim) checkCommands() {
+	for id, done := range s.done {
+		if done.Code != result.OK {
+			continue
+		}
+		if s.overruled(id) {
+			continue
+		}
+		ok := slices.ContainsFunc(s.store.history, func(r *ownership.Record) bool {
+			return r.TableVersion == done.Version && hasEffect(r, s.asked[id])
+		})
+		if !ok {
+			s.wrong = append(s.wrong, fmt.Sprintf("command %s %+v acknowledged but not in the store", id, s.asked[id]))
+		}
+	}
+}
+
+// overruled reports whether another command of the same write changed the same
+// object; either may have come last.
+func (s *sim) overruled(id string) bool {
+	for other, done := range s.done {
+		if other == id || done.Code != result.OK || done.Version != s.done[id].Version {
+			continue
+		}
+		if object(s.asked[other]) == object(s.asked[id]) {
+			return true
+		}
+	}
+	return false
+}
+
+func object(what Command) any {
+	switch what := what.(type) {
+	case MoveSlot:
+		return what.Slot
+	case PinKey:
+		return what.Key
+	case UnpinKey:
+		return what.Key
+	case DrainTarget:
+		return what.Target
+	}
+	return nil
+}
+
+func hasEffect(r *ownership.Record, what Command) bool {
+	pinned := func(k ownership.KeyHash) int {
+		return slices.IndexFunc(r.Pins, func(p ownership.Pin) bool { return p.Key == k })
+	}
+	switch what := what.(type) {
+	case MoveSlot:
+		return r.Targets[r.Owners[what.Slot]].ID == what.To
+	case PinKey:
+		i := pinned(what.Key)
+		return i >= 0 && r.Targets[r.Pins[i].Owner].ID == what.To
+	case UnpinKey:
+		return pinned(what.Key) < 0
+	case DrainTarget:
+		return slices.Contains(r.Drained, what.Target) != what.Undo
+	}
+	return false
+}
+
+func TestHistories(t *testing.T) {
+	n := *histories
+	if n == 0 {
+		n = 10000
+		if testing.Short() || raceEnabled {
+			n = 300
+		}
+	}
+	var next, bad atomic.Int64
+	var wg sync.WaitGroup
+	for range min(runtime.GOMAXPROCS(0), 4) {
+		wg.Go(func() {
+			for i := next.Add(1); i <= int64(n) && bad.Load() < 10; i = next.Add(1) {
+				seed := *firstSeed + uint64(i) - 1
+				if wrong := history(seed, nil); len(wrong) > 0 {
+					bad.Add(1)
+					t.Errorf("seed %d: %s", seed, strings.Join(wrong[:min(len(wrong), 3)], "; "))
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/assign/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package assign
+
+const raceEnabled = false
--- /dev/null
+++ b/assign/simstore_test.go
@@ -0,0 +1,105 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/store"
+)
+
+// storeTimeout is the time after which a VM gives up on an answer of the store.
+const storeTimeout = time.Second
+
+func (s *sim) storeLatency(vm *simVM) time.Duration {
+	d := 2 * ms
+	if vm.dc != storeDC {
+		d += 11 * ms
+	}
+	if s.store.delay > 0 {
+		d += time.Duration(s.rng.Int64N(int64(s.store.delay)))
+	}
+	return d
+}
+
+func (s *sim) reachesStore(vm *simVM) bool {
+	return !s.store.down && !s.cut[[2]int{vm.index, -1}]
+}
+
+// once returns a function that delivers only the first of several answers.
+func (s *sim) once(vm *simVM) func(ev Event) {
+	answered := false
+	incarnation := vm.incarnation
+	return func(ev Event) {
+		if answered {
+			return
+		}
+		answered = true
+		s.deliver(&vm.simNode, incarnation, func() { s.step(vm, ev) })
+	}
+}
+
+func (s *sim) readStore(vm *simVM) {
+	s.store.reads++
+	answer := s.once(vm)
+	s.after(storeTimeout, func() { answer(RecordRead{Err: store.ErrUnavailable}) })
+	s.after(s.storeLatency(vm), func() {
+		switch {
+		case !s.reachesStore(vm):
+			return
+		case s.store.rec == nil:
+			s.after(s.storeLatency(vm), func() { answer(RecordRead{Err: store.ErrNotFound}) })
+		default:
+			ev := RecordRead{Record: s.store.rec, Version: s.store.version}
+			s.after(s.storeLatency(vm), func() { answer(ev) })
+		}
+	})
+}
+
+func (s *sim) writeStore(vm *simVM, a WriteRecord) {
+	s.store.writes++
+	answer := s.once(vm)
+	if !s.reachesStore(vm) && s.rng.IntN(2) == 0 {
+		s.after(s.storeLatency(vm), func() { answer(WriteDone{Nonce: a.Nonce, Err: store.ErrUnavailable}) })
+		return
+	}
+	s.after(storeTimeout, func() { answer(WriteDone{Nonce: a.Nonce, Err: store.ErrUnknown}) })
+	s.after(s.storeLatency(vm), func() {
+		if !s.reachesStore(vm) {
+			return
+		}
+		ev := WriteDone{Nonce: a.Nonce, Version: s.store.version + 1}
+		if a.Expected != s.store.version {
+			ev = WriteDone{Nonce: a.Nonce, Err: store.ErrConflict}
+		} else {
+			s.commit(a.Record)
+		}
+		if s.rng.Float64() >= s.store.loses {
+			s.after(s.storeLatency(vm), func() { answer(ev) })
+		}
+	})
+}
+
+func (s *sim) commit(rec *ownership.Record) {
+	s.store.rec = rec
+	s.store.version++
+	s.store.history = append(s.store.history, rec)
+	version := s.store.version
+	for _, vm := range s.vms {
+		if s.reachesStore(vm) && s.rng.IntN(4) > 0 {
+			s.after(s.storeLatency(vm), func() {
+				s.deliver(&vm.simNode, 0, func() {
+					vm.supporter.Learn(simGroup, rec.Term, rec.CandidatesVersion)
+					s.step(vm, RecordChanged{rec, version})
+				})
+			})
+		}
+	}
+}
+
+// restore puts an older record back under a new version.
+func (s *sim) restore() {
+	if n := len(s.store.history); n > 1 {
+		s.store.rec = s.store.history[s.rng.IntN(n-1)]
+		s.store.version++
+	}
+}
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -206,6 +206,10 @@
 	}
 	st.version = m.revoke(c, s)
 	l.viewChanged = true
+	if c.now >= st.freeAt {
+		l.freed(c, s, st.freeAt)
+		return
+	}
 	l.settleAt = min(l.settleAt, st.freeAt)
 }
 
