--- a/assign/api.go
+++ b/assign/api.go
@@ -90,7 +90,9 @@
 }
 
 // ViewReceived is a view that the group's assigner published and that reached
-// this VM through the relay tree.
+// this VM through the relay tree. A process that starts has to be given the
+// newest view that any entry or peer holds, since those refuse lower versions:
+// after the loss of all supporters' memory only they know how far tokens went.
 type ViewReceived struct{ View *ownership.View }
 
 // Handover is what a leaving assigner tells its successor.
--- a/assign/balance.go
+++ b/assign/balance.go
@@ -11,10 +11,11 @@
 
 // balance moves slots from targets that hold too many to those that hold the
 // fewest. It moves nothing while a failover is under way, and never more than
-// Options.MaxMoves slots at once.
+// Options.MaxMoves slots at once. Slots of targets that check no tokens are not
+// balanced, as each move takes them out of service for the wait-out time.
 func (l *leader) balance(c *Core) {
 	l.balanceAt = c.now + balanceInterval
-	if l.troubled() || c.store.retryAt != never {
+	if l.troubled() || c.store.retryAt != never || l.waitOut() {
 		return
 	}
 	budget := c.opts.MaxMoves - l.moves()
--- a/assign/core.go
+++ b/assign/core.go
@@ -82,12 +82,12 @@
 func New(opts Options) *Core {
 	c := &Core{opts: opts.withDefaults()}
 	c.opts.Lease = min(c.opts.Lease, lease.Shrink(c.opts.Support, c.opts.RateMargin))
-	c.checkAt = lease.Stretch(c.opts.Support, c.opts.RateMargin)
 	c.known.best = opts.Initial
 	if opts.Initial != nil {
 		c.candidatesVersion = opts.Initial.CandidatesVersion
 	}
 	c.candidatesSince = lease.Never
+	c.checkAt = lease.Stretch(c.opts.Support, c.opts.RateMargin) + c.stagger()
 	c.store.retryAt = never
 	c.hot.since = make(map[ownership.KeyHash]time.Duration)
 	c.hot.cold = make(map[ownership.KeyHash]time.Duration)
--- a/assign/durable.go
+++ b/assign/durable.go
@@ -190,7 +190,7 @@
 	switch c.phase {
 	case takingOver:
 		c.writeTakeOver()
-	case registering, leading:
+	case leading:
 		c.reconcile(base, rec, wentBack)
 	}
 }
--- a/assign/failover.go
+++ b/assign/failover.go
@@ -149,11 +149,7 @@
 	if !c.lead.started {
 		return
 	}
-	for _, m := range c.lead.targets[before:] {
-		m.version = c.token
-		m.urgent = true
-		c.store.dirty = true
-	}
+	c.store.dirty = c.store.dirty || len(c.lead.targets) > before
 	c.lead.viewChanged = true
 	c.lead.queueAll()
 }
--- a/assign/handover.go
+++ b/assign/handover.go
@@ -120,18 +120,22 @@
 	if h == nil || h.View == nil || h.Record == nil || c.stop.stopping {
 		return
 	}
-	c.emit(AnswerHandover{To: ev.From})
-	c.known.learn(h.Record)
-	c.known.seeView(h.View)
-	if c.inherited.view != nil && h.View.Version().Less(c.inherited.view.Version()) {
+	if c.known.view != nil && h.View.Version().Less(c.known.view.Version()) {
+		// Another assigner has followed already; this handover came late.
 		return
 	}
+	if c.phase != following {
+		// Another VM was assigner meanwhile, so what this one holds is out of date,
+		// even if its clock, having stood still, says otherwise.
+		c.standDown()
+	}
+	c.known.learn(h.Record)
+	c.known.seeView(h.View)
 	c.inherited = inheritance{
-		until:          c.now + lease.Stretch(h.LeasesFor, c.opts.RateMargin),
+		until:          max(c.inherited.until, c.now+lease.Stretch(h.LeasesFor, c.opts.RateMargin)),
 		view:           h.View,
 		successorUntil: c.now + handoverTime,
 	}
-	if c.phase == following {
-		c.checkAt = c.now
-	}
+	c.checkAt = c.now
+	c.emit(AnswerHandover{To: ev.From})
 }
--- a/assign/leader.go
+++ b/assign/leader.go
@@ -54,6 +54,10 @@
 	m := newMember(c, t)
 	l.index[t.ID] = len(l.targets)
 	l.targets = append(l.targets, m)
+	if l.started {
+		m.resetGrants(c)
+		m.urgent = true
+	}
 	return m
 }
 
@@ -70,7 +74,7 @@
 	}
 	l.keepEndedPins(c)
 	for _, m := range l.targets {
-		m.version = c.token
+		m.resetGrants(c)
 	}
 	l.renewAt = c.now
 	l.watchAt = c.now
--- a/assign/renewals.go
+++ b/assign/renewals.go
@@ -49,6 +49,8 @@
 	changes []change
 	// version is that of the last change, held the one acknowledged.
 	version, held ownership.Token
+	// floor is the version at which the grants last started anew.
+	floor ownership.Token
 	// full asks for a complete list of grants, urgent for sending without delay.
 	full, urgent bool
 }
@@ -272,7 +274,7 @@
 	if r.Held.Term != c.term || uint32(r.Held.Seq>>roundShift) != c.round {
 		return
 	}
-	if r.Held.Less(m.held) || m.version.Less(r.Held) {
+	if r.Held.Less(m.floor) || r.Held.Less(m.held) || m.version.Less(r.Held) {
 		return
 	}
 	m.held = r.Held
@@ -288,7 +290,7 @@
 // process is not trusted to be gone before its lease has ended.
 func (l *leader) restarted(c *Core, i int) {
 	m := l.targets[i]
-	m.resetGrants()
+	m.resetGrants(c)
 	for s := range l.slots {
 		if l.slots[s].holder == i {
 			l.slots[s].release(m.lease.End(), none)
@@ -298,8 +300,13 @@
 	l.viewChanged = true
 }
 
-func (m *member) resetGrants() {
+// resetGrants starts the target's grants anew. Acknowledgements of older
+// versions count no more: the target may have taken in a delayed request.
+func (m *member) resetGrants(c *Core) {
 	clear(m.grants)
 	m.changes = nil
 	m.full = true
+	m.version = c.nextToken()
+	m.held = ownership.Token{}
+	m.floor = m.version
 }
--- a/assign/sim_test.go
+++ b/assign/sim_test.go
@@ -195,6 +195,7 @@
 	vm.supporter = lease.NewSupporter(0, DefaultSupport)
 	s.step(vm, Tick{})
 	s.readStore(vm)
+	s.after(100*ms, func() { s.deliver(&vm.simNode, opts.Incarnation, func() { s.step(vm, ViewReceived{s.view}) }) })
 }
 
 func (s *sim) bootTarget(t *simTarget) {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -63,7 +63,7 @@
 		st.freeAt = c.inherited.until
 		st.same = c.inheritedOwner(s)
 	}
-	if c.lead.waitOut(s) {
+	if c.lead.waitOut() {
 		st.freeAt = max(st.freeAt, c.now+c.waitOutTime())
 	}
 	return st
@@ -81,9 +81,9 @@
 	return i
 }
 
-// waitOut reports whether the slot may be owned by targets that do not check
-// tokens, so that its requests in flight have to be waited out.
-func (l *leader) waitOut(ownership.Slot) bool {
+// waitOut reports whether slots may be owned by targets that do not check
+// tokens, so that requests in flight have to be waited out.
+func (l *leader) waitOut() bool {
 	return slices.ContainsFunc(l.targets, func(m *member) bool { return !m.info.ChecksTokens })
 }
 
@@ -248,9 +248,7 @@
 // reissue grants all slots anew in a new term or round.
 func (l *leader) reissue(c *Core) {
 	for _, m := range l.targets {
-		m.resetGrants()
-		m.version = c.token
-		m.held = ownership.Token{}
+		m.resetGrants(c)
 		m.urgent = true
 	}
 	for s := range l.slots {
--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -11,7 +11,7 @@
 	// queryTime bounds the wait for answers to a query.
 	queryTime = 150 * time.Millisecond
 	// gatherTime bounds the wait for support, and for the registration of a round.
-	gatherTime = 300 * time.Millisecond
+	gatherTime = 200 * time.Millisecond
 	// retryTime is the pause after an attempt that failed.
 	retryTime = 50 * time.Millisecond
 	// handoverPoll is the interval at which a named successor looks for its release.
@@ -36,7 +36,7 @@
 func (c *Core) checkSupport() {
 	c.followCandidates()
 	switch c.phase {
-	case takingOver, registering:
+	case takingOver:
 		if !c.support.Held(c.now) {
 			c.standDown()
 		}
@@ -135,9 +135,14 @@
 
 // askAll asks all candidates for support in the term and round of this Core.
 func (c *Core) askAll() {
+	req := lease.SupportRequest{Term: c.term, Round: c.round}
 	c.supportAt = c.now + c.opts.Heartbeat
+	if c.phase == gathering || c.phase == takingOver {
+		req.Trial = true
+		c.supportAt = c.now + lease.TrialTime(c.opts.Support)/2
+	}
 	for _, vm := range c.candidates() {
-		c.ask(vm, lease.SupportRequest{Term: c.term, Round: c.round})
+		c.ask(vm, req)
 	}
 }
 
@@ -163,7 +168,9 @@
 	if !r.Granted || c.support == nil {
 		return
 	}
-	c.support.Granted(ev.From, ev.SentAt)
+	if ev.Request.Trial {
+		c.support.Granted(ev.From, ev.SentAt)
+	}
 	switch c.phase {
 	case gathering:
 		c.gathered()
@@ -224,7 +231,7 @@
 	c.phase = gathering
 	c.phaseEnd = c.now + gatherTime
 	c.term, c.round = 0, 0
-	c.support = lease.NewSupport(c.opts.Support, c.opts.RateMargin, c.candidates())
+	c.support = lease.NewSupport(lease.TrialTime(c.opts.Support), c.opts.RateMargin, c.candidates())
 	c.registered = nil
 	c.lead = newLeader(c)
 	c.lead.readClocks(c)
@@ -295,6 +302,9 @@
 func (c *Core) startLeading() {
 	c.phase = leading
 	c.inherited.successorUntil = 0
+	if rec := c.known.inStore; rec != nil && rec.Term > c.term {
+		c.store.wantRead = true
+	}
 	if !c.lead.started {
 		c.store.dirty = !c.recordIsMine()
 		c.lead.start(c)
--- a/lease/protocol.go
+++ b/lease/protocol.go
@@ -27,6 +27,9 @@
 	CandidatesVersion uint64
 	// Query asks whether support would be granted, without a promise.
 	Query bool
+	// Trial asks for a promise of TrialTime only, so that candidates that divide
+	// the supporters among them soon try again.
+	Trial bool
 	// Release ends the requester's support early in favour of Successor; every
 	// other VM still has to wait for the end of the promise.
 	Release   bool
@@ -48,6 +51,12 @@
 	Remaining time.Duration
 }
 
+// trialDivisor is the part of the support time that a trial lasts.
+const trialDivisor = 4
+
+// TrialTime returns the duration of a promise given to a trial request.
+func TrialTime(support time.Duration) time.Duration { return support / trialDivisor }
+
 // Stretch returns d lengthened by the rate margin: the time to wait on one
 // clock until d has certainly passed on another.
 func Stretch(d time.Duration, margin float64) time.Duration {
--- a/lease/supporter.go
+++ b/lease/supporter.go
@@ -58,11 +58,18 @@
 		return p.reply(now, req.Group, false)
 	}
 	if !req.Query {
-		p.grant(now+s.support, req)
+		p.grant(now+s.promised(req), req)
 	}
 	return p.reply(now, req.Group, true)
 }
 
+func (s *Supporter) promised(req SupportRequest) time.Duration {
+	if req.Trial {
+		return TrialTime(s.support)
+	}
+	return s.support
+}
+
 func (s *Supporter) group(id ownership.GroupID) *promise {
 	p, ok := s.groups[id]
 	if !ok {
