--- a/assign/options.go
+++ b/assign/options.go
@@ -16,6 +16,7 @@
 	DefaultStoreWait       = 300 * time.Millisecond
 	DefaultStagger         = 100 * time.Millisecond
 	DefaultRequestDeadline = time.Second
+	DefaultViewDelay       = 250 * time.Millisecond
 	DefaultCommandDeadline = 5 * time.Second
 	DefaultStopDeadline    = 5 * time.Second
 	DefaultReturnAfter     = 5 * time.Second
@@ -53,6 +54,9 @@
 	// RequestDeadline is the longest deadline of a request, waited out before
 	// the slot of a target that does not check tokens moves. Default 1 s.
 	RequestDeadline time.Duration
+	// ViewDelay is the longest time that a view is assumed to take to an entry,
+	// waited out for targets that do not check tokens. Default 250 ms.
+	ViewDelay time.Duration
 	// CommandDeadline bounds the time until a command is answered. Default 5 s.
 	CommandDeadline time.Duration
 	// StopDeadline bounds a planned stop. Default 5 s.
@@ -82,6 +86,7 @@
 	setDuration(&o.StoreWait, DefaultStoreWait)
 	setDuration(&o.Stagger, DefaultStagger)
 	setDuration(&o.RequestDeadline, DefaultRequestDeadline)
+	setDuration(&o.ViewDelay, DefaultViewDelay)
 	setDuration(&o.CommandDeadline, DefaultCommandDeadline)
 	setDuration(&o.StopDeadline, DefaultStopDeadline)
 	setDuration(&o.ReturnAfter, DefaultReturnAfter)
--- a/assign/renewals.go
+++ b/assign/renewals.go
@@ -293,7 +293,7 @@
 	m.resetGrants(c)
 	for s := range l.slots {
 		if l.slots[s].holder == i {
-			l.slots[s].release(m.lease.End(), none)
+			l.slots[s].release(c.endOfUse(m), none)
 			l.queue(ownership.Slot(s))
 		}
 	}
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -90,7 +90,16 @@
 // waitOutTime is the time until no entry can send by an older view to a target
 // that does not check tokens, and no request sent by it can still run.
 func (c *Core) waitOutTime() time.Duration {
-	return lease.Stretch(c.opts.Lease+c.opts.RequestDeadline, c.opts.RateMargin)
+	return lease.Stretch(c.opts.Lease+c.opts.ViewDelay+c.opts.RequestDeadline, c.opts.RateMargin)
+}
+
+// endOfUse returns when a target that is given nothing more certainly runs no
+// request for the slots that it held.
+func (c *Core) endOfUse(m *member) time.Duration {
+	if m.info.ChecksTokens {
+		return m.lease.End()
+	}
+	return max(m.lease.End(), c.now+c.waitOutTime())
 }
 
 // queue marks a slot as unsettled.
@@ -200,10 +209,7 @@
 	m := l.targets[st.holder]
 	st.state = slotRevoking
 	st.revokedAt = c.now
-	st.freeAt = m.lease.End()
-	if !m.info.ChecksTokens {
-		st.freeAt = max(st.freeAt, c.now+c.waitOutTime())
-	}
+	st.freeAt = c.endOfUse(m)
 	st.version = m.revoke(c, s)
 	l.viewChanged = true
 	if c.now >= st.freeAt {
