--- /dev/null
+++ b/bundle/signed.go
@@ -0,0 +1,157 @@
+// Package bundle signs configuration bundles, rolls them forward in the store
+// and holds the one in force in each process.
+//
+// Versions only rise. The store accepts a bundle by two conditional writes, and
+// every process refuses a version lower than the one it holds, whatever the
+// source. See docs/design/bundles.md.
+package bundle
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/result"
+)
+
+// Digest is the SHA-256 of a bundle document.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a document.
+func DigestOf(document []byte) Digest { return sha256.Sum256(document) }
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Short returns the first twelve digits of the digest.
+func (d Digest) Short() string { return d.String()[:12] }
+
+// IsZero reports whether d is the zero Digest, the predecessor of a first bundle.
+func (d Digest) IsZero() bool { return d == Digest{} }
+
+// Approval is one approver's signature.
+type Approval struct {
+	Approver  string
+	Signature []byte
+}
+
+// Signed is one version of the configuration with its approvals.
+type Signed struct {
+	// Version equals the version that the document states.
+	Version uint64
+	// Digest is the digest of Document.
+	Digest Digest
+	// Predecessor is the digest of the bundle that this one replaces.
+	Predecessor Digest
+	// Document is the INI document, see config.Parse.
+	Document  []byte
+	Approvals []Approval
+}
+
+// signatureContext separates bundle signatures from any other use of a key.
+const signatureContext = "basiltally bundle approval v1\x00"
+
+// maxEncodedBytes bounds an encoded bundle, so that it fits one store object.
+const maxEncodedBytes = config.MaxDocumentBytes + 64<<10
+
+// New returns a bundle without approvals for a document, which must be valid.
+func New(name string, document []byte, predecessor Digest) (*Signed, error) {
+	parsed, err := config.Parse(name, document)
+	if err != nil {
+		return nil, result.Wrap(result.InvalidBundle, err, "%s", name)
+	}
+	return &Signed{
+		Version:     parsed.Version,
+		Digest:      DigestOf(document),
+		Predecessor: predecessor,
+		Document:    slices.Clone(document),
+	}, nil
+}
+
+// message returns the bytes that an approval signs: version, digest and predecessor.
+func (s *Signed) message() []byte {
+	m := []byte(signatureContext)
+	m = binary.BigEndian.AppendUint64(m, s.Version)
+	m = append(m, s.Digest[:]...)
+	return append(m, s.Predecessor[:]...)
+}
+
+// Encode returns the binary form that the store and the peers carry.
+func (s *Signed) Encode() []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s.toProto())
+	if err != nil {
+		panic(err) // only invalid UTF-8 in a name, which Sign refuses
+	}
+	return data
+}
+
+// Decode parses the form that Encode returns. It checks the form only; see Verify.
+func Decode(data []byte) (*Signed, error) {
+	if len(data) > maxEncodedBytes {
+		return nil, result.New(result.InvalidBundle, "%d bytes exceed the limit of %d", len(data), maxEncodedBytes)
+	}
+	var m pb.SignedBundle
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, result.Wrap(result.InvalidBundle, err, "encoded bundle")
+	}
+	return fromProto(&m)
+}
+
+// EncodeFile returns the form in which operators pass a signed bundle on: JSON
+// with the document and signatures in base64.
+func (s *Signed) EncodeFile() ([]byte, error) {
+	data, err := protojson.MarshalOptions{Multiline: true}.Marshal(s.toProto())
+	return append(data, '\n'), err
+}
+
+// DecodeFile parses the form that EncodeFile returns.
+func DecodeFile(data []byte) (*Signed, error) {
+	if len(data) > 2*maxEncodedBytes {
+		return nil, result.New(result.InvalidBundle, "%d bytes exceed the limit of %d", len(data), 2*maxEncodedBytes)
+	}
+	var m pb.SignedBundle
+	if err := protojson.Unmarshal(data, &m); err != nil {
+		return nil, result.Wrap(result.InvalidBundle, err, "signed bundle file")
+	}
+	return fromProto(&m)
+}
+
+func (s *Signed) toProto() *pb.SignedBundle {
+	m := &pb.SignedBundle{Version: s.Version, Digest: s.Digest[:], Document: s.Document}
+	if !s.Predecessor.IsZero() {
+		m.Predecessor = s.Predecessor[:]
+	}
+	for _, a := range s.Approvals {
+		m.Approvals = append(m.Approvals, &pb.Approval{Approver: a.Approver, Signature: a.Signature})
+	}
+	return m
+}
+
+func fromProto(m *pb.SignedBundle) (*Signed, error) {
+	s := &Signed{Version: m.GetVersion(), Document: m.GetDocument()}
+	if !setDigest(&s.Digest, m.GetDigest()) {
+		return nil, result.New(result.InvalidBundle, "digest has %d bytes", len(m.GetDigest()))
+	}
+	if len(m.GetPredecessor()) > 0 && !setDigest(&s.Predecessor, m.GetPredecessor()) {
+		return nil, result.New(result.InvalidBundle, "predecessor has %d bytes", len(m.GetPredecessor()))
+	}
+	for _, a := range m.GetApprovals() {
+		s.Approvals = append(s.Approvals, Approval{Approver: a.GetApprover(), Signature: a.GetSignature()})
+	}
+	return s, nil
+}
+
+func setDigest(d *Digest, b []byte) bool {
+	return copy(d[:], b) == len(d) && len(b) == len(d)
+}
+
+// same reports whether both are the same version of the same document.
+func (s *Signed) same(version uint64, digest Digest) bool {
+	return s.Version == version && s.Digest == digest
+}
