--- /dev/null
+++ b/pipeline/locate/locate.go
@@ -0,0 +1,134 @@
+// Package locate is the filter that finds the target entitled to run a request.
+package locate
+
+import (
+	"context"
+	"time"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+	"github.com/basiltally/basiltally/views"
+)
+
+// Picker chooses a target for a request of a pool without keys.
+type Picker interface {
+	// Pick returns a target of the view, or nil if none may take the request.
+	Pick(req *pipeline.Request, v *ownership.View) *ownership.Target
+}
+
+// Options of the filter.
+type Options struct {
+	Views  *views.Holder
+	Picker Picker
+	// MaxWait bounds the wait for an owner when a key has none, within the
+	// request's deadline. Default 3 s.
+	MaxWait time.Duration
+	// MaxWaiting bounds the number of requests that wait for an owner; further
+	// ones are refused at once. Default 1024.
+	MaxWaiting int
+}
+
+type filter struct {
+	opts    Options
+	waiting chan struct{}
+	next    pipeline.Handler
+}
+
+// New returns the filter.
+func New(opts Options) pipeline.Filter {
+	if opts.MaxWait == 0 {
+		opts.MaxWait = 3 * time.Second
+	}
+	if opts.MaxWaiting == 0 {
+		opts.MaxWaiting = 1024
+	}
+	return func(next pipeline.Handler) pipeline.Handler {
+		return &filter{
+			opts:    opts,
+			waiting: make(chan struct{}, opts.MaxWaiting),
+			next:    next,
+		}
+	}
+}
+
+// Serve implements pipeline.Handler. It drops the answer of an owner that was
+// superseded meanwhile: its state may be older than the new owner's.
+func (f *filter) Serve(req *pipeline.Request) error {
+	if err := f.locate(req); err != nil {
+		return err
+	}
+	if err := f.next.Serve(req); err != nil {
+		return err
+	}
+	if !req.Keyed() || !f.superseded(req) {
+		return nil
+	}
+	discard(req)
+	return result.New(result.AnswerDiscarded, "target %s lost the key while it answered", req.Owner.Target.ID)
+}
+
+func (f *filter) superseded(req *pipeline.Request) bool {
+	v := f.opts.Views.Get(req.Group)
+	o, ok := v.Lookup(req.KeyHash)
+	return ok && req.Owner.Token.Less(o.Token) && o.Target.ID != req.Owner.Target.ID
+}
+
+// discard drops the answer; closing its stream makes the connection unusable.
+func discard(req *pipeline.Request) {
+	req.AbandonStream()
+	_ = req.Answer.CloseBodyStream()
+	req.Answer.Reset()
+}
+
+// locate sets the request's owner, waiting for one if the key has none.
+func (f *filter) locate(req *pipeline.Request) error {
+	v := f.opts.Views.Get(req.Group)
+	if v != nil && f.choose(req, v) {
+		return nil
+	}
+	select {
+	case f.waiting <- struct{}{}:
+		defer func() { <-f.waiting }()
+	default:
+		return noOwner(req)
+	}
+	ctx, cancel := context.WithTimeout(req.Context, f.opts.MaxWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		v = f.opts.Views.Await(ctx, req.Group, version(v))
+		if v != nil && f.choose(req, v) {
+			return nil
+		}
+	}
+	return noOwner(req)
+}
+
+func (f *filter) choose(req *pipeline.Request, v *ownership.View) bool {
+	req.View = v.Version()
+	if req.Keyed() {
+		o, ok := v.Lookup(req.KeyHash)
+		req.Owner = o
+		return ok
+	}
+	t := f.opts.Picker.Pick(req, v)
+	req.Owner = ownership.Owner{Target: t, Token: v.Version()}
+	return t != nil
+}
+
+func noOwner(req *pipeline.Request) error {
+	code := result.NoTarget
+	if req.Keyed() {
+		code = result.NoOwner
+	}
+	e := result.New(code, "group %s", req.Group)
+	e.RetryAfter = time.Second
+	return e
+}
+
+func version(v *ownership.View) ownership.Token {
+	if v == nil {
+		return ownership.Token{}
+	}
+	return v.Version()
+}
