Add the operators' client and basiltallyctl

The client passes over processes that cannot be reached and never sends a command again that may have been received.

--- /dev/null
+++ b/cmd/basiltallyctl/main_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/operator"
+)
+
+// ctl runs a command line and returns its exit code and output.
+func ctl(args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	code = run(args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func TestCommandLine(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.ini")
+	if err := os.WriteFile(bad, []byte("[bundle]\nversion = x\nnonsense\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		args string
+		code int
+		want string
+	}{
+		{"--help", operator.ExitOK, "Exit codes:"},
+		{"--version", operator.ExitOK, "\n"},
+		{"--print-defaults", operator.ExitOK, "[ctl]"},
+		{"nonsense", operator.ExitInput, "see --help"},
+		{"status", operator.ExitInput, "3003 invalid-settings"},
+		{"status --address 127.0.0.1:1", operator.ExitUnavailable, "3002 store-unavailable"},
+		{"status --settings /nonexistent", operator.ExitInput, "3003 invalid-settings"},
+		{"bundle check " + bad, operator.ExitInput, "[bundle] version: \"x\": want an integer"},
+		{"bundle check ../../examples/wales/bundle.ini", operator.ExitOK, "version 1: ok, not signed"},
+		{"bundle roll-forward ../../examples/wales/bundle.ini", operator.ExitRefused, "3005 bad-signature"},
+		{"bundle diff ../../examples/wales/bundle.ini ../../examples/slovakia/bundle.ini", operator.ExitOK, `+ [pool "status"] target_slots = 6`},
+		{"force-takeover g vm1 --at 127.0.0.1:1", operator.ExitConfirm, "keys may have two owners"},
+	}
+	for _, c := range cases {
+		t.Run(c.args, func(t *testing.T) {
+			is := is.New(t)
+			code, stdout, stderr := ctl(strings.Fields(c.args)...)
+			is.Equal(code, c.code)
+			is.True(strings.Contains(stdout+stderr, c.want))
+			is.Equal(c.code != operator.ExitOK, stderr != "") // errors, and only they, go to stderr
+		})
+	}
+}
+
+func TestSignAndCheck(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	for _, name := range []string{"anna", "ben"} {
+		code, _, _ := ctl("bundle", "keygen", name, "--dir", dir)
+		is.Equal(code, operator.ExitOK)
+	}
+	signed := filepath.Join(dir, "bundle.signed")
+	check := []string{"bundle", "check", signed, "--approvers-dir", dir, "--approvals", "2"}
+	sign := func(file, name string) {
+		code, _, stderr := ctl("bundle", "sign", file, "--approver", name, "--key", filepath.Join(dir, name+".key"), "--predecessor", "none", "--out", signed)
+		is.Equal(code, operator.ExitOK)
+		is.Equal(stderr, "")
+	}
+	sign("../../examples/wales/bundle.ini", "anna")
+	code, _, stderr := ctl(check...)
+	is.Equal(code, operator.ExitRefused)
+	is.True(strings.Contains(stderr, "1 of 2 needed approvals"))
+	sign(signed, "ben")
+	code, stdout, _ := ctl(check...)
+	is.Equal(code, operator.ExitOK)
+	is.True(strings.Contains(stdout, "approved by anna, ben"))
+}
--- /dev/null
+++ b/operator/diff.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/settings"
+)
+
+// Change is one key that differs between two bundles. An empty Old means that
+// the key was added, an empty New that it was removed.
+type Change struct {
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Old     string `json:"old,omitempty"`
+	New     string `json:"new,omitempty"`
+}
+
+// Diff compares two bundles key by key with all defaults spelled out, so that
+// neither order, comments nor spelled-out defaults show as changes.
+func Diff(before, after *config.Bundle) []Change {
+	old, oldOrder := flatten(before)
+	next, nextOrder := flatten(after)
+	var changes []Change
+	for _, k := range nextOrder {
+		if old[k] != next[k] {
+			changes = append(changes, Change{k.section, k.key, old[k], next[k]})
+		}
+	}
+	for _, k := range oldOrder {
+		if _, kept := next[k]; !kept {
+			changes = append(changes, Change{k.section, k.key, old[k], ""})
+		}
+	}
+	return changes
+}
+
+type path struct{ section, key string }
+
+func flatten(b *config.Bundle) (values map[path]string, order []path) {
+	values = make(map[path]string)
+	sections, _ := settings.ParseSections("bundle", config.Format(b))
+	for _, s := range sections {
+		s.Each(func(key, value string) {
+			p := path{s.Name, key}
+			values[p] = value
+			order = append(order, p)
+		})
+	}
+	return values, order
+}
+
+// WriteDiff writes one change a line.
+func WriteDiff(w io.Writer, changes []Change) error {
+	for _, c := range changes {
+		var err error
+		switch {
+		case c.Old == "":
+			_, err = fmt.Fprintf(w, "+ [%s] %s = %s\n", c.Section, c.Key, c.New)
+		case c.New == "":
+			_, err = fmt.Fprintf(w, "- [%s] %s = %s\n", c.Section, c.Key, c.Old)
+		default:
+			_, err = fmt.Fprintf(w, "~ [%s] %s: %s -> %s\n", c.Section, c.Key, c.Old, c.New)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/exit.go
@@ -0,0 +1,63 @@
+package operator
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/result"
+	"github.com/basiltally/basiltally/settings"
+)
+
+// Exit codes of basiltallyctl.
+const (
+	// ExitOK means that the command was done.
+	ExitOK = 0
+	// ExitInternal means an unexpected error; the outcome is unknown.
+	ExitInternal = 1
+	// ExitInput means wrong usage, settings or bundle; nothing was changed.
+	ExitInput = 2
+	// ExitRefused means that the system refused; nothing was changed.
+	ExitRefused = 3
+	// ExitUnknown means that the command may have taken effect.
+	ExitUnknown = 4
+	// ExitUnavailable means that the store or every process was out of reach; nothing was changed.
+	ExitUnavailable = 5
+	// ExitConfirm means that the command needs a confirmation; nothing was changed.
+	ExitConfirm = 6
+	// ExitLagging means that bundle status found processes without the accepted version.
+	ExitLagging = 7
+)
+
+// ExitCode returns the exit code for an error.
+func ExitCode(err error) int {
+	var coded *result.Error
+	var faults settings.Errors
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &coded):
+		return exitOf(coded.Code)
+	case errors.As(err, &faults):
+		return ExitInput
+	default:
+		return ExitInternal
+	}
+}
+
+func exitOf(code result.Code) int {
+	switch code {
+	case result.OK:
+		return ExitOK
+	case result.InvalidSettings, result.InvalidBundle, result.BadRequest:
+		return ExitInput
+	case result.StoreUnavailable:
+		return ExitUnavailable
+	case result.ConfirmationNeeded:
+		return ExitConfirm
+	case result.Internal:
+		return ExitInternal
+	}
+	if result.Describe(code).Outcome == result.Unknown {
+		return ExitUnknown
+	}
+	return ExitRefused
+}
--- /dev/null
+++ b/operator/table.go
@@ -0,0 +1,199 @@
+package operator
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/basiltally/basiltally/ownership"
+)
+
+// columnGap is the number of blanks between the columns of a table.
+const columnGap = 2
+
+func newTable(w io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+}
+
+// WriteStatus writes a table of the processes and one of the groups.
+func WriteStatus(w io.Writer, answers []Answer) error {
+	t := newTable(w)
+	fmt.Fprintln(t, "ADDRESS\tVM\tBUNDLE\tVMS SEEN\tASSIGNS\tPROBLEM")
+	for _, a := range answers {
+		if a.Status == nil {
+			fmt.Fprintf(t, "%s\t-\t-\t-\t-\t%s\n", a.Address, a.Error)
+			continue
+		}
+		s := a.Status
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%s\n", a.Address, s.VM, s.BundleVersion, s.VMs, assigning(s), dash(s.BundleRefusal))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	return WriteGroups(w, answers)
+}
+
+func assigning(s *Status) int {
+	n := 0
+	for _, g := range s.Groups {
+		if g.Assigning {
+			n++
+		}
+	}
+	return n
+}
+
+func dash(s string) string {
+	return cmp.Or(s, "-")
+}
+
+// GroupSummary is a group as the newest view of any process shows it.
+type GroupSummary struct {
+	Group
+	// Assigners are the VMs that say they assign the group: one, or none for a
+	// moment. Two are an alarm only if they persist, as statuses are not taken at
+	// the same instant.
+	Assigners []ownership.VMID `json:"assigners"`
+	// Behind counts processes whose view is of an older term.
+	Behind int `json:"behind"`
+}
+
+// Groups sums up the groups over all processes, sorted by name.
+func Groups(answers []Answer) []GroupSummary {
+	byName := make(map[ownership.GroupID]*GroupSummary)
+	for _, a := range answers {
+		if a.Status == nil {
+			continue
+		}
+		for _, g := range a.Status.Groups {
+			add(byName, a.Status.VM, g)
+		}
+	}
+	for _, s := range byName {
+		s.Behind = behind(answers, s)
+	}
+	var list []GroupSummary
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		list = append(list, *byName[name])
+	}
+	return list
+}
+
+func add(byName map[ownership.GroupID]*GroupSummary, vm ownership.VMID, g Group) {
+	s := byName[g.Group]
+	if s == nil {
+		s = &GroupSummary{Group: g}
+		byName[g.Group] = s
+	}
+	if s.version().Less(g.version()) {
+		s.Group = g
+	}
+	if g.Assigning {
+		s.Assigners = append(s.Assigners, vm)
+	}
+}
+
+func (g Group) version() ownership.Token { return ownership.Token{Term: g.Term, Seq: g.Seq} }
+
+func behind(answers []Answer, s *GroupSummary) int {
+	n := 0
+	for _, a := range answers {
+		if a.Status == nil {
+			continue
+		}
+		at := slices.IndexFunc(a.Status.Groups, func(g Group) bool { return g.Group == s.Group.Group })
+		if at < 0 || a.Status.Groups[at].Term < s.Term {
+			n++
+		}
+	}
+	return n
+}
+
+// WriteGroups writes a table of the groups.
+func WriteGroups(w io.Writer, answers []Answer) error {
+	t := newTable(w)
+	fmt.Fprintln(t, "GROUP\tASSIGNER\tTERM\tSLOTS\tUNOWNED\tTARGETS\tLOST\tVMS BEHIND")
+	for _, g := range Groups(answers) {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n",
+			g.Group.Group, dash(string(g.Assigner)), g.Term, g.Slots, g.Unowned, g.Targets, g.Lost, g.Behind)
+	}
+	return t.Flush()
+}
+
+// BundleReport tells how far a bundle version has spread.
+type BundleReport struct {
+	// Accepted is the version in the store; zero if it could not be read.
+	Accepted uint64 `json:"accepted"`
+	InForce  int    `json:"in_force"`
+	Of       int    `json:"of"`
+	// Lagging lists the processes without the accepted version.
+	Lagging []Lag `json:"lagging,omitempty"`
+}
+
+// Lag is a process without the accepted version, and why.
+type Lag struct {
+	Address string `json:"address"`
+	VM      string `json:"vm,omitempty"`
+	Version uint64 `json:"version"`
+	Why     string `json:"why"`
+}
+
+// Spread compares the versions in force with the accepted one; zero means the
+// highest that any process holds.
+func Spread(accepted uint64, answers []Answer) BundleReport {
+	r := BundleReport{Accepted: accepted, Of: len(answers)}
+	if accepted == 0 {
+		for _, a := range answers {
+			if a.Status != nil {
+				r.Accepted = max(r.Accepted, a.Status.BundleVersion)
+			}
+		}
+	}
+	for _, a := range answers {
+		if why := lag(a, r.Accepted); why != "" {
+			l := Lag{Address: a.Address, Why: why}
+			if a.Status != nil {
+				l.VM, l.Version = string(a.Status.VM), a.Status.BundleVersion
+			}
+			r.Lagging = append(r.Lagging, l)
+			continue
+		}
+		r.InForce++
+	}
+	return r
+}
+
+func lag(a Answer, accepted uint64) string {
+	switch {
+	case a.Status == nil:
+		return "does not answer: " + a.Error
+	case a.Status.BundleVersion == accepted:
+		return ""
+	case a.Status.BundleVersion > accepted:
+		return fmt.Sprintf("holds version %d, which is newer than the store: the store was restored to the past", a.Status.BundleVersion)
+	case a.Status.BundleRefusal != "":
+		return "refused: " + a.Status.BundleRefusal
+	case a.Status.BundleVersion == 0:
+		return "has no bundle yet"
+	default:
+		return "the new version has not reached it"
+	}
+}
+
+// Write writes the report as text.
+func (r BundleReport) Write(w io.Writer) error {
+	fmt.Fprintf(w, "version %d: in force in %d of %d processes\n", r.Accepted, r.InForce, r.Of)
+	if len(r.Lagging) == 0 {
+		return nil
+	}
+	t := newTable(w)
+	fmt.Fprintln(t, "ADDRESS\tVM\tVERSION\tWHY")
+	for _, l := range r.Lagging {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", l.Address, dash(l.VM), l.Version, l.Why)
+	}
+	return t.Flush()
+}
--- a/settings/section.go
+++ b/settings/section.go
@@ -207,3 +207,10 @@
 	}
 	return ""
 }
+
+// Each calls f for each key, in the order of the file.
+func (s *Section) Each(f func(key, value string)) {
+	for _, k := range s.keys {
+		f(k.name, k.value)
+	}
+}
