Test each step of a request for each fault

Found by them: a body that went silent cost a read its whole deadline, now the silence timeout. A pool without keys is sent no token.

--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,142 @@
+package balance
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+)
+
+func codeOf(err error) result.Code {
+	if err == nil {
+		return result.OK
+	}
+	return err.(*result.Error).Code
+}
+
+func in(d time.Duration) time.Time { return time.Now().Add(d) }
+
+func TestGateShedsWhatWouldMissItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := NewGate(1, 2)
+		ctx := context.Background()
+		is.NoErr(g.Acquire(ctx, in(time.Second)))
+		g.Release(100 * time.Millisecond)
+		is.NoErr(g.Acquire(ctx, in(time.Second)))
+		// One service time of waiting and one of its own are foreseen.
+		is.Equal(codeOf(g.Acquire(ctx, in(150*time.Millisecond))), result.QueueDeadline)
+		granted := make(chan error, 2)
+		go func() { granted <- g.Acquire(ctx, in(time.Second)) }()
+		go func() { granted <- g.Acquire(ctx, in(time.Second)) }()
+		synctest.Wait()
+		is.Equal(codeOf(g.Acquire(ctx, in(time.Second))), result.QueueFull)
+		g.Release(100 * time.Millisecond)
+		is.NoErr(<-granted)
+		time.Sleep(950 * time.Millisecond)
+		g.Release(100 * time.Millisecond)
+		is.Equal(codeOf(<-granted), result.QueueDeadline) // Too late when its turn came.
+		running, waiting := g.Load()
+		is.Equal(running+waiting, 0)
+	})
+}
+
+func TestGateGivesUpWithContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := NewGate(1, 2)
+		is.NoErr(g.Acquire(context.Background(), in(time.Hour)))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		is.Equal(codeOf(g.Acquire(ctx, in(time.Hour))), result.QueueDeadline)
+		g.Release(0)
+		is.NoErr(g.Acquire(context.Background(), in(time.Hour)))
+	})
+}
+
+func TestBudgetBoundsRetriesToAShare(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(0.1, 2)
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		if b.Spend() {
+			spent++
+		}
+	}
+	is.True(spent >= 99 && spent <= 102)
+}
+
+func poolView(regions ...string) *ownership.View {
+	v := &ownership.View{Group: "g"}
+	for i, r := range regions {
+		id := ownership.TargetID(string(rune('a' + i)))
+		v.Targets = append(v.Targets, ownership.Target{ID: id, Region: r})
+		v.States = append(v.States, ownership.TargetReady)
+	}
+	return v
+}
+
+// pickMany picks n targets that stay busy and counts them.
+func pickMany(s *Selector, v *ownership.View, n int) map[ownership.TargetID]int {
+	counts := map[ownership.TargetID]int{}
+	for range n {
+		t := s.Pick(&pipeline.Request{}, v)
+		s.Began(t.ID)
+		counts[t.ID]++
+	}
+	for id, c := range counts {
+		for range c {
+			s.Ended(id, nil, false)
+		}
+	}
+	return counts
+}
+
+func TestSelectorPrefersNearRegionUntilItIsBusy(t *testing.T) {
+	is := is.New(t)
+	s := NewSelector(SelectorOptions{Region: "north", SpillAt: 2})
+	v := poolView("north", "north", "south")
+	counts := pickMany(s, v, 4)
+	is.Equal(counts["a"], 2)
+	is.Equal(counts["b"], 2)
+	is.Equal(pickMany(s, v, 6)["c"], 2) // Spills once the near ones are busy.
+	v.States[0] = ownership.TargetLeaving
+	is.Equal(pickMany(s, v, 4)["a"], 0)
+}
+
+func TestSelectorEjectsWithinBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSelector(SelectorOptions{EjectAfter: 3})
+		v := poolView("", "", "", "")
+		lost := result.New(result.TargetLost, "")
+		pickMany(s, v, 4)
+		for range 3 {
+			s.Ended("a", lost, false) // Old connections do not count.
+			s.Began("a")
+		}
+		is.Equal(pickMany(s, v, 8)["a"], 2)
+		for _, id := range []ownership.TargetID{"a", "b", "c", "d"} {
+			for range 3 {
+				s.Began(id)
+				s.Ended(id, lost, true)
+			}
+		}
+		counts := pickMany(s, v, 9)
+		is.Equal(counts["a"], 0) // One of four is ejected, the others are kept.
+		is.Equal(len(counts), 3)
+		time.Sleep(time.Second + 500*time.Millisecond)
+		counts = pickMany(s, v, 45)
+		is.True(counts["a"] > 0 && counts["a"] < 3) // Comes back with a small share.
+		time.Sleep(10 * time.Second)
+		counts = pickMany(s, v, 40)
+		is.Equal(counts["a"], 10)
+	})
+}
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -25,7 +25,7 @@
 	if r.x.conn.reader.Buffered() > 0 {
 		return
 	}
-	r.x.conn.SetReadDeadline(r.x.progressDeadline(r.x.dispatcher.opts.ProgressTimeout))
+	r.x.conn.SetReadDeadline(r.x.progressDeadline(r.x.bodyTimeout()))
 }
 
 // fixedBody is a body of a stated length.
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -149,9 +149,7 @@
 		h.Del(name)
 	}
 	h.Set(target.HeaderRequestID, req.ID)
-	h.Set(target.HeaderGroup, string(req.Group))
-	h.Set(target.HeaderSlot, strconv.FormatUint(uint64(req.Owner.Slot), 10))
-	h.Set(target.HeaderToken, req.Owner.Token.String())
+	x.setToken(h)
 	remaining := max(time.Until(req.Deadline).Milliseconds(), 1)
 	h.Set(target.HeaderDeadline, strconv.FormatInt(remaining, 10))
 	if len(h.Host()) == 0 {
@@ -165,6 +163,22 @@
 	out.SetBodyRaw(req.HTTP.Body())
 }
 
+// setToken adds the fencing token of a keyed request. In other pools every
+// target is entitled.
+func (x *exchange) setToken(h *fasthttp.RequestHeader) {
+	for _, name := range tokenHeaders {
+		h.Del(name)
+	}
+	if !x.req.Keyed() {
+		return
+	}
+	h.Set(target.HeaderGroup, string(x.req.Group))
+	h.Set(target.HeaderSlot, strconv.FormatUint(uint64(x.req.Owner.Slot), 10))
+	h.Set(target.HeaderToken, x.req.Owner.Token.String())
+}
+
+var tokenHeaders = []string{target.HeaderGroup, target.HeaderSlot, target.HeaderToken}
+
 // callerBody marks errors of reading the request body from the caller.
 type callerBody struct{ io.Reader }
 
@@ -210,6 +224,14 @@
 	return x.dispatcher.opts.SilenceTimeout
 }
 
+// bodyTimeout bounds the time without a byte within the answer's body.
+func (x *exchange) bodyTimeout() time.Duration {
+	if x.req.AtMostOnce() || x.req.Bulk() {
+		return x.dispatcher.opts.ProgressTimeout
+	}
+	return x.dispatcher.opts.SilenceTimeout
+}
+
 // progressDeadline returns the instant after the timeout, at most the request's deadline.
 func (x *exchange) progressDeadline(timeout time.Duration) time.Time {
 	t := time.Now().Add(timeout)
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -8,12 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
@@ -28,10 +30,16 @@
 	"github.com/basiltally/basiltally/pipeline/locate"
 	"github.com/basiltally/basiltally/pipeline/once"
 	"github.com/basiltally/basiltally/pipeline/relay"
+	"github.com/basiltally/basiltally/pipeline/retry"
 	"github.com/basiltally/basiltally/target"
 	"github.com/basiltally/basiltally/views"
 )
 
+func TestMain(m *testing.M) {
+	startServerDate()
+	os.Exit(m.Run())
+}
+
 func testBundle() *config.Bundle {
 	return &config.Bundle{
 		Version: 1,
@@ -55,13 +63,29 @@
 	// script overrides the behaviour of the next exchanges, in order.
 	script []func(f *fakeTarget, nc net.Conn, r *http.Request)
 	dials  int
+	// refuseDials makes dials fail.
+	refuseDials bool
+	conns       []net.Conn
+}
+
+// close ends all connections, so that no goroutine is left.
+func (f *fakeTarget) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, nc := range f.conns {
+		nc.Close()
+	}
 }
 
 func (f *fakeTarget) dial(context.Context, string) (net.Conn, error) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.dials++
-	f.mu.Unlock()
+	if f.refuseDials {
+		return nil, errors.New("connection refused")
+	}
 	client, server := net.Pipe()
+	f.conns = append(f.conns, client, server)
 	go f.serve(server)
 	return client, nil
 }
@@ -74,9 +98,6 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
 		f.next()(f, nc, r)
 	}
 }
@@ -108,7 +129,7 @@
 	return n
 }
 
-func answer(nc net.Conn, r *http.Request, status int, extra string, body string) {
+func answer(nc io.Writer, r *http.Request, status int, extra string, body string) {
 	fmt.Fprintf(nc, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, target.HeaderRequestID, r.Header.Get(target.HeaderRequestID), extra, len(body), body)
 }
@@ -119,9 +140,35 @@
 	answer(nc, r, 200, "", "answer to "+r.URL.Path)
 }
 
+// fakeClaims grants each key once and counts what is recorded.
+type fakeClaims struct {
+	down               bool
+	finished, released int
+	last               claim.Outcome
+}
+
+func (c *fakeClaims) Claim(context.Context, claim.Request) (claim.Decision, error) {
+	if c.down {
+		return claim.Decision{}, errors.New("store is down")
+	}
+	return claim.Decision{Kind: claim.Run, Ref: claim.Ref{DispatchBy: time.Now().Add(time.Hour)}}, nil
+}
+
+func (c *fakeClaims) Finish(_ context.Context, _ claim.Ref, o claim.Outcome) error {
+	c.finished++
+	c.last = o
+	return nil
+}
+
+func (c *fakeClaims) Release(context.Context, claim.Ref) error {
+	c.released++
+	return nil
+}
+
 // bench is a pipeline in front of one fake target.
 type bench struct {
 	target  *fakeTarget
+	claims  *fakeClaims
 	views   *views.Holder
 	handler pipeline.Handler
 	count   int
@@ -133,8 +180,16 @@
 	return &v.Targets[0]
 }
 
-func newBench(claimer claim.Claimer) *bench {
-	b := &bench{target: &fakeTarget{runs: map[string]int{}}, views: views.NewHolder()}
+// startServerDate starts a goroutine of fasthttp that would keep a bubble of
+// synctest from ending.
+func startServerDate() {
+	w := bufio.NewWriter(io.Discard)
+	new(fasthttp.Response).Write(w)
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{claims: &fakeClaims{}, target: &fakeTarget{runs: map[string]int{}}, views: views.NewHolder()}
+	t.Cleanup(b.target.close)
 	for _, g := range []ownership.GroupID{"sheets-0", "filings-0", "drawings-0"} {
 		b.views.Apply(testView(g, 1))
 	}
@@ -145,7 +200,8 @@
 		relay.New(),
 		identify.New(identify.Options{Bundle: func() *config.Bundle { return bundle }}),
 		admit.NewAdmission().Filter(),
-		once.New(once.Options{Claimer: claimer}),
+		once.New(once.Options{Claimer: b.claims}),
+		retry.New(retry.Options{Views: b.views}),
 		locate.New(locate.Options{Views: b.views, Picker: firstReady{}}),
 	)
 	return b
@@ -204,7 +260,7 @@
 
 func TestReadIsAnsweredByOwner(t *testing.T) {
 	is := is.New(t)
-	b := newBench(nil)
+	b := newBench(t)
 	got := b.do("GET", "/sheets/a1/latest")
 	is.NoErr(got.err)
 	is.Equal(got.status, 200)
@@ -214,9 +270,10 @@
 	is.Equal(b.target.total(), 1)
 }
 
-func TestFilingWithoutClaimServiceIsNotRun(t *testing.T) {
+func TestFilingIsRefusedWhenClaimIsNotDurable(t *testing.T) {
 	is := is.New(t)
-	b := newBench(nil)
+	b := newBench(t)
+	b.claims.down = true
 	got := b.do("POST", "/filings", "Idempotency-Key: k1")
 	is.Equal(got.code, "1301")
 	is.Equal(got.outcome, "not-run")
