--- a/balance/selector.go
+++ b/balance/selector.go
@@ -16,7 +16,8 @@
 	// Region is the region of this entry; its targets are preferred.
 	Region string
 	// SpillAt is the number of own requests in flight on each target of the
-	// region at which targets of other regions are used too. Default 4.
+	// region, by its weight, above which targets of other regions are used too.
+	// Default 4.
 	SpillAt int
 	// EjectAfter failures in a row keep a target from new requests. Default 5.
 	EjectAfter int
@@ -127,18 +128,18 @@
 
 func (s *Selector) scoreLocked(req *pipeline.Request, v *ownership.View, at int, now time.Time) score {
 	t := &v.Targets[at]
-	o := s.observedLocked(t.ID, now)
+	o := s.observedLocked(t.ID)
 	load := float64(o.inFlight+1) / s.weight(o, v.States[at], now)
-	return score{s.tier(req, t, o, now), load}
+	return score{s.tier(req, t, o, load, now), load}
 }
 
-func (s *Selector) tier(req *pipeline.Request, t *ownership.Target, o *observed, now time.Time) int {
+func (s *Selector) tier(req *pipeline.Request, t *ownership.Target, o *observed, load float64, now time.Time) int {
 	switch {
 	case now.Before(o.ejectedUntil):
 		return tierEjected
 	case slices.Contains(req.Failed, t.ID):
 		return tierFailed
-	case t.Region != s.opts.Region || o.inFlight >= s.opts.SpillAt:
+	case t.Region != s.opts.Region || load > float64(s.opts.SpillAt):
 		return tierFar
 	default:
 		return tierNear
@@ -158,7 +159,7 @@
 	return max(minWeight, passed.Seconds()/s.opts.RampUp.Seconds())
 }
 
-func (s *Selector) observedLocked(id ownership.TargetID, now time.Time) *observed {
+func (s *Selector) observedLocked(id ownership.TargetID) *observed {
 	o, ok := s.targets[id]
 	if !ok {
 		o = &observed{}
@@ -171,7 +172,7 @@
 func (s *Selector) Began(id ownership.TargetID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observedLocked(id, time.Now()).inFlight++
+	s.observedLocked(id).inFlight++
 }
 
 // Ended notes the end of a request. The error is nil after a whole answer.
@@ -179,7 +180,7 @@
 func (s *Selector) Ended(id ownership.TargetID, err error, newConnection bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := s.observedLocked(id, time.Now())
+	o := s.observedLocked(id)
 	o.inFlight--
 	switch {
 	case err == nil:
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -348,6 +348,10 @@
 	if !refused {
 		code = x.classify(err)
 	}
+	if code.Code == result.TargetTimeout && !x.conn.idleSince.IsZero() {
+		// Others that were idle as long may be silent too.
+		x.lane.pool.closeIdle(0)
+	}
 	x.discard(code)
 	x.req.Answer.Reset()
 	return code
--- a/pipeline/stream_test.go
+++ b/pipeline/stream_test.go
@@ -111,10 +111,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newBench(t)
+		// Two connections become idle and then silent.
+		slow := func(f *fakeTarget, nc net.Conn, r *http.Request) {
+			time.Sleep(time.Millisecond)
+			whole(f, nc, r)
+		}
+		b.target.script = []behaviour{slow, slow}
+		go b.do("GET", "/sheets/a1")
 		b.do("GET", "/sheets/a1")
+		synctest.Wait()
+		is.Equal(b.target.dials, 2)
 		b.target.script = []behaviour{silentBeforeRun}
 		is.Equal(b.do("GET", "/sheets/a1").code, "0")
-		is.Equal(b.target.dials, 2)
+		is.Equal(b.target.dials, 3) // The retry uses neither of them.
 		// An at-most-once request does not trust a connection that was idle for long.
 		is.Equal(b.do("POST", "/filings", "Idempotency-Key: k1").code, "0")
 		dials := b.target.dials
