--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
 	"github.com/valyala/bytebufferpool"
 )
 
@@ -20,6 +21,9 @@
 	maxDrainPoll = 20 * time.Millisecond
 )
 
+// errOverflow reports that a caller sent more than is buffered ahead.
+var errOverflow = errors.New("frontend: the caller sent more bytes than are buffered")
+
 // conn makes a connection of a gnet event loop a net.Conn, on which a goroutine
 // reads and writes. The event loop feeds the inbound buffer; the outbound bytes
 // are bounded by making the writer wait.
@@ -47,6 +51,9 @@
 	// connections to end.
 	idle, lastCall bool
 	closing        bool
+	// deaf drops received bytes; overflow tells that bytes were dropped that
+	// belong to a request.
+	deaf, overflow bool
 }
 
 // limits of one connection in bytes and time.
@@ -61,13 +68,18 @@
 	return c
 }
 
-// feed is called by the event loop with received bytes. It reports false if
-// the inbound buffer would exceed its limit.
-func (c *conn) feed(p []byte) bool {
+// feed is called by the event loop with received bytes. The event loop cannot
+// pause reading, so bytes above the limit are dropped, and reads fail after
+// those that were kept.
+func (c *conn) feed(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.in)-c.inStart+len(p) > c.limit.inbound {
-		return false
+	if c.deaf || c.overflow {
+		return
+	}
+	if room := c.limit.inbound - (len(c.in) - c.inStart); len(p) > room {
+		p = p[:room]
+		c.overflow = true
 	}
 	if c.inStart > 0 && len(c.in)+len(p) > cap(c.in) {
 		c.in = append(c.in[:0], c.in[c.inStart:]...)
@@ -75,7 +87,6 @@
 	}
 	c.in = append(c.in, p...)
 	c.cond.Broadcast()
-	return true
 }
 
 // closed is called by the event loop when the connection has ended.
@@ -120,6 +131,14 @@
 	c.idle = idle
 }
 
+// discardInput drops what was received and what is received from now on.
+func (c *conn) discardInput() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deaf = true
+	c.resetInLocked()
+}
+
 // finish lets reads end between requests, so that the connection is closed.
 func (c *conn) finish() {
 	c.mu.Lock()
@@ -136,6 +155,9 @@
 		if n := c.takeLocked(p); n > 0 || len(p) == 0 {
 			return n, nil
 		}
+		if c.overflow {
+			return 0, errOverflow
+		}
 		if c.closeErr != nil || c.lastCall && c.idle {
 			return 0, io.EOF
 		}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"log/slog"
 	"net"
 	"strconv"
@@ -139,7 +140,7 @@
 		gnet.WithMulticore(true),
 		gnet.WithNumEventLoop(f.opts.EventLoops),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithReusePort(false),
+		gnet.WithLogger(engineLogger{}),
 	)
 	return errors.Wrapf(err, "listen on %s", f.opts.Address)
 }
@@ -214,9 +215,10 @@
 func (f *Frontend) OnTraffic(gc gnet.Conn) gnet.Action {
 	buf, _ := gc.Next(-1)
 	c, ok := gc.Context().(*conn)
-	if !ok || !c.feed(buf) {
+	if !ok {
 		return gnet.Close
 	}
+	c.feed(buf)
 	return gnet.None
 }
 
@@ -233,8 +235,8 @@
 // serve handles one parsed request.
 func (f *Frontend) serve(hc *fasthttp.RequestCtx) {
 	req := f.newRequest(hc)
-	if f.draining.Load() {
-		f.refuse(req, result.New(result.EntryDraining, "this entry is stopping"))
+	if e := f.check(hc); e != nil {
+		f.refuse(hc, req, e)
 	} else {
 		pipeline.Run(f.opts.Handler, req)
 	}
@@ -243,6 +245,19 @@
 	}
 }
 
+// check returns the reason to refuse the request, or nil.
+func (f *Frontend) check(hc *fasthttp.RequestCtx) *result.Error {
+	if f.draining.Load() {
+		e := result.New(result.EntryDraining, "this entry is stopping")
+		e.RetryAfter = time.Second
+		return e
+	}
+	if n := hc.Request.Header.ContentLength(); n > f.opts.BodyBytes {
+		return result.New(result.BodyTooLarge, "the body has %d bytes, the limit is %d", n, f.opts.BodyBytes)
+	}
+	return nil
+}
+
 // newRequest returns a request whose context ends with the caller's connection.
 func (f *Frontend) newRequest(hc *fasthttp.RequestCtx) *pipeline.Request {
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -266,12 +281,23 @@
 	return req
 }
 
-func (f *Frontend) refuse(req *pipeline.Request, e *result.Error) {
-	e.RetryAfter = time.Second
+// refuse answers a request that does not enter the pipeline.
+func (f *Frontend) refuse(hc *fasthttp.RequestCtx, req *pipeline.Request, e *result.Error) {
 	relay.WriteError(req.Answer, e, req.ID)
+	if e.Code == result.BodyTooLarge {
+		hc.SetConnectionClose()
+		discardInput(hc.Conn())
+	}
 	req.End(e)
 }
 
+// discardInput drops what the caller still sends of a refused request.
+func discardInput(nc net.Conn) {
+	if c, ok := nc.(*conn); ok {
+		c.discardInput()
+	}
+}
+
 func (f *Frontend) nextID() string {
 	return f.idPrefix + strconv.FormatUint(f.sequence.Add(1), 36)
 }
@@ -288,6 +314,8 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return result.New(result.BodyTooLarge, "the body exceeds the limit of the entry")
+	case errors.Is(err, errOverflow):
+		return result.New(result.PipeliningLimit, "more bytes were sent ahead than the entry buffers")
 	case errors.As(err, &small):
 		return result.New(result.BadRequest, "the header is too long")
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -302,3 +330,25 @@
 
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
+
+// engineLogger passes the event loops' warnings on and drops the rest.
+type engineLogger struct{}
+
+// Debugf implements logging.Logger.
+func (engineLogger) Debugf(string, ...any) {}
+
+// Infof implements logging.Logger.
+func (engineLogger) Infof(string, ...any) {}
+
+// Warnf implements logging.Logger.
+func (engineLogger) Warnf(format string, args ...any) {
+	slog.Warn("event loop", "message", fmt.Sprintf(format, args...))
+}
+
+// Errorf implements logging.Logger.
+func (engineLogger) Errorf(format string, args ...any) {
+	slog.Error("event loop", "message", fmt.Sprintf(format, args...))
+}
+
+// Fatalf implements logging.Logger. It does not end the process.
+func (l engineLogger) Fatalf(format string, args ...any) { l.Errorf(format, args...) }
--- a/pipeline/identify/identify.go
+++ b/pipeline/identify/identify.go
@@ -128,10 +128,10 @@
 	if err := setIdempotencyKey(req); err != nil {
 		return err
 	}
-	if n := req.HTTP.Header.ContentLength(); n > c.class.MaxBody {
-		return result.New(result.BodyTooLarge, "the body has %d bytes, the limit is %d", n, c.class.MaxBody)
+	if err := setDeadline(req); err != nil {
+		return err
 	}
-	return setDeadline(req)
+	return checkBody(req)
 }
 
 func (ix *index) tenant(h *fasthttp.Request) (*tenantIndex, error) {
@@ -215,3 +215,17 @@
 	req.OnEnd(func(error) { cancel() })
 	return nil
 }
+
+// checkBody holds the body against the limit of the class. A body without a
+// stated length is read into memory, because its length is known only then.
+func checkBody(req *pipeline.Request) error {
+	limit := req.Class.MaxBody
+	n := req.HTTP.Header.ContentLength()
+	if n > limit {
+		return result.New(result.BodyTooLarge, "the body has %d bytes, the limit is %d", n, limit)
+	}
+	if n < 0 {
+		return req.ReadBody(limit)
+	}
+	return nil
+}
