--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -63,6 +63,8 @@
 	records map[ownership.GroupID]store.Object
 	groups  map[ownership.GroupID]*group
 	links   map[ownership.VMID]*supportLink
+	// learning holds the candidate list versions for which a record is being read.
+	learning map[ownership.GroupID]uint64
 	// commands counts the operators' commands, to name them.
 	commands uint64
 }
@@ -79,6 +81,7 @@
 		records:   make(map[ownership.GroupID]store.Object),
 		groups:    make(map[ownership.GroupID]*group),
 		links:     make(map[ownership.VMID]*supportLink),
+		learning:  make(map[ownership.GroupID]uint64),
 	}
 	o.Members.OnChange(func(*membership.Snapshot) { a.reconcile() })
 	return a
@@ -89,7 +92,6 @@
 	a.mu.Lock()
 	a.ctx = ctx
 	a.mu.Unlock()
-	a.wg.Go(func() { a.followRecords(ctx) })
 	a.reconcile()
 	<-ctx.Done()
 	a.wg.Wait()
--- a/assigner/records.go
+++ b/assigner/records.go
@@ -39,8 +39,10 @@
 	a.supporterMu.Unlock()
 }
 
-// followRecords lists the groups' records and watches them for changes.
-func (a *Assigner) followRecords(ctx context.Context) {
+// FollowRecords lists the groups' records and watches them for changes. Only
+// the relay roots run it, since a waiting watch counts as a call; other
+// candidates read the record when they act.
+func (a *Assigner) FollowRecords(ctx context.Context) error {
 	for ctx.Err() == nil {
 		version, err := a.listRecords(ctx)
 		for err == nil && ctx.Err() == nil {
@@ -51,6 +53,35 @@
 		case <-time.After(recordRetry):
 		}
 	}
+	return nil
+}
+
+// learnIfUnknown reads the record of a group for which another VM asks this one
+// for support, if this VM runs no core for it: it may have become a candidate.
+func (a *Assigner) learnIfUnknown(id ownership.GroupID, candidatesVersion uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.groups[id] != nil || a.ctx == nil || a.learning[id] >= candidatesVersion {
+		return
+	}
+	a.learning[id] = candidatesVersion
+	ctx := a.ctx
+	a.wg.Go(func() { a.learn(ctx, id) })
+}
+
+func (a *Assigner) learn(ctx context.Context, id ownership.GroupID) {
+	for ctx.Err() == nil {
+		object, err := a.opts.Store.Get(ctx, RecordPrefix+string(id))
+		a.metrics.storeCall("get", err)
+		if err == nil {
+			a.recordSeen(object)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(recordRetry):
+		}
+	}
 }
 
 func (a *Assigner) listRecords(ctx context.Context) (store.Version, error) {
--- a/assigner/serve.go
+++ b/assigner/serve.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basiltally/basiltally/assign"
+	"github.com/basiltally/basiltally/membership"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
@@ -48,6 +49,9 @@
 		return &pb.Envelope{Body: &pb.Envelope_RecordReply{RecordReply: reply}}, true
 	case *pb.Envelope_Handover:
 		return a.answerHandover(ownership.VMID(from.GetVm()), body.Handover), true
+	case *pb.Envelope_VmListRequest:
+		reply := membership.ToProto(a.opts.Members.Snapshot())
+		return &pb.Envelope{Body: &pb.Envelope_VmListReply{VmListReply: reply}}, true
 	case *pb.Envelope_Command:
 		reply := a.answerCommand(ctx, body.Command)
 		return &pb.Envelope{Body: &pb.Envelope_CommandReply{CommandReply: reply}}, true
@@ -59,6 +63,7 @@
 func (a *Assigner) answerSupportRequest(m *pb.SupportRequest) *pb.SupportReply {
 	reply := &pb.SupportReply{Vm: string(a.opts.Self), Incarnation: a.opts.Incarnation, EchoSentNanos: m.SentNanos}
 	for _, g := range m.Groups {
+		a.learnIfUnknown(ownership.GroupID(g.Group), g.CandidatesVersion)
 		req := supportRequestFromProto(ownership.VMID(m.Vm), m.Incarnation, g)
 		reply.Groups = append(reply.Groups, supportReplyToProto(a.answerSupport(req)))
 	}
--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -15,7 +15,7 @@
 
 	"github.com/basiltally/basiltally/assign"
 	"github.com/basiltally/basiltally/assigner"
-	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/bundle"
 	"github.com/basiltally/basiltally/membership"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
@@ -41,6 +41,9 @@
 	peers    *peer.Client
 	server   *peer.Server
 	assigner *assigner.Assigner
+	objects  *objectapi.Client
+	bundles  *bundle.Holder
+	tree     *relay.Tree
 }
 
 // RunAssign runs basiltally-assign until the context ends, then hands its
@@ -67,12 +70,19 @@
 		hub:   relay.NewHub(),
 		peers: peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "assign", TLS: tlsConfig}),
 	}
-	objects := objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
-	p.members = membership.New(membership.Options{Lister: objects, Registerer: p.registry})
+	p.objects = objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
+	lister := &membership.SeededLister{Platform: p.objects, Client: p.peers, Seeds: s.Peer.Seeds}
+	p.members = membership.New(membership.Options{Lister: lister, Registerer: p.registry})
+	o := holderOptions(p.registry, p.logger)
+	o.Ask = p.askBundle
+	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
+		return nil, err
+	}
+	p.tree = p.newTree()
 	p.assigner = assigner.New(assigner.Options{
 		Self: ownership.VMID(s.Process.VM), Incarnation: newIncarnation(), Core: coreOptions(&s.Assign),
 		GroupSlots: uint32(s.Assign.GroupSlots), Candidates: s.Assign.Candidates,
-		Store: objects, Targets: target.NewClient(target.ClientOptions{}), Peers: p.peers, Members: p.members, Hub: p.hub,
+		Store: p.objects, Targets: target.NewClient(target.ClientOptions{}), Peers: p.peers, Members: p.members, Hub: p.hub,
 		Logger: p.logger, Registerer: p.registry,
 	})
 	p.server, err = p.listen(tlsConfig)
@@ -104,12 +114,12 @@
 	g.Go(func() error { return p.server.Run(work) })
 	g.Go(func() error { return p.members.Run(work) })
 	g.Go(func() error { return p.assigner.Run(work) })
-	g.Go(func() error { return p.follower().Run(work) })
+	g.Go(func() error { return p.tree.Run(work) })
+	g.Go(func() error { return p.tree.RunWhileRoot(work, p.assigner.FollowRecords) })
+	g.Go(func() error { return p.tree.RunWhileRoot(work, p.followBundles) })
+	g.Go(func() error { return p.bundles.Run(work) })
+	g.Go(func() error { return onBundle(work, p.bundles, p.applyBundle) })
 	g.Go(func() error { return telemetry.Serve(work, p.telemetryOptions()) })
-	if err := p.applyInitialBundle(); err != nil {
-		stopWork()
-		return errors.Wrap(firstError(err, g.Wait()), "start")
-	}
 	p.logger.Info("started", "peer_address", p.server.Addr())
 	select {
 	case <-ctx.Done():
@@ -137,22 +147,46 @@
 	return nil
 }
 
-// applyInitialBundle loads the bundle document named in the settings.
-func (p *assignProcess) applyInitialBundle() error {
-	if p.settings.Bundle.File == "" {
-		return nil
+// applyBundle hands a bundle that came into force to the peers and the cores.
+func (p *assignProcess) applyBundle(held *bundle.InForce) {
+	if held.Signed != nil {
+		p.hub.PublishBundle(&pb.Bundle{Version: held.Bundle.Version, Document: held.Signed.Encode()})
 	}
-	document, err := os.ReadFile(p.settings.Bundle.File)
-	if err != nil {
-		return errors.Wrap(err, "bundle")
+	p.assigner.Apply(held.Bundle)
+}
+
+// followBundles follows the accepted bundle in the store. Without approvers
+// only the local document is used.
+func (p *assignProcess) followBundles(ctx context.Context) error {
+	s := &p.settings.Bundle
+	if s.ApproversDir == "" {
+		<-ctx.Done()
+		return nil
 	}
-	b, err := config.Parse(p.settings.Bundle.File, document)
+	policy, err := bundle.LoadPolicy(s.ApproversDir, s.Approvers, s.Approvals)
 	if err != nil {
 		return err
 	}
-	p.hub.PublishBundle(&pb.Bundle{Version: b.Version, Document: document})
-	p.assigner.Apply(b)
-	return nil
+	f := &bundle.Follower{Store: p.objects, Holder: p.bundles, Policy: policy, VM: p.settings.Process.VM}
+	return f.Run(ctx)
+}
+
+// askBundle finds out after a freeze which bundle is accepted now: from the
+// store or, while that does not answer, from another VM.
+func (p *assignProcess) askBundle(ctx context.Context) ([]byte, error) {
+	encoded, err := askStore(ctx, p.objects)
+	if err == nil {
+		return encoded, nil
+	}
+	for _, vm := range p.members.Snapshot().VMs {
+		if vm.ID == p.settings.Process.VM {
+			continue
+		}
+		if encoded, peerErr := askPeer(ctx, p.peers, vm.Address); peerErr == nil {
+			return encoded, nil
+		}
+	}
+	return nil, err
 }
 
 func (p *assignProcess) telemetryOptions() telemetry.Options {
@@ -160,7 +194,7 @@
 }
 
 func (p *assignProcess) ready() error {
-	if p.hub.Bundle() == nil {
+	if p.bundles.InForce() == nil {
 		return errors.New("no configuration bundle is in force")
 	}
 	if len(p.hub.Views()) == 0 {
@@ -184,10 +218,10 @@
 	p.assigner.Serve(ctx, s, first)
 }
 
-// follower keeps the hub up to date from the VM's place in the relay tree.
-func (p *assignProcess) follower() *relay.Tree {
+// newTree keeps the hub up to date from the VM's place in the relay tree.
+func (p *assignProcess) newTree() *relay.Tree {
 	return &relay.Tree{
-		Hub: p.hub, Client: p.peers, Self: p.settings.Process.VM,
+		Hub: p.hub, Client: p.peers, Self: p.settings.Process.VM, OnBundle: offer(p.bundles),
 		Members: func() []relay.Member { return relayMembers(p.members.Snapshot()) },
 	}
 }
--- /dev/null
+++ b/daemon/bundle.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/basiltally/basiltally/bundle"
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/store"
+)
+
+// askTimeout bounds the question to one peer after a freeze.
+const askTimeout = time.Second
+
+// newBundleHolder builds the holder of the bundle in force and loads the local
+// document, if the settings name one.
+func newBundleHolder(s *BundleSource, o bundle.HolderOptions) (*bundle.Holder, error) {
+	if s.ApproversDir != "" {
+		policy, err := bundle.LoadPolicy(s.ApproversDir, s.Approvers, s.Approvals)
+		if err != nil {
+			return nil, err
+		}
+		o.Policy = policy
+	}
+	h := bundle.NewHolder(o)
+	if s.File == "" {
+		return h, nil
+	}
+	document, err := os.ReadFile(s.File)
+	if err != nil {
+		return nil, errors.Wrap(err, "bundle")
+	}
+	return h, h.Adopt(s.File, document)
+}
+
+func holderOptions(r prometheus.Registerer, logger *slog.Logger) bundle.HolderOptions {
+	return bundle.HolderOptions{Registerer: r, Log: logger}
+}
+
+// askPeer returns the bundle that a peer relays, or nil if it has none.
+func askPeer(ctx context.Context, c *peer.Client, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	m, err := c.Call(ctx, address, &pb.Envelope{Body: &pb.Envelope_Subscribe{Subscribe: &pb.Subscribe{}}})
+	if err != nil {
+		return nil, err
+	}
+	return m.GetBundle().GetDocument(), nil
+}
+
+// askStore returns the accepted bundle of the store, or nil if there is none.
+func askStore(ctx context.Context, s store.Store) ([]byte, error) {
+	current, err := bundle.ReadCurrent(ctx, s)
+	if err != nil || current.Version == 0 {
+		return nil, err
+	}
+	signed, _, err := bundle.ReadVersion(ctx, s, current.Version)
+	if err != nil {
+		return nil, err
+	}
+	return signed.Encode(), nil
+}
+
+// onBundle calls f with each bundle that comes into force.
+func onBundle(ctx context.Context, h *bundle.Holder, f func(*bundle.InForce)) error {
+	var seen uint64
+	for {
+		changed := h.Changed()
+		if held := h.InForce(); held != nil && held.Bundle.Version > seen {
+			seen = held.Bundle.Version
+			f(held)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// offer returns the function that decides on bundles received from peers.
+func offer(h *bundle.Holder) func(*pb.Bundle) error {
+	return func(b *pb.Bundle) error { return h.Offer(b.Document, "peer") }
+}
+
+// servingBundle returns the bundle for a new request, or nil if none may be used.
+func servingBundle(h *bundle.Holder) func() *config.Bundle {
+	return func() *config.Bundle {
+		held, err := h.Serving()
+		if err != nil {
+			return nil
+		}
+		return held.Bundle
+	}
+}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,17 +4,15 @@
 	"context"
 	"log/slog"
 	"os"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/balance"
-	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/bundle"
 	"github.com/basiltally/basiltally/dispatch"
 	"github.com/basiltally/basiltally/frontend"
-	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/pipeline"
 	"github.com/basiltally/basiltally/pipeline/account"
@@ -36,7 +34,7 @@
 	registry   *prometheus.Registry
 	hub        *relay.Hub
 	views      *views.Holder
-	bundle     atomic.Pointer[config.Bundle]
+	bundles    *bundle.Holder
 	peers      *peer.Client
 	selector   *balance.Selector
 	dispatcher *dispatch.Dispatcher
@@ -71,6 +69,11 @@
 		selector:   selector,
 		dispatcher: dispatch.New(dispatch.Options{Region: s.Process.Region, Observer: selector}), admission: admit.NewAdmission(),
 	}
+	o := holderOptions(p.registry, p.logger)
+	o.Ask = func(ctx context.Context) ([]byte, error) { return askPeer(ctx, p.peers, s.Entry.AssignAddress) }
+	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
+		return nil, err
+	}
 	p.frontend = frontend.New(frontend.Options{
 		Address: s.Entry.Listen, Handler: p.handler(), HeaderBytes: s.Entry.MaxHeader,
 		HeaderTimeout: s.Entry.HeaderTimeout, HardLimit: s.Entry.DrainLimit,
@@ -84,7 +87,7 @@
 		p.dispatcher,
 		account.New(account.NewMetrics(p.registry)),
 		answers.New(),
-		identify.New(identify.Options{Bundle: p.bundle.Load}),
+		identify.New(identify.Options{Bundle: servingBundle(p.bundles)}),
 		p.admission.Filter(),
 		once.New(once.Options{}),
 		retry.New(retry.Options{Views: p.views}),
@@ -99,6 +102,7 @@
 	g.Go(func() error { return p.follower().Run(work) })
 	g.Go(func() error { return p.applyUpdates(work) })
 	g.Go(func() error { return p.dispatcher.Run(work) })
+	g.Go(func() error { return p.bundles.Run(work) })
 	g.Go(func() error {
 		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
 	})
@@ -112,7 +116,10 @@
 // follower receives views and bundles from the assign process of the same VM.
 func (p *entryProcess) follower() *relay.Follower {
 	parent := []string{p.settings.Entry.AssignAddress}
-	return &relay.Follower{Hub: p.hub, Client: p.peers, Upstream: func() []string { return parent }}
+	return &relay.Follower{
+		Hub: p.hub, Client: p.peers, OnBundle: offer(p.bundles),
+		Upstream: func() []string { return parent },
+	}
 }
 
 // applyUpdates moves what the hub receives into the request path.
@@ -129,31 +136,16 @@
 		for _, v := range p.hub.Views() {
 			p.views.Apply(v)
 		}
-		p.applyBundle(p.hub.Bundle())
-	}
-}
-
-func (p *entryProcess) applyBundle(b *pb.Bundle) {
-	held := p.bundle.Load()
-	if b == nil || (held != nil && held.Version >= b.Version) {
-		return
-	}
-	next, err := config.Parse("bundle", b.Document)
-	if err != nil {
-		p.logger.Error("bundle refused", "version", b.Version, "error", err)
-		return
 	}
-	p.bundle.Store(next)
-	p.logger.Info("bundle in force", "version", next.Version)
 }
 
 // ready reports whether every group of the bundle has a view.
 func (p *entryProcess) ready() error {
-	b := p.bundle.Load()
-	if b == nil {
-		return errors.New("no configuration bundle is in force")
+	held, err := p.bundles.Serving()
+	if err != nil {
+		return err
 	}
-	for _, pool := range b.Pools {
+	for _, pool := range held.Bundle.Pools {
 		for _, id := range pool.Groups {
 			if p.views.Get(id) == nil {
 				return errors.Errorf("no view of group %s has arrived", id)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -26,7 +26,7 @@
 
 func (p *assignProcess) handleStatus(ctx *fasthttp.RequestCtx) {
 	writeJSON(ctx, StatusReply{
-		VM: p.settings.Process.VM, BundleVersion: p.hub.Bundle().GetVersion(),
+		VM: p.settings.Process.VM, BundleVersion: p.bundles.Version(),
 		VMs: len(p.members.Snapshot().VMs), Groups: p.assigner.Status(),
 	})
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -23,10 +23,11 @@
 
 // Peer configures the links between the system's processes.
 type Peer struct {
-	Listen             string `ini:"listen" default:"127.0.0.1:9200" unit:"host:port" doc:"Address on which the process accepts peers. The VM list names it to the others."`
-	TLSCertificateFile string `ini:"tls_certificate_file" default:"" doc:"PEM file with this VM's certificate. Empty turns TLS off; set all three files or none."`
-	TLSKeyFile         string `ini:"tls_key_file" default:"" doc:"PEM file with the certificate's key."`
-	TLSAuthorityFile   string `ini:"tls_authority_file" default:"" doc:"PEM file with the authorities that sign the peers' certificates."`
+	Listen             string   `ini:"listen" default:"127.0.0.1:9200" unit:"host:port" doc:"Address on which the process accepts peers. The VM list names it to the others."`
+	Seeds              []string `ini:"seeds" default:"" unit:"host:port" doc:"Peer addresses of some VMs, asked for the VM list while the platform does not give it."`
+	TLSCertificateFile string   `ini:"tls_certificate_file" default:"" doc:"PEM file with this VM's certificate. Empty turns TLS off; set all three files or none."`
+	TLSKeyFile         string   `ini:"tls_key_file" default:"" doc:"PEM file with the certificate's key."`
+	TLSAuthorityFile   string   `ini:"tls_authority_file" default:"" doc:"PEM file with the authorities that sign the peers' certificates."`
 }
 
 // Assign holds the timings of leases and support.
@@ -73,6 +74,7 @@
 	Process   Process               `ini:"process"`
 	Log       telemetry.LogSettings `ini:"log"`
 	Telemetry telemetry.Settings    `ini:"telemetry"`
+	Store     Store                 `ini:"store"`
 	Peer      Peer                  `ini:"peer"`
 	Entry     Entry                 `ini:"entry"`
 	Bundle    BundleSource          `ini:"bundle"`
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -256,10 +256,15 @@
 data_centre = %s
 [telemetry]
 listen = %s
+[store]
+address = %s
 [entry]
 listen = %s
 assign_address = %s
-`, VMName(i), region(i), dataCentre(i), c.EntryTelemetry(i), c.EntryAddress(i), c.vmAddress(i, peerOffset)))
+[bundle]
+file = %s
+`, VMName(i), region(i), dataCentre(i), c.EntryTelemetry(i), c.StoreAddress(), c.EntryAddress(i), c.vmAddress(i, peerOffset),
+		filepath.Join(c.dir, "bundle.ini")))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/membership/peers.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/store"
+)
+
+// ToProto encodes a snapshot for a peer.
+func ToProto(s *Snapshot) *pb.VMListReply {
+	reply := new(pb.VMListReply)
+	for _, list := range [][]store.VM{s.VMs, s.Targets} {
+		for _, vm := range list {
+			reply.Vms = append(reply.Vms, &pb.VM{
+				Id: vm.ID, Address: vm.Address, Region: vm.Region, DataCentre: vm.DataCentre,
+				Kind: vm.Kind, Leaving: vm.Leaving, Pool: vm.Pool,
+			})
+		}
+	}
+	return reply
+}
+
+func fromProto(m *pb.VMListReply) []store.VM {
+	out := make([]store.VM, len(m.Vms))
+	for i, vm := range m.Vms {
+		out[i] = store.VM{
+			ID: vm.Id, Address: vm.Address, Region: vm.Region, DataCentre: vm.DataCentre,
+			Kind: vm.Kind, Leaving: vm.Leaving, Pool: vm.Pool,
+		}
+	}
+	return out
+}
+
+// SeededLister reads the platform's list and, until that has succeeded once,
+// asks peers for theirs: a VM that starts while the platform is down finds the others.
+type SeededLister struct {
+	Platform store.VMLister
+	Client   *peer.Client
+	// Seeds are peer addresses.
+	Seeds []string
+	read  bool
+}
+
+// ListVMs implements store.VMLister. It is for one caller at a time.
+func (l *SeededLister) ListVMs(ctx context.Context) ([]store.VM, error) {
+	platformContext, cancel := context.WithTimeout(ctx, readTimeout/2)
+	defer cancel()
+	vms, err := l.Platform.ListVMs(platformContext)
+	if err == nil {
+		l.read = true
+		return vms, nil
+	}
+	if l.read {
+		return nil, err
+	}
+	for _, seed := range l.Seeds {
+		m, callErr := l.Client.Call(ctx, seed, &pb.Envelope{Body: &pb.Envelope_VmListRequest{VmListRequest: &pb.VMListRequest{}}})
+		if callErr == nil && len(m.GetVmListReply().GetVms()) > 0 {
+			return fromProto(m.GetVmListReply()), nil
+		}
+	}
+	return nil, errors.Wrap(err, "no seed has a VM list either")
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
 )
 
@@ -21,6 +22,8 @@
 	Self string
 	// Members returns the VMs of the system.
 	Members func() []Member
+	// OnBundle, if set, decides whether a received bundle may enter the hub.
+	OnBundle func(*pb.Bundle) error
 	// Sources returns the names of VMs that may publish views; nil means all.
 	Sources func() []string
 
@@ -46,6 +49,51 @@
 	}
 }
 
+// Root reports whether this VM is a root of its data centre's tree.
+func (t *Tree) Root() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.place.Root
+}
+
+// RunWhileRoot runs f while this VM is a root, until the context ends.
+func (t *Tree) RunWhileRoot(ctx context.Context, f func(context.Context) error) error {
+	for ctx.Err() == nil {
+		if t.Root() {
+			if err := t.runUntilDemoted(ctx, f); err != nil {
+				return err
+			}
+		}
+		sleep(ctx, replanInterval)
+	}
+	return nil
+}
+
+func (t *Tree) runUntilDemoted(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- f(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-time.After(replanInterval):
+		}
+		if !t.Root() {
+			cancel()
+			return <-done
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // replan starts and stops followers to match the present members.
 func (t *Tree) replan(ctx context.Context, wg *sync.WaitGroup) {
 	members := t.Members()
@@ -66,7 +114,7 @@
 		}
 		followContext, cancel := context.WithCancel(ctx)
 		t.running[key] = cancel
-		f := &Follower{Hub: t.Hub, Client: t.Client, Upstream: upstream}
+		f := &Follower{Hub: t.Hub, Client: t.Client, Upstream: upstream, OnBundle: t.OnBundle}
 		wg.Go(func() { f.Run(followContext) })
 	}
 }
