--- a/claim/claim.go
+++ b/claim/claim.go
@@ -123,6 +123,26 @@
 	Abandoned
 )
 
+// String returns the kind in the form used by metrics.
+func (k Kind) String() string {
+	switch k {
+	case Run:
+		return "run"
+	case Replay:
+		return "replay"
+	case InDoubt:
+		return "in-doubt"
+	case InProgress:
+		return "in-progress"
+	case Mismatch:
+		return "mismatch"
+	case Abandoned:
+		return "abandoned"
+	default:
+		return "none"
+	}
+}
+
 // Decision is the answer to a Claim.
 type Decision struct {
 	Kind Kind
--- /dev/null
+++ b/claim/layout.go
@@ -0,0 +1,83 @@
+package claim
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/result"
+	"github.com/basiltally/basiltally/store"
+)
+
+// layoutGuard holds the settings against the layout of the logs in the store.
+// Another number of partitions would look for a key in another log and let a
+// resend run again, so a VM whose settings differ refuses all claims.
+type layoutGuard struct {
+	opts *Options
+	// turn holds a token while a check is running; it protects checked.
+	turn    chan struct{}
+	checked bool
+}
+
+func newLayoutGuard(opts *Options) *layoutGuard {
+	return &layoutGuard{opts: opts, turn: make(chan struct{}, 1)}
+}
+
+// check reads the layout once, and writes it if this deployment has none.
+func (g *layoutGuard) check(ctx context.Context) error {
+	select {
+	case g.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-g.turn }()
+	if g.checked {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.opts.WriteTimeout)
+	defer cancel()
+	object, err := g.opts.Store.Get(ctx, layoutKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return g.create(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	return g.compare(object.Value)
+}
+
+func (g *layoutGuard) create(ctx context.Context) error {
+	value := encode(&pb.ClaimLayout{
+		Partitions: uint32(g.opts.Partitions),
+		RingSlots:  uint32(g.opts.RingSlots),
+	})
+	_, err := g.opts.Store.Put(ctx, layoutKey, value, 0)
+	if err == nil {
+		g.checked = true
+		return nil
+	}
+	if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
+		return err
+	}
+	object, err := g.opts.Store.Get(ctx, layoutKey)
+	if err != nil {
+		return err
+	}
+	return g.compare(object.Value)
+}
+
+func (g *layoutGuard) compare(value []byte) error {
+	var found pb.ClaimLayout
+	if err := proto.Unmarshal(value, &found); err != nil {
+		return errors.Wrap(err, "claim layout")
+	}
+	if int(found.Partitions) != g.opts.Partitions || int(found.RingSlots) != g.opts.RingSlots {
+		return result.New(result.InvalidSettings,
+			"the claim logs have %d partitions and %d ring slots, the settings say %d and %d",
+			found.Partitions, found.RingSlots, g.opts.Partitions, g.opts.RingSlots)
+	}
+	g.checked = true
+	return nil
+}
--- /dev/null
+++ b/claim/partition.go
@@ -0,0 +1,276 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/result"
+)
+
+// maxRounds bounds how often one set of operations is planned again after conflicts.
+const maxRounds = 16
+
+// reply answers an operation.
+type reply struct {
+	kind   Kind
+	answer *pb.ClaimAnswer
+	err    *refusal
+}
+
+// refusal is an operation that was not confirmed.
+type refusal struct {
+	code   result.Code
+	detail string
+	cause  error
+	// maybeDurable is set if the operation may be in the log all the same.
+	maybeDurable bool
+}
+
+// pendingOp is an operation that waits for its reply.
+type pendingOp struct {
+	ctx   context.Context
+	op    *pb.ClaimOp
+	reply chan reply
+	// written is set once the operation was part of a write that may have taken effect.
+	written bool
+}
+
+func (o *pendingOp) finish(r reply) {
+	if r.err != nil {
+		r.err.maybeDurable = o.written
+	}
+	o.reply <- r
+}
+
+// partition queues the operations of one partition and appends them in batches.
+type partition struct {
+	opts    *Options
+	metrics *Metrics
+	log     *partitionLog
+	limiter *rate.Limiter
+
+	mu     sync.Mutex
+	queue  []*pendingOp
+	closed bool
+	// wake holds a token while urgent operations wait.
+	wake chan struct{}
+}
+
+func newPartition(index int, opts *Options, layout *layoutGuard, m *Metrics) *partition {
+	return &partition{
+		opts:    opts,
+		metrics: m,
+		log:     newPartitionLog(index, opts, layout, m),
+		limiter: rate.NewLimiter(rate.Every(opts.AppendInterval), 1),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// do queues an operation and waits for its reply.
+func (p *partition) do(ctx context.Context, op *pb.ClaimOp) reply {
+	o := &pendingOp{ctx: ctx, op: op, reply: make(chan reply, 1)}
+	if r := p.enqueue(o); r != nil {
+		return reply{err: r}
+	}
+	select {
+	case r := <-o.reply:
+		return r
+	case <-ctx.Done():
+		return reply{err: &refusal{
+			code: result.ClaimStoreDown, detail: "not durable in time",
+			cause: ctx.Err(), maybeDurable: true,
+		}}
+	}
+}
+
+func (p *partition) enqueue(o *pendingOp) *refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return &refusal{code: result.EntryDraining, detail: "the claim service is stopping"}
+	}
+	if len(p.queue) >= p.opts.MaxQueue {
+		return &refusal{code: result.ClaimStoreDown, detail: "the queue of claims is full"}
+	}
+	p.queue = append(p.queue, o)
+	if urgent(o.op) {
+		p.signal()
+		return nil
+	}
+	time.AfterFunc(p.opts.FinishDelay, p.signal)
+	return nil
+}
+
+// urgent tells whether a caller waits for the operation. Outcomes may wait for
+// claims with which they share a write.
+func urgent(op *pb.ClaimOp) bool {
+	return op.Kind == pb.ClaimOpKind_CLAIM_OP_KIND_CLAIM || op.Kind == pb.ClaimOpKind_CLAIM_OP_KIND_RELEASE
+}
+
+func (p *partition) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *partition) take() []*pendingOp {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ops := p.queue
+	p.queue = nil
+	return ops
+}
+
+// run appends queued operations until ctx ends, then appends the rest once.
+func (p *partition) run(ctx context.Context) {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(p.opts.DrainTimeout, cancel) })
+	defer stop()
+	for p.wait(ctx) {
+		p.process(work, p.take())
+		p.log.deleteTrimmed(work)
+	}
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.process(work, p.take())
+}
+
+// wait blocks until operations are queued and the interval between appends has passed.
+func (p *partition) wait(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-p.wake:
+		return p.limiter.Wait(ctx) == nil
+	}
+}
+
+// process answers all operations, with one write for as many as a batch holds.
+func (p *partition) process(ctx context.Context, ops []*pendingOp) {
+	if ops = dropEnded(ops); len(ops) == 0 {
+		return
+	}
+	if err := p.log.load(ctx); err != nil {
+		refuse(ops, err)
+		return
+	}
+	fresh := false
+	for range maxRounds {
+		ops = dropEnded(ops)
+		batch := p.log.newBatch()
+		plan := p.plan(ops, batch, fresh)
+		if len(plan.rest) == 0 {
+			return
+		}
+		ops = plan.rest
+		var err error
+		switch {
+		case len(batch.Ops) > 0:
+			err = p.log.append(ctx, batch)
+			if errors.Is(err, errUncertain) {
+				markWritten(plan.writes)
+			}
+		case !fresh:
+			err = p.log.sync(ctx)
+		}
+		if err != nil && !errors.Is(err, errConflict) {
+			p.giveUp(ops, err)
+			return
+		}
+		// A batch that was just appended follows all earlier ones.
+		fresh = err == nil
+	}
+	refuse(ops, errors.New("too many conflicts"))
+}
+
+// plan is the division of operations into those that go into a batch and the rest, which includes them.
+type plan struct{ writes, rest []*pendingOp }
+
+// plan answers what the log already decides and puts into the batch what it does not.
+func (p *partition) plan(ops []*pendingOp, batch *pb.ClaimBatch, fresh bool) plan {
+	var out plan
+	size := 0
+	for _, o := range ops {
+		r, v := p.decide(o.op, batch)
+		if v == verdictFinal || v == verdictProvisional && fresh {
+			o.finish(r)
+			continue
+		}
+		out.rest = append(out.rest, o)
+		if v != verdictWrite {
+			continue
+		}
+		n := proto.Size(o.op)
+		if size+n > maxBatchBytes || len(batch.Ops) >= p.opts.MaxBatch {
+			continue
+		}
+		size += n
+		batch.Ops = append(batch.Ops, o.op)
+		out.writes = append(out.writes, o)
+	}
+	return out
+}
+
+// decide consults the state of the log as it is before the batch.
+func (p *partition) decide(op *pb.ClaimOp, batch *pb.ClaimBatch) (reply, verdict) {
+	state := p.log.state
+	if op.Kind == pb.ClaimOpKind_CLAIM_OP_KIND_CLAIM {
+		kind, answer, v := state.decideClaim(op, p.opts.nowMS(), batch.HorizonMs)
+		return reply{kind: kind, answer: answer}, v
+	}
+	ok, v := state.decideUpdate(op, batch.HorizonMs)
+	if ok {
+		return reply{}, v
+	}
+	return reply{err: &refusal{code: result.Internal, detail: "the attempt holds no claim"}}, v
+}
+
+// giveUp answers after the log could not be read or written: what is known of
+// earlier claims is told, the rest is refused.
+func (p *partition) giveUp(ops []*pendingOp, cause error) {
+	batch := p.log.newBatch()
+	var rest []*pendingOp
+	for _, o := range ops {
+		r, v := p.decide(o.op, batch)
+		if v == verdictProvisional && r.kind != 0 {
+			o.finish(r)
+			continue
+		}
+		rest = append(rest, o)
+	}
+	refuse(rest, cause)
+}
+
+func refuse(ops []*pendingOp, cause error) {
+	for _, o := range ops {
+		o.finish(reply{err: &refusal{code: result.ClaimStoreDown, detail: "the claim log", cause: cause}})
+	}
+}
+
+func markWritten(ops []*pendingOp) {
+	for _, o := range ops {
+		o.written = true
+	}
+}
+
+// dropEnded leaves out claims whose callers have gone, before they are written.
+func dropEnded(ops []*pendingOp) []*pendingOp {
+	live := ops[:0]
+	for _, o := range ops {
+		if o.ctx.Err() != nil {
+			o.finish(reply{err: &refusal{code: result.ClaimStoreDown, cause: o.ctx.Err()}})
+			continue
+		}
+		live = append(live, o)
+	}
+	return live
+}
--- /dev/null
+++ b/claim/router.go
@@ -0,0 +1,235 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/result"
+)
+
+// Limits of a Router.
+const (
+	// remoteTries is the number of other VMs asked before the local Service.
+	remoteTries = 2
+	// maxAbandoned bounds the refused claims that wait for their release.
+	maxAbandoned = 4096
+	// abandonWorkers is the number of releases at once.
+	abandonWorkers = 8
+	// abandonTimeout bounds one attempt to release a refused claim.
+	abandonTimeout = 5 * time.Second
+	// Delays between repeated updates of one claim.
+	minUpdateDelay = 50 * time.Millisecond
+	maxUpdateDelay = 2 * time.Second
+)
+
+// Router is an entry's Claimer: it sends each operation to the VM preferred for
+// its partition, then to the next one, and falls back to the local Service.
+//
+// All of them are given the same Attempt. If the answer of one is lost after it
+// made the claim, the next finds the claim under the same Attempt and decides
+// Run again; the entry, which alone knows the Attempt, dispatches once.
+type Router struct {
+	opts       Options
+	local      *Service
+	peers      Peers
+	membership Membership
+	metrics    *Metrics
+	abandoned  chan Ref
+
+	mu       sync.Mutex
+	suspects map[ownership.VMID]time.Time
+}
+
+// NewRouter returns a Router in front of the local Service.
+func NewRouter(local *Service, peers Peers, membership Membership) *Router {
+	return &Router{
+		opts:       local.opts,
+		local:      local,
+		peers:      peers,
+		membership: membership,
+		metrics:    local.metrics,
+		abandoned:  make(chan Ref, maxAbandoned),
+		suspects:   make(map[ownership.VMID]time.Time),
+	}
+}
+
+// Claim implements Claimer. A refusal whose claim may be durable all the same is
+// released in the background, so that a resend can run.
+func (r *Router) Claim(ctx context.Context, req Request) (Decision, error) {
+	start := time.Now()
+	c, err := r.opts.newClaim(req)
+	if err != nil {
+		return Decision{}, err
+	}
+	answer := r.send(ctx, c.op)
+	if answer.err == nil && ctx.Err() != nil && answer.kind == Run {
+		answer = reply{err: &refusal{code: result.DeadlineTooShort, detail: "claimed too late", maybeDurable: true}}
+	}
+	r.observe(req, answer, start)
+	if answer.err == nil {
+		return c.decision(answer), nil
+	}
+	if answer.err.maybeDurable {
+		r.abandon(c.ref)
+	}
+	return Decision{}, answer.err.asError()
+}
+
+func (r *Router) observe(req Request, answer reply, start time.Time) {
+	decision := "refused"
+	if answer.err == nil {
+		decision = answer.kind.String()
+	}
+	r.metrics.claims.WithLabelValues(req.Tenant, req.Class, decision).Observe(time.Since(start).Seconds())
+}
+
+// Finish implements Claimer. It repeats the update until ctx ends.
+func (r *Router) Finish(ctx context.Context, ref Ref, outcome Outcome) error {
+	return r.update(ctx, r.opts.finishOp(ref, outcome))
+}
+
+// Release implements Claimer. It repeats the update until ctx ends, and goes on
+// in the background after that.
+func (r *Router) Release(ctx context.Context, ref Ref) error {
+	err := r.update(ctx, releaseOp(ref))
+	if err != nil {
+		r.abandon(ref)
+	}
+	return err
+}
+
+// update sends the operation until it is confirmed or refused for good.
+func (r *Router) update(ctx context.Context, op *pb.ClaimOp) error {
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval = minUpdateDelay
+	delay.MaxInterval = maxUpdateDelay
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		answer := r.send(ctx, op)
+		switch {
+		case answer.err == nil:
+			return struct{}{}, nil
+		case answer.err.code == result.Internal || answer.err.code == result.BadRequest:
+			return struct{}{}, backoff.Permanent(answer.err.asError())
+		default:
+			return struct{}{}, answer.err.asError()
+		}
+	}, backoff.WithBackOff(delay), backoff.WithMaxElapsedTime(0))
+	return err
+}
+
+// Run releases refused claims that may be durable, until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for range abandonWorkers {
+		wg.Go(func() { r.runReleases(ctx) })
+	}
+	wg.Wait()
+	return nil
+}
+
+func (r *Router) runReleases(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ref := <-r.abandoned:
+			r.metrics.abandoned.Set(float64(len(r.abandoned)))
+			r.releaseAbandoned(ctx, ref)
+		}
+	}
+}
+
+// releaseAbandoned releases one claim, and queues it again if the store is down.
+func (r *Router) releaseAbandoned(ctx context.Context, ref Ref) {
+	attempt, cancel := context.WithTimeout(ctx, abandonTimeout)
+	defer cancel()
+	err := r.update(attempt, releaseOp(ref))
+	if err != nil && ctx.Err() == nil && attempt.Err() != nil {
+		r.abandon(ref)
+	}
+}
+
+// abandon queues the release of the claim; a full queue leaves the key in doubt.
+func (r *Router) abandon(ref Ref) {
+	select {
+	case r.abandoned <- ref:
+	default:
+	}
+	r.metrics.abandoned.Set(float64(len(r.abandoned)))
+}
+
+// send gives the operation to the preferred VMs in turn and to the local
+// Service last, until one of them answers it.
+func (r *Router) send(ctx context.Context, op *pb.ClaimOp) reply {
+	partition := r.opts.partitionOf(ID(op.Id))
+	call := &pb.ClaimCall{Partition: uint32(partition), Op: op}
+	maybeDurable := false
+	for _, vm := range r.route(partition) {
+		answer, err := r.call(ctx, vm, call)
+		if err == nil && answer.err == nil {
+			return answer
+		}
+		maybeDurable = maybeDurable || err != nil || answer.err.maybeDurable
+	}
+	r.metrics.calls.WithLabelValues("local").Inc()
+	answer := r.local.do(ctx, op)
+	if answer.err != nil && maybeDurable {
+		answer.err.maybeDurable = true
+	}
+	return answer
+}
+
+// route returns the VMs to call before the local Service.
+func (r *Router) route(partition int) []ownership.VMID {
+	var route []ownership.VMID
+	for _, vm := range rank(partition, r.membership.LiveVMs()) {
+		if vm == r.opts.Self || len(route) == remoteTries {
+			break
+		}
+		if !r.suspected(vm) {
+			route = append(route, vm)
+		}
+	}
+	return route
+}
+
+func (r *Router) call(ctx context.Context, vm ownership.VMID, call *pb.ClaimCall) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
+	defer cancel()
+	m, err := r.peers.Call(ctx, vm, call)
+	if err != nil {
+		r.suspect(vm)
+		r.metrics.calls.WithLabelValues("failed").Inc()
+		return reply{}, errors.Wrapf(err, "claim: call of VM %s", vm)
+	}
+	answer := fromMessage(m)
+	if answer.err != nil {
+		r.metrics.calls.WithLabelValues("refused").Inc()
+		return answer, nil
+	}
+	r.metrics.calls.WithLabelValues("ok").Inc()
+	return answer, nil
+}
+
+func (r *Router) suspect(vm ownership.VMID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspects[vm] = time.Now().Add(r.opts.SuspectTime)
+}
+
+func (r *Router) suspected(vm ownership.VMID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.suspects[vm]
+	if ok && !time.Now().Before(until) {
+		delete(r.suspects, vm)
+		return false
+	}
+	return ok
+}
--- /dev/null
+++ b/claim/service.go
@@ -0,0 +1,178 @@
+package claim
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/result"
+)
+
+// retryAfter is the advice to callers whose claim could not be made durable.
+const retryAfter = time.Second
+
+// Service decides claims by the logs in the store, for this VM and for others
+// that call it. Any number of Services may work on a partition at once.
+type Service struct {
+	opts       Options
+	metrics    *Metrics
+	partitions []*partition
+}
+
+// NewService returns a Service, which works while Run does.
+func NewService(opts Options, m *Metrics) (*Service, error) {
+	opts = opts.withDefaults()
+	if err := opts.check(); err != nil {
+		return nil, err
+	}
+	s := &Service{opts: opts, metrics: m}
+	layout := newLayoutGuard(&s.opts)
+	for i := range opts.Partitions {
+		s.partitions = append(s.partitions, newPartition(i, &s.opts, layout, m))
+	}
+	return s, nil
+}
+
+// Run appends operations until ctx ends, then those that are queued, and returns.
+func (s *Service) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for _, p := range s.partitions {
+		wg.Go(func() { p.run(ctx) })
+	}
+	wg.Wait()
+	return nil
+}
+
+// Claim implements Claimer on the local state and the store.
+func (s *Service) Claim(ctx context.Context, req Request) (Decision, error) {
+	c, err := s.opts.newClaim(req)
+	if err != nil {
+		return Decision{}, err
+	}
+	r := s.do(ctx, c.op)
+	if r.err != nil {
+		return Decision{}, r.err.asError()
+	}
+	return c.decision(r), nil
+}
+
+// Finish implements Claimer.
+func (s *Service) Finish(ctx context.Context, ref Ref, outcome Outcome) error {
+	return s.update(ctx, s.opts.finishOp(ref, outcome))
+}
+
+// Release implements Claimer.
+func (s *Service) Release(ctx context.Context, ref Ref) error {
+	return s.update(ctx, releaseOp(ref))
+}
+
+func (s *Service) update(ctx context.Context, op *pb.ClaimOp) error {
+	if r := s.do(ctx, op); r.err != nil {
+		return r.err.asError()
+	}
+	return nil
+}
+
+// Serve answers a call of another VM.
+func (s *Service) Serve(ctx context.Context, call *pb.ClaimCall) *pb.ClaimReply {
+	op := call.GetOp()
+	if op == nil || checkOp(op) != nil || call.Partition != uint32(s.opts.partitionOf(ID(op.Id))) {
+		return &pb.ClaimReply{Code: uint32(result.BadRequest), Detail: "malformed claim call"}
+	}
+	return s.do(ctx, op).message()
+}
+
+func (s *Service) do(ctx context.Context, op *pb.ClaimOp) reply {
+	return s.partitions[s.opts.partitionOf(ID(op.Id))].do(ctx, op)
+}
+
+// partitionOf returns the partition of the key.
+func (o *Options) partitionOf(id ID) int {
+	return int(binary.LittleEndian.Uint64(id[:8]) % uint64(o.Partitions))
+}
+
+// newClaim is a claim on its way to a decision.
+type newClaim struct {
+	op  *pb.ClaimOp
+	ref Ref
+}
+
+func (o *Options) newClaim(req Request) (*newClaim, error) {
+	dispatchBy, err := o.dispatchBy(time.Now(), req.Run)
+	if err != nil {
+		return nil, err
+	}
+	if req.Attempt == (Attempt{}) {
+		req.Attempt = NewAttempt()
+	}
+	id := req.ID()
+	return &newClaim{
+		op: &pb.ClaimOp{
+			Kind:        pb.ClaimOpKind_CLAIM_OP_KIND_CLAIM,
+			Id:          id[:],
+			Attempt:     req.Attempt[:],
+			Fingerprint: req.Fingerprint[:],
+			RunMs:       uint32(req.Run.Milliseconds()),
+		},
+		ref: Ref{ID: id, Attempt: req.Attempt, DispatchBy: dispatchBy},
+	}, nil
+}
+
+func (c *newClaim) decision(r reply) Decision {
+	d := Decision{Kind: r.kind}
+	switch r.kind {
+	case Run:
+		d.Ref = c.ref
+	case Replay:
+		d.Answer = fromAnswer(r.answer)
+	}
+	return d
+}
+
+func (o *Options) finishOp(ref Ref, outcome Outcome) *pb.ClaimOp {
+	op := &pb.ClaimOp{Kind: pb.ClaimOpKind_CLAIM_OP_KIND_DOUBT, Id: ref.ID[:], Attempt: ref.Attempt[:]}
+	if !outcome.Unknown {
+		op.Kind = pb.ClaimOpKind_CLAIM_OP_KIND_FINISH
+		op.Answer = toAnswer(outcome, o.MaxBody)
+	}
+	return op
+}
+
+func releaseOp(ref Ref) *pb.ClaimOp {
+	return &pb.ClaimOp{Kind: pb.ClaimOpKind_CLAIM_OP_KIND_RELEASE, Id: ref.ID[:], Attempt: ref.Attempt[:]}
+}
+
+func (r *refusal) asError() error {
+	return &result.Error{Code: r.code, Detail: r.detail, Cause: r.cause, RetryAfter: retryAfter}
+}
+
+// message converts the reply for a caller on another VM.
+func (r reply) message() *pb.ClaimReply {
+	if r.err == nil {
+		return &pb.ClaimReply{Decision: pb.ClaimDecisionKind(r.kind), Answer: r.answer}
+	}
+	detail := r.err.detail
+	if r.err.cause != nil {
+		detail += ": " + r.err.cause.Error()
+	}
+	return &pb.ClaimReply{
+		Code:         uint32(r.err.code),
+		Detail:       detail,
+		MaybeDurable: r.err.maybeDurable,
+		RetryAfterMs: uint32(retryAfter.Milliseconds()),
+	}
+}
+
+// fromMessage converts the reply of another VM.
+func fromMessage(m *pb.ClaimReply) reply {
+	if m.GetCode() == 0 {
+		return reply{kind: Kind(m.GetDecision()), answer: m.GetAnswer()}
+	}
+	return reply{err: &refusal{
+		code:         result.Code(m.GetCode()),
+		detail:       m.GetDetail(),
+		maybeDurable: m.GetMaybeDurable(),
+	}}
+}
