--- a/claim/partition.go
+++ b/claim/partition.go
@@ -21,6 +21,9 @@
 	kind   Kind
 	answer *pb.ClaimAnswer
 	err    *refusal
+	// maybeDurable is set if the operation may be in the log, now or later,
+	// although the reply does not say so.
+	maybeDurable bool
 }
 
 // refusal is an operation that was not confirmed.
@@ -28,8 +31,6 @@
 	code   result.Code
 	detail string
 	cause  error
-	// maybeDurable is set if the operation may be in the log all the same.
-	maybeDurable bool
 }
 
 // pendingOp is an operation that waits for its reply.
@@ -42,9 +43,7 @@
 }
 
 func (o *pendingOp) finish(r reply) {
-	if r.err != nil {
-		r.err.maybeDurable = o.written
-	}
+	r.maybeDurable = o.written
 	o.reply <- r
 }
 
@@ -82,10 +81,8 @@
 	case r := <-o.reply:
 		return r
 	case <-ctx.Done():
-		return reply{err: &refusal{
-			code: result.ClaimStoreDown, detail: "not durable in time",
-			cause: ctx.Err(), maybeDurable: true,
-		}}
+		cause := &refusal{code: result.ClaimStoreDown, detail: "not durable in time", cause: ctx.Err()}
+		return reply{err: cause, maybeDurable: true}
 	}
 }
 
--- a/claim/router.go
+++ b/claim/router.go
@@ -59,8 +59,9 @@
 	}
 }
 
-// Claim implements Claimer. A refusal whose claim may be durable all the same is
-// released in the background, so that a resend can run.
+// Claim implements Claimer. A claim that may be durable, or become so on a VM
+// whose answer was lost, although the decision is not Run, is released in the
+// background, so that a resend can run.
 func (r *Router) Claim(ctx context.Context, req Request) (Decision, error) {
 	start := time.Now()
 	c, err := r.opts.newClaim(req)
@@ -69,16 +70,16 @@
 	}
 	answer := r.send(ctx, c.op)
 	if answer.err == nil && ctx.Err() != nil && answer.kind == Run {
-		answer = reply{err: &refusal{code: result.DeadlineTooShort, detail: "claimed too late", maybeDurable: true}}
+		answer = reply{err: &refusal{code: result.DeadlineTooShort, detail: "claimed too late"}, maybeDurable: true}
 	}
 	r.observe(req, answer, start)
-	if answer.err == nil {
-		return c.decision(answer), nil
-	}
-	if answer.err.maybeDurable {
+	if answer.kind != Run && answer.kind != Replay && answer.maybeDurable {
 		r.abandon(c.ref)
 	}
-	return Decision{}, answer.err.asError()
+	if answer.err != nil {
+		return Decision{}, answer.err.asError()
+	}
+	return c.decision(answer), nil
 }
 
 func (r *Router) observe(req Request, answer reply, start time.Time) {
@@ -172,16 +173,15 @@
 	maybeDurable := false
 	for _, vm := range r.route(partition) {
 		answer, err := r.call(ctx, vm, call)
+		maybeDurable = maybeDurable || err != nil || answer.maybeDurable
 		if err == nil && answer.err == nil {
+			answer.maybeDurable = maybeDurable
 			return answer
 		}
-		maybeDurable = maybeDurable || err != nil || answer.err.maybeDurable
 	}
 	r.metrics.calls.WithLabelValues("local").Inc()
 	answer := r.local.do(ctx, op)
-	if answer.err != nil && maybeDurable {
-		answer.err.maybeDurable = true
-	}
+	answer.maybeDurable = answer.maybeDurable || maybeDurable
 	return answer
 }
 
--- a/claim/service.go
+++ b/claim/service.go
@@ -151,7 +151,7 @@
 // message converts the reply for a caller on another VM.
 func (r reply) message() *pb.ClaimReply {
 	if r.err == nil {
-		return &pb.ClaimReply{Decision: pb.ClaimDecisionKind(r.kind), Answer: r.answer}
+		return &pb.ClaimReply{Decision: pb.ClaimDecisionKind(r.kind), Answer: r.answer, MaybeDurable: r.maybeDurable}
 	}
 	detail := r.err.detail
 	if r.err.cause != nil {
@@ -160,19 +160,18 @@
 	return &pb.ClaimReply{
 		Code:         uint32(r.err.code),
 		Detail:       detail,
-		MaybeDurable: r.err.maybeDurable,
+		MaybeDurable: r.maybeDurable,
 		RetryAfterMs: uint32(retryAfter.Milliseconds()),
 	}
 }
 
 // fromMessage converts the reply of another VM.
 func fromMessage(m *pb.ClaimReply) reply {
+	r := reply{maybeDurable: m.GetMaybeDurable()}
 	if m.GetCode() == 0 {
-		return reply{kind: Kind(m.GetDecision()), answer: m.GetAnswer()}
+		r.kind, r.answer = Kind(m.GetDecision()), m.GetAnswer()
+		return r
 	}
-	return reply{err: &refusal{
-		code:         result.Code(m.GetCode()),
-		detail:       m.GetDetail(),
-		maybeDurable: m.GetMaybeDurable(),
-	}}
+	r.err = &refusal{code: result.Code(m.GetCode()), detail: m.GetDetail()}
+	return r
 }
