Claim idempotency keys end to end and restart on a used address

Cause: an entry that was restarted, or started after another one on the same port, failed with 'address already in use' whenever it had closed connections itself: the listener lacked SO_REUSEADDR, so connections in TIME_WAIT held the port. Ruled out: a second process on the port (ss showed no listener). Change: the event engine sets SO_REUSEADDR.

The claim service runs in the assign processes; entries reach it over the peer links and fall back to a service of their own.

--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -16,6 +16,7 @@
 	"github.com/basiltally/basiltally/assign"
 	"github.com/basiltally/basiltally/assigner"
 	"github.com/basiltally/basiltally/bundle"
+	"github.com/basiltally/basiltally/claim"
 	"github.com/basiltally/basiltally/membership"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
@@ -43,6 +44,7 @@
 	assigner *assigner.Assigner
 	objects  *objectapi.Client
 	bundles  *bundle.Holder
+	claims   *claim.Service
 	tree     *relay.Tree
 }
 
@@ -79,6 +81,10 @@
 		return nil, err
 	}
 	p.tree = p.newTree()
+	claimOptions := s.Claim.options(p.objects, s.Process.VM, p.registry, p.logger)
+	if p.claims, err = claim.NewService(claimOptions, claim.NewMetrics(p.registry)); err != nil {
+		return nil, err
+	}
 	p.assigner = assigner.New(assigner.Options{
 		Self: ownership.VMID(s.Process.VM), Incarnation: newIncarnation(), Core: coreOptions(&s.Assign),
 		GroupSlots: uint32(s.Assign.GroupSlots), Candidates: s.Assign.Candidates,
@@ -118,6 +124,7 @@
 	g.Go(func() error { return p.tree.RunWhileRoot(work, p.assigner.FollowRecords) })
 	g.Go(func() error { return p.tree.RunWhileRoot(work, p.followBundles) })
 	g.Go(func() error { return p.bundles.Run(work) })
+	g.Go(func() error { return p.claims.Run(work) })
 	g.Go(func() error { return onBundle(work, p.bundles, p.applyBundle) })
 	g.Go(func() error { return telemetry.Serve(work, p.telemetryOptions()) })
 	p.logger.Info("started", "peer_address", p.server.Addr())
@@ -215,9 +222,20 @@
 		}
 		return
 	}
+	if first.GetClaimCall() != nil {
+		p.serveClaims(ctx, s, first)
+		return
+	}
 	p.assigner.Serve(ctx, s, first)
 }
 
+func (p *assignProcess) serveClaims(ctx context.Context, s *peer.Stream, m *pb.Envelope) {
+	reply := p.claims.Serve(ctx, m.GetClaimCall())
+	if err := s.Send(&pb.Envelope{Body: &pb.Envelope_ClaimReply{ClaimReply: reply}}); err != nil {
+		p.logger.Debug("claim reply not sent", "peer", s.Remote.GetVm(), "error", err)
+	}
+}
+
 // newTree keeps the hub up to date from the VM's place in the relay tree.
 func (p *assignProcess) newTree() *relay.Tree {
 	return &relay.Tree{
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -11,8 +11,10 @@
 
 	"github.com/basiltally/basiltally/balance"
 	"github.com/basiltally/basiltally/bundle"
+	"github.com/basiltally/basiltally/claim"
 	"github.com/basiltally/basiltally/dispatch"
 	"github.com/basiltally/basiltally/frontend"
+	"github.com/basiltally/basiltally/membership"
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/pipeline"
 	"github.com/basiltally/basiltally/pipeline/account"
@@ -23,6 +25,7 @@
 	answers "github.com/basiltally/basiltally/pipeline/relay"
 	"github.com/basiltally/basiltally/pipeline/retry"
 	"github.com/basiltally/basiltally/relay"
+	"github.com/basiltally/basiltally/store/objectapi"
 	"github.com/basiltally/basiltally/telemetry"
 	"github.com/basiltally/basiltally/views"
 )
@@ -35,6 +38,9 @@
 	hub        *relay.Hub
 	views      *views.Holder
 	bundles    *bundle.Holder
+	members    *membership.List
+	claims     *claim.Service
+	claimer    *claim.Router
 	peers      *peer.Client
 	selector   *balance.Selector
 	dispatcher *dispatch.Dispatcher
@@ -74,6 +80,9 @@
 	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
 		return nil, err
 	}
+	if err := p.newClaims(); err != nil {
+		return nil, err
+	}
 	p.frontend = frontend.New(frontend.Options{
 		Address: s.Entry.Listen, Handler: p.handler(), HeaderBytes: s.Entry.MaxHeader,
 		HeaderTimeout: s.Entry.HeaderTimeout, HardLimit: s.Entry.DrainLimit,
@@ -81,6 +90,24 @@
 	return p, nil
 }
 
+// newClaims builds the router of claims. It asks the assign processes, which
+// batch the claims of many entries, and falls back to a service of its own.
+func (p *entryProcess) newClaims() error {
+	s := p.settings
+	objects := objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
+	lister := &membership.SeededLister{Platform: objects, Client: p.peers, Seeds: []string{s.Entry.AssignAddress}}
+	p.members = membership.New(membership.Options{Lister: lister, Registerer: p.registry})
+	metrics := claim.NewMetrics(p.registry)
+	var err error
+	// The router has no VM name of its own: also this VM's assign process is asked as a peer.
+	if p.claims, err = claim.NewService(s.Claim.options(objects, "", p.registry, p.logger), metrics); err != nil {
+		return err
+	}
+	peers := &claimPeers{client: p.peers, members: p.members}
+	p.claimer = claim.NewRouter(p.claims, peers, peers)
+	return nil
+}
+
 // handler chains the filters in the order in which a request passes them.
 func (p *entryProcess) handler() pipeline.Handler {
 	return pipeline.Chain(
@@ -89,7 +116,7 @@
 		answers.New(),
 		identify.New(identify.Options{Bundle: servingBundle(p.bundles)}),
 		p.admission.Filter(),
-		once.New(once.Options{}),
+		once.New(once.Options{Claimer: p.claimer}),
 		retry.New(retry.Options{Views: p.views}),
 		locate.New(locate.Options{Views: p.views, Picker: p.selector}),
 	)
@@ -103,6 +130,9 @@
 	g.Go(func() error { return p.applyUpdates(work) })
 	g.Go(func() error { return p.dispatcher.Run(work) })
 	g.Go(func() error { return p.bundles.Run(work) })
+	g.Go(func() error { return p.members.Run(work) })
+	g.Go(func() error { return p.claims.Run(work) })
+	g.Go(func() error { return p.claimer.Run(work) })
 	g.Go(func() error {
 		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
 	})
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -3,8 +3,14 @@
 package daemon
 
 import (
+	"log/slog"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/basiltally/basiltally/claim"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/store"
 	"github.com/basiltally/basiltally/telemetry"
 )
 
@@ -41,6 +47,21 @@
 	Candidates      int           `ini:"candidates" default:"3" unit:"VMs" range:"1..9" doc:"Candidate VMs of a group that is created by this process; odd."`
 }
 
+// Claim configures the claims of idempotency keys; the same on all VMs.
+type Claim struct {
+	Partitions     int           `ini:"partitions" default:"16" unit:"partitions" range:"1..65536" doc:"Logs over which claims are spread; fixed for the life of a deployment."`
+	Retention      time.Duration `ini:"retention" default:"1h" unit:"duration" range:"1m..720h" doc:"How long claims and recorded answers are kept; a resend after it is a new request."`
+	AppendInterval time.Duration `ini:"append_interval" default:"100ms" unit:"duration" range:"1ms..10s" doc:"Least time between two writes to a partition by one VM; claims that arrive meanwhile share a write."`
+	MaxBody        int           `ini:"max_body" default:"1024" unit:"bytes" range:"0..65536" doc:"Largest answer body that is kept for resends."`
+}
+
+func (c *Claim) options(s store.Store, vm string, r prometheus.Registerer, logger *slog.Logger) claim.Options {
+	return claim.Options{
+		Store: s, Self: ownership.VMID(vm), Partitions: c.Partitions, Retention: c.Retention,
+		AppendInterval: c.AppendInterval, MaxBody: c.MaxBody, Registerer: r, Logger: logger,
+	}
+}
+
 // BundleSource locates the configuration bundle and the keys that sign it.
 type BundleSource struct {
 	File         string   `ini:"file" default:"" doc:"Bundle document used until the store or a peer gives a newer one."`
@@ -57,6 +78,7 @@
 	Store     Store                 `ini:"store"`
 	Peer      Peer                  `ini:"peer"`
 	Assign    Assign                `ini:"assign"`
+	Claim     Claim                 `ini:"claim"`
 	Bundle    BundleSource          `ini:"bundle"`
 }
 
@@ -77,5 +99,6 @@
 	Store     Store                 `ini:"store"`
 	Peer      Peer                  `ini:"peer"`
 	Entry     Entry                 `ini:"entry"`
+	Claim     Claim                 `ini:"claim"`
 	Bundle    BundleSource          `ini:"bundle"`
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -140,6 +140,7 @@
 		gnet.WithMulticore(true),
 		gnet.WithNumEventLoop(f.opts.EventLoops),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithReuseAddr(true),
 		gnet.WithLogger(engineLogger{}),
 	)
 	return errors.Wrapf(err, "listen on %s", f.opts.Address)
