Measure the cost of each role and project it to the size to design for

Project works out the figures of each role and marks the limits met or missed, once with the mechanisms that exist and once with planned ones.

--- /dev/null
+++ b/capacity/size.go
@@ -0,0 +1,98 @@
+package capacity
+
+import (
+	"github.com/basiltally/basiltally/assign"
+	"github.com/basiltally/basiltally/relay"
+)
+
+const (
+	secondsPerDay = 86_400.0
+	megabyte      = 1e6
+	kilobyte      = 1e3
+)
+
+// Size is the size to design for.
+type Size struct {
+	Nodes, Regions, DataCentres int
+	Keys, RequestsPerSecond     float64
+	// HotKeys change once in HotKeyTurn seconds.
+	HotKeys, HotKeyTurn float64
+	// ChangesPerDay counts changes of configuration.
+	ChangesPerDay, FailuresPerDay, RestartsPerDay float64
+	// RackNodes is the number of nodes behind one rack or switch.
+	RackNodes int
+}
+
+// Limits bound what control may cost.
+type Limits struct {
+	// NodeCPU is a share of one core, NodeBytes a number, NodeBytesPerSecond a rate.
+	NodeCPU, NodeBytes, NodeBytesPerSecond float64
+	// WritesPerSecond and ReadsPerSecond bound the calls of the object API.
+	WritesPerSecond, ReadsPerSecond float64
+}
+
+// Design is how the system is laid out at a size.
+type Design struct {
+	// Targets is the number of targets over all pools.
+	Targets, TargetsPerGroup, SlotsPerGroup int
+	// Candidates is the number of candidate VMs of a group.
+	Candidates int
+	// HeartbeatsPerSecond is the rate of renewals and of support requests.
+	HeartbeatsPerSecond float64
+	// FanOut and RootsPerDataCentre shape the relay tree.
+	FanOut, RootsPerDataCentre int
+	// Classes is the number of classes in the bundle.
+	Classes int
+	// ReplacedShare is the share of restarted targets that return under another name.
+	ReplacedShare float64
+	// TargetConnections is the number of connections that a target accepts.
+	TargetConnections int
+	// ListReadsPerSecond is the rate at which all VMs together read the VM list.
+	ListReadsPerSecond float64
+	// Planned mechanisms that are not built.
+	Planned Planned
+}
+
+// Planned selects mechanisms that are not built; the projection shows what each
+// would change.
+type Planned struct {
+	// RootsOnly lets only relay roots watch the store and read the VM list, and
+	// lets them follow only VMs that assign a group.
+	RootsOnly bool
+	// SmallDeltas sends changes of pins, targets and the bundle as deltas.
+	SmallDeltas bool
+}
+
+// DefaultSize returns the size to design for.
+func DefaultSize() Size {
+	return Size{
+		Nodes: 19_000, Regions: 5, DataCentres: 15,
+		Keys: 23e9, RequestsPerSecond: 140e6, HotKeys: 880, HotKeyTurn: 300,
+		ChangesPerDay: 70_000, FailuresPerDay: 61, RestartsPerDay: 6_200, RackNodes: 40,
+	}
+}
+
+// DefaultLimits returns the limits at the size to design for.
+func DefaultLimits() Limits {
+	return Limits{
+		NodeCPU: 0.015, NodeBytes: 64 * megabyte, NodeBytesPerSecond: 3 * kilobyte,
+		WritesPerSecond: 300, ReadsPerSecond: 2_000,
+	}
+}
+
+// BuiltDesign returns the layout with the mechanisms that exist.
+func BuiltDesign() Design {
+	return Design{
+		Targets: 70_000, TargetsPerGroup: 100, SlotsPerGroup: 1024, Candidates: 5,
+		HeartbeatsPerSecond: 1 / assign.DefaultHeartbeat.Seconds(),
+		FanOut:              relay.FanOut, RootsPerDataCentre: relay.RootsPerDataCentre,
+		Classes: 1000, ReplacedShare: 0.5, TargetConnections: 110, ListReadsPerSecond: 200,
+	}
+}
+
+// PlannedDesign returns the layout with the planned mechanisms.
+func PlannedDesign() Design {
+	d := BuiltDesign()
+	d.Planned = Planned{RootsOnly: true, SmallDeltas: true}
+	return d
+}
--- /dev/null
+++ b/capacity/spread.go
@@ -0,0 +1,133 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/relay"
+)
+
+// SweepSubscribers measures a relay and its subscribers over loopback.
+const SweepSubscribers = "subscribers"
+
+// Series of SweepSubscribers.
+const (
+	UpdateCPU       = "CPU per update, all ends"
+	UpdateBytes     = "bytes per update"
+	IdleBytes       = "bytes per second without updates"
+	SubscriberHeap  = "memory of both ends"
+	fanOutUpdates   = 200
+	updateTimeout   = 30 * time.Second
+	idleMeasureTime = 3 * time.Second
+)
+
+// fanOut is one relay with its subscribers, each over a connection of its own.
+type fanOut struct {
+	hub      *relay.Hub
+	hubs     []*relay.Hub
+	clients  []*peer.Client
+	bytes    atomic.Int64
+	cancel   context.CancelFunc
+	finished sync.WaitGroup
+}
+
+func newFanOut(subscribers int) (*fanOut, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fanOut{hub: relay.NewHub(), cancel: cancel}
+	server, err := peer.Listen(peer.ServerOptions{Address: "127.0.0.1:0", Handler: f.serve})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	f.finished.Go(func() { _ = server.Run(ctx) })
+	upstream := func() []string { return []string{server.Addr()} }
+	for i := range subscribers {
+		client := peer.NewClient(peer.ClientOptions{VM: fmt.Sprintf("vm-%05d", i), Role: "assign", Dial: f.dial})
+		follower := &relay.Follower{Hub: relay.NewHub(), Client: client, Upstream: upstream}
+		f.hubs = append(f.hubs, follower.Hub)
+		f.clients = append(f.clients, client)
+		f.finished.Go(func() { _ = follower.Run(ctx) })
+	}
+	return f, nil
+}
+
+func (f *fanOut) serve(ctx context.Context, s *peer.Stream) {
+	first, err := s.Recv()
+	if err != nil || first.GetSubscribe() == nil {
+		return
+	}
+	_ = f.hub.Serve(ctx, s, first.GetSubscribe())
+}
+
+func (f *fanOut) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: &f.bytes}, nil
+}
+
+func (f *fanOut) close() {
+	f.cancel()
+	for _, c := range f.clients {
+		c.Close()
+	}
+	f.finished.Wait()
+}
+
+// publish spreads a view and waits until each subscriber holds it.
+func (f *fanOut) publish(v *ownership.View) error {
+	f.hub.PublishView(v)
+	end := time.Now().Add(updateTimeout)
+	for !f.everywhere(v) {
+		if time.Now().After(end) {
+			return errors.New("a subscriber did not receive a view")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+func (f *fanOut) everywhere(v *ownership.View) bool {
+	return !slices.ContainsFunc(f.hubs, func(h *relay.Hub) bool {
+		held := h.View(v.Group)
+		return held == nil || held.Version() != v.Version()
+	})
+}
+
+func measureSubscribers(s *Sweep, subscribers int, _ time.Duration) error {
+	before := liveMemory()
+	f, err := newFanOut(subscribers)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	v := makeView("group-0001", viewTargets, viewSlots)
+	if err := f.publish(v); err != nil {
+		return err
+	}
+	x := float64(subscribers)
+	s.add(SubscriberHeap, "B", x, float64(liveMemory())-float64(before))
+	startCPU, startBytes := cpuTime(), f.bytes.Load()
+	for range fanOutUpdates {
+		v = changed(v, deltaChanges)
+		if err := f.publish(v); err != nil {
+			return err
+		}
+	}
+	s.add(UpdateCPU, "ns", x, float64(cpuTime()-startCPU)/fanOutUpdates)
+	s.add(UpdateBytes, "B", x, float64(f.bytes.Load()-startBytes)/fanOutUpdates)
+	startBytes = f.bytes.Load()
+	time.Sleep(idleMeasureTime)
+	s.add(IdleBytes, "B/s", x, float64(f.bytes.Load()-startBytes)/idleMeasureTime.Seconds())
+	return nil
+}
