--- a/capacity/project.go
+++ b/capacity/project.go
@@ -81,8 +81,12 @@
 
 // delta returns a cost of a delta with a number of changed slots.
 func (p *projection) delta(series string, changes float64) float64 {
+	targets := float64(p.d.TargetsPerGroup)
+	if p.d.Planned.SmallDeltas && series == DeltaBytes {
+		targets = 0 // The states of targets travel only when they change.
+	}
 	byTargets := p.fit(SweepViewTargets, series)
-	return p.fit(SweepChanges, series).At(changes) + byTargets.Slope*float64(p.d.TargetsPerGroup-viewTargets)
+	return p.fit(SweepChanges, series).At(changes) + byTargets.Slope*(targets-viewTargets)
 }
 
 // updates are the rates at which a node receives changes.
@@ -259,7 +263,9 @@
 	streams := float64(p.d.FanOut+1) * p.fit(SweepSubscribers, SubscriberHeap).Slope / 2
 	p.row("node", "VM list traffic", "B/s", p.listBytes(), p.limits.NodeBytesPerSecond)
 	p.row("node", "VM list in memory", "B", lists, p.limits.NodeBytes)
-	p.row("node", "both processes: tables, records, list, streams", "B", 2*p.tables()+records+lists+streams, p.limits.NodeBytes)
+	live := 2*p.tables() + records + lists + streams
+	p.row("node", "both processes, live: tables, records, list, streams", "B", live, p.limits.NodeBytes)
+	p.row("node", "both processes at the collector's default goal", "B", collectorGoal*live, p.limits.NodeBytes)
 	p.row("node", "traffic of a leaf", "B/s", p.updateBytes()+p.listBytes(), p.limits.NodeBytesPerSecond)
 	leafCPU := 2*p.updateCPU() + p.fit(SweepMembers, PlaceCPU).At(p.nodes())/1e9
 	p.row("node", "CPU of a leaf, both processes", "share", leafCPU, p.limits.NodeCPU)
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -9,6 +9,9 @@
 	secondsPerDay = 86_400.0
 	megabyte      = 1e6
 	kilobyte      = 1e3
+	// collectorGoal is the heap at which the garbage collector runs by default,
+	// as a multiple of the live heap.
+	collectorGoal = 2
 )
 
 // Size is the size to design for.
@@ -59,7 +62,8 @@
 	// RootsOnly lets only relay roots watch the store and read the VM list, and
 	// lets them follow only VMs that assign a group.
 	RootsOnly bool
-	// SmallDeltas sends changes of pins, targets and the bundle as deltas.
+	// SmallDeltas sends changes of pins, targets and the bundle as deltas, and the
+	// states of targets only when they change.
 	SmallDeltas bool
 }
 
