Add the experiment tool

It runs the pipeline of all entries of a deployment against models of targets in virtual time, next to the baseline, and measures overhead and the memory of slow readers on loopback. Virtual time comes from synctest, so the tool runs its scenarios as a test.

--- /dev/null
+++ b/balance/shares.go
@@ -0,0 +1,45 @@
+package balance
+
+// Shares divides slots among entries in proportion to their demand, and gives
+// every entry at least least, also if that exceeds the slots: an entry without
+// a slot could not serve a request before the next division. It returns one
+// share per demand.
+func Shares(slots, least int, demand []int) []int {
+	total := 0
+	for _, d := range demand {
+		total += d
+	}
+	shares := make([]int, len(demand))
+	given := 0
+	for i, d := range demand {
+		if total > 0 {
+			shares[i] = slots * d / total
+		}
+		given += shares[i]
+	}
+	giveRest(shares, demand, slots-given)
+	for i := range shares {
+		shares[i] = max(shares[i], least)
+	}
+	return shares
+}
+
+// giveRest hands out what rounding left over, to the entries with the most
+// demand per slot first.
+func giveRest(shares, demand []int, rest int) {
+	for ; rest > 0; rest-- {
+		best := -1
+		for i, d := range demand {
+			if d <= shares[i] {
+				continue
+			}
+			if best < 0 || d*(shares[best]+1) > demand[best]*(shares[i]+1) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return
+		}
+		shares[best]++
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -182,6 +182,16 @@
 	return l
 }
 
+// SetSlots changes the number of requests that this entry runs at once on a target.
+func (d *Dispatcher) SetSlots(t *ownership.Target, bulk bool, slots int) {
+	d.lane(t, bulk).gate.SetLimit(slots)
+}
+
+// Load returns the requests of this entry that run on a target and that wait for it.
+func (d *Dispatcher) Load(t *ownership.Target, bulk bool) (running, waiting int) {
+	return d.lane(t, bulk).gate.Load()
+}
+
 // Serve implements pipeline.Handler with one exchange.
 func (d *Dispatcher) Serve(req *pipeline.Request) error {
 	x := &exchange{dispatcher: d, lane: d.lane(req.Owner.Target, req.Bulk()), req: req}
--- /dev/null
+++ b/experiment/world.go
@@ -0,0 +1,306 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/balance"
+	"github.com/basiltally/basiltally/claim"
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/dispatch"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/pipeline/admit"
+	"github.com/basiltally/basiltally/pipeline/identify"
+	"github.com/basiltally/basiltally/pipeline/locate"
+	"github.com/basiltally/basiltally/pipeline/once"
+	"github.com/basiltally/basiltally/pipeline/relay"
+	"github.com/basiltally/basiltally/pipeline/retry"
+	"github.com/basiltally/basiltally/views"
+)
+
+// Pools and classes of the model.
+const (
+	poolReads = "reads"
+	poolOnce  = "once"
+	poolBulk  = "bulk"
+)
+
+const (
+	// farDistance is the one-way time between regions.
+	farDistance = 12 * time.Millisecond
+	// claimTime is the time to make a claim durable.
+	claimTime = 4 * time.Millisecond
+	// keyedSlots is the number of hashed slots of the keyed pool.
+	keyedSlots = 128
+	// unlimited stands for no limit of slots or queues.
+	unlimited = 1 << 20
+	// workers is the number of requests that a baseline entry serves at once.
+	workers = 64
+)
+
+// Deployment is the size of one installation.
+type Deployment struct {
+	Name string
+	// Entries is the number of entry VMs.
+	Entries int
+	// Reads, Once and Bulk are the numbers of targets of the three pools.
+	Reads, Once, Bulk int
+	// Connections is the limit of each target.
+	Connections int
+	// NearDistance is the one-way time within a region.
+	NearDistance time.Duration
+}
+
+// Deployments returns the two installations of today.
+func Deployments() []Deployment {
+	return []Deployment{
+		{"Wales", 12, 16, 12, 12, 110, time.Millisecond},
+		{"Slovakia", 12, 20, 13, 12, 65, 1500 * time.Microsecond},
+	}
+}
+
+// Policy is a way to run the entries.
+type Policy string
+
+// Policies.
+const (
+	// Baseline is round-robin dispatch, one FIFO queue per entry for all
+	// classes, and up to three immediate retries of any failure.
+	Baseline Policy = "baseline"
+	// Gates is the pipeline with a fixed limit per entry and target.
+	Gates Policy = "basiltally"
+	// Direct is the pipeline without a limit per entry and target.
+	Direct Policy = "direct"
+	// Permits divides each target's slots by demand four times a second.
+	Permits Policy = "permits"
+	// Home sends all requests for a target through one entry, which limits them.
+	Home Policy = "home VM"
+)
+
+// world is a deployment with its entries and targets.
+type world struct {
+	deployment Deployment
+	service    time.Duration
+	targets    map[string]*modelTarget
+	pools      map[string][]*modelTarget
+	views      *views.Holder
+	entries    []*entry
+	homes      map[ownership.TargetID]*balance.Gate
+}
+
+type entry struct {
+	region     string
+	handler    pipeline.Handler
+	dispatcher *dispatch.Dispatcher
+}
+
+func newWorld(d Deployment, p Policy, service time.Duration) *world {
+	w := &world{
+		deployment: d,
+		service:    service,
+		targets:    map[string]*modelTarget{},
+		pools:      map[string][]*modelTarget{},
+		views:      views.NewHolder(),
+		homes:      map[ownership.TargetID]*balance.Gate{},
+	}
+	w.addPool(poolReads, d.Reads)
+	w.addPool(poolOnce, d.Once)
+	w.addPool(poolBulk, d.Bulk)
+	for i := range d.Entries {
+		w.entries = append(w.entries, w.newEntry(regionOf(i), p))
+	}
+	return w
+}
+
+func regionOf(i int) string { return fmt.Sprintf("region%d", i%3) }
+
+func (w *world) addPool(pool string, count int) {
+	for i := range count {
+		id := fmt.Sprintf("%s-%d", pool, i)
+		t := newModelTarget(ownership.Target{
+			ID: ownership.TargetID(id), Address: id, Region: regionOf(i),
+			Slots: 6, Connections: w.deployment.Connections,
+		}, w.service)
+		w.targets[id] = t
+		w.pools[pool] = append(w.pools[pool], t)
+		w.homes[t.ID] = balance.NewGate(t.Slots, unlimited)
+	}
+	w.views.Apply(w.view(pool, 1))
+}
+
+// view assigns the slots of the keyed pool to the targets that are up.
+func (w *world) view(pool string, seq uint64) *ownership.View {
+	v := &ownership.View{Group: ownership.GroupID(pool), Term: 1, Seq: seq}
+	for _, t := range w.pools[pool] {
+		v.Targets = append(v.Targets, t.Target)
+		v.States = append(v.States, ownership.TargetReady)
+	}
+	if pool != poolReads {
+		return v
+	}
+	v.SlotCount = keyedSlots
+	for s := range ownership.Slot(keyedSlots) {
+		v.Slots = append(v.Slots, ownership.SlotState{Owner: w.firstUp(v, s), Seq: seq})
+	}
+	return v
+}
+
+func (w *world) firstUp(v *ownership.View, s ownership.Slot) uint32 {
+	for _, i := range ownership.Rank(v.Group, s, v.Targets) {
+		t := w.targets[v.Targets[i].Address]
+		t.mu.Lock()
+		down := t.down
+		t.mu.Unlock()
+		if !down {
+			return uint32(i)
+		}
+	}
+	return ownership.NoOwner
+}
+
+func bundle() *config.Bundle {
+	class := func(name string, kind config.Kind, deadline time.Duration) config.Class {
+		return config.Class{
+			Name: name, Kind: kind, PathPrefix: "/" + name + "/", Pool: name,
+			Deadline: deadline, MaxBody: 1 << 10, QueueLength: 512,
+		}
+	}
+	group := func(name string) config.Pool {
+		return config.Pool{Name: name, Keyed: name == poolReads, Groups: []ownership.GroupID{ownership.GroupID(name)}}
+	}
+	return &config.Bundle{
+		Version: 1,
+		Tenants: []config.Tenant{{Name: "tenant", Classes: []config.Class{
+			class(poolReads, config.KeyedRead, 250*time.Millisecond),
+			class(poolOnce, config.AtMostOnce, time.Second),
+			class(poolBulk, config.Bulk, time.Minute),
+		}}},
+		Pools: []config.Pool{group(poolReads), group(poolOnce), group(poolBulk)},
+	}
+}
+
+// newEntry wires the filters as basiltally-entry does, changed by the policy.
+func (w *world) newEntry(region string, p Policy) *entry {
+	selector := balance.NewSelector(balance.SelectorOptions{Region: region})
+	opts := dispatch.Options{Dial: w.dialer(region), Region: region, Observer: selector}
+	if p == Baseline || p == Direct || p == Home {
+		opts.ShortSlots, opts.BulkSlots, opts.MaxWaiting = unlimited, unlimited, unlimited
+	}
+	if p == Baseline {
+		opts.DialRate, opts.DialBurst, opts.DialBackoff = unlimited, unlimited, 1
+		opts.SilenceTimeout = time.Minute
+	}
+	e := &entry{region: region, dispatcher: dispatch.New(opts)}
+	b := bundle()
+	front := []pipeline.Filter{relay.New(), identify.New(identify.Options{Bundle: func() *config.Bundle { return b }})}
+	if p == Baseline {
+		e.handler = pipeline.Chain(e.dispatcher, append(front, workerQueue(workers), retryAll(3),
+			locate.New(locate.Options{Views: w.views, Picker: &balance.RoundRobin{}}))...)
+		return e
+	}
+	front = append(front,
+		admit.NewAdmission().Filter(),
+		once.New(once.Options{Claimer: claims{}}),
+		retry.New(retry.Options{Views: w.views}),
+		locate.New(locate.Options{Views: w.views, Picker: selector}))
+	if p == Home {
+		front = append(front, w.throughHome(region))
+	}
+	e.handler = pipeline.Chain(e.dispatcher, front...)
+	return e
+}
+
+func (w *world) dialer(region string) dispatch.DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		t, ok := w.targets[address]
+		if !ok {
+			return nil, errors.Errorf("no target %s", address)
+		}
+		return t.dial(ctx, w.distance(region, t.Region))
+	}
+}
+
+func (w *world) distance(a, b string) time.Duration {
+	if a == b {
+		return w.deployment.NearDistance
+	}
+	return farDistance
+}
+
+// claims makes every claim durable after claimTime.
+type claims struct{}
+
+func (claims) Claim(context.Context, claim.Request) (claim.Decision, error) {
+	time.Sleep(claimTime)
+	return claim.Decision{Kind: claim.Run, Ref: claim.Ref{DispatchBy: time.Now().Add(time.Hour)}}, nil
+}
+
+func (claims) Finish(context.Context, claim.Ref, claim.Outcome) error { return nil }
+
+func (claims) Release(context.Context, claim.Ref) error { return nil }
+
+// throughHome limits all requests for a target at one entry of its region, at
+// the price of a hop to that entry and back.
+func (w *world) throughHome(region string) pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(req *pipeline.Request) error {
+			g := w.homes[req.Owner.Target.ID]
+			hop := w.deployment.NearDistance
+			time.Sleep(hop)
+			if err := g.Acquire(req.Context, req.Deadline); err != nil {
+				return err
+			}
+			started := time.Now()
+			err := next.Serve(req)
+			g.Release(time.Since(started))
+			time.Sleep(hop)
+			return err
+		})
+	}
+}
+
+// dividePermits sets each entry's share of every target's slots from its demand.
+func (w *world) dividePermits() {
+	for _, t := range w.targets {
+		bulk := t.ID[:4] == poolBulk
+		demand := make([]int, len(w.entries))
+		for i, e := range w.entries {
+			running, waiting := e.dispatcher.Load(&t.Target, bulk)
+			demand[i] = running + waiting
+		}
+		for i, share := range balance.Shares(t.Slots, 1, demand) {
+			w.entries[i].dispatcher.SetSlots(&t.Target, bulk, share)
+		}
+	}
+}
+
+// workerQueue serves a number of requests at once and keeps all others waiting,
+// whatever their class, first in, first out.
+func workerQueue(n int) pipeline.Filter {
+	places := make(chan struct{}, n)
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(req *pipeline.Request) error {
+			places <- struct{}{}
+			req.OnEnd(func(error) { <-places })
+			return next.Serve(req)
+		})
+	}
+}
+
+// retryAll repeats any failed request at once.
+func retryAll(times int) pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(req *pipeline.Request) error {
+			err := next.Serve(req)
+			for i := 0; i < times && err != nil; i++ {
+				err = next.Serve(req)
+			}
+			return err
+		})
+	}
+}
