--- a/bundle/holder.go
+++ b/bundle/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,9 @@
 	Bundle *config.Bundle
 	// Signed is nil for a local document without approvals.
 	Signed *Signed
-	Digest Digest
+	// Document is the INI document.
+	Document []byte
+	Digest   Digest
 	// Since is when this process applied it.
 	Since time.Time
 	// Prepared is what Options.Prepare returned for the bundle.
@@ -54,8 +57,9 @@
 	// table; it is put in force together with the bundle. An error refuses the
 	// bundle. May be nil.
 	Prepare func(*config.Bundle) (any, error)
-	// Ask returns the encoded bundle that a peer or the store holds now, or nil
-	// if it has none. It is called after a freeze. Without it a freeze is not re-checked.
+	// Ask returns what Encoded of a peer returns now, or the bundle that the store
+	// holds, or nil if there is none. It is called after a freeze and must ask
+	// anew, not wait for something sent earlier. Without it a freeze is not re-checked.
 	Ask func(ctx context.Context) ([]byte, error)
 	// Tick is the interval of the freeze detector; zero means DefaultTick.
 	Tick time.Duration
@@ -176,12 +180,15 @@
 	if err != nil {
 		return h.refuse(source, "not-verified", err)
 	}
-	return h.apply(&InForce{Bundle: parsed, Signed: s, Digest: s.Digest}, source)
+	return h.apply(&InForce{Bundle: parsed, Signed: s, Document: s.Document, Digest: s.Digest}, source)
 }
 
-// Adopt puts a local document without approvals in force, for first runs and
-// tests. It is refused once any bundle of the same or a higher version is held.
+// Adopt puts a document without approvals in force, for first runs and tests.
+// A process with a Policy refuses it.
 func (h *Holder) Adopt(name string, document []byte) error {
+	if h.opts.Policy != nil {
+		return h.refuse(name, "not-verified", result.New(result.BadSignature, "%s has no approvals", name))
+	}
 	parsed, err := config.Parse(name, document)
 	if err != nil {
 		return h.refuse(name, "not-verified", result.Wrap(result.InvalidBundle, err, "%s", name))
@@ -189,9 +196,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.inForce.Load()
-	if held != nil && held.Signed != nil {
-		return h.refuse(name, "not-verified", result.New(result.NotAuthorised, "a signed bundle is in force"))
-	}
 	digest := DigestOf(document)
 	if held != nil && held.Digest == digest {
 		return nil
@@ -199,7 +203,38 @@
 	if err := rises(held, parsed.Version, digest); err != nil {
 		return h.refuse(name, "not-newer", err)
 	}
-	return h.apply(&InForce{Bundle: parsed, Digest: digest}, name)
+	return h.apply(&InForce{Bundle: parsed, Document: slices.Clone(document), Digest: digest}, name)
+}
+
+// Receive takes what Encoded of another process returned: a signed bundle, or
+// a document if neither process has a Policy.
+func (h *Holder) Receive(data []byte, source string) error {
+	if _, err := Decode(data); err == nil {
+		return h.Offer(data, source)
+	}
+	return h.Adopt(source, data)
+}
+
+// Encoded returns the bundle in force in the form that Receive takes, or nil.
+func (h *Holder) Encoded() []byte {
+	f := h.inForce.Load()
+	switch {
+	case f == nil:
+		return nil
+	case f.Signed == nil:
+		return f.Document
+	default:
+		return f.Signed.Encode()
+	}
+}
+
+// LastRefusal tells which bundle was refused last and why; empty if none was
+// refused since the bundle in force was applied.
+func (h *Holder) LastRefusal() string {
+	if text := h.lastRefusal.Load(); text != nil {
+		return *text
+	}
+	return ""
 }
 
 // rises checks that a bundle may follow the held one. A signed bundle may
@@ -229,6 +264,7 @@
 	}
 	next.Since = h.opts.Clock().Wall
 	h.inForce.Store(next)
+	h.lastRefusal.Store(nil)
 	close(h.changed)
 	h.changed = make(chan struct{})
 	h.metrics.applied(next)
@@ -332,7 +368,7 @@
 		held := h.inForce.Load()
 		return held != nil && held.Signed == nil
 	}
-	return h.Offer(encoded, "check after freeze") == nil
+	return h.Receive(encoded, "check after freeze") == nil
 }
 
 type holderMetrics struct {
--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -41,6 +41,22 @@
 	is.Equal(request.Bundle.Version, uint64(2)) // a request keeps its version
 }
 
+func TestHolderWithoutPolicy(t *testing.T) {
+	is := is.New(t)
+	first, peer := NewHolder(HolderOptions{}), NewHolder(HolderOptions{})
+	is.Equal(first.Encoded(), nil)
+	is.NoErr(first.Adopt("local.ini", document(2, "local")))
+	is.NoErr(peer.Receive(first.Encoded(), "vm-1"))
+	is.Equal(peer.Version(), uint64(2))
+	is.True(peer.Adopt("local.ini", document(1, "older")) != nil)
+	is.True(peer.LastRefusal() != "")
+	is.True(peer.Receive(signed(t, 3, "third", Digest{}).Encode(), "vm-1") != nil) // nobody's approval counts
+	strict := newTestHolder(HolderOptions{})
+	is.Equal(codeOf(strict.Receive(first.Encoded(), "vm-1")), result.BadSignature)
+	is.NoErr(strict.Receive(signed(t, 3, "third", Digest{}).Encode(), "vm-1"))
+	is.Equal(strict.LastRefusal(), "")
+}
+
 func TestHolderAppliesWholeOrNotAtAll(t *testing.T) {
 	is := is.New(t)
 	fail := false
