--- a/cmd/basiltallyctl/main.go
+++ b/cmd/basiltallyctl/main.go
@@ -38,19 +38,6 @@
 
 Errors go to standard error with their result code, see docs/RESULT-CODES.md.`
 
-// ctlSettings is the settings file of basiltallyctl.
-type ctlSettings struct {
-	Ctl ctlSection `ini:"ctl"`
-}
-
-type ctlSection struct {
-	Addresses    []string `ini:"addresses" doc:"Operators' addresses of the assign processes, host:port, comma separated."`
-	Store        string   `ini:"store" doc:"Address of the object API, host:port."`
-	ApproversDir string   `ini:"approvers_dir" doc:"Directory of the approvers' public keys, NAME.pub each."`
-	Approvers    []string `ini:"approvers" doc:"Names of approvers that count; empty takes all files."`
-	Approvals    int      `ini:"approvals" default:"1" unit:"approvers" range:"1..9" doc:"Named approvers whose signatures a bundle needs."`
-}
-
 type commandLine struct {
 	Settings     string           `type:"path" env:"BASILTALLYCTL_SETTINGS" help:"Settings file (INI); see --print-defaults."`
 	Address      []string         `placeholder:"HOST:PORT" help:"Operators' address of an assign process; may be repeated."`
@@ -81,7 +68,7 @@
 
 // BeforeReset implements kong's hook.
 func (printDefaults) BeforeReset(k *kong.Kong) error {
-	if err := settings.PrintDefaults(k.Stdout, &ctlSettings{}); err != nil {
+	if err := settings.PrintDefaults(k.Stdout, &operator.Settings{}); err != nil {
 		return err
 	}
 	k.Exit(operator.ExitOK)
@@ -90,7 +77,7 @@
 
 // app is what the commands work with.
 type app struct {
-	settings ctlSection
+	settings operator.CtlSettings
 	operator string
 	json     bool
 	out      io.Writer
@@ -141,7 +128,7 @@
 type exit int
 
 func newApp(cli *commandLine, out io.Writer) (*app, error) {
-	var s ctlSettings
+	var s operator.Settings
 	load := func() error { return settings.Defaults(&s) }
 	if cli.Settings != "" {
 		load = func() error { return settings.Load(cli.Settings, &s) }
--- a/config/parse.go
+++ b/config/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"regexp"
 	"strings"
 	"time"
@@ -30,31 +31,41 @@
 )
 
 type bundleKeys struct {
-	Version            uint64 `ini:"version" required:"true" range:"1.."`
-	LinkBytesPerSecond int64  `ini:"link_bytes_per_second" range:"1.." default:"100000000"`
+	Version            uint64 `ini:"version" required:"true" range:"1.." doc:"Version; rises with each bundle."`
+	LinkBytesPerSecond int64  `ini:"link_bytes_per_second" range:"1.." default:"100000000" unit:"bytes per second" doc:"Budget for bulk bytes between each pair of regions, over all VMs."`
 }
 
 type tenantKeys struct{}
 
 type classKeys struct {
-	Kind        string        `ini:"kind" required:"true" enum:"keyed-read,at-most-once,bulk"`
-	PathPrefix  string        `ini:"path_prefix" required:"true"`
-	Pool        string        `ini:"pool" required:"true"`
-	Deadline    time.Duration `ini:"deadline" default:"1s" range:"1ms..24h"`
-	MaxBody     int           `ini:"max_body" default:"1048576" range:"0..1099511627776"`
-	QueueLength int           `ini:"queue_length" default:"100" range:"0..1000000"`
-	Rate        float64       `ini:"rate" default:"0" range:"0..10000000"`
-	Burst       int           `ini:"burst" default:"0" range:"0..10000000"`
-	Hedge       bool          `ini:"hedge" default:"false"`
+	Kind        string        `ini:"kind" required:"true" enum:"keyed-read,at-most-once,bulk" doc:"How requests may be executed."`
+	PathPrefix  string        `ini:"path_prefix" required:"true" doc:"Path that selects the class, from slash to slash; the longest match wins. The path segment after it is the key of a keyed class."`
+	Pool        string        `ini:"pool" required:"true" doc:"Pool that serves the class. Keyed reads need a keyed pool, other kinds one that is not; bulk classes share no pool with others."`
+	Deadline    time.Duration `ini:"deadline" default:"1s" range:"1ms..24h" doc:"Longest duration of a whole request; a caller may ask for less."`
+	MaxBody     int           `ini:"max_body" default:"1048576" range:"0..1099511627776" unit:"bytes" doc:"Largest request body."`
+	QueueLength int           `ini:"queue_length" default:"100" range:"0..1000000" unit:"requests" doc:"Requests that wait on one entry."`
+	Rate        float64       `ini:"rate" default:"0" range:"0..10000000" unit:"requests per second" doc:"Admitted rate on one entry; 0 is unlimited."`
+	Burst       int           `ini:"burst" default:"0" range:"0..10000000" unit:"requests" doc:"Requests admitted at once above the rate; at least 1 if there is a rate."`
+	Hedge       bool          `ini:"hedge" default:"false" doc:"Allow a second attempt of a slow keyed read."`
 }
 
 type poolKeys struct {
-	Keyed             bool          `ini:"keyed" default:"false"`
-	Groups            []string      `ini:"groups" required:"true"`
-	TargetSlots       int           `ini:"target_slots" required:"true" range:"1..100000"`
-	TargetConnections int           `ini:"target_connections" required:"true" range:"1..1000000"`
-	ChecksTokens      bool          `ini:"checks_tokens" default:"false"`
-	ProbeInterval     time.Duration `ini:"probe_interval" default:"1s" range:"50ms..10m"`
+	Keyed             bool          `ini:"keyed" default:"false" doc:"Each key has one owning target."`
+	Groups            []string      `ini:"groups" required:"true" doc:"Groups of the pool; a pool that is not keyed has one. A group belongs to one pool."`
+	TargetSlots       int           `ini:"target_slots" required:"true" range:"1..100000" unit:"requests" doc:"Requests that one target runs at once; at most its connections."`
+	TargetConnections int           `ini:"target_connections" required:"true" range:"1..1000000" unit:"connections" doc:"Connections that one target accepts from all VMs."`
+	ChecksTokens      bool          `ini:"checks_tokens" default:"false" doc:"The targets refuse old fencing tokens and lapsed leases."`
+	ProbeInterval     time.Duration `ini:"probe_interval" default:"1s" range:"50ms..10m" doc:"Least time between two health probes of a target."`
+}
+
+// WriteMarkdown writes a table of the keys of each sort of section.
+func WriteMarkdown(w io.Writer) error {
+	return settings.WriteMarkdown(w, &struct {
+		Bundle bundleKeys `ini:"bundle"`
+		Tenant tenantKeys `ini:"tenant \"NAME\"" doc:"Requests name their tenant in the header Basiltally-Tenant; a single tenant is the default. A tenant has no keys, but at least one class."`
+		Class  classKeys  `ini:"class \"TENANT/NAME\""`
+		Pool   poolKeys   `ini:"pool \"NAME\""`
+	}{})
 }
 
 // parser collects the bundle and the faults of one document.
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/basiltally/basiltally/config"
 	"github.com/basiltally/basiltally/daemon"
+	"github.com/basiltally/basiltally/operator"
 	"github.com/basiltally/basiltally/settings"
 )
 
@@ -34,7 +35,8 @@
 				is.NoErr(err)
 				_, err = config.Parse(path, data)
 				is.NoErr(err)
-			case "ctl": // loaded by basiltallyctl's own test
+			case "ctl":
+				is.NoErr(settings.Load(path, new(operator.Settings)))
 			default:
 				t.Errorf("%s: unknown kind of file", path)
 			}
