--- a/cmd/basiltallyctl/bundle.go
+++ b/cmd/basiltallyctl/bundle.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	if signed == nil {
-		_, err = fmt.Fprintf(a.out, "%s: version %d: ok, not signed\n", c.File, parsed.Version)
+		_, err = fmt.Fprintf(a.out, "%s: version %d: ok, not signed\n", filepath.Base(c.File), parsed.Version)
 		return err
 	}
 	policy, err := a.policy()
@@ -60,7 +60,7 @@
 	if _, err := bundle.Verify(signed, policy); err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(a.out, "%s: version %d: ok, approved by %s\n", c.File, signed.Version, approvers(signed))
+	_, err = fmt.Fprintf(a.out, "%s: version %d: ok, approved by %s\n", filepath.Base(c.File), signed.Version, approvers(signed))
 	return err
 }
 
@@ -82,7 +82,7 @@
 	if err != nil {
 		return result.Wrap(result.BadRequest, err, "keygen")
 	}
-	_, err = fmt.Fprintf(a.out, "private key, keep it to yourself: %s\npublic key, for approvers_dir on every VM: %s\n", private, public)
+	_, err = fmt.Fprintf(a.out, "private key, keep it to yourself: %s\npublic key, for approvers_dir on every VM: %s\n", filepath.Base(private), filepath.Base(public))
 	return err
 }
 
@@ -122,7 +122,7 @@
 	if err := os.WriteFile(out, data, 0o644); err != nil {
 		return errors.Wrap(err, "signed bundle")
 	}
-	_, err = fmt.Fprintf(a.out, "%s: version %d, digest %s, approved by %s\n", out, signed.Version, signed.Digest.Short(), approvers(signed))
+	_, err = fmt.Fprintf(a.out, "%s: version %d, digest %s, approved by %s\n", filepath.Base(out), signed.Version, signed.Digest.Short(), approvers(signed))
 	return err
 }
 
@@ -352,9 +352,9 @@
 		return nil, nil, result.Wrap(result.BadRequest, err, "bundle")
 	}
 	if !bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
-		parsed, err := config.Parse(path, data)
+		parsed, err := config.Parse(filepath.Base(path), data)
 		if err != nil {
-			return nil, nil, result.Wrap(result.InvalidBundle, err, "%s", path)
+			return nil, nil, result.Wrap(result.InvalidBundle, err, "errors in the document")
 		}
 		return nil, parsed, nil
 	}
@@ -362,9 +362,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	parsed, err := config.Parse(path, signed.Document)
+	parsed, err := config.Parse(filepath.Base(path), signed.Document)
 	if err != nil {
-		return nil, nil, result.Wrap(result.InvalidBundle, err, "%s", path)
+		return nil, nil, result.Wrap(result.InvalidBundle, err, "errors in the document")
 	}
 	return signed, parsed, nil
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -93,6 +93,8 @@
 	is.Equal(len(groups), 1)
 	is.Equal(groups[0].Term, uint64(2)) // the newest term wins over a higher sequence
 	is.Equal(groups[0].Behind, 2)       // vm2 in term 1, vm3 without the group
+	is.True(!groups[0].AssignerSilent)
+	is.True(Groups(answers[1:2])[0].AssignerSilent) // its assigner vm3 gave no answer
 	highest, err := c.HighestBundle(t.Context())
 	is.NoErr(err)
 	is.Equal(highest, uint64(4))
--- a/operator/table.go
+++ b/operator/table.go
@@ -60,6 +60,8 @@
 	Assigners []ownership.VMID `json:"assigners"`
 	// Behind counts processes whose view is of an older term.
 	Behind int `json:"behind"`
+	// AssignerSilent is set if the assigner is not among the VMs that answered.
+	AssignerSilent bool `json:"assigner_silent"`
 }
 
 // Groups sums up the groups over all processes, sorted by name.
@@ -75,6 +77,7 @@
 	}
 	for _, s := range byName {
 		s.Behind = behind(answers, s)
+		s.AssignerSilent = !answered(answers, s.Assigner)
 	}
 	var list []GroupSummary
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
@@ -113,13 +116,28 @@
 	return n
 }
 
+func answered(answers []Answer, vm ownership.VMID) bool {
+	return slices.ContainsFunc(answers, func(a Answer) bool { return a.Status != nil && a.Status.VM == vm })
+}
+
+func (g GroupSummary) problem() string {
+	switch {
+	case g.AssignerSilent:
+		return "assigner does not answer"
+	case g.Unowned > 0:
+		return "keys without owner"
+	default:
+		return "-"
+	}
+}
+
 // WriteGroups writes a table of the groups.
 func WriteGroups(w io.Writer, answers []Answer) error {
 	t := newTable(w)
-	fmt.Fprintln(t, "GROUP\tASSIGNER\tTERM\tSLOTS\tUNOWNED\tTARGETS\tLOST\tVMS BEHIND")
+	fmt.Fprintln(t, "GROUP\tASSIGNER\tTERM\tSLOTS\tUNOWNED\tTARGETS\tLOST\tVMS BEHIND\tPROBLEM")
 	for _, g := range Groups(answers) {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n",
-			g.Group.Group, dash(string(g.Assigner)), g.Term, g.Slots, g.Unowned, g.Targets, g.Lost, g.Behind)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n",
+			g.Group.Group, dash(string(g.Assigner)), g.Term, g.Slots, g.Unowned, g.Targets, g.Lost, g.Behind, g.problem())
 	}
 	return t.Flush()
 }
