--- a/assign/core_test.go
+++ b/assign/core_test.go
@@ -30,7 +30,21 @@
 	}
 	t := s.target(s.view.Targets[st.Owner].ID)
 	token, ok := s.serves(t, slot)
-	return ok && !t.clock.frozen && token == ownership.Token{Term: s.view.Term, Seq: st.Seq}
+	if !ok || t.clock.frozen || !s.reachable(t) {
+		return false
+	}
+	return token == ownership.Token{Term: s.view.Term, Seq: st.Seq}
+}
+
+// reachable reports whether any VM that runs can exchange messages with the target.
+func (s *sim) reachable(t *simTarget) bool {
+	for _, vm := range s.vms {
+		there, back := [2]int{vm.index, t.index}, [2]int{t.index, vm.index}
+		if !vm.dead && !s.cut[there] && !s.cut[back] {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *sim) assigner() *simVM {
--- a/assign/pins.go
+++ b/assign/pins.go
@@ -119,7 +119,7 @@
 		return
 	}
 	for key, s := range v.Pinned {
-		if _, ok := l.pins[key]; ok || l.live(s) {
+		if _, ok := l.pins[key]; ok || l.live(s) || v.SlotCount != l.table.SlotCount {
 			continue
 		}
 		for len(l.slots) <= int(s) {
--- a/assign/sim_test.go
+++ b/assign/sim_test.go
@@ -16,6 +16,8 @@
 	ms       = time.Millisecond
 	simGroup = ownership.GroupID("g")
 	storeDC  = 0
+	// maxEvents bounds a history, so that a Core that never rests fails the test.
+	maxEvents = 1_000_000
 )
 
 // timedFunc is one future event of a sim.
@@ -104,6 +106,7 @@
 	rng     *rand.Rand
 	now     time.Duration
 	seq     int
+	events  int
 	agenda  agenda
 	vms     []*simVM
 	targets []*simTarget
@@ -184,6 +187,9 @@
 	for len(s.agenda) > 0 && s.agenda[0].at <= until {
 		e := heap.Pop(&s.agenda).(timedFunc)
 		s.now = e.at
+		if s.events++; s.events > maxEvents {
+			panic(fmt.Sprintf("more than %d events by %v", maxEvents, s.now))
+		}
 		e.run()
 	}
 	s.now = until
