--- a/assign/sim_test.go
+++ b/assign/sim_test.go
@@ -116,6 +116,8 @@
 	cut   map[[2]int]bool
 	loss  float64
 	spike time.Duration
+	// slow holds an extra delay for each direction.
+	slow map[[2]int]time.Duration
 	// view is the newest view that entries have.
 	view *ownership.View
 	// running tells until when a target that checks no tokens may run requests of a slot.
@@ -123,7 +125,8 @@
 	asked   map[string]Command
 	done    map[string]CommandDone
 	wrong   []string
-	// log of the actions of interest
+	// hook sees each action first and may take it away; trace logs it.
+	hook  func(vm *simVM, a Action) bool
 	trace func(format string, args ...any)
 }
 
@@ -145,6 +148,7 @@
 func newSim(cfg simConfig) *sim {
 	s := &sim{
 		rng:     rand.New(rand.NewPCG(cfg.seed, 1)),
+		slow:    make(map[[2]int]time.Duration),
 		cut:     make(map[[2]int]bool),
 		running: make(map[ownership.Slot]window),
 		asked:   make(map[string]Command),
@@ -278,6 +282,7 @@
 	if from.dc != to.dc {
 		d *= 12
 	}
+	d += s.slow[[2]int{from.index, to.index}]
 	if s.spike > 0 && s.rng.IntN(4) == 0 {
 		d += time.Duration(s.rng.Int64N(int64(s.spike)))
 	}
@@ -335,6 +340,9 @@
 	if s.trace != nil {
 		s.trace("%v %s.%d %T %+v", s.now, vm.id, vm.incarnation, a, a)
 	}
+	if s.hook != nil && s.hook(vm, a) {
+		return
+	}
 	me := vm.incarnation
 	switch a := a.(type) {
 	case ReadRecord:
