--- a/claim/fakestore_test.go
+++ b/claim/fakestore_test.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/basiltally/basiltally/store"
@@ -112,7 +113,7 @@
 type vmStore struct {
 	store.Store
 	vm  *simVM
-	f   *faults
+	f   *atomic.Pointer[faults]
 	mu  sync.Mutex
 	rng *rand.Rand
 }
@@ -120,7 +121,7 @@
 func (s *vmStore) draw() (p float64, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rng.Float64(), time.Duration(s.rng.ExpFloat64() * float64(s.f.latency))
+	return s.rng.Float64(), time.Duration(s.rng.ExpFloat64() * float64(s.f.Load().latency))
 }
 
 func (s *vmStore) travel(ctx context.Context) error {
@@ -139,7 +140,7 @@
 // read makes a call that changes nothing.
 func (s *vmStore) read(ctx context.Context, call func() error) error {
 	p, _ := s.draw()
-	if err := s.travel(ctx); err != nil || p < s.f.unavailable+s.f.lostBefore {
+	if err := s.travel(ctx); err != nil || p < s.f.Load().unavailable+s.f.Load().lostBefore {
 		return store.ErrUnavailable
 	}
 	err := call()
@@ -155,7 +156,8 @@
 	if err := s.travel(ctx); err != nil {
 		return err
 	}
-	switch f := s.f; {
+	f := s.f.Load()
+	switch {
 	case p < f.unavailable:
 		return store.ErrUnavailable
 	case p < f.unavailable+f.lostBefore:
@@ -165,7 +167,7 @@
 		return store.ErrUnknown
 	}
 	err := call()
-	if p > 1-s.f.lostAfter {
+	if p > 1-f.lostAfter {
 		return store.ErrUnknown
 	}
 	if s.travel(ctx) != nil {
--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,7 +111,7 @@
 	t       *testing.T
 	rng     *rand.Rand
 	store   *fakeStore
-	f       faults
+	f       atomic.Pointer[faults]
 	vms     []*simVM
 	hist    history
 	plant   plant
@@ -121,7 +122,7 @@
 func newSim(t *testing.T, seed uint64, vms int, p plant) *sim {
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: newFakeStore(), plant: p, keys: 6}
 	s.hist.runs = make(map[string][]*send)
-	s.f = faults{latency: 10 * time.Millisecond}
+	s.f.Store(&faults{latency: 10 * time.Millisecond})
 	for i := range vms {
 		s.vms = append(s.vms, s.newVM(ownership.VMID(fmt.Sprintf("vm%d", i)), seed))
 	}
@@ -176,12 +177,12 @@
 	go func() {
 		vm.gate()
 		lost := rand.Float64()
-		if vm.dead() || lost < p.s.f.lostBefore {
+		if vm.dead() || lost < p.s.f.Load().lostBefore {
 			return
 		}
 		m := vm.service.Serve(ctx, call)
 		vm.gate()
-		if !vm.dead() && lost < 1-p.s.f.lostAfter {
+		if !vm.dead() && lost < 1-p.s.f.Load().lostAfter {
 			done <- m
 		}
 	}()
@@ -315,7 +316,7 @@
 // settle sends each key once more without faults. A key that never ran must run
 // now, unless a VM crashed, which may have lost a release.
 func (s *sim) settle() (bad []string) {
-	s.f = faults{latency: time.Millisecond}
+	s.f.Store(&faults{latency: time.Millisecond})
 	for k := range s.keys {
 		key := fmt.Sprintf("k%d", k)
 		ran := len(s.hist.runs[key]) > 0
@@ -339,7 +340,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(t, seed, 3, p)
 		level := s.rng.Float64() * 0.3
-		s.f.unavailable, s.f.lostBefore, s.f.lostAfter, s.f.late = level/2, level, level, level/2
+		s.f.Store(&faults{
+			unavailable: level / 2, lostBefore: level, lostAfter: level, late: level / 2,
+			latency: 10 * time.Millisecond,
+		})
 		s.run(seed, seed%2 == 0)
 		bad = append(s.hist.violations(), s.settle()...)
 		for _, vm := range s.vms {
