--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/basiltally/basiltally/pb"
@@ -246,6 +248,21 @@
 	})
 }
 
+// BenchmarkLogMemory reports the memory that a finished claim takes until it expires.
+func BenchmarkLogMemory(b *testing.B) {
+	state := newLogState()
+	answer := encode(&pb.ClaimAnswer{Status: 200, Body: make([]byte, 200)})
+	b.ReportAllocs()
+	for i := range b.N {
+		var id ID
+		binary.LittleEndian.PutUint64(id[:], uint64(i)+1)
+		state.applyClaim(id, Attempt{1}, &pb.ClaimOp{})
+		recorded := new(pb.ClaimAnswer)
+		proto.Unmarshal(answer, recorded)
+		state.applyFinish(id, Attempt{1}, recorded)
+	}
+}
+
 // TestWritesPerFiling prints the store's cost per filing (claim and outcome) by
 // rate, for one partition on a VM 27 ms from the store, over one virtual minute.
 func TestWritesPerFiling(t *testing.T) {
--- a/claim/options.go
+++ b/claim/options.go
@@ -19,6 +19,7 @@
 	DefaultAppendInterval = 100 * time.Millisecond
 	DefaultFinishDelay    = 250 * time.Millisecond
 	DefaultWriteTimeout   = time.Second
+	DefaultLoadTimeout    = 10 * time.Second
 	DefaultCallTimeout    = time.Second
 	DefaultSuspectTime    = 2 * time.Second
 	DefaultDrainTimeout   = 5 * time.Second
@@ -49,6 +50,8 @@
 	FinishDelay time.Duration
 	// WriteTimeout bounds one call of the store. Default 1 s.
 	WriteTimeout time.Duration
+	// LoadTimeout bounds the list that loads a partition's log. Default 10 s.
+	LoadTimeout time.Duration
 	// CallTimeout bounds one call of another VM. Default 1 s.
 	CallTimeout time.Duration
 	// SuspectTime is how long a VM that failed a call is not called. Default 2 s.
@@ -77,6 +80,7 @@
 	setDefault(&o.AppendInterval, DefaultAppendInterval)
 	setDefault(&o.FinishDelay, DefaultFinishDelay)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.LoadTimeout, DefaultLoadTimeout)
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
 	setDefault(&o.SuspectTime, DefaultSuspectTime)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
--- a/claim/partitionlog.go
+++ b/claim/partitionlog.go
@@ -242,7 +242,7 @@
 }
 
 func (l *partitionLog) list(ctx context.Context) (*logImage, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.opts.WriteTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.opts.LoadTimeout)
 	defer cancel()
 	l.metrics.storeCalls.WithLabelValues("list").Inc()
 	objects, _, err := l.opts.Store.List(ctx, partitionPrefix(l.index)+"/")
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,24 +23,24 @@
 // faultyStore refuses calls, or loses the answers of writes, as set.
 type faultyStore struct {
 	store.Store
-	down, loseAnswers bool
-	puts              int
+	down, loseAnswers atomic.Bool
+	puts              atomic.Int64
 }
 
 func (s *faultyStore) Get(ctx context.Context, key string) (store.Object, error) {
-	if s.down {
+	if s.down.Load() {
 		return store.Object{}, store.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
 func (s *faultyStore) Put(ctx context.Context, key string, value []byte, v store.Version) (store.Version, error) {
-	if s.down {
+	if s.down.Load() {
 		return 0, store.ErrUnavailable
 	}
-	s.puts++
+	s.puts.Add(1)
 	got, err := s.Store.Put(ctx, key, value, v)
-	if s.loseAnswers {
+	if s.loseAnswers.Load() {
 		return 0, store.ErrUnknown
 	}
 	return got, err
@@ -148,16 +149,18 @@
 
 func TestStoreOutageKeepsLocalAndPeerKnowledge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is, st := is.New(t), &faultyStore{Store: memstore.New(memstore.Options{}), down: true}
+		is, st := is.New(t), &faultyStore{Store: memstore.New(memstore.Options{})}
+		st.down.Store(true)
 		two := start(t, Options{Store: st})
 		one := start(t, Options{Store: st, Broadcast: func(r *pb.Quarantine) { two.Merge(proto.Clone(r).(*pb.Quarantine)) }})
 		crashing(one, "a", 1, bad)
 		crashing(one, "b", 1, bad)
 		time.Sleep(10 * time.Second)
 		is.True(isBlocked(one, bad) && isBlocked(two, bad))
-		st.loseAnswers, st.down = true, false
+		st.loseAnswers.Store(true)
+		st.down.Store(false)
 		time.Sleep(5 * time.Second)
-		is.True(st.puts <= 6) // At most one write per second.
+		is.True(st.puts.Load() <= 6) // At most one write per second.
 		three := start(t, Options{Store: st})
 		time.Sleep(time.Second)
 		is.True(isBlocked(three, bad))
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -348,45 +348,53 @@
 	return nil
 }
 
-// runWatch follows the stored record.
+// runWatch follows the stored record; after an error it reads it again.
 func (t *Tracker) runWatch(ctx context.Context) {
-	var after store.Version
 	for ctx.Err() == nil {
-		next, err := t.follow(ctx, after)
-		if err != nil && !pause(ctx, t.opts.WriteInterval) {
+		after, err := t.list(ctx)
+		for err == nil && ctx.Err() == nil {
+			after, err = t.watch(ctx, after)
+		}
+		if !pause(ctx, t.opts.WriteInterval) {
 			return
 		}
-		after = next
 	}
 }
 
-// follow reads the record when it has no revision to watch from, then waits for a change.
-func (t *Tracker) follow(ctx context.Context, after store.Version) (store.Version, error) {
-	if after == 0 {
-		call, cancel := context.WithTimeout(ctx, t.opts.CallTimeout)
-		defer cancel()
-		objects, revision, err := t.opts.Store.List(call, Key)
-		if err != nil {
+// list merges the stored record and returns the revision to watch from.
+func (t *Tracker) list(ctx context.Context) (store.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.opts.CallTimeout)
+	defer cancel()
+	objects, revision, err := t.opts.Store.List(ctx, Key)
+	if err != nil {
+		return 0, err
+	}
+	for _, o := range objects {
+		if err := t.mergeObject(o); err != nil {
 			return 0, err
 		}
-		for _, o := range objects {
-			err = t.mergeObject(o)
-		}
-		return revision, err
 	}
-	watch, cancel := context.WithTimeout(ctx, t.opts.WatchTime)
+	return revision, nil
+}
+
+// watch waits for changes, merges them and returns the revision to go on from.
+func (t *Tracker) watch(ctx context.Context, after store.Version) (store.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.opts.WatchTime)
 	defer cancel()
-	events, err := t.opts.Store.Watch(watch, Key, after)
+	events, err := t.opts.Store.Watch(ctx, Key, after)
 	if err != nil {
 		return 0, err
 	}
 	for _, e := range events {
 		after = max(after, e.Version)
-		if !e.Deleted {
-			err = t.mergeObject(e.Object)
+		if e.Deleted {
+			continue
+		}
+		if err := t.mergeObject(e.Object); err != nil {
+			return 0, err
 		}
 	}
-	return after, err
+	return after, nil
 }
 
 func (t *Tracker) mergeObject(o store.Object) error {
