--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,6 +185,68 @@
 	})
 }
 
+func TestFrozenClaimerRunsOnceAndLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, st := is.New(t), t.Context(), newFakeStore()
+		frozen, other := start(t, st, nil), start(t, st, nil)
+		d, err := frozen.Claim(ctx, request("a"))
+		is.NoErr(err)
+		for range 20 { // The claimer is frozen between its claim and its dispatch.
+			time.Sleep(time.Minute)
+			resend, err := other.Claim(ctx, request("a"))
+			is.NoErr(err)
+			is.Equal(resend.Kind, InDoubt)
+		}
+		is.True(d.Ref.MayDispatch(time.Now())) // Still the only run.
+		is.NoErr(frozen.Finish(ctx, d.Ref, Outcome{Status: 200}))
+		resend, err := other.Claim(ctx, request("a"))
+		is.NoErr(err)
+		is.Equal(resend.Kind, Replay)
+		time.Sleep(DefaultRetention)
+		is.True(!d.Ref.MayDispatch(time.Now()))
+		resend, err = other.Claim(ctx, request("a")) // Forgotten: a new request.
+		is.NoErr(err)
+		is.Equal(resend.Kind, Run)
+	})
+}
+
+func TestLogWithGapRefusesClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, st := is.New(t), t.Context(), newFakeStore()
+		for i := range 3 {
+			_, err := start(t, st, nil).Claim(ctx, request(fmt.Sprint(i)))
+			is.NoErr(err)
+		}
+		delete(st.objects, ringKey(0, 1)) // As a store that was set back under a running VM.
+		_, err := start(t, st, nil).Claim(ctx, request("1"))
+		is.True(err != nil)
+	})
+}
+
+func TestStoreSetBackKeepsClaimsKnownHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, st := is.New(t), t.Context(), newFakeStore()
+		s := start(t, st, func(o *Options) { o.RingSlots = 4 })
+		claim := func(from, to int) {
+			for i := from; i < to; i++ {
+				_, err := s.Claim(ctx, request(fmt.Sprint(i)))
+				is.NoErr(err)
+				time.Sleep(time.Second)
+			}
+		}
+		claim(0, 6)
+		backup := maps.Clone(st.objects)
+		claim(6, 12)
+		st.objects = backup
+		d, err := s.Claim(ctx, request("11")) // In no batch of the store any more.
+		is.NoErr(err)
+		is.Equal(d.Kind, InDoubt)
+		d, err = s.Claim(ctx, request("12"))
+		is.NoErr(err)
+		is.Equal(d.Kind, Run)
+	})
+}
+
 func TestStoppingServiceWritesWhatIsQueued(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, st := is.New(t), newFakeStore()
@@ -269,37 +333,46 @@
 	if !testing.Verbose() {
 		t.Skip("prints a table; run with -v")
 	}
-	t.Log("interval filings/s filings/write writes/s bytes/filing")
+	t.Log("services interval filings/s filings/write writes/s calls/s bytes/filing")
 	for _, interval := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond} {
 		for _, rate := range []int{1, 10, 100, 1000} {
-			synctest.Test(t, func(t *testing.T) { printWrites(t, interval, rate) })
+			synctest.Test(t, func(t *testing.T) { printWrites(t, 1, interval, rate) })
 		}
 	}
+	for _, rate := range []int{10, 100, 1000} { // Without a preferred VM.
+		synctest.Test(t, func(t *testing.T) { printWrites(t, 12, 100*time.Millisecond, rate) })
+	}
 }
 
-func printWrites(t *testing.T, interval time.Duration, rate int) {
+func printWrites(t *testing.T, vms int, interval time.Duration, rate int) {
 	st := newFakeStore()
-	s := start(t, delayedStore{st, 27 * time.Millisecond}, func(o *Options) { o.AppendInterval = interval })
+	var services []*Service
+	for range vms {
+		services = append(services, start(t, delayedStore{st, 27 * time.Millisecond}, func(o *Options) { o.AppendInterval = interval }))
+	}
 	var wg sync.WaitGroup
 	filings := rate * 60
 	var waited time.Duration
 	var mu sync.Mutex
+	var refused atomic.Int64
 	for i := range filings {
 		time.Sleep(time.Second / time.Duration(rate))
 		wg.Go(func() {
-			asked := time.Now()
+			s, asked := services[i%vms], time.Now()
 			d, err := s.Claim(t.Context(), request(fmt.Sprint(i)))
 			mu.Lock()
 			waited += time.Since(asked)
 			mu.Unlock()
 			if err != nil || d.Kind != Run {
-				t.Error(d.Kind, err)
+				refused.Add(1)
+				return
 			}
 			time.Sleep(20 * time.Millisecond)
 			s.Finish(t.Context(), d.Ref, Outcome{Status: 200, Body: make([]byte, 200)})
 		})
 	}
 	wg.Wait()
-	t.Logf("%v %d %.2f %.1f %d mean claim %v", interval, rate, float64(filings)/float64(st.writes),
-		float64(st.writes)/60, st.bytes/filings, (waited / time.Duration(filings)).Round(time.Millisecond))
+	t.Logf("%d %v %d %.2f %.1f %.1f %d mean claim %v refused %d", vms, interval, rate,
+		float64(filings)/float64(st.writes), float64(st.writes)/60, float64(st.calls)/60, st.bytes/filings,
+		(waited / time.Duration(filings)).Round(time.Millisecond), refused.Load())
 }
--- a/claim/fakestore_test.go
+++ b/claim/fakestore_test.go
@@ -18,6 +18,7 @@
 	revision store.Version
 	objects  map[string]store.Object
 	writes   int
+	calls    int // Writes that were tried, and reads.
 	bytes    int
 	down     bool
 }
@@ -27,6 +28,7 @@
 func (s *fakeStore) Get(_ context.Context, key string) (store.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return store.Object{}, store.ErrUnavailable
 	}
@@ -40,6 +42,7 @@
 func (s *fakeStore) List(_ context.Context, prefix string) ([]store.Object, store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return nil, 0, store.ErrUnavailable
 	}
@@ -56,6 +59,7 @@
 func (s *fakeStore) Put(_ context.Context, key string, value []byte, expected store.Version) (store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return 0, store.ErrUnavailable
 	}
@@ -72,6 +76,7 @@
 func (s *fakeStore) Delete(_ context.Context, key string, expected store.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return store.ErrUnavailable
 	}
--- a/claim/options.go
+++ b/claim/options.go
@@ -17,6 +17,7 @@
 	DefaultRingSlots      = 64
 	DefaultRetention      = time.Hour
 	DefaultAppendInterval = 100 * time.Millisecond
+	DefaultStoreCalls     = 50
 	DefaultFinishDelay    = 250 * time.Millisecond
 	DefaultWriteTimeout   = time.Second
 	DefaultLoadTimeout    = 10 * time.Second
@@ -46,6 +47,8 @@
 	// AppendInterval is the least time between two appends to a partition by one
 	// VM. Partitions divided by it bounds the writes per second. Default 100 ms.
 	AppendInterval time.Duration
+	// StoreCalls bounds the calls of the store by this VM, per second. Default 50.
+	StoreCalls int
 	// FinishDelay is how long an outcome may wait for claims to share a write. Default 250 ms.
 	FinishDelay time.Duration
 	// WriteTimeout bounds one call of the store. Default 1 s.
@@ -78,6 +81,7 @@
 	setDefault(&o.RingSlots, DefaultRingSlots)
 	setDefault(&o.Retention, DefaultRetention)
 	setDefault(&o.AppendInterval, DefaultAppendInterval)
+	setDefault(&o.StoreCalls, DefaultStoreCalls)
 	setDefault(&o.FinishDelay, DefaultFinishDelay)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.LoadTimeout, DefaultLoadTimeout)
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 // maxRounds bounds how often one set of operations is planned again after conflicts.
 const maxRounds = 16
 
+// conflictIntervals is the longest pause after a conflict, in append intervals.
+const conflictIntervals = 2
+
 // reply answers an operation.
 type reply struct {
 	kind   Kind
@@ -61,11 +65,11 @@
 	wake chan struct{}
 }
 
-func newPartition(index int, opts *Options, layout *layoutGuard, m *Metrics) *partition {
+func newPartition(index int, opts *Options, layout *layoutGuard, calls *rate.Limiter, m *Metrics) *partition {
 	return &partition{
 		opts:    opts,
 		metrics: m,
-		log:     newPartitionLog(index, opts, layout, m),
+		log:     newPartitionLog(index, opts, layout, calls, m),
 		limiter: rate.NewLimiter(rate.Every(opts.AppendInterval), 1),
 		wake:    make(chan struct{}, 1),
 	}
@@ -185,10 +189,25 @@
 		}
 		// A batch that was just appended follows all earlier ones.
 		fresh = err == nil
+		if err != nil {
+			p.yield(ctx)
+		}
 	}
 	refuse(ops, errors.New("too many conflicts"))
 }
 
+// yield waits after a conflict, so that VMs which append to one partition at
+// once don't spend the store's calls on conflicts.
+func (p *partition) yield(ctx context.Context) {
+	if p.opts.AppendInterval == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(rand.N(conflictIntervals * p.opts.AppendInterval)):
+	}
+}
+
 // plan is the division of operations into those that go into a batch and the rest, which includes them.
 type plan struct{ writes, rest []*pendingOp }
 
--- a/claim/partitionlog.go
+++ b/claim/partitionlog.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/store"
@@ -48,6 +49,7 @@
 	index   int
 	opts    *Options
 	layout  *layoutGuard
+	calls   *rate.Limiter
 	metrics *Metrics
 
 	// state is nil until the log has been loaded.
@@ -58,8 +60,8 @@
 	archivedTo uint64
 }
 
-func newPartitionLog(index int, opts *Options, layout *layoutGuard, m *Metrics) *partitionLog {
-	return &partitionLog{index: index, opts: opts, layout: layout, metrics: m}
+func newPartitionLog(index int, opts *Options, layout *layoutGuard, calls *rate.Limiter, m *Metrics) *partitionLog {
+	return &partitionLog{index: index, opts: opts, layout: layout, calls: calls, metrics: m}
 }
 
 func (l *partitionLog) slotOf(seq uint64) int { return int(seq % uint64(l.opts.RingSlots)) }
@@ -135,10 +137,21 @@
 func (l *partitionLog) putOnce(ctx context.Context, key string, value []byte, expected store.Version) (store.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opts.WriteTimeout)
 	defer cancel()
-	l.metrics.storeCalls.WithLabelValues("put").Inc()
+	if err := l.admit(ctx, "put"); err != nil {
+		return 0, err
+	}
 	return l.opts.Store.Put(ctx, key, value, expected)
 }
 
+// admit waits for this VM's share of the store's calls.
+func (l *partitionLog) admit(ctx context.Context, call string) error {
+	if l.calls.Wait(ctx) != nil {
+		return errors.WithMessage(store.ErrUnavailable, "the rate of store calls is reached")
+	}
+	l.metrics.storeCalls.WithLabelValues(call).Inc()
+	return nil
+}
+
 // holds reports whether the log has b itself, rather than another batch, in its place.
 func (l *partitionLog) holds(b *pb.ClaimBatch) bool {
 	known := l.ring[l.slotOf(b.Seq)].batch
@@ -205,7 +218,9 @@
 func (l *partitionLog) get(ctx context.Context, key string) (store.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opts.WriteTimeout)
 	defer cancel()
-	l.metrics.storeCalls.WithLabelValues("get").Inc()
+	if err := l.admit(ctx, "get"); err != nil {
+		return store.Object{}, err
+	}
 	return l.opts.Store.Get(ctx, key)
 }
 
@@ -244,7 +259,9 @@
 func (l *partitionLog) list(ctx context.Context) (*logImage, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opts.LoadTimeout)
 	defer cancel()
-	l.metrics.storeCalls.WithLabelValues("list").Inc()
+	if err := l.admit(ctx, "list"); err != nil {
+		return nil, err
+	}
 	objects, _, err := l.opts.Store.List(ctx, partitionPrefix(l.index)+"/")
 	if err != nil {
 		return nil, err
@@ -347,6 +364,8 @@
 func (l *partitionLog) delete(ctx context.Context, key string, version store.Version) error {
 	ctx, cancel := context.WithTimeout(ctx, l.opts.WriteTimeout)
 	defer cancel()
-	l.metrics.storeCalls.WithLabelValues("delete").Inc()
+	if err := l.admit(ctx, "delete"); err != nil {
+		return err
+	}
 	return l.opts.Store.Delete(ctx, key, version)
 }
--- a/claim/service.go
+++ b/claim/service.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/result"
 )
@@ -29,8 +31,9 @@
 	}
 	s := &Service{opts: opts, metrics: m}
 	layout := newLayoutGuard(&s.opts)
+	calls := rate.NewLimiter(rate.Limit(opts.StoreCalls), opts.StoreCalls)
 	for i := range opts.Partitions {
-		s.partitions = append(s.partitions, newPartition(i, &s.opts, layout, m))
+		s.partitions = append(s.partitions, newPartition(i, &s.opts, layout, calls, m))
 	}
 	return s, nil
 }
