--- a/operator/client.go
+++ b/operator/client.go
@@ -24,9 +24,12 @@
 	commandPath = "/v1/command"
 )
 
-// DefaultTimeout bounds one call.
+// DefaultTimeout bounds one command.
 const DefaultTimeout = 10 * time.Second
 
+// statusTimeout bounds one status, so that a silent process does not hold up the others.
+const statusTimeout = 2 * time.Second
+
 // maxAnswerBytes bounds the body of an answer.
 const maxAnswerBytes = 64 << 20
 
@@ -34,7 +37,7 @@
 type Options struct {
 	// Addresses are the operators' addresses of the assign processes, host:port.
 	Addresses []string
-	// Timeout bounds one call; zero means DefaultTimeout.
+	// Timeout bounds one command; zero means DefaultTimeout.
 	Timeout time.Duration
 	// Dial opens connections; nil means TCP.
 	Dial func(address string) (net.Conn, error)
@@ -132,6 +135,8 @@
 }
 
 func (c *Client) status(ctx context.Context, address string) Answer {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	code, body, err := c.do(ctx, http.MethodGet, address, statusPath, nil)
 	if err != nil {
 		return Answer{Address: address, Error: err.Error()}
