--- a/bundle/holder.go
+++ b/bundle/holder.go
@@ -26,6 +26,9 @@
 	recheckTimeout = 2 * time.Second
 )
 
+// VersionMetric is the name of the metric with the version in force.
+const VersionMetric = "basiltally_bundle_version"
+
 // InForce is a bundle in force in this process. It never changes; a request
 // keeps the one with which it began.
 type InForce struct {
@@ -381,7 +384,7 @@
 func newHolderMetrics(reg prometheus.Registerer) *holderMetrics {
 	m := &holderMetrics{
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "basiltally_bundle_version",
+			Name: VersionMetric,
 			Help: "Version of the bundle in force; zero if there is none.",
 		}),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/cmd/basiltallyctl/bundle.go
+++ b/cmd/basiltallyctl/bundle.go
@@ -269,7 +269,7 @@
 type bundleStatusCmd struct{}
 
 func (*bundleStatusCmd) Run(a *app) error {
-	answers, err := a.answers()
+	c, err := a.client()
 	if err != nil {
 		return err
 	}
@@ -287,7 +287,7 @@
 		}
 		accepted = current.Version
 	}
-	report := operator.Spread(accepted, answers)
+	report := operator.Spread(accepted, c.BundleVersions(context.Background()))
 	if err := a.print(report, report.Write); err != nil {
 		return err
 	}
--- a/cmd/basiltallyctl/main.go
+++ b/cmd/basiltallyctl/main.go
@@ -156,7 +156,7 @@
 	if len(a.settings.Addresses) == 0 {
 		return nil, result.New(result.InvalidSettings, "no address of an assign process: give --address or addresses in the settings file")
 	}
-	return operator.NewClient(operator.Options{Addresses: a.settings.Addresses}), nil
+	return operator.NewClient(operator.Options{Addresses: a.settings.Addresses, Entries: a.settings.Entries}), nil
 }
 
 func (a *app) store() (store.Store, error) {
--- a/operator/client.go
+++ b/operator/client.go
@@ -8,12 +8,15 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/bundle"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/result"
 )
@@ -22,6 +25,7 @@
 const (
 	statusPath  = "/v1/status"
 	commandPath = "/v1/command"
+	metricsPath = "/metrics"
 )
 
 // DefaultTimeout bounds one command.
@@ -37,6 +41,9 @@
 type Options struct {
 	// Addresses are the operators' addresses of the assign processes, host:port.
 	Addresses []string
+	// Entries are the operators' addresses of the entry processes; only their
+	// bundle version is asked for.
+	Entries []string
 	// Timeout bounds one command; zero means DefaultTimeout.
 	Timeout time.Duration
 	// Dial opens connections; nil means TCP.
@@ -151,17 +158,53 @@
 	return Answer{Address: address, Status: &s}
 }
 
+// BundleVersions asks every assign and entry process for its bundle version.
+// The status of an entry holds nothing else.
+func (c *Client) BundleVersions(ctx context.Context) []Answer {
+	entries := make([]Answer, len(c.opts.Entries))
+	var wg sync.WaitGroup
+	for i, address := range c.opts.Entries {
+		wg.Go(func() {
+			entries[i] = c.entryVersion(ctx, address)
+		})
+	}
+	answers := c.StatusAll(ctx)
+	wg.Wait()
+	return append(answers, entries...)
+}
+
+func (c *Client) entryVersion(ctx context.Context, address string) Answer {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	_, body, err := c.do(ctx, http.MethodGet, address, metricsPath, nil)
+	if err != nil {
+		return Answer{Address: address, Error: err.Error()}
+	}
+	for line := range strings.Lines(string(body)) {
+		value, ok := strings.CutPrefix(strings.TrimSpace(line), bundle.VersionMetric+" ")
+		if !ok {
+			continue
+		}
+		version, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return Answer{Address: address, Error: "malformed metric: " + err.Error()}
+		}
+		return Answer{Address: address, Status: &Status{BundleVersion: uint64(version)}}
+	}
+	return Answer{Address: address, Error: "no metric " + bundle.VersionMetric}
+}
+
 // HighestBundle returns the highest bundle version in force in any process.
 func (c *Client) HighestBundle(ctx context.Context) (uint64, error) {
 	highest, answered := uint64(0), false
-	for _, a := range c.StatusAll(ctx) {
+	for _, a := range c.BundleVersions(ctx) {
 		if a.Status != nil {
 			answered = true
 			highest = max(highest, a.Status.BundleVersion)
 		}
 	}
 	if !answered {
-		return 0, errors.Errorf("none of %d assign processes answered", len(c.opts.Addresses))
+		return 0, errors.Errorf("none of %d processes answered", len(c.opts.Addresses)+len(c.opts.Entries))
 	}
 	return highest, nil
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -118,6 +118,23 @@
 	is.True(strings.Contains(out.String(), "version 4: in force in 1 of 4 processes"))
 }
 
+func TestSpreadCountsEntries(t *testing.T) {
+	is := is.New(t)
+	n := network{
+		"a:1": answer(vm1),
+		"e:1": answer("# HELP x\nbasiltally_bundle_version 4\n"),
+		"e:2": answer("basiltally_bundle_version 3\n"),
+		"e:3": answer("basiltally_bundle_version_other 4\n"),
+	}
+	c := n.client(t, "a:1")
+	c.opts.Entries = []string{"e:1", "e:2", "e:3", "e:4"}
+	r := Spread(4, c.BundleVersions(t.Context()))
+	is.Equal(r.InForce, 2)
+	is.Equal(r.Of, 5)
+	is.Equal(r.Lagging[0].Version, uint64(3))
+	is.True(strings.Contains(r.Lagging[1].Why, "no metric"))
+}
+
 func TestDiff(t *testing.T) {
 	is := is.New(t)
 	const doc = "[bundle]\nversion = 1\n[pool \"p\"]\nkeyed = true\ngroups = g\ntarget_slots = 6\ntarget_connections = 10\n" +
