Write a lost version object back; tell bundle status without the store

Seen on the local system: with bundle-current kept and bundles/2 deleted, no process wrote version 2 back, so a VM that starts could only get it from a peer. TestFollowerRestoresLostVersion failed before the mend. bundle status ended with 3002 while the store was out of reach; it now compares the processes with each other and says so.

--- a/bundle/follow.go
+++ b/bundle/follow.go
@@ -80,6 +80,9 @@
 		return current, nil
 	}
 	signed, _, err := ReadVersion(ctx, f.Store, current.Version)
+	if errors.Is(err, store.ErrNotFound) && f.holds(current) {
+		return current, f.restoreVersion(ctx)
+	}
 	if err != nil {
 		return Current{}, err
 	}
@@ -89,6 +92,28 @@
 	return current, f.Holder.Offer(signed.Encode(), "store")
 }
 
+// holds reports whether the accepted bundle is the one in force here.
+func (f *Follower) holds(current Current) bool {
+	held := f.Holder.InForce()
+	return held != nil && held.Signed != nil && held.Signed.same(current.Version, current.Digest)
+}
+
+// restoreVersion writes the object of the held version anew; without it a VM
+// that starts could not read the accepted bundle.
+func (f *Follower) restoreVersion(ctx context.Context) error {
+	r := f.roller()
+	held := f.Holder.InForce()
+	if err := r.create(ctx, held.Signed, r.newWrite()); err != nil {
+		return err
+	}
+	f.Holder.opts.Log.Warn("lost version written back to the store", "version", held.Bundle.Version)
+	return nil
+}
+
+func (f *Follower) roller() *Roller {
+	return &Roller{Store: f.Store, Policy: f.Policy, Operator: writeBackOperator + "/" + f.VM}
+}
+
 // writeBack restores the held bundle in the store. Both writes are conditional,
 // so processes that write back together do no harm.
 func (f *Follower) writeBack(ctx context.Context, behind Current) error {
@@ -96,7 +121,7 @@
 	if held == nil || held.Signed == nil {
 		return nil
 	}
-	r := &Roller{Store: f.Store, Policy: f.Policy, Operator: writeBackOperator + "/" + f.VM}
+	r := f.roller()
 	write := r.newWrite()
 	if err := r.create(ctx, held.Signed, write); err != nil {
 		return err
--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -216,3 +216,20 @@
 	is.NoErr((&Follower{Store: s, Holder: started, Policy: testPolicy()}).Sync(t.Context()))
 	is.Equal(started.Version(), uint64(2))
 }
+
+// TestFollowerRestoresLostVersion loses the object of the accepted version, so
+// that a new VM could not read it.
+func TestFollowerRestoresLostVersion(t *testing.T) {
+	is := is.New(t)
+	s := newFakeStore()
+	h := newTestHolder(HolderOptions{})
+	f := &Follower{Store: s, Holder: h, Policy: testPolicy(), VM: "vm-1"}
+	is.NoErr(rollAs("anna", s, signed(t, 1, "first", Digest{})))
+	is.NoErr(f.Sync(t.Context()))
+	delete(s.objects, VersionKey(1))
+	is.NoErr(f.Sync(t.Context()))
+	checkHistory(t, s)
+	started := newTestHolder(HolderOptions{})
+	delete(s.objects, VersionKey(1))
+	is.True((&Follower{Store: s, Holder: started, Policy: testPolicy()}).Sync(t.Context()) != nil) // it cannot help itself
+}
--- a/cmd/basiltallyctl/bundle.go
+++ b/cmd/basiltallyctl/bundle.go
@@ -273,21 +273,7 @@
 	if err != nil {
 		return err
 	}
-	accepted := uint64(0)
-	if a.settings.Store != "" {
-		st, err := a.store()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-		defer cancel()
-		current, err := bundle.ReadCurrent(ctx, st)
-		if err != nil {
-			return refuseRead(err)
-		}
-		accepted = current.Version
-	}
-	report := operator.Spread(accepted, c.BundleVersions(context.Background()))
+	report := operator.Spread(a.acceptedVersion(), c.BundleVersions(context.Background()))
 	if err := a.print(report, report.Write); err != nil {
 		return err
 	}
@@ -297,6 +283,22 @@
 	return nil
 }
 
+// acceptedVersion returns the version in the store, or zero with a warning if
+// it cannot be read; the processes still tell what they hold then.
+func (a *app) acceptedVersion() uint64 {
+	st, err := a.store()
+	if err == nil {
+		var current bundle.Current
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if current, err = bundle.ReadCurrent(ctx, st); err == nil {
+			return current.Version
+		}
+	}
+	fmt.Fprintf(a.errs, "basiltallyctl: compared with the highest version in force, since the store was not read: %v\n", err)
+	return 0
+}
+
 type bundleHistoryCmd struct{}
 
 // historyLine is one version in the JSON form of the history.
--- a/cmd/basiltallyctl/main.go
+++ b/cmd/basiltallyctl/main.go
@@ -81,6 +81,8 @@
 	operator string
 	json     bool
 	out      io.Writer
+	// errs takes warnings.
+	errs io.Writer
 }
 
 func main() {
@@ -110,7 +112,7 @@
 		fmt.Fprintf(stderr, "basiltallyctl: %v; see --help\n", err)
 		return operator.ExitInput
 	}
-	a, err := newApp(&cli, stdout)
+	a, err := newApp(&cli, stdout, stderr)
 	if err == nil {
 		err = command.Run(a)
 	}
@@ -127,7 +129,7 @@
 // exit carries kong's wish to end the program, e.g. after --help.
 type exit int
 
-func newApp(cli *commandLine, out io.Writer) (*app, error) {
+func newApp(cli *commandLine, out, errs io.Writer) (*app, error) {
 	var s operator.Settings
 	load := func() error { return settings.Defaults(&s) }
 	if cli.Settings != "" {
@@ -136,7 +138,7 @@
 	if err := load(); err != nil {
 		return nil, result.Wrap(result.InvalidSettings, err, "settings")
 	}
-	a := &app{settings: s.Ctl, operator: cli.Operator, json: cli.JSON, out: out}
+	a := &app{settings: s.Ctl, operator: cli.Operator, json: cli.JSON, out: out, errs: errs}
 	if len(cli.Address) > 0 {
 		a.settings.Addresses = cli.Address
 	}
