--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -112,6 +112,9 @@
 	}
 	is.True(strings.Contains(Spread(2, answers).Lagging[0].Why, "restored to the past"))
 
+	empty := []Answer{{Address: "a:1", Status: &Status{}}}
+	is.Equal(Spread(0, empty).Lagging[0].Why, "has no bundle yet")
+
 	var out bytes.Buffer
 	is.NoErr(WriteStatus(&out, answers))
 	is.NoErr(r.Write(&out))
--- a/operator/table.go
+++ b/operator/table.go
@@ -189,7 +189,7 @@
 	switch {
 	case a.Status == nil:
 		return "does not answer: " + a.Error
-	case a.Status.BundleVersion == accepted:
+	case a.Status.BundleVersion == accepted && accepted > 0:
 		return ""
 	case a.Status.BundleVersion > accepted:
 		return fmt.Sprintf("holds version %d, which is newer than the store: the store was restored to the past", a.Status.BundleVersion)
