--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -210,16 +210,32 @@
 
 func (a *Assigner) groupStatus(v *ownership.View) Status {
 	s := Status{Group: v.Group, Assigner: v.Assigner, Term: v.Term, Seq: v.Seq, Slots: len(v.Slots), Targets: len(v.Targets)}
-	for _, slot := range v.Slots {
-		if slot.Owner == ownership.NoOwner {
-			s.Unowned++
-		}
-	}
+	s.Unowned = unowned(v)
 	for _, state := range v.States {
 		if state == ownership.TargetLost {
 			s.Lost++
 		}
 	}
-	s.Assigning = v.Assigner == a.opts.Self
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.groups[v.Group]
+	s.Assigning = g != nil && g.assigning.Load()
 	return s
 }
+
+// unowned counts the hashed and pinned slots without an owner. The slot of a
+// key that was unpinned stays in the view but belongs to no key.
+func unowned(v *ownership.View) int {
+	n := 0
+	for _, slot := range v.Slots[:min(int(v.SlotCount), len(v.Slots))] {
+		if slot.Owner == ownership.NoOwner {
+			n++
+		}
+	}
+	for _, slot := range v.Pinned {
+		if int(slot) < len(v.Slots) && v.Slots[slot].Owner == ownership.NoOwner {
+			n++
+		}
+	}
+	return n
+}
--- a/assigner/group.go
+++ b/assigner/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/basiltally/basiltally/assign"
@@ -20,6 +21,8 @@
 	events  chan assign.Event
 	stopped chan struct{}
 	done    bool
+	// assigning tells whether the core is the group's assigner.
+	assigning atomic.Bool
 	// waiting holds the answers to commands; only the run loop uses it.
 	waiting map[string]chan<- assign.CommandDone
 	ctx     context.Context
@@ -60,6 +63,7 @@
 		case <-timer.C:
 			g.step(ctx, assign.Tick{})
 		}
+		g.assigning.Store(g.core.Assigning(g.a.now()))
 		timer.Reset(max(0, g.core.NextWake()-g.a.now()))
 	}
 }
--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -21,6 +21,7 @@
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/relay"
 	"github.com/basiltally/basiltally/store/objectapi"
 	"github.com/basiltally/basiltally/target"
@@ -34,18 +35,19 @@
 
 // assignProcess is the wiring of basiltally-assign.
 type assignProcess struct {
-	settings *AssignSettings
-	logger   *slog.Logger
-	registry *prometheus.Registry
-	members  *membership.List
-	hub      *relay.Hub
-	peers    *peer.Client
-	server   *peer.Server
-	assigner *assigner.Assigner
-	objects  *objectapi.Client
-	bundles  *bundle.Holder
-	claims   *claim.Service
-	tree     *relay.Tree
+	settings   *AssignSettings
+	logger     *slog.Logger
+	registry   *prometheus.Registry
+	members    *membership.List
+	hub        *relay.Hub
+	peers      *peer.Client
+	server     *peer.Server
+	assigner   *assigner.Assigner
+	objects    *objectapi.Client
+	bundles    *bundle.Holder
+	claims     *claim.Service
+	quarantine *quarantine.Tracker
+	tree       *relay.Tree
 }
 
 // RunAssign runs basiltally-assign until the context ends, then hands its
@@ -81,6 +83,7 @@
 		return nil, err
 	}
 	p.tree = p.newTree()
+	p.quarantine = quarantine.New(quarantine.Options{Store: p.objects, Registerer: p.registry, Logger: p.logger})
 	claimOptions := s.Claim.options(p.objects, s.Process.VM, p.registry, p.logger)
 	if p.claims, err = claim.NewService(claimOptions, claim.NewMetrics(p.registry)); err != nil {
 		return nil, err
@@ -125,6 +128,7 @@
 	g.Go(func() error { return p.tree.RunWhileRoot(work, p.followBundles) })
 	g.Go(func() error { return p.bundles.Run(work) })
 	g.Go(func() error { return p.claims.Run(work) })
+	g.Go(func() error { return p.quarantine.Run(work) })
 	g.Go(func() error { return onBundle(work, p.bundles, p.applyBundle) })
 	g.Go(func() error { return telemetry.Serve(work, p.telemetryOptions()) })
 	p.logger.Info("started", "peer_address", p.server.Addr())
--- a/daemon/bundle.go
+++ b/daemon/bundle.go
@@ -87,7 +87,7 @@
 
 // offer returns the function that decides on bundles received from peers.
 func offer(h *bundle.Holder) func(*pb.Bundle) error {
-	return func(b *pb.Bundle) error { return h.Offer(b.Document, "peer") }
+	return func(b *pb.Bundle) error { return h.Receive(b.Document, "peer") }
 }
 
 // servingBundle returns the bundle for a new request, or nil if none may be used.
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -19,13 +19,16 @@
 	"github.com/basiltally/basiltally/pipeline"
 	"github.com/basiltally/basiltally/pipeline/account"
 	"github.com/basiltally/basiltally/pipeline/admit"
+	"github.com/basiltally/basiltally/pipeline/guard"
 	"github.com/basiltally/basiltally/pipeline/identify"
 	"github.com/basiltally/basiltally/pipeline/locate"
 	"github.com/basiltally/basiltally/pipeline/once"
 	answers "github.com/basiltally/basiltally/pipeline/relay"
 	"github.com/basiltally/basiltally/pipeline/retry"
+	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/relay"
 	"github.com/basiltally/basiltally/store/objectapi"
+	"github.com/basiltally/basiltally/target"
 	"github.com/basiltally/basiltally/telemetry"
 	"github.com/basiltally/basiltally/views"
 )
@@ -41,6 +44,7 @@
 	members    *membership.List
 	claims     *claim.Service
 	claimer    *claim.Router
+	quarantine *quarantine.Tracker
 	peers      *peer.Client
 	selector   *balance.Selector
 	dispatcher *dispatch.Dispatcher
@@ -80,7 +84,7 @@
 	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
 		return nil, err
 	}
-	if err := p.newClaims(); err != nil {
+	if err := p.newShared(); err != nil {
 		return nil, err
 	}
 	p.frontend = frontend.New(frontend.Options{
@@ -90,13 +94,15 @@
 	return p, nil
 }
 
-// newClaims builds the router of claims. It asks the assign processes, which
+// newShared builds what shares state through the object API: the quarantine and
+// the router of claims. It asks the assign processes, which
 // batch the claims of many entries, and falls back to a service of its own.
-func (p *entryProcess) newClaims() error {
+func (p *entryProcess) newShared() error {
 	s := p.settings
 	objects := objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
 	lister := &membership.SeededLister{Platform: objects, Client: p.peers, Seeds: []string{s.Entry.AssignAddress}}
 	p.members = membership.New(membership.Options{Lister: lister, Registerer: p.registry})
+	p.quarantine = quarantine.New(quarantine.Options{Store: objects, Registerer: p.registry, Logger: p.logger})
 	metrics := claim.NewMetrics(p.registry)
 	var err error
 	// The router has no VM name of its own: also this VM's assign process is asked as a peer.
@@ -119,6 +125,7 @@
 		once.New(once.Options{Claimer: p.claimer}),
 		retry.New(retry.Options{Views: p.views}),
 		locate.New(locate.Options{Views: p.views, Picker: p.selector}),
+		guard.New(guard.Options{Tracker: p.quarantine, Health: target.NewClient(target.ClientOptions{})}),
 	)
 }
 
@@ -133,6 +140,7 @@
 	g.Go(func() error { return p.members.Run(work) })
 	g.Go(func() error { return p.claims.Run(work) })
 	g.Go(func() error { return p.claimer.Run(work) })
+	g.Go(func() error { return p.quarantine.Run(work) })
 	g.Go(func() error {
 		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
 	})
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -64,7 +64,7 @@
 
 // BundleSource locates the configuration bundle and the keys that sign it.
 type BundleSource struct {
-	File         string   `ini:"file" default:"" doc:"Bundle document used until the store or a peer gives a newer one."`
+	File         string   `ini:"file" default:"" doc:"Bundle document without signatures, for first runs; only without approvers_dir."`
 	ApproversDir string   `ini:"approvers_dir" default:"" doc:"Directory of the approvers' public keys; empty accepts no bundle but the file's."`
 	Approvals    int      `ini:"approvals" default:"1" unit:"approvers" range:"1..9" doc:"Named approvers whose signatures a bundle needs."`
 	Approvers    []string `ini:"approvers" default:"" doc:"Names of approvers; each has a file NAME.pub in approvers_dir. Empty takes all files."`
