--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -72,6 +72,8 @@
 	reserved net.Listener
 	mu       sync.Mutex
 	all      map[string]*Process
+	// codes counts the failures of measurements.
+	codes codeCounter
 }
 
 // Process is one process of the cluster.
--- a/demo/failover.go
+++ b/demo/failover.go
@@ -72,7 +72,26 @@
 		fmt.Fprintf(table, "%s\t%d\t%d of %d\t%s\t%s\t%s\t%d\n", l.name, rounds, len(hit), len(gaps),
 			quantile(hit, .5), quantile(hit, .9), quantile(hit, 1), failed)
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "result codes of failed reads: %v\n", c.codes.counts)
+	return errors.Wrap(err, "print")
+}
+
+// codeCounter counts result codes.
+type codeCounter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (c *codeCounter) count(code string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = make(map[string]int)
+	}
+	c.counts[code]++
 }
 
 func quantile(sorted []time.Duration, q float64) time.Duration {
@@ -160,6 +179,7 @@
 	var wg sync.WaitGroup
 	gaps := make([]time.Duration, failoverKeys)
 	failures := make([]int, failoverKeys)
+	codes := &c.codes
 	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: failoverKeys}}
 	for i := range failoverKeys {
 		vm := i % c.opts.VMs
@@ -177,6 +197,7 @@
 				a, err := c.request(client, vm, http.MethodGet, fmt.Sprintf("/sheets/key-%d", i), "", "")
 				if err != nil || a.code != "0" {
 					failures[i]++
+					codes.count(a.code)
 					time.Sleep(readPause)
 					continue
 				}
