--- a/balance/gate.go
+++ b/balance/gate.go
@@ -13,6 +13,10 @@
 // serviceWeight is the weight of a new sample in the mean service time.
 const serviceWeight = 0.1
 
+// maxWaitPart is the divisor of the time left that a request may spend waiting.
+// At overload some requests must be refused; refusing early keeps the others fast.
+const maxWaitPart = 2
+
 // Gate limits the requests that run at once and keeps the others in a bounded
 // queue, first in, first out. It refuses a request that would miss its deadline
 // in the queue as soon as that can be foreseen.
@@ -90,10 +94,12 @@
 	return w, nil
 }
 
-// hopelessLocked reports whether a request behind ahead others would miss its deadline.
+// hopelessLocked reports whether a request behind ahead others would miss its
+// deadline, or spend too much of it waiting.
 func (g *Gate) hopelessLocked(deadline time.Time, ahead int) bool {
 	wait := g.service * time.Duration(ahead) / time.Duration(max(g.limit, 1))
-	return time.Until(deadline) < wait+g.service
+	left := time.Until(deadline)
+	return wait > left/maxWaitPart || wait+g.service > left
 }
 
 func (g *Gate) leave(w *waiter) bool {
--- a/cmd/basiltally-experiment/main.go
+++ b/cmd/basiltally-experiment/main.go
@@ -16,7 +16,7 @@
 )
 
 type command struct {
-	Policy   policyCommand   `cmd:"" help:"Compare policies with the baseline under load and faults, in virtual time."`
+	Policy   policyCommand   `cmd:"" help:"Compare policies with the baseline under load and faults, in virtual time. Exit code 1 tells that a measure is worse than the baseline's."`
 	Overhead overheadCommand `cmd:"" help:"Compare requests through one entry with direct ones, on loopback."`
 	Slow     slowCommand     `cmd:"" help:"Measure memory while slow readers take large bodies, on loopback."`
 }
@@ -52,7 +52,11 @@
 func (c *policyCommand) measure(t *testing.T) {
 	for _, s := range experiment.Scenarios() {
 		if c.Scenario == "" || c.Scenario == s.Name {
-			print(os.Stdout, s.Run(t, c.Seed))
+			table := s.Run(t, c.Seed)
+			print(os.Stdout, table)
+			for _, r := range table.Regressions() {
+				t.Errorf("worse than the baseline: %s", r)
+			}
 		}
 	}
 }
@@ -79,11 +83,17 @@
 
 // print writes the table in Markdown.
 func print(w io.Writer, t experiment.Table) {
-	fmt.Fprintf(w, "### %s\n\n%s\n\n", t.Name, t.Setting)
-	fmt.Fprintf(w, "| deployment | policy | %s |\n", strings.Join(t.Columns, " | "))
-	fmt.Fprintf(w, "|%s\n", strings.Repeat(" --- |", len(t.Columns)+2))
+	fmt.Fprintf(w, "### %s\n\n%s\n\n| deployment | policy |", t.Name, t.Setting)
+	for _, c := range t.Columns {
+		fmt.Fprintf(w, " %s |", c.Name)
+	}
+	fmt.Fprintf(w, "\n|%s\n", strings.Repeat(" --- |", len(t.Columns)+2))
 	for _, r := range t.Rows {
-		fmt.Fprintf(w, "| %s | %s | %s |\n", r.Deployment, r.Policy, strings.Join(r.Values, " | "))
+		fmt.Fprintf(w, "| %s | %s |", r.Deployment, r.Policy)
+		for i, v := range r.Values {
+			fmt.Fprintf(w, " "+string(t.Columns[i].Unit)+" |", v)
+		}
+		fmt.Fprintln(w)
 	}
 	fmt.Fprintln(w)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -42,17 +42,17 @@
 	// MaxIdleAtMostOnce is the same for at-most-once requests, which cannot be
 	// sent again when the connection has gone silent meanwhile. Default 2 s.
 	MaxIdleAtMostOnce time.Duration
-	// SilenceTimeout is the longest wait for the first byte of the answer to an
+	// SilenceTimeout is the longest wait for a byte of the answer to a short
 	// idempotent request before the connection is given up. Default 500 ms.
 	SilenceTimeout time.Duration
-	// ProgressTimeout is the longest time without a byte within an answer or
-	// while a request body is sent. Default 5 s.
+	// ProgressTimeout is the longest time without a byte of a long transfer, and
+	// while a request is sent. Default 5 s.
 	ProgressTimeout time.Duration
 	// BufferBytes is the longest body that is read whole before the answer is
 	// relayed; longer ones are streamed. Default 64 KiB.
 	BufferBytes int
 	// ShortSlots and BulkSlots are the requests that this entry runs at once on
-	// one target, short ones and long transfers apart. Default 4 and 2.
+	// one target, short ones and long transfers apart. Default 4 and 1.
 	ShortSlots, BulkSlots int
 	// Region is the region of this entry. Long transfers from other regions are
 	// paced to LinkBytesPerSecond per region, this entry's share of the budget of
@@ -82,7 +82,7 @@
 	o.ProgressTimeout = cmp.Or(o.ProgressTimeout, 5*time.Second)
 	o.BufferBytes = cmp.Or(o.BufferBytes, 64<<10)
 	o.ShortSlots = cmp.Or(o.ShortSlots, 4)
-	o.BulkSlots = cmp.Or(o.BulkSlots, 2)
+	o.BulkSlots = cmp.Or(o.BulkSlots, 1)
 	o.MaxWaiting = cmp.Or(o.MaxWaiting, 256)
 	return o
 }
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -216,12 +216,17 @@
 	}
 }
 
-// firstByteTimeout is short only where the request may be sent again.
+// firstByteTimeout is short only where the request may be sent again and the
+// target answers soon after it took it.
 func (x *exchange) firstByteTimeout() time.Duration {
-	if x.req.AtMostOnce() {
+	switch {
+	case x.req.AtMostOnce():
 		return time.Until(x.req.Deadline)
+	case x.req.Bulk():
+		return x.dispatcher.opts.ProgressTimeout
+	default:
+		return x.dispatcher.opts.SilenceTimeout
 	}
-	return x.dispatcher.opts.SilenceTimeout
 }
 
 // bodyTimeout bounds the time without a byte within the answer's body.
--- a/experiment/loopback.go
+++ b/experiment/loopback.go
@@ -33,6 +33,8 @@
 	"github.com/basiltally/basiltally/views"
 )
 
+const mebibyte = 1 << 20
+
 // OverheadOptions are the options of Overhead.
 type OverheadOptions struct {
 	// Requests is the number of requests of each kind.
@@ -151,7 +153,11 @@
 	table := Table{
 		Name:    "overhead",
 		Setting: fmt.Sprintf("%d reads over %d connections on loopback; caller, entry and target share one process, whose processor time is divided by the requests.", opts.Requests, opts.Connections),
-		Columns: []string{"p50", "p99", "processor time per request"},
+		Columns: []Column{
+			{"p50", Microseconds, Lower},
+			{"p99", Microseconds, Lower},
+			{"processor time per request", Microseconds, Lower},
+		},
 	}
 	for _, way := range []struct{ name, address string }{{"warm-up", l.entry}, {"direct", l.target}, {"through an entry", l.entry}} {
 		values, err := measureWay(way.address, opts)
@@ -165,7 +171,7 @@
 	return table, l.stop()
 }
 
-func measureWay(address string, opts OverheadOptions) ([]string, error) {
+func measureWay(address string, opts OverheadOptions) ([]float64, error) {
 	before := processorTime()
 	latencies, err := sendReads(address, opts)
 	if err != nil {
@@ -173,13 +179,14 @@
 	}
 	used := processorTime() - before
 	slices.Sort(latencies)
-	at := func(p float64) string {
-		return fmt.Sprintf("%.0f µs", float64(latencies[int(p*float64(len(latencies)-1))])/1e3)
+	at := func(p float64) float64 {
+		return micros(latencies[int(p*float64(len(latencies)-1))])
 	}
-	perRequest := float64(used) / float64(len(latencies)) / 1e3
-	return []string{at(0.5), at(0.99), fmt.Sprintf("%.0f µs", perRequest)}, nil
+	return []float64{at(0.5), at(0.99), micros(used) / float64(len(latencies))}, nil
 }
 
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
 // sendReads sends the requests and returns their latencies.
 func sendReads(address string, opts OverheadOptions) ([]time.Duration, error) {
 	var mu sync.Mutex
@@ -245,7 +252,12 @@
 	table := Table{
 		Name:    "slow readers",
 		Setting: fmt.Sprintf("%d callers each take a body of %d MiB with pauses; the heap is that of entry, target and callers in one process, its peak seen in samples every 20 ms.", opts.Readers, opts.Bytes>>20),
-		Columns: []string{"heap before", "peak heap", "per reader", "whole bodies"},
+		Columns: []Column{
+			{"heap before", Mebibytes, Neutral},
+			{"peak heap", Mebibytes, Lower},
+			{"peak per reader", Mebibytes, Lower},
+			{"whole bodies", Count, Higher},
+		},
 	}
 	before := heapInUse()
 	peak, stopSampling := sampleHeap()
@@ -255,14 +267,12 @@
 		return table, err
 	}
 	perReader := (float64(highest) - float64(before)) / float64(opts.Readers)
-	table.Rows = []Row{{"loopback", Gates, []string{
-		mib(float64(before)), mib(float64(highest)), mib(perReader), fmt.Sprintf("%d of %d", whole, opts.Readers),
+	table.Rows = []Row{{"loopback", Gates, []float64{
+		float64(before) / mebibyte, float64(highest) / mebibyte, perReader / mebibyte, float64(whole),
 	}}}
 	return table, l.stop()
 }
 
-func mib(bytes float64) string { return fmt.Sprintf("%.2f MiB", bytes/(1<<20)) }
-
 func heapInUse() uint64 {
 	runtime.GC()
 	return currentHeap()
--- a/experiment/scenarios.go
+++ b/experiment/scenarios.go
@@ -21,27 +21,100 @@
 	onceLimit = time.Second
 )
 
+// Column is a measure of a table.
+type Column struct {
+	Name string
+	Unit Unit
+	// Better tells which values are the better ones.
+	Better Direction
+}
+
+// Direction tells how values of a column compare.
+type Direction int
+
+// Directions of columns.
+const (
+	Neutral Direction = iota
+	Lower
+	Higher
+)
+
+// Unit is the format of a value.
+type Unit string
+
+// Units, as formats of fmt.
+const (
+	Milliseconds Unit = "%.1f ms"
+	Microseconds Unit = "%.0f µs"
+	Percent      Unit = "%.1f%%"
+	Ratio        Unit = "%.3f"
+	Count        Unit = "%.0f"
+	Mebibytes    Unit = "%.2f MiB"
+)
+
 // Row is one line of a table: a deployment under a policy.
 type Row struct {
 	Deployment string
 	Policy     Policy
 	// Values run parallel to Table.Columns.
-	Values []string
+	Values []float64
 }
 
 // Table is the result of one scenario.
 type Table struct {
 	Name, Setting string
-	Columns       []string
+	Columns       []Column
 	Rows          []Row
 }
 
 // Scenario measures deployments under policies.
 type Scenario struct {
 	Name, Setting string
-	Columns       []string
+	Columns       []Column
 	Policies      []Policy
-	run           func(w *world, l *load) []string
+	run           func(w *world, l *load) []float64
+}
+
+// tolerance is the part by which a value may be worse than the baseline's
+// before it counts as a regression.
+const tolerance = 0.1
+
+// Regressions describes the values of the product that are worse than the baseline's.
+func (t Table) Regressions() []string {
+	var found []string
+	for _, d := range Deployments() {
+		base, ok1 := t.row(d.Name, Baseline)
+		own, ok2 := t.row(d.Name, Gates)
+		if !ok1 || !ok2 {
+			continue
+		}
+		for i, c := range t.Columns {
+			if c.worse(own.Values[i], base.Values[i]) {
+				found = append(found, fmt.Sprintf("%s, %s, %s: %v, baseline %v", t.Name, d.Name, c.Name, own.Values[i], base.Values[i]))
+			}
+		}
+	}
+	return found
+}
+
+func (t Table) row(deployment string, p Policy) (Row, bool) {
+	for _, r := range t.Rows {
+		if r.Deployment == deployment && r.Policy == p {
+			return r, true
+		}
+	}
+	return Row{}, false
+}
+
+func (c Column) worse(own, base float64) bool {
+	switch c.Better {
+	case Lower:
+		return own > base*(1+tolerance)
+	case Higher:
+		return own < base*(1-tolerance)
+	default:
+		return false
+	}
 }
 
 // Scenarios returns all scenarios.
@@ -50,29 +123,54 @@
 	return []Scenario{
 		{
 			"balance", "Filings at 60% of the targets' capacity for 5 s.",
-			[]string{"imbalance (max/mean)", "p50", "p99", "answered"},
+			[]Column{
+				{"imbalance (max/mean)", Ratio, Lower},
+				{"p50", Milliseconds, Lower},
+				{"p99", Milliseconds, Lower},
+				{"answered", Percent, Higher},
+			},
 			[]Policy{Baseline, Gates, Direct, Permits, Home},
 			runBalance,
 		},
 		{
 			"swing", "Reads at 50% of capacity; from 2 s on 5 times as many within 2 s, until 7 s; then 50% until 10 s.",
-			[]string{"good at crest, of capacity", "p99 at crest", "p99 of refusals", "recovery after crest"},
+			[]Column{
+				{"good at crest, of capacity", Percent, Higher},
+				{"p99 at crest", Milliseconds, Lower},
+				{"p99 of refusals", Milliseconds, Lower},
+				{"recovery after crest", Milliseconds, Lower},
+			},
 			[]Policy{Baseline, Gates, Direct, Permits, Home},
 			runSwing,
 		},
 		{
-			"short beside long", "Reads at 30% of capacity beside drawing packs at 130% of theirs, for 8 s.",
-			[]string{"p50 of reads", "p99 of reads", "good reads", "packs whole"},
+			"short beside long", "Reads at 30% of capacity beside drawing packs at 400% of theirs, for 8 s.",
+			[]Column{
+				{"p50 of reads", Milliseconds, Lower},
+				{"p99 of reads", Milliseconds, Lower},
+				{"good reads", Percent, Higher},
+				{"packs whole", Percent, Neutral},
+			},
 			both, runMixed,
 		},
 		{
 			"target loss", "Filings at 90% of capacity; at 2 s two targets are lost, at 6 s they are back.",
-			[]string{"attempts per filing in the loss", "runs twice", "told not run but ran", "good filings in the loss", "recovery after the return"},
+			[]Column{
+				{"attempts per filing in the loss", Ratio, Lower},
+				{"runs twice", Count, Lower},
+				{"told not run but ran", Count, Lower},
+				{"good filings in the loss", Percent, Higher},
+				{"recovery after the return", Milliseconds, Lower},
+			},
 			both, runLoss,
 		},
 		{
 			"owner loss", "Reads at 40% of capacity; at 2 s one owner is lost, its keys move at 3.5 s.",
-			[]string{"attempts per read in the loss", "good reads in the loss", "recovery after the move"},
+			[]Column{
+				{"attempts per read in the loss", Ratio, Lower},
+				{"good reads in the loss", Percent, Higher},
+				{"recovery after the move", Milliseconds, Lower},
+			},
 			both, runOwnerLoss,
 		},
 	}
@@ -91,7 +189,7 @@
 	return table
 }
 
-func (s Scenario) measure(d Deployment, p Policy, seed int64) []string {
+func (s Scenario) measure(d Deployment, p Policy, seed int64) []float64 {
 	w := newWorld(d, p, serviceTime)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -138,7 +236,7 @@
 	return stream{pool, func(time.Duration) float64 { return rate }}
 }
 
-func runBalance(w *world, l *load) []string {
+func runBalance(w *world, l *load) []float64 {
 	samples := l.run(5*time.Second, w.steady(poolOnce, 0.6))
 	most, total := 0, 0
 	for _, t := range w.pools[poolOnce] {
@@ -146,15 +244,15 @@
 		total += t.runs
 	}
 	mean := float64(total) / float64(len(w.pools[poolOnce]))
-	return []string{
-		fmt.Sprintf("%.3f", float64(most)/mean),
+	return []float64{
+		float64(most) / mean,
 		ms(percentile(samples, 0.5)),
 		ms(percentile(samples, 0.99)),
 		percent(goodput(samples, onceLimit)),
 	}
 }
 
-func runSwing(w *world, l *load) []string {
+func runSwing(w *world, l *load) []float64 {
 	capacity := w.capacity(poolReads)
 	rate := func(at time.Duration) float64 {
 		switch {
@@ -169,7 +267,7 @@
 	samples := l.run(10*time.Second, stream{poolReads, rate})
 	crest := window(samples, poolReads, 4*time.Second, 7*time.Second)
 	good := goodput(crest, readLimit) * float64(len(crest)) / (3 * capacity)
-	return []string{
+	return []float64{
 		percent(good),
 		ms(percentile(crest, 0.99)),
 		ms(refusalPercentile(crest, 0.99)),
@@ -189,11 +287,11 @@
 	return percentile(refused, p)
 }
 
-func runMixed(w *world, l *load) []string {
-	samples := l.run(8*time.Second, w.steady(poolReads, 0.3), w.steady(poolBulk, 1.3))
+func runMixed(w *world, l *load) []float64 {
+	samples := l.run(8*time.Second, w.steady(poolReads, 0.3), w.steady(poolBulk, 4))
 	reads := window(samples, poolReads, 2*time.Second, 8*time.Second)
 	packs := window(samples, poolBulk, 0, 8*time.Second)
-	return []string{
+	return []float64{
 		ms(percentile(reads, 0.5)),
 		ms(percentile(reads, 0.99)),
 		percent(goodput(reads, readLimit)),
@@ -201,7 +299,7 @@
 	}
 }
 
-func runLoss(w *world, l *load) []string {
+func runLoss(w *world, l *load) []float64 {
 	for _, lost := range w.pools[poolOnce][:2] {
 		time.AfterFunc(2*time.Second, lost.kill)
 		time.AfterFunc(6*time.Second, lost.revive)
@@ -209,10 +307,10 @@
 	samples := l.run(9*time.Second, w.steady(poolOnce, 0.9))
 	loss := window(samples, poolOnce, 2*time.Second, 6*time.Second)
 	twice, untrue := w.contradictions(samples)
-	return []string{
-		fmt.Sprintf("%.3f", attemptsPerRequest(loss)),
-		fmt.Sprint(twice),
-		fmt.Sprint(untrue),
+	return []float64{
+		attemptsPerRequest(loss),
+		float64(twice),
+		float64(untrue),
 		percent(goodput(loss, onceLimit)),
 		ms(recovery(samples, poolOnce, 6*time.Second, 9*time.Second, onceLimit)),
 	}
@@ -240,18 +338,18 @@
 	return twice, untrue
 }
 
-func runOwnerLoss(w *world, l *load) []string {
+func runOwnerLoss(w *world, l *load) []float64 {
 	time.AfterFunc(2*time.Second, w.pools[poolReads][0].kill)
 	time.AfterFunc(3500*time.Millisecond, func() { w.views.Apply(w.view(poolReads, 2)) })
 	samples := l.run(6*time.Second, w.steady(poolReads, 0.4))
 	loss := window(samples, poolReads, 2*time.Second, 3500*time.Millisecond)
-	return []string{
-		fmt.Sprintf("%.3f", attemptsPerRequest(loss)),
+	return []float64{
+		attemptsPerRequest(loss),
 		percent(goodput(loss, readLimit)),
 		ms(recovery(samples, poolReads, 3500*time.Millisecond, 6*time.Second, readLimit)),
 	}
 }
 
-func ms(d time.Duration) string { return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond)) }
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func percent(share float64) string { return fmt.Sprintf("%.1f%%", 100*share) }
+func percent(share float64) float64 { return 100 * share }
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -78,7 +78,8 @@
 	Direct Policy = "direct"
 	// Permits divides each target's slots by demand four times a second.
 	Permits Policy = "permits"
-	// Home sends all requests for a target through one entry, which limits them.
+	// Home sends all requests for a target through one entry of its region, which
+	// limits them.
 	Home Policy = "home VM"
 )
 
@@ -187,13 +188,13 @@
 // newEntry wires the filters as basiltally-entry does, changed by the policy.
 func (w *world) newEntry(region string, p Policy) *entry {
 	selector := balance.NewSelector(balance.SelectorOptions{Region: region})
-	opts := dispatch.Options{Dial: w.dialer(region), Region: region, Observer: selector}
+	opts := dispatch.Options{Dial: w.dialer(region, p), Region: region, Observer: selector}
 	if p == Baseline || p == Direct || p == Home {
 		opts.ShortSlots, opts.BulkSlots, opts.MaxWaiting = unlimited, unlimited, unlimited
 	}
 	if p == Baseline {
 		opts.DialRate, opts.DialBurst, opts.DialBackoff = unlimited, unlimited, 1
-		opts.SilenceTimeout = time.Minute
+		opts.SilenceTimeout, opts.ProgressTimeout = time.Minute, time.Minute
 	}
 	e := &entry{region: region, dispatcher: dispatch.New(opts)}
 	b := bundle()
@@ -215,13 +216,18 @@
 	return e
 }
 
-func (w *world) dialer(region string) dispatch.DialFunc {
+func (w *world) dialer(region string, p Policy) dispatch.DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		t, ok := w.targets[address]
 		if !ok {
 			return nil, errors.Errorf("no target %s", address)
 		}
-		return t.dial(ctx, w.distance(region, t.Region))
+		distance := w.distance(region, t.Region)
+		if p == Home {
+			// The home VM is in the target's region; throughHome adds the way to it.
+			distance = w.deployment.NearDistance
+		}
+		return t.dial(ctx, distance)
 	}
 }
 
@@ -245,12 +251,12 @@
 func (claims) Release(context.Context, claim.Ref) error { return nil }
 
 // throughHome limits all requests for a target at one entry of its region, at
-// the price of a hop to that entry and back.
+// the price of the way to that entry and back.
 func (w *world) throughHome(region string) pipeline.Filter {
 	return func(next pipeline.Handler) pipeline.Handler {
 		return pipeline.HandlerFunc(func(req *pipeline.Request) error {
 			g := w.homes[req.Owner.Target.ID]
-			hop := w.deployment.NearDistance
+			hop := w.distance(region, req.Owner.Target.Region)
 			time.Sleep(hop)
 			if err := g.Acquire(req.Context, req.Deadline); err != nil {
 				return err
