Hedge slow reads within a budget

The classes of a bundle that allow it get a second attempt on a new connection after the mean latency and four deviations. The loser is cancelled and waited for, because it uses the caller's request; found by the race detector: an attempt was copied while the other one changed it.

--- a/experiment/loopback.go
+++ b/experiment/loopback.go
@@ -154,9 +154,9 @@
 		Name:    "overhead",
 		Setting: fmt.Sprintf("%d reads over %d connections on loopback; caller, entry and target share one process, whose processor time is divided by the requests.", opts.Requests, opts.Connections),
 		Columns: []Column{
-			{"p50", Microseconds, Lower},
-			{"p99", Microseconds, Lower},
-			{"processor time per request", Microseconds, Lower},
+			{Name: "p50", Unit: Microseconds, Better: Lower},
+			{Name: "p99", Unit: Microseconds, Better: Lower},
+			{Name: "processor time per request", Unit: Microseconds, Better: Lower},
 		},
 	}
 	for _, way := range []struct{ name, address string }{{"warm-up", l.entry}, {"direct", l.target}, {"through an entry", l.entry}} {
@@ -253,10 +253,10 @@
 		Name:    "slow readers",
 		Setting: fmt.Sprintf("%d callers each take a body of %d MiB with pauses; the heap is that of entry, target and callers in one process, its peak seen in samples every 20 ms.", opts.Readers, opts.Bytes>>20),
 		Columns: []Column{
-			{"heap before", Mebibytes, Neutral},
-			{"peak heap", Mebibytes, Lower},
-			{"peak per reader", Mebibytes, Lower},
-			{"whole bodies", Count, Higher},
+			{Name: "heap before", Unit: Mebibytes, Better: Neutral},
+			{Name: "peak heap", Unit: Mebibytes, Better: Lower},
+			{Name: "peak per reader", Unit: Mebibytes, Better: Lower},
+			{Name: "whole bodies", Unit: Count, Better: Higher},
 		},
 	}
 	before := heapInUse()
--- /dev/null
+++ b/pipeline/hedge/hedge.go
@@ -0,0 +1,201 @@
+// Package hedge is the filter that sends an idempotent read a second time, on a
+// new connection, when the first attempt takes unusually long. The first answer
+// wins and the other attempt is cancelled.
+package hedge
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basiltally/basiltally/balance"
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/pipeline"
+)
+
+// Options of the filter.
+type Options struct {
+	// Ratio is the number of second attempts per request, averaged over a class,
+	// with a Reserve for bursts. Default 0.02 and 5.
+	Ratio, Reserve float64
+	// MinDelay is the least wait before a second attempt. Default 10 ms.
+	MinDelay time.Duration
+}
+
+type filter struct {
+	opts    Options
+	classes sync.Map // of classKey to *class
+	next    pipeline.Handler
+}
+
+type classKey struct{ tenant, class string }
+
+// class is what is known of the requests of one class.
+type class struct {
+	budget *balance.Budget
+	delay  delay
+}
+
+// New returns the filter. It belongs right before the dispatch.
+func New(opts Options) pipeline.Filter {
+	opts.Ratio = cmp.Or(opts.Ratio, 0.02)
+	opts.Reserve = cmp.Or(opts.Reserve, 5)
+	opts.MinDelay = cmp.Or(opts.MinDelay, 10*time.Millisecond)
+	return func(next pipeline.Handler) pipeline.Handler {
+		return &filter{opts: opts, next: next}
+	}
+}
+
+// Serve implements pipeline.Handler.
+func (f *filter) Serve(req *pipeline.Request) error {
+	if !mayHedge(req) {
+		return f.next.Serve(req)
+	}
+	c := f.class(req.Tenant, req.Class)
+	c.budget.Earn()
+	req.OnStart(sync.OnceFunc(req.StartFunc()))
+	r := &race{
+		filter:  f,
+		req:     req,
+		class:   c,
+		base:    req.Fork(req.Context),
+		results: make(chan attempt, 2),
+		cancels: map[*pipeline.Request]context.CancelFunc{},
+	}
+	defer r.close()
+	return r.run()
+}
+
+func mayHedge(req *pipeline.Request) bool {
+	return req.Class.Hedge && req.Class.Kind == config.KeyedRead && req.HTTP.BodyStream() == nil
+}
+
+func (f *filter) class(t *config.Tenant, c *config.Class) *class {
+	key := classKey{t.Name, c.Name}
+	if known, ok := f.classes.Load(key); ok {
+		return known.(*class)
+	}
+	known, _ := f.classes.LoadOrStore(key, &class{budget: balance.NewBudget(f.opts.Ratio, f.opts.Reserve)})
+	return known.(*class)
+}
+
+// race is up to two attempts of one request.
+type race struct {
+	filter *filter
+	req    *pipeline.Request
+	class  *class
+	// base is the request as it was before any attempt, which may change it.
+	base    *pipeline.Request
+	results chan attempt
+	// cancels holds the running attempts' contexts.
+	cancels map[*pipeline.Request]context.CancelFunc
+}
+
+type attempt struct {
+	req  *pipeline.Request
+	err  error
+	took time.Duration
+}
+
+func (r *race) run() error {
+	r.launch(r.req.Fresh)
+	timer := time.NewTimer(max(r.class.delay.value(), r.filter.opts.MinDelay))
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-r.results:
+			if r.settle(a) {
+				return a.err
+			}
+		case <-timer.C:
+			if r.class.budget.Spend() {
+				r.launch(true)
+			}
+		}
+	}
+}
+
+// launch starts an attempt with a context of its own.
+func (r *race) launch(fresh bool) {
+	ctx, cancel := context.WithCancel(r.req.Context)
+	fork := r.base.Fork(ctx)
+	r.cancels[fork] = cancel
+	fork.Fresh = fresh
+	fork.Attempts = 0
+	begin := time.Now()
+	go func() {
+		err := r.filter.next.Serve(fork)
+		r.results <- attempt{fork, err, time.Since(begin)}
+	}()
+}
+
+// settle takes the result of one attempt and reports whether it decides the race.
+func (r *race) settle(a attempt) bool {
+	cancel := r.cancels[a.req]
+	delete(r.cancels, a.req)
+	r.note(a)
+	if a.err != nil {
+		cancel()
+		return len(r.cancels) == 0
+	}
+	r.class.delay.add(a.took)
+	// A streamed answer is read under the attempt's context.
+	r.req.OnEnd(func(error) { cancel() })
+	r.req.Adopt(a.req)
+	return true
+}
+
+func (r *race) note(a attempt) {
+	r.req.Attempts += a.req.Attempts
+	r.req.MaySent = r.req.MaySent || a.req.MaySent
+}
+
+// close cancels the attempt that lost and waits for it, because it uses the
+// caller's request.
+func (r *race) close() {
+	for _, cancel := range r.cancels {
+		cancel()
+	}
+	for range r.cancels {
+		a := <-r.results
+		r.note(a)
+		_ = a.req.Answer.CloseBodyStream()
+	}
+}
+
+// delay estimates the latency above which a request is unusually slow: the mean
+// plus four times the mean deviation, both exponentially weighted.
+type delay struct {
+	mu              sync.Mutex
+	mean, deviation time.Duration
+}
+
+const (
+	// meanPart and deviationPart are the parts of a new sample in the estimates.
+	meanPart, deviationPart = 16, 8
+	deviations              = 4
+	// firstDelay applies until there is a sample.
+	firstDelay = 100 * time.Millisecond
+)
+
+func (d *delay) add(took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.mean == 0 {
+		d.mean, d.deviation = took, took/2
+		return
+	}
+	difference := took - d.mean
+	d.mean += difference / meanPart
+	d.deviation += (difference.Abs() - d.deviation) / deviationPart
+}
+
+func (d *delay) value() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.mean == 0 {
+		return firstDelay
+	}
+	return d.mean + deviations*d.deviation
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -130,6 +130,14 @@
 // has ended without leaving it. There is one such function.
 func (r *Request) OnStart(f func()) { r.onStart = f }
 
+// StartFunc returns the function registered with OnStart, or one that does nothing.
+func (r *Request) StartFunc() func() {
+	if r.onStart == nil {
+		return func() {}
+	}
+	return r.onStart
+}
+
 // Started tells that the request has left its queue. Further calls do nothing.
 func (r *Request) Started() {
 	if r.onStart != nil {
@@ -216,3 +224,26 @@
 	}
 	return result.New(result.QueueDeadline, "the deadline passed before the request was started")
 }
+
+// Fork returns a copy of the request for an attempt that runs beside others. It
+// has an answer and a context of its own.
+func (r *Request) Fork(ctx context.Context) *Request {
+	f := *r
+	f.Context = ctx
+	f.Answer = &fasthttp.Response{}
+	f.onEnd = nil
+	return &f
+}
+
+// Adopt takes over the answer and the state of a fork. A streamed answer ends
+// the request when it is closed.
+func (r *Request) Adopt(f *Request) {
+	f.Answer.Header.CopyTo(&r.Answer.Header)
+	if !f.streaming {
+		r.Answer.SetBodyRaw(f.Answer.Body())
+		return
+	}
+	r.BeginStream()
+	f.OnEnd(r.End)
+	r.Answer.SetBodyStream(f.Answer.BodyStream(), f.Answer.Header.ContentLength())
+}
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -27,6 +27,7 @@
 	"github.com/basiltally/basiltally/pipeline"
 	"github.com/basiltally/basiltally/pipeline/account"
 	"github.com/basiltally/basiltally/pipeline/admit"
+	"github.com/basiltally/basiltally/pipeline/hedge"
 	"github.com/basiltally/basiltally/pipeline/identify"
 	"github.com/basiltally/basiltally/pipeline/locate"
 	"github.com/basiltally/basiltally/pipeline/once"
@@ -46,6 +47,7 @@
 		Version: 1,
 		Tenants: []config.Tenant{{Name: "wales", Classes: []config.Class{
 			{Name: "sheets", Kind: config.KeyedRead, PathPrefix: "/sheets/", Pool: "sheets", Deadline: time.Second, MaxBody: 1 << 10, QueueLength: 64},
+			{Name: "quotes", Kind: config.KeyedRead, PathPrefix: "/quotes/", Pool: "sheets", Deadline: time.Second, QueueLength: 64, Hedge: true},
 			{Name: "filings", Kind: config.AtMostOnce, PathPrefix: "/filings", Pool: "filings", Deadline: time.Second, MaxBody: 1 << 20, QueueLength: 64},
 			{Name: "drawings", Kind: config.Bulk, PathPrefix: "/drawings/", Pool: "drawings", Deadline: time.Minute, QueueLength: 64},
 		}}},
@@ -204,6 +206,7 @@
 		once.New(once.Options{Claimer: b.claims}),
 		retry.New(retry.Options{Views: b.views}),
 		locate.New(locate.Options{Views: b.views, Picker: firstReady{}}),
+		hedge.New(hedge.Options{}),
 	)
 	return b
 }
