--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/basiltally/basiltally/balance"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pipeline"
@@ -61,6 +63,8 @@
 	LinkBytesPerSecond int64
 	// Observer is told of the exchanges; may be nil.
 	Observer Observer
+	// Metrics counts the exchanges; may be nil.
+	Metrics *Metrics
 	// MaxWaiting bounds the requests that wait for a slot of one target. Default 256.
 	MaxWaiting int
 }
@@ -72,6 +76,9 @@
 	if o.Observer == nil {
 		o.Observer = noObserver{}
 	}
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(prometheus.NewRegistry())
+	}
 	o.DialTimeout = cmp.Or(o.DialTimeout, 500*time.Millisecond)
 	o.DialRate = cmp.Or(o.DialRate, 20)
 	o.DialBurst = cmp.Or(o.DialBurst, 12)
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+func TestLinkIsPacedPerRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLinks(1 << 20)
+		started := time.Now()
+		for range 32 {
+			is.NoErr(l.take(context.Background(), "south", 128<<10))
+		}
+		// 4 MiB less the burst at 1 MiB a second.
+		is.Equal(time.Since(started).Round(10*time.Millisecond), 3750*time.Millisecond)
+		started = time.Now()
+		is.NoErr(l.take(context.Background(), "east", linkBurstBytes))
+		is.Equal(time.Since(started), time.Duration(0))
+	})
+}
+
+// TestReconnectsArePaced asks for a connection to a lost target all the time.
+func TestReconnectsArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dials := 0
+		refuse := func(context.Context, string) (net.Conn, error) {
+			dials++
+			return nil, errors.New("refused")
+		}
+		opts := Options{Dial: refuse}.withDefaults()
+		p := newPool("t1:1", &opts)
+		for range 10_000 {
+			_, err := p.get(context.Background(), time.Second, false)
+			is.True(err != nil)
+			time.Sleep(time.Millisecond)
+		}
+		is.True(dials < 12) // Over 10 s, with the waits doubled up to 3.2 s.
+	})
+}
+
+// TestNewConnectionsArePaced opens connections without pause.
+func TestNewConnectionsArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		accept := func(context.Context, string) (net.Conn, error) {
+			client, _ := net.Pipe()
+			return client, nil
+		}
+		opts := Options{Dial: accept}.withDefaults()
+		p := newPool("t1:1", &opts)
+		started := time.Now()
+		for range 32 {
+			_, err := p.get(context.Background(), time.Second, true)
+			is.NoErr(err)
+		}
+		is.Equal(time.Since(started).Round(time.Millisecond), time.Second) // 12 at once, then 20 a second.
+	})
+}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -82,6 +82,7 @@
 	if !x.started.IsZero() {
 		x.lane.gate.Release(x.serviceTime(err))
 	}
+	x.dispatcher.opts.Metrics.ended(x.req.Bulk(), err)
 	isNew := x.conn == nil || x.conn.idleSince.IsZero()
 	x.dispatcher.opts.Observer.Ended(x.req.Owner.Target.ID, err, isNew)
 }
@@ -355,6 +356,7 @@
 	}
 	if code.Code == result.TargetTimeout && !x.conn.idleSince.IsZero() {
 		// Others that were idle as long may be silent too.
+		x.dispatcher.opts.Metrics.silent.Inc()
 		x.lane.pool.closeIdle(0)
 	}
 	x.discard(code)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -88,6 +88,12 @@
 }
 
 func (p *pool) open(ctx context.Context) (*conn, error) {
+	c, err := p.connect(ctx)
+	p.opts.Metrics.dialled(err)
+	return c, err
+}
+
+func (p *pool) connect(ctx context.Context) (*conn, error) {
 	if p.blocked() {
 		return nil, errBackoff
 	}
@@ -97,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	nc, err := p.dial(ctx, p.address)
-	p.dialled(err)
+	p.noteDial(err)
 	if err != nil {
 		return nil, err
 	}
@@ -112,8 +118,8 @@
 	return time.Now().Before(p.blockedUntil)
 }
 
-// dialled doubles the suspension with each failure in a row.
-func (p *pool) dialled(err error) {
+// noteDial doubles the suspension with each failure in a row.
+func (p *pool) noteDial(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
