Let the limit per entry and target follow the service times

With 4 fixed places in each of 12 entries, up to 48 requests waited at a target of 6 slots. Now the limit falls while service times are above twice the shortest.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -140,3 +140,24 @@
 		is.Equal(counts["a"], 10)
 	})
 }
+
+func TestLimitFollowsTheTarget(t *testing.T) {
+	is := is.New(t)
+	l := newLimit(4)
+	repeat := func(n int, service time.Duration, full bool) int {
+		for range n {
+			l.sample(service, full)
+		}
+		return l.value()
+	}
+	is.Equal(repeat(50, 10*time.Millisecond, true), 4)
+	is.Equal(repeat(50, 15*time.Millisecond, true), 4)  // Not slow enough to tell.
+	is.Equal(repeat(50, 100*time.Millisecond, true), 1) // Requests wait at the target.
+	is.Equal(repeat(50, 10*time.Millisecond, false), 1) // One place is enough for what comes.
+	is.Equal(repeat(50, 10*time.Millisecond, true), 4)
+	l.fall()
+	is.Equal(l.value(), 2)
+	is.Equal(repeat(5000, 100*time.Millisecond, true), 4) // The target has become slower for good.
+	l.fix(3)
+	is.Equal(repeat(50, time.Second, true), 3)
+}
--- a/balance/gate.go
+++ b/balance/gate.go
@@ -20,9 +20,13 @@
 // Gate limits the requests that run at once and keeps the others in a bounded
 // queue, first in, first out. It refuses a request that would miss its deadline
 // in the queue as soon as that can be foreseen.
+//
+// The limit adapts to what other entries do at the same target: it falls when
+// service times rise well above the shortest ones, which means that requests
+// wait at the target, and rises again while they do not.
 type Gate struct {
 	mu      sync.Mutex
-	limit   int
+	limit   limit
 	running int
 	queue   []*waiter
 	maxWait int
@@ -36,19 +40,26 @@
 	grant chan error
 }
 
-// NewGate returns a Gate that runs limit requests and lets maxWaiting wait.
-func NewGate(limit, maxWaiting int) *Gate {
-	return &Gate{limit: limit, maxWait: maxWaiting}
+// NewGate returns a Gate that runs up to most requests and lets maxWaiting wait.
+func NewGate(most, maxWaiting int) *Gate {
+	return &Gate{limit: newLimit(most), maxWait: maxWaiting}
 }
 
-// SetLimit changes the limit. Requests above it finish undisturbed.
-func (g *Gate) SetLimit(limit int) {
+// SetLimit sets a limit that no longer adapts. Requests above it finish undisturbed.
+func (g *Gate) SetLimit(fixed int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limit = limit
+	g.limit.fix(fixed)
 	g.admitLocked()
 }
 
+// Overloaded tells that the target shed a request or did not answer in time.
+func (g *Gate) Overloaded() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit.fall()
+}
+
 // Load returns the number of requests that run and that wait.
 func (g *Gate) Load() (running, waiting int) {
 	g.mu.Lock()
@@ -79,7 +90,7 @@
 func (g *Gate) enter(deadline time.Time) (*waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running < g.limit && len(g.queue) == 0 {
+	if g.running < g.limit.value() && len(g.queue) == 0 {
 		g.running++
 		return nil, nil
 	}
@@ -97,7 +108,7 @@
 // hopelessLocked reports whether a request behind ahead others would miss its
 // deadline, or spend too much of it waiting.
 func (g *Gate) hopelessLocked(deadline time.Time, ahead int) bool {
-	wait := g.service * time.Duration(ahead) / time.Duration(max(g.limit, 1))
+	wait := g.service * time.Duration(ahead) / time.Duration(g.limit.value())
 	left := time.Until(deadline)
 	return wait > left/maxWaitPart || wait+g.service > left
 }
@@ -115,7 +126,7 @@
 }
 
 // Release gives a place back. A service time above zero is a sample for the
-// estimate of waiting times.
+// estimate of waiting times and for the limit.
 func (g *Gate) Release(service time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -128,6 +139,7 @@
 	if service <= 0 {
 		return
 	}
+	g.limit.sample(service, g.running+1 >= g.limit.value())
 	if g.service == 0 {
 		g.service = service
 		return
@@ -137,7 +149,7 @@
 
 // admitLocked hands free places to waiters and refuses those that would miss their deadline.
 func (g *Gate) admitLocked() {
-	for g.running < g.limit && len(g.queue) > 0 {
+	for g.running < g.limit.value() && len(g.queue) > 0 {
 		w := g.queue[0]
 		g.queue = g.queue[1:]
 		if g.hopelessLocked(w.deadline, 0) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -53,9 +53,12 @@
 	// BufferBytes is the longest body that is read whole before the answer is
 	// relayed; longer ones are streamed. Default 64 KiB.
 	BufferBytes int
-	// ShortSlots and BulkSlots are the requests that this entry runs at once on
+	// ShortSlots and BulkSlots are the most requests that this entry runs at once on
 	// one target, short ones and long transfers apart. Default 4 and 1.
 	ShortSlots, BulkSlots int
+	// FixedSlots keeps ShortSlots and BulkSlots from falling while a target is
+	// slow, for comparisons.
+	FixedSlots bool
 	// Region is the region of this entry. Long transfers from other regions are
 	// paced to LinkBytesPerSecond per region, this entry's share of the budget of
 	// the links; zero does not pace them.
@@ -181,7 +184,7 @@
 			slots = d.opts.BulkSlots
 		}
 		l = &lane{
-			gate: balance.NewGate(slots, d.opts.MaxWaiting),
+			gate: d.newGate(slots),
 			pool: newPool(t.Address, &d.opts),
 		}
 		d.lanes[key] = l
@@ -189,6 +192,14 @@
 	return l
 }
 
+func (d *Dispatcher) newGate(slots int) *balance.Gate {
+	g := balance.NewGate(slots, d.opts.MaxWaiting)
+	if d.opts.FixedSlots {
+		g.SetLimit(slots)
+	}
+	return g
+}
+
 // SetSlots changes the number of requests that this entry runs at once on a target.
 func (d *Dispatcher) SetSlots(t *ownership.Target, bulk bool, slots int) {
 	d.lane(t, bulk).gate.SetLimit(slots)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -80,13 +80,26 @@
 // end gives the slot back and tells the observer. The error is nil after a whole answer.
 func (x *exchange) end(err error) {
 	if !x.started.IsZero() {
-		x.lane.gate.Release(x.serviceTime(err))
+		x.release(err)
 	}
 	x.dispatcher.opts.Metrics.ended(x.req.Bulk(), err)
 	isNew := x.conn == nil || x.conn.idleSince.IsZero()
 	x.dispatcher.opts.Observer.Ended(x.req.Owner.Target.ID, err, isNew)
 }
 
+func (x *exchange) release(err error) {
+	if overloaded(err) {
+		x.lane.gate.Overloaded()
+	}
+	x.lane.gate.Release(x.serviceTime(err))
+}
+
+// overloaded reports whether the error suggests that the target has too much work.
+func overloaded(err error) bool {
+	e, ok := err.(*result.Error)
+	return ok && (e.Code == result.TargetShed || e.Code == result.TargetTimeout)
+}
+
 // serviceTime is a sample of the gate's mean, which only whole answers give.
 func (x *exchange) serviceTime(err error) time.Duration {
 	if err != nil {
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -72,8 +72,11 @@
 	// Baseline is round-robin dispatch, one FIFO queue per entry for all
 	// classes, and up to three immediate retries of any failure.
 	Baseline Policy = "baseline"
-	// Gates is the pipeline with a fixed limit per entry and target.
+	// Gates is the pipeline as in basiltally-entry: a limit per entry and target
+	// that adapts to service times.
 	Gates Policy = "basiltally"
+	// Fixed is the same with limits that do not adapt.
+	Fixed Policy = "fixed limits"
 	// Direct is the pipeline without a limit per entry and target.
 	Direct Policy = "direct"
 	// Permits divides each target's slots by demand four times a second.
@@ -130,6 +133,7 @@
 		w.targets[id] = t
 		w.pools[pool] = append(w.pools[pool], t)
 		w.homes[t.ID] = balance.NewGate(t.Slots, unlimited)
+		w.homes[t.ID].SetLimit(t.Slots)
 	}
 	w.views.Apply(w.view(pool, 1))
 }
@@ -191,6 +195,10 @@
 	opts := dispatch.Options{Dial: w.dialer(region, p), Region: region, Observer: selector}
 	if p == Baseline || p == Direct || p == Home {
 		opts.ShortSlots, opts.BulkSlots, opts.MaxWaiting = unlimited, unlimited, unlimited
+		opts.FixedSlots = true
+	}
+	if p == Fixed {
+		opts.FixedSlots = true
 	}
 	if p == Baseline {
 		opts.DialRate, opts.DialBurst, opts.DialBackoff = unlimited, unlimited, 1
