--- a/experiment/scenarios.go
+++ b/experiment/scenarios.go
@@ -149,7 +149,7 @@
 				{Name: "p99 of refusals", Unit: Milliseconds, Better: Lower},
 				{Name: "recovery after crest", Unit: Milliseconds, Better: Lower},
 			},
-			[]Policy{Baseline, Gates, Direct, Permits, Home},
+			[]Policy{Baseline, Gates, Fixed, Direct, Permits, Home},
 			runSwing,
 		},
 		{
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -49,6 +49,10 @@
 	WriteStall time.Duration
 	// MaxConnections refuses further connections. Default 20000.
 	MaxConnections int
+	// DrainNotice is the time for which requests are still served after a stop has
+	// begun, so that the balancer can see that the entry is not ready and
+	// nothing is refused meanwhile. Default 1 s.
+	DrainNotice time.Duration
 	// DrainLinger keeps idle connections open after a stop has begun, so that
 	// requests on their way are refused with an answer. Default 2 s.
 	DrainLinger time.Duration
@@ -67,6 +71,7 @@
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, 60*time.Second)
 	o.WriteStall = cmp.Or(o.WriteStall, 30*time.Second)
 	o.MaxConnections = cmp.Or(o.MaxConnections, 20000)
+	o.DrainNotice = cmp.Or(o.DrainNotice, time.Second)
 	o.DrainLinger = cmp.Or(o.DrainLinger, 2*time.Second)
 	return o
 }
@@ -80,10 +85,13 @@
 	booted   chan struct{}
 	idPrefix string
 	sequence atomic.Uint64
-	// draining refuses new requests, closing also new connections.
-	draining, closing atomic.Bool
-	open              atomic.Int64
-	conns             sync.Map // of *conn to nothing
+	// stopping ends connections after their next answer, draining refuses new
+	// requests, closing also new connections.
+	stopping, draining, closing atomic.Bool
+	open                        atomic.Int64
+	conns                       sync.Map // of *conn to nothing
+	// notice ends the wait of DrainNotice early.
+	notice chan struct{}
 }
 
 // New returns a Frontend that is not serving yet.
@@ -92,6 +100,7 @@
 		opts:     opts.withDefaults(),
 		booted:   make(chan struct{}),
 		idPrefix: newPrefix(),
+		notice:   make(chan struct{}, 1),
 	}
 	f.http = &fasthttp.Server{
 		Handler:                      f.serve,
@@ -149,10 +158,15 @@
 // Ready is closed once the listener is open.
 func (f *Frontend) Ready() <-chan struct{} { return f.booted }
 
+// Stopping reports whether a stop has begun; the entry is not ready from then on.
+func (f *Frontend) Stopping() bool { return f.stopping.Load() }
+
 // drain refuses new requests, lets those in flight finish and waits until the
 // callers have taken their answers.
 func (f *Frontend) drain() {
 	<-f.booted
+	f.stopping.Store(true)
+	f.waitNotice()
 	f.draining.Store(true)
 	slog.Info("entry is draining", "connections", f.open.Load())
 	time.Sleep(f.opts.DrainLinger)
@@ -164,6 +178,13 @@
 	f.waitClosed()
 }
 
+func (f *Frontend) waitNotice() {
+	select {
+	case <-time.After(f.opts.DrainNotice):
+	case <-f.notice:
+	}
+}
+
 func (f *Frontend) waitClosed() {
 	started := time.Now()
 	for f.open.Load() > 0 {
@@ -241,7 +262,7 @@
 	} else {
 		pipeline.Run(f.opts.Handler, req)
 	}
-	if f.draining.Load() {
+	if f.stopping.Load() {
 		hc.SetConnectionClose()
 	}
 }
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -38,6 +38,7 @@
 	ln.Close()
 	opts.Handler = h
 	opts.DrainLinger = max(opts.DrainLinger, 1)
+	opts.DrainNotice = max(opts.DrainNotice, 1)
 	f := New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &server{f, opts.Address, cancel, make(chan error, 1)}
@@ -276,6 +277,24 @@
 	s.done <- err
 }
 
+// TestStopServesDuringNotice stops the entry and sends a request before the
+// balancer can know.
+func TestStopServesDuringNotice(t *testing.T) {
+	is := is.New(t)
+	s := start(t, Options{DrainNotice: time.Hour}, echoPath)
+	nc := s.dial(t)
+	s.stop()
+	for !s.frontend.Stopping() {
+		time.Sleep(time.Millisecond)
+	}
+	fmt.Fprint(nc, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.True(resp.Close)
+	s.frontend.notice <- struct{}{}
+}
+
 // TestHardLimitCutsOff stops the entry while a caller takes nothing.
 func TestHardLimitCutsOff(t *testing.T) {
 	is := is.New(t)
