--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/basiltally/basiltally/balance"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pipeline"
@@ -42,18 +44,21 @@
 	// MaxIdleAtMostOnce is the same for at-most-once requests, which cannot be
 	// sent again when the connection has gone silent meanwhile. Default 2 s.
 	MaxIdleAtMostOnce time.Duration
-	// SilenceTimeout is the longest wait for the first byte of the answer to an
+	// SilenceTimeout is the longest wait for a byte of the answer to a short
 	// idempotent request before the connection is given up. Default 500 ms.
 	SilenceTimeout time.Duration
-	// ProgressTimeout is the longest time without a byte within an answer or
-	// while a request body is sent. Default 5 s.
+	// ProgressTimeout is the longest time without a byte of a long transfer, and
+	// while a request is sent. Default 5 s.
 	ProgressTimeout time.Duration
 	// BufferBytes is the longest body that is read whole before the answer is
 	// relayed; longer ones are streamed. Default 64 KiB.
 	BufferBytes int
-	// ShortSlots and BulkSlots are the requests that this entry runs at once on
-	// one target, short ones and long transfers apart. Default 4 and 2.
+	// ShortSlots and BulkSlots are the most requests that this entry runs at once on
+	// one target, short ones and long transfers apart. Default 4 and 1.
 	ShortSlots, BulkSlots int
+	// FixedSlots keeps ShortSlots and BulkSlots from falling while a target is
+	// slow, for comparisons.
+	FixedSlots bool
 	// Region is the region of this entry. Long transfers from other regions are
 	// paced to LinkBytesPerSecond per region, this entry's share of the budget of
 	// the links; zero does not pace them.
@@ -61,6 +66,8 @@
 	LinkBytesPerSecond int64
 	// Observer is told of the exchanges; may be nil.
 	Observer Observer
+	// Metrics counts the exchanges; may be nil.
+	Metrics *Metrics
 	// MaxWaiting bounds the requests that wait for a slot of one target. Default 256.
 	MaxWaiting int
 }
@@ -72,6 +79,9 @@
 	if o.Observer == nil {
 		o.Observer = noObserver{}
 	}
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(prometheus.NewRegistry())
+	}
 	o.DialTimeout = cmp.Or(o.DialTimeout, 500*time.Millisecond)
 	o.DialRate = cmp.Or(o.DialRate, 20)
 	o.DialBurst = cmp.Or(o.DialBurst, 12)
@@ -82,7 +92,7 @@
 	o.ProgressTimeout = cmp.Or(o.ProgressTimeout, 5*time.Second)
 	o.BufferBytes = cmp.Or(o.BufferBytes, 64<<10)
 	o.ShortSlots = cmp.Or(o.ShortSlots, 4)
-	o.BulkSlots = cmp.Or(o.BulkSlots, 2)
+	o.BulkSlots = cmp.Or(o.BulkSlots, 1)
 	o.MaxWaiting = cmp.Or(o.MaxWaiting, 256)
 	return o
 }
@@ -174,7 +184,7 @@
 			slots = d.opts.BulkSlots
 		}
 		l = &lane{
-			gate: balance.NewGate(slots, d.opts.MaxWaiting),
+			gate: d.newGate(slots),
 			pool: newPool(t.Address, &d.opts),
 		}
 		d.lanes[key] = l
@@ -182,6 +192,14 @@
 	return l
 }
 
+func (d *Dispatcher) newGate(slots int) *balance.Gate {
+	g := balance.NewGate(slots, d.opts.MaxWaiting)
+	if d.opts.FixedSlots {
+		g.SetLimit(slots)
+	}
+	return g
+}
+
 // SetSlots changes the number of requests that this entry runs at once on a target.
 func (d *Dispatcher) SetSlots(t *ownership.Target, bulk bool, slots int) {
 	d.lane(t, bulk).gate.SetLimit(slots)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -80,12 +80,26 @@
 // end gives the slot back and tells the observer. The error is nil after a whole answer.
 func (x *exchange) end(err error) {
 	if !x.started.IsZero() {
-		x.lane.gate.Release(x.serviceTime(err))
+		x.release(err)
 	}
+	x.dispatcher.opts.Metrics.ended(x.req.Bulk(), err)
 	isNew := x.conn == nil || x.conn.idleSince.IsZero()
 	x.dispatcher.opts.Observer.Ended(x.req.Owner.Target.ID, err, isNew)
 }
 
+func (x *exchange) release(err error) {
+	if overloaded(err) {
+		x.lane.gate.Overloaded()
+	}
+	x.lane.gate.Release(x.serviceTime(err))
+}
+
+// overloaded reports whether the error suggests that the target has too much work.
+func overloaded(err error) bool {
+	e, ok := err.(*result.Error)
+	return ok && (e.Code == result.TargetShed || e.Code == result.TargetTimeout)
+}
+
 // serviceTime is a sample of the gate's mean, which only whole answers give.
 func (x *exchange) serviceTime(err error) time.Duration {
 	if err != nil {
@@ -216,12 +230,17 @@
 	}
 }
 
-// firstByteTimeout is short only where the request may be sent again.
+// firstByteTimeout is short only where the request may be sent again and the
+// target answers soon after it took it.
 func (x *exchange) firstByteTimeout() time.Duration {
-	if x.req.AtMostOnce() {
+	switch {
+	case x.req.AtMostOnce():
 		return time.Until(x.req.Deadline)
+	case x.req.Bulk():
+		return x.dispatcher.opts.ProgressTimeout
+	default:
+		return x.dispatcher.opts.SilenceTimeout
 	}
-	return x.dispatcher.opts.SilenceTimeout
 }
 
 // bodyTimeout bounds the time without a byte within the answer's body.
@@ -350,6 +369,7 @@
 	}
 	if code.Code == result.TargetTimeout && !x.conn.idleSince.IsZero() {
 		// Others that were idle as long may be silent too.
+		x.dispatcher.opts.Metrics.silent.Inc()
 		x.lane.pool.closeIdle(0)
 	}
 	x.discard(code)
