--- a/assign/slots.go
+++ b/assign/slots.go
@@ -63,7 +63,7 @@
 		st.freeAt = c.inherited.until
 		st.same = c.inheritedOwner(s)
 	}
-	if c.lead.waitOut(s) {
+	if c.lead.waitOut() {
 		st.freeAt = max(st.freeAt, c.now+c.waitOutTime())
 	}
 	return st
@@ -81,16 +81,25 @@
 	return i
 }
 
-// waitOut reports whether the slot may be owned by targets that do not check
-// tokens, so that its requests in flight have to be waited out.
-func (l *leader) waitOut(ownership.Slot) bool {
+// waitOut reports whether slots may be owned by targets that do not check
+// tokens, so that requests in flight have to be waited out.
+func (l *leader) waitOut() bool {
 	return slices.ContainsFunc(l.targets, func(m *member) bool { return !m.info.ChecksTokens })
 }
 
 // waitOutTime is the time until no entry can send by an older view to a target
 // that does not check tokens, and no request sent by it can still run.
 func (c *Core) waitOutTime() time.Duration {
-	return lease.Stretch(c.opts.Lease+c.opts.RequestDeadline, c.opts.RateMargin)
+	return lease.Stretch(c.opts.Lease+c.opts.ViewDelay+c.opts.RequestDeadline, c.opts.RateMargin)
+}
+
+// endOfUse returns when a target that is given nothing more certainly runs no
+// request for the slots that it held.
+func (c *Core) endOfUse(m *member) time.Duration {
+	if m.info.ChecksTokens {
+		return m.lease.End()
+	}
+	return max(m.lease.End(), c.now+c.waitOutTime())
 }
 
 // queue marks a slot as unsettled.
@@ -200,12 +209,13 @@
 	m := l.targets[st.holder]
 	st.state = slotRevoking
 	st.revokedAt = c.now
-	st.freeAt = m.lease.End()
-	if !m.info.ChecksTokens {
-		st.freeAt = max(st.freeAt, c.now+c.waitOutTime())
-	}
+	st.freeAt = c.endOfUse(m)
 	st.version = m.revoke(c, s)
 	l.viewChanged = true
+	if c.now >= st.freeAt {
+		l.freed(c, s, st.freeAt)
+		return
+	}
 	l.settleAt = min(l.settleAt, st.freeAt)
 }
 
@@ -244,9 +254,7 @@
 // reissue grants all slots anew in a new term or round.
 func (l *leader) reissue(c *Core) {
 	for _, m := range l.targets {
-		m.resetGrants()
-		m.version = c.token
-		m.held = ownership.Token{}
+		m.resetGrants(c)
 		m.urgent = true
 	}
 	for s := range l.slots {
