--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -82,6 +82,8 @@
 		{SweepChanges, "changed slots per delta", []int{0, 8, 16, 32, 64}, measureChanges},
 		{SweepSubscribers, "subscribers of a relay", []int{2, 4, 8, 16, 32}, measureSubscribers},
 		{SweepClaims, "claims per batch", []int{1, 25, 50, 100, 200}, measureClaims},
+		{SweepClaimRounds, "claims at once", []int{50, 100, 200, 400}, measureClaimRounds},
+		{SweepClaimsKept, "claims kept", []int{2000, 4000, 8000, 16000}, measureClaimsKept},
 		{SweepRequests, "lookups", []int{250_000, 500_000, 1_000_000, 2_000_000}, measureRequests},
 		{SweepTableGroups, "groups in the table", []int{64, 128, 256, 512, 700}, measureTableGroups},
 		{SweepClasses, "classes in the bundle", []int{16, 64, 256, 1024}, measureClasses},
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -50,7 +50,7 @@
 		for _, name := range []string{
 			CoreCPU, CoreHeap, WireCPU, WireBytes, SupportBytes, SupportCPU, RecordBytes, ViewBytes, DeltaBytes, ViewDecodeCPU,
 			DeltaApplyCPU, ViewHeap, LookupCPU, UpdateCPU, IdleBytes, SubscriberHeap, BatchBytes, DocumentBytes, ParseCPU,
-			ListBytes, ListHeap, PlaceCPU,
+			ListBytes, ListHeap, PlaceCPU, ClaimServiceCPU, ClaimWriteBytes, ClaimHeap,
 		} {
 			s.Series = append(s.Series, Series{Name: name, Fit: Fit{Slope: slope, Intercept: intercept}})
 		}
--- /dev/null
+++ b/capacity/claiming.go
@@ -0,0 +1,156 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/basiltally/basiltally/claim"
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/memstore"
+)
+
+// Sweeps of the claim service.
+const (
+	SweepClaimRounds = "claims-at-once"
+	SweepClaimsKept  = "claims-kept"
+)
+
+// Series of the claim service.
+const (
+	ClaimServiceCPU = "claim and finish, CPU"
+	ClaimWrites     = "writes of the store"
+	ClaimWriteBytes = "bytes written"
+	ClaimHeap       = "heap without the store's"
+)
+
+const (
+	claimRounds         = 5
+	claimRoundSize      = 400
+	claimAppendInterval = 20 * time.Millisecond
+	claimRun            = 10 * time.Second
+)
+
+// countingStore counts writes and their bytes.
+type countingStore struct {
+	*memstore.Store
+	writes, bytes atomic.Int64
+}
+
+// Put implements store.Store.
+func (s *countingStore) Put(ctx context.Context, key string, value []byte, expected store.Version) (store.Version, error) {
+	s.writes.Add(1)
+	s.bytes.Add(int64(len(value)))
+	return s.Store.Put(ctx, key, value, expected)
+}
+
+// held returns the bytes of all values in the store.
+func (s *countingStore) held() (total int64) {
+	objects, _, _ := s.List(context.Background(), "")
+	for _, o := range objects {
+		total += int64(len(o.Value))
+	}
+	return total
+}
+
+// claimBench is a claim service over a store in memory, with one partition.
+type claimBench struct {
+	store   *countingStore
+	service *claim.Service
+	stop    context.CancelFunc
+	stopped sync.WaitGroup
+	next    int
+}
+
+func newClaimBench() (*claimBench, error) {
+	b := &claimBench{store: &countingStore{Store: memstore.New(memstore.Options{History: 1})}}
+	opts := claim.Options{Store: b.store, Self: "vm-00001", Partitions: 1, AppendInterval: claimAppendInterval, FinishDelay: claimAppendInterval}
+	service, err := claim.NewService(opts, claim.NewMetrics(prometheus.NewRegistry()))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.service, b.stop = service, cancel
+	b.stopped.Go(func() { _ = service.Run(ctx) })
+	return b, nil
+}
+
+func (b *claimBench) close() {
+	b.stop()
+	b.stopped.Wait()
+}
+
+// round claims and finishes a number of requests at once.
+func (b *claimBench) round(claims int) error {
+	var wg sync.WaitGroup
+	failures := make(chan error, claims)
+	for range claims {
+		key := fmt.Sprintf("filing-%08d", b.next)
+		b.next++
+		wg.Go(func() {
+			if err := b.claimAndFinish(key); err != nil {
+				failures <- err
+			}
+		})
+	}
+	wg.Wait()
+	close(failures)
+	return <-failures
+}
+
+func (b *claimBench) claimAndFinish(key string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	decision, err := b.service.Claim(ctx, claim.Request{Tenant: "wales", Class: "filing", Key: key, Run: claimRun})
+	if err != nil {
+		return err
+	}
+	if decision.Kind != claim.Run {
+		return errors.Errorf("claim of %s: %s", key, decision.Code())
+	}
+	outcome := claim.Outcome{Status: 200, ContentType: "application/json", Body: make([]byte, answerBytes)}
+	return b.service.Finish(ctx, decision.Ref, outcome)
+}
+
+func measureClaimRounds(s *Sweep, claims int, _ time.Duration) error {
+	b, err := newClaimBench()
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	if err := b.round(claims); err != nil {
+		return err
+	}
+	cpu, writes, bytes := cpuTime(), b.store.writes.Load(), b.store.bytes.Load()
+	for range claimRounds {
+		if err := b.round(claims); err != nil {
+			return err
+		}
+	}
+	x := float64(claims)
+	s.add(ClaimServiceCPU, "ns", x, float64(cpuTime()-cpu)/claimRounds)
+	s.add(ClaimWrites, "", x, float64(b.store.writes.Load()-writes)/claimRounds)
+	s.add(ClaimWriteBytes, "B", x, float64(b.store.bytes.Load()-bytes)/claimRounds)
+	return nil
+}
+
+func measureClaimsKept(s *Sweep, claims int, _ time.Duration) error {
+	before := liveHeap()
+	b, err := newClaimBench()
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	for b.next < claims {
+		if err := b.round(claimRoundSize); err != nil {
+			return err
+		}
+	}
+	s.add(ClaimHeap, "B", float64(claims), float64(liveHeap())-float64(before)-float64(b.store.held()))
+	return nil
+}
--- a/capacity/project.go
+++ b/capacity/project.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basiltally/basiltally/assign"
+	"github.com/basiltally/basiltally/claim"
 	"github.com/basiltally/basiltally/store"
 )
 
@@ -45,6 +46,7 @@
 	p.assigner()
 	p.supporter()
 	p.store()
+	p.claims()
 	p.targetSide()
 	p.node()
 	p.recovery()
@@ -230,7 +232,7 @@
 	left := p.limits.WritesPerSecond - p.tableWrites() - bundles
 	perBatch := (store.MaxValueBytes - p.fit(SweepClaims, BatchBytes).Intercept) / p.fit(SweepClaims, BatchBytes).Slope
 	p.row("store", "claims in a batch of the largest size", "", perBatch, 0)
-	p.row("store", "largest share of at-most-once requests", "share", left*perBatch/p.size.RequestsPerSecond, 0)
+	p.row("store", "share of requests that all writes could claim", "share", left*perBatch/p.size.RequestsPerSecond, 0)
 	watchers, lists := p.nodes(), p.d.ListReadsPerSecond
 	if p.d.Planned.RootsOnly {
 		watchers = float64(p.d.RootsPerDataCentre * p.size.DataCentres)
@@ -239,6 +241,22 @@
 	p.row("store", "waiting watches and reads of the VM list", "1/s", watchers+lists, p.limits.ReadsPerSecond)
 }
 
+// opsPerRequest counts the claim and the finish.
+const opsPerRequest = 2
+
+func (p *projection) claims() {
+	rate := p.size.RequestsPerSecond * p.d.OnceShare
+	partitions := float64(p.d.ClaimPartitions)
+	writes := partitions / claim.DefaultAppendInterval.Seconds()
+	kept := rate * claim.DefaultRetention.Seconds()
+	cpu := p.fit(SweepClaimRounds, ClaimServiceCPU).Slope / 1e9
+	p.row("claims", "writes of all partitions", "1/s", writes, p.limits.WritesPerSecond)
+	p.row("claims", "at-most-once requests against what the writes carry", "1/s", rate, writes*claim.DefaultMaxBatch/opsPerRequest)
+	p.row("claims", "CPU of a partition's VM (data path)", "share", rate/partitions*cpu, 0)
+	p.row("claims", "memory of a partition's VM", "B", kept/partitions*p.fit(SweepClaimsKept, ClaimHeap).Slope, p.limits.NodeBytes)
+	p.row("claims", "bytes kept in the store", "B", kept*p.fit(SweepClaimRounds, ClaimWriteBytes).Slope, 0)
+}
+
 func (p *projection) targetSide() {
 	p.row("target side", "renewals of one target", "B/s", p.d.HeartbeatsPerSecond*p.fit(SweepRenewals, WireBytes).Slope, 0)
 	p.row("target side", "renewals of one target, CPU of both ends", "share", p.d.HeartbeatsPerSecond*p.fit(SweepRenewals, WireCPU).Slope/1e9, 0)
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/basiltally/basiltally/assign"
+	"github.com/basiltally/basiltally/claim"
 	"github.com/basiltally/basiltally/relay"
 )
 
@@ -50,6 +51,10 @@
 	ReplacedShare float64
 	// TargetConnections is the number of connections that a target accepts.
 	TargetConnections int
+	// OnceShare is the share of at-most-once requests.
+	OnceShare float64
+	// ClaimPartitions is the number of logs of claims; each has one VM that appends.
+	ClaimPartitions int
 	// ListReadsPerSecond is the rate at which all VMs together read the VM list.
 	ListReadsPerSecond float64
 	// Planned mechanisms that are not built.
@@ -91,6 +96,7 @@
 		HeartbeatsPerSecond: 1 / assign.DefaultHeartbeat.Seconds(),
 		FanOut:              relay.FanOut, RootsPerDataCentre: relay.RootsPerDataCentre,
 		Classes: 1000, ReplacedShare: 0.5, TargetConnections: 110, ListReadsPerSecond: 200,
+		OnceShare: 0.001, ClaimPartitions: claim.DefaultPartitions,
 	}
 }
 
