--- a/assign/failover.go
+++ b/assign/failover.go
@@ -186,6 +186,10 @@
 		return
 	}
 	l.want(s, best)
+	l.counts[best]++
+	if w != none {
+		l.counts[w]--
+	}
 	l.slots[s].moving = w != none && !l.targets[w].lost
 	c.store.dirty = true
 }
@@ -201,10 +205,14 @@
 // standby returns the target that should take over a slot: the highest ranked
 // one that is eligible and not overloaded, else any that answers.
 func (l *leader) standby(c *Core, s ownership.Slot) int {
-	counts, limit := l.load(c)
+	if l.counts == nil {
+		l.counts, l.limit = l.load(c)
+		l.ranked = l.infos()
+	}
+	counts, limit := l.counts, l.limit
 	fallback := none
 	last := none
-	for _, i := range ownership.Rank(c.opts.Group, s, l.infos()) {
+	for _, i := range ownership.Rank(c.opts.Group, s, l.ranked) {
 		m := l.targets[i]
 		switch {
 		case m.eligible(c) && counts[i] < limit:
--- a/assign/leader.go
+++ b/assign/leader.go
@@ -22,6 +22,10 @@
 	pins    map[ownership.KeyHash]ownership.Slot
 	// unsettled holds the slots whose state differs from the wanted one, in order.
 	unsettled []ownership.Slot
+	// counts, limit and ranked are the load and the targets during one settling.
+	counts    []int
+	limit     int
+	ranked    []ownership.Target
 	renewAt   time.Duration
 	watchAt   time.Duration
 	balanceAt time.Duration
--- a/assign/matrix_test.go
+++ b/assign/matrix_test.go
@@ -212,8 +212,8 @@
 	}
 }
 
-// TestLateAnswers delays the supporters' answers to the assigner, cuts its
-// requests to them, and leaves it alone with a target. Support must not count
+// TestLateAnswers delays the supporters' answers to the assigner more and more,
+// cuts its requests to them, and leaves it alone with a target. Support must not count
 // from the receipt of the answers.
 func TestLateAnswers(t *testing.T) {
 	is := is.New(t)
@@ -222,19 +222,19 @@
 		s.run(3 * time.Second)
 		old := s.assigner()
 		s.keepFor(ownerOf(s, 0), old)
-		late := time.Duration(seed) * 10 * ms
-		for _, vm := range s.vms {
-			if vm != old {
+		// The delay grows, so that answers never cease to arrive.
+		for late := time.Duration(0); late < time.Duration(seed)*15*ms; late += 200 * ms {
+			for _, vm := range s.vms {
 				s.slow[[2]int{vm.index, old.index}] = late
 			}
+			s.runFor(260 * ms)
 		}
-		s.runFor(late)
 		for _, vm := range s.vms {
 			if vm != old {
 				s.cutOne(old.index, vm.index, forGood)
 			}
 		}
-		s.runFor(4 * time.Second)
+		s.runFor(6 * time.Second)
 		is.Equal(fmt.Sprint(s.wrong), "[]")
 		is.True(s.assigner() != old)
 	}
--- a/assign/renewals.go
+++ b/assign/renewals.go
@@ -51,6 +51,8 @@
 	version, held ownership.Token
 	// floor is the version at which the grants last started anew.
 	floor ownership.Token
+	// acknowledged is the held version that the slots have taken into account.
+	acknowledged ownership.Token
 	// full asks for a complete list of grants, urgent for sending without delay.
 	full, urgent bool
 }
@@ -309,4 +311,5 @@
 	m.version = c.nextToken()
 	m.held = ownership.Token{}
 	m.floor = m.version
+	m.acknowledged = ownership.Token{}
 }
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -120,6 +120,7 @@
 // settle brings the unsettled slots closer to what is wanted.
 func (l *leader) settle(c *Core) {
 	l.settleAt = never
+	l.counts = nil
 	work := l.unsettled
 	l.unsettled = nil
 	for _, s := range work {
@@ -232,6 +233,10 @@
 // acknowledgeSlots ends the grants and revocations that target i acknowledged.
 func (l *leader) acknowledgeSlots(c *Core, i int) {
 	m := l.targets[i]
+	if m.acknowledged == m.held {
+		return
+	}
+	m.acknowledged = m.held
 	for s := range l.slots {
 		st := &l.slots[s]
 		if st.holder != i || m.held.Less(st.version) {
