--- /dev/null
+++ b/daemon/assign.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/basiltally/basiltally/assign"
+	"github.com/basiltally/basiltally/assigner"
+	"github.com/basiltally/basiltally/bundle"
+	"github.com/basiltally/basiltally/claim"
+	"github.com/basiltally/basiltally/membership"
+	"github.com/basiltally/basiltally/ownership"
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/relay"
+	"github.com/basiltally/basiltally/store/objectapi"
+	"github.com/basiltally/basiltally/target"
+	"github.com/basiltally/basiltally/telemetry"
+)
+
+const (
+	// assignDrainLimit bounds the hand-over of groups at a planned stop.
+	assignDrainLimit = 10 * time.Second
+)
+
+// assignProcess is the wiring of basiltally-assign.
+type assignProcess struct {
+	settings *AssignSettings
+	logger   *slog.Logger
+	registry *prometheus.Registry
+	members  *membership.List
+	hub      *relay.Hub
+	peers    *peer.Client
+	server   *peer.Server
+	assigner *assigner.Assigner
+	objects  *objectapi.Client
+	bundles  *bundle.Holder
+	claims   *claim.Service
+	tree     *relay.Tree
+}
+
+// RunAssign runs basiltally-assign until the context ends, then hands its
+// groups over and returns.
+func RunAssign(ctx context.Context, s *AssignSettings) error {
+	p, err := newAssignProcess(s)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx)
+}
+
+func newAssignProcess(s *AssignSettings) (*assignProcess, error) {
+	logger, err := telemetry.NewLogger(os.Stderr, s.Log)
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := peer.LoadTLS(s.Peer.TLSCertificateFile, s.Peer.TLSKeyFile, s.Peer.TLSAuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	p := &assignProcess{
+		settings: s, logger: logger.With("vm", s.Process.VM), registry: telemetry.NewRegistry("basiltally-assign"),
+		hub:   relay.NewHub(),
+		peers: peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "assign", TLS: tlsConfig}),
+	}
+	p.objects = objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
+	lister := &membership.SeededLister{Platform: p.objects, Client: p.peers, Seeds: s.Peer.Seeds}
+	p.members = membership.New(membership.Options{Lister: lister, Registerer: p.registry})
+	o := holderOptions(p.registry, p.logger)
+	o.Ask = p.askBundle
+	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
+		return nil, err
+	}
+	p.tree = p.newTree()
+	claimOptions := s.Claim.options(p.objects, s.Process.VM, p.registry, p.logger)
+	if p.claims, err = claim.NewService(claimOptions, claim.NewMetrics(p.registry)); err != nil {
+		return nil, err
+	}
+	p.assigner = assigner.New(assigner.Options{
+		Self: ownership.VMID(s.Process.VM), Incarnation: newIncarnation(), Core: coreOptions(&s.Assign),
+		GroupSlots: uint32(s.Assign.GroupSlots), Candidates: s.Assign.Candidates,
+		Store: p.objects, Targets: target.NewClient(target.ClientOptions{}), Peers: p.peers, Members: p.members, Hub: p.hub,
+		Logger: p.logger, Registerer: p.registry,
+	})
+	p.server, err = p.listen(tlsConfig)
+	return p, err
+}
+
+func (p *assignProcess) listen(tlsConfig *tls.Config) (*peer.Server, error) {
+	return peer.Listen(peer.ServerOptions{Address: p.settings.Peer.Listen, TLS: tlsConfig, Handler: p.serve})
+}
+
+func coreOptions(s *Assign) assign.Options {
+	return assign.Options{
+		Support: s.Support, Heartbeat: s.Heartbeat, Lease: s.Lease,
+		LostAfter: s.LostAfter, RequestDeadline: s.RequestDeadline,
+	}
+}
+
+// newIncarnation identifies one start of a process.
+func newIncarnation() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // Never fails.
+	return binary.BigEndian.Uint64(b[:])
+}
+
+func (p *assignProcess) run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return p.server.Run(work) })
+	g.Go(func() error { return p.members.Run(work) })
+	g.Go(func() error { return p.assigner.Run(work) })
+	g.Go(func() error { return p.tree.Run(work) })
+	g.Go(func() error { return p.tree.RunWhileRoot(work, p.assigner.FollowRecords) })
+	g.Go(func() error { return p.tree.RunWhileRoot(work, p.followBundles) })
+	g.Go(func() error { return p.bundles.Run(work) })
+	g.Go(func() error { return p.claims.Run(work) })
+	g.Go(func() error { return onBundle(work, p.bundles, p.applyBundle) })
+	g.Go(func() error { return telemetry.Serve(work, p.telemetryOptions()) })
+	p.logger.Info("started", "peer_address", p.server.Addr())
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+	}
+	p.drain()
+	stopWork()
+	return g.Wait()
+}
+
+func (p *assignProcess) drain() {
+	limit, cancel := context.WithTimeout(context.Background(), assignDrainLimit)
+	defer cancel()
+	p.logger.Info("stopping: handing groups over")
+	p.assigner.Drain(limit)
+	p.logger.Info("stopped")
+}
+
+func firstError(list ...error) error {
+	for _, err := range list {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyBundle hands a bundle that came into force to the peers and the cores.
+func (p *assignProcess) applyBundle(held *bundle.InForce) {
+	if held.Signed != nil {
+		p.hub.PublishBundle(&pb.Bundle{Version: held.Bundle.Version, Document: held.Signed.Encode()})
+	}
+	p.assigner.Apply(held.Bundle)
+}
+
+// followBundles follows the accepted bundle in the store. Without approvers
+// only the local document is used.
+func (p *assignProcess) followBundles(ctx context.Context) error {
+	s := &p.settings.Bundle
+	if s.ApproversDir == "" {
+		<-ctx.Done()
+		return nil
+	}
+	policy, err := bundle.LoadPolicy(s.ApproversDir, s.Approvers, s.Approvals)
+	if err != nil {
+		return err
+	}
+	f := &bundle.Follower{Store: p.objects, Holder: p.bundles, Policy: policy, VM: p.settings.Process.VM}
+	return f.Run(ctx)
+}
+
+// askBundle finds out after a freeze which bundle is accepted now: from the
+// store or, while that does not answer, from another VM.
+func (p *assignProcess) askBundle(ctx context.Context) ([]byte, error) {
+	encoded, err := askStore(ctx, p.objects)
+	if err == nil {
+		return encoded, nil
+	}
+	for _, vm := range p.members.Snapshot().VMs {
+		if vm.ID == p.settings.Process.VM {
+			continue
+		}
+		if encoded, peerErr := askPeer(ctx, p.peers, vm.Address); peerErr == nil {
+			return encoded, nil
+		}
+	}
+	return nil, err
+}
+
+func (p *assignProcess) telemetryOptions() telemetry.Options {
+	return telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready, Handlers: p.operatorHandlers()}
+}
+
+func (p *assignProcess) ready() error {
+	if p.bundles.InForce() == nil {
+		return errors.New("no configuration bundle is in force")
+	}
+	if len(p.hub.Views()) == 0 {
+		return errors.New("no ownership view has arrived")
+	}
+	return nil
+}
+
+// serve dispatches a peer's stream by its first message.
+func (p *assignProcess) serve(ctx context.Context, s *peer.Stream) {
+	first, err := s.Recv()
+	if err != nil {
+		return
+	}
+	if sub := first.GetSubscribe(); sub != nil {
+		if err := p.hub.Serve(ctx, s, sub); err != nil {
+			p.logger.Debug("subscriber left", "peer", s.Remote.GetVm(), "error", err)
+		}
+		return
+	}
+	if first.GetClaimCall() != nil {
+		p.serveClaims(ctx, s, first)
+		return
+	}
+	p.assigner.Serve(ctx, s, first)
+}
+
+func (p *assignProcess) serveClaims(ctx context.Context, s *peer.Stream, m *pb.Envelope) {
+	reply := p.claims.Serve(ctx, m.GetClaimCall())
+	if err := s.Send(&pb.Envelope{Body: &pb.Envelope_ClaimReply{ClaimReply: reply}}); err != nil {
+		p.logger.Debug("claim reply not sent", "peer", s.Remote.GetVm(), "error", err)
+	}
+}
+
+// newTree keeps the hub up to date from the VM's place in the relay tree.
+func (p *assignProcess) newTree() *relay.Tree {
+	return &relay.Tree{
+		Hub: p.hub, Client: p.peers, Self: p.settings.Process.VM, OnBundle: offer(p.bundles),
+		Members: func() []relay.Member { return relayMembers(p.members.Snapshot()) },
+	}
+}
+
+func relayMembers(s *membership.Snapshot) []relay.Member {
+	out := make([]relay.Member, len(s.VMs))
+	for i, vm := range s.VMs {
+		out[i] = relay.Member{ID: vm.ID, Address: vm.Address, DataCentre: vm.DataCentre}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,186 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/basiltally/basiltally/balance"
+	"github.com/basiltally/basiltally/bundle"
+	"github.com/basiltally/basiltally/claim"
+	"github.com/basiltally/basiltally/dispatch"
+	"github.com/basiltally/basiltally/frontend"
+	"github.com/basiltally/basiltally/membership"
+	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/pipeline/account"
+	"github.com/basiltally/basiltally/pipeline/admit"
+	"github.com/basiltally/basiltally/pipeline/identify"
+	"github.com/basiltally/basiltally/pipeline/locate"
+	"github.com/basiltally/basiltally/pipeline/once"
+	answers "github.com/basiltally/basiltally/pipeline/relay"
+	"github.com/basiltally/basiltally/pipeline/retry"
+	"github.com/basiltally/basiltally/relay"
+	"github.com/basiltally/basiltally/store/objectapi"
+	"github.com/basiltally/basiltally/telemetry"
+	"github.com/basiltally/basiltally/views"
+)
+
+// entryProcess is the wiring of basiltally-entry.
+type entryProcess struct {
+	settings   *EntrySettings
+	logger     *slog.Logger
+	registry   *prometheus.Registry
+	hub        *relay.Hub
+	views      *views.Holder
+	bundles    *bundle.Holder
+	members    *membership.List
+	claims     *claim.Service
+	claimer    *claim.Router
+	peers      *peer.Client
+	selector   *balance.Selector
+	dispatcher *dispatch.Dispatcher
+	admission  *admit.Admission
+	frontend   *frontend.Frontend
+}
+
+// RunEntry runs basiltally-entry until the context ends and the requests in
+// flight are finished.
+func RunEntry(ctx context.Context, s *EntrySettings) error {
+	p, err := newEntryProcess(s)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx)
+}
+
+func newEntryProcess(s *EntrySettings) (*entryProcess, error) {
+	logger, err := telemetry.NewLogger(os.Stderr, s.Log)
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := peer.LoadTLS(s.Peer.TLSCertificateFile, s.Peer.TLSKeyFile, s.Peer.TLSAuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	selector := balance.NewSelector(balance.SelectorOptions{Region: s.Process.Region})
+	p := &entryProcess{
+		settings: s, logger: logger.With("vm", s.Process.VM), registry: telemetry.NewRegistry("basiltally-entry"),
+		hub: relay.NewHub(), views: views.NewHolder(),
+		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "entry", TLS: tlsConfig}),
+		selector:   selector,
+		dispatcher: dispatch.New(dispatch.Options{Region: s.Process.Region, Observer: selector}), admission: admit.NewAdmission(),
+	}
+	o := holderOptions(p.registry, p.logger)
+	o.Ask = func(ctx context.Context) ([]byte, error) { return askPeer(ctx, p.peers, s.Entry.AssignAddress) }
+	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
+		return nil, err
+	}
+	if err := p.newClaims(); err != nil {
+		return nil, err
+	}
+	p.frontend = frontend.New(frontend.Options{
+		Address: s.Entry.Listen, Handler: p.handler(), HeaderBytes: s.Entry.MaxHeader,
+		HeaderTimeout: s.Entry.HeaderTimeout, HardLimit: s.Entry.DrainLimit,
+	})
+	return p, nil
+}
+
+// newClaims builds the router of claims. It asks the assign processes, which
+// batch the claims of many entries, and falls back to a service of its own.
+func (p *entryProcess) newClaims() error {
+	s := p.settings
+	objects := objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
+	lister := &membership.SeededLister{Platform: objects, Client: p.peers, Seeds: []string{s.Entry.AssignAddress}}
+	p.members = membership.New(membership.Options{Lister: lister, Registerer: p.registry})
+	metrics := claim.NewMetrics(p.registry)
+	var err error
+	// The router has no VM name of its own: also this VM's assign process is asked as a peer.
+	if p.claims, err = claim.NewService(s.Claim.options(objects, "", p.registry, p.logger), metrics); err != nil {
+		return err
+	}
+	peers := &claimPeers{client: p.peers, members: p.members}
+	p.claimer = claim.NewRouter(p.claims, peers, peers)
+	return nil
+}
+
+// handler chains the filters in the order in which a request passes them.
+func (p *entryProcess) handler() pipeline.Handler {
+	return pipeline.Chain(
+		p.dispatcher,
+		account.New(account.NewMetrics(p.registry)),
+		answers.New(),
+		identify.New(identify.Options{Bundle: servingBundle(p.bundles)}),
+		p.admission.Filter(),
+		once.New(once.Options{Claimer: p.claimer}),
+		retry.New(retry.Options{Views: p.views}),
+		locate.New(locate.Options{Views: p.views, Picker: p.selector}),
+	)
+}
+
+func (p *entryProcess) run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return p.follower().Run(work) })
+	g.Go(func() error { return p.applyUpdates(work) })
+	g.Go(func() error { return p.dispatcher.Run(work) })
+	g.Go(func() error { return p.bundles.Run(work) })
+	g.Go(func() error { return p.members.Run(work) })
+	g.Go(func() error { return p.claims.Run(work) })
+	g.Go(func() error { return p.claimer.Run(work) })
+	g.Go(func() error {
+		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
+	})
+	p.logger.Info("started", "address", p.settings.Entry.Listen)
+	err := p.frontend.Run(ctx)
+	p.logger.Info("stopped")
+	stopWork()
+	return firstError(err, g.Wait())
+}
+
+// follower receives views and bundles from the assign process of the same VM.
+func (p *entryProcess) follower() *relay.Follower {
+	parent := []string{p.settings.Entry.AssignAddress}
+	return &relay.Follower{
+		Hub: p.hub, Client: p.peers, OnBundle: offer(p.bundles),
+		Upstream: func() []string { return parent },
+	}
+}
+
+// applyUpdates moves what the hub receives into the request path.
+func (p *entryProcess) applyUpdates(ctx context.Context) error {
+	sub := p.hub.Subscribe(nil)
+	defer sub.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sub.Wake():
+		}
+		sub.Take()
+		for _, v := range p.hub.Views() {
+			p.views.Apply(v)
+		}
+	}
+}
+
+// ready reports whether every group of the bundle has a view.
+func (p *entryProcess) ready() error {
+	held, err := p.bundles.Serving()
+	if err != nil {
+		return err
+	}
+	for _, pool := range held.Bundle.Pools {
+		for _, id := range pool.Groups {
+			if p.views.Get(id) == nil {
+				return errors.Errorf("no view of group %s has arrived", id)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pipeline/admit/admit.go
@@ -0,0 +1,106 @@
+// Package admit is the filter that refuses requests early: while the entry is
+// stopping, above the rate of a class, or when too many requests of the class wait.
+package admit
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/basiltally/basiltally/config"
+	"github.com/basiltally/basiltally/pipeline"
+	"github.com/basiltally/basiltally/result"
+)
+
+// retryAfterOverload is the advice given with refusals for overload.
+const retryAfterOverload = time.Second
+
+// Admission holds the limits of the classes. The zero value is not usable; see NewAdmission.
+type Admission struct {
+	stopping atomic.Bool
+	mu       sync.Mutex
+	classes  sync.Map // of classKey to *classState
+}
+
+// classKey outlives the bundle in which a class is defined.
+type classKey struct{ tenant, class string }
+
+type classState struct {
+	// config is the definition that the limiter follows.
+	config  atomic.Pointer[config.Class]
+	limiter *rate.Limiter
+	waiting atomic.Int64
+}
+
+// NewAdmission returns an Admission that admits requests.
+func NewAdmission() *Admission { return &Admission{} }
+
+// Stop refuses all further requests.
+func (a *Admission) Stop() { a.stopping.Store(true) }
+
+// Filter returns the filter.
+func (a *Admission) Filter() pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(req *pipeline.Request) error {
+			if err := a.admit(req); err != nil {
+				return err
+			}
+			return next.Serve(req)
+		})
+	}
+}
+
+func (a *Admission) admit(req *pipeline.Request) error {
+	if a.stopping.Load() {
+		return refuse(result.EntryDraining, "this entry is stopping")
+	}
+	c := a.class(req.Tenant, req.Class)
+	if c.waiting.Load() >= int64(req.Class.QueueLength) {
+		return refuse(result.QueueFull, "class %s", req.Class.Name)
+	}
+	if !c.limiter.Allow() {
+		return refuse(result.RateLimited, "class %s", req.Class.Name)
+	}
+	c.waiting.Add(1)
+	req.OnStart(func() { c.waiting.Add(-1) })
+	return nil
+}
+
+func (a *Admission) class(t *config.Tenant, c *config.Class) *classState {
+	s := a.state(classKey{t.Name, c.Name})
+	if s.config.Load() != c {
+		a.configure(s, c)
+	}
+	return s
+}
+
+func (a *Admission) state(key classKey) *classState {
+	if s, ok := a.classes.Load(key); ok {
+		return s.(*classState)
+	}
+	s, _ := a.classes.LoadOrStore(key, &classState{limiter: rate.NewLimiter(rate.Inf, 0)})
+	return s.(*classState)
+}
+
+// configure applies the definition of a new bundle to the limiter.
+func (a *Admission) configure(s *classState, c *config.Class) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s.config.Swap(c) == c {
+		return
+	}
+	limit := rate.Inf
+	if c.Rate > 0 {
+		limit = rate.Limit(c.Rate)
+	}
+	s.limiter.SetBurst(max(c.Burst, 1))
+	s.limiter.SetLimit(limit)
+}
+
+func refuse(code result.Code, format string, args ...any) error {
+	e := result.New(code, format, args...)
+	e.RetryAfter = retryAfterOverload
+	return e
+}
