Keep drained targets and automatic pins in the encoded record

Cause: the record's encoding, written before the two fields existed, dropped them, so that the next assigner gave slots back to a drained target. The histories now keep records encoded, as the store does; without the mend TestDrainMovesAllSlotsAndKeepsThemAway fails.

--- a/assign/simstore_test.go
+++ b/assign/simstore_test.go
@@ -79,7 +79,15 @@
 	})
 }
 
+// commit keeps a record as the store does: encoded.
 func (s *sim) commit(rec *ownership.Record) {
+	value, err := ownership.MarshalRecord(rec)
+	if err != nil {
+		panic(err)
+	}
+	if rec, err = ownership.UnmarshalRecord(value); err != nil {
+		panic(err)
+	}
 	s.store.rec = rec
 	s.store.version++
 	s.store.history = append(s.store.history, rec)
--- a/ownership/codec.go
+++ b/ownership/codec.go
@@ -24,7 +24,10 @@
 		m.Candidates = append(m.Candidates, string(c))
 	}
 	for _, p := range r.Pins {
-		m.Pins = append(m.Pins, &pb.Pin{KeyHi: p.Key.Hi, KeyLo: p.Key.Lo, Slot: uint32(p.Slot), Owner: p.Owner + 1})
+		m.Pins = append(m.Pins, &pb.Pin{KeyHi: p.Key.Hi, KeyLo: p.Key.Lo, Slot: uint32(p.Slot), Owner: p.Owner + 1, Auto: p.Auto})
+	}
+	for _, id := range r.Drained {
+		m.Drained = append(m.Drained, string(id))
 	}
 	return m
 }
@@ -49,7 +52,10 @@
 		r.Candidates = append(r.Candidates, VMID(c))
 	}
 	for _, p := range m.Pins {
-		r.Pins = append(r.Pins, Pin{Key: KeyHash{Hi: p.KeyHi, Lo: p.KeyLo}, Slot: Slot(p.Slot), Owner: p.Owner - 1})
+		r.Pins = append(r.Pins, Pin{Key: KeyHash{Hi: p.KeyHi, Lo: p.KeyLo}, Slot: Slot(p.Slot), Owner: p.Owner - 1, Auto: p.Auto})
+	}
+	for _, id := range m.Drained {
+		r.Drained = append(r.Drained, TargetID(id))
 	}
 	return r, r.Check()
 }
