--- a/assign/commands.go
+++ b/assign/commands.go
@@ -203,7 +203,7 @@
 	if (cmd.Add == "") == (cmd.Remove == "") {
 		return result.New(result.BadRequest, "exactly one of add and remove must be given")
 	}
-	if c.registered.Since() <= c.candidatesSince {
+	if !c.candidatesKnown() {
 		return result.New(result.VersionConflict, "the last change of the candidates is not yet known to a majority")
 	}
 	switch {
@@ -222,6 +222,17 @@
 	return nil
 }
 
+// candidatesKnown reports whether a majority holds the present candidate list.
+func (c *Core) candidatesKnown() bool {
+	count := 0
+	for _, vm := range c.candidates() {
+		if c.knows[vm] >= c.candidatesVersion {
+			count++
+		}
+	}
+	return 2*count > len(c.candidates())
+}
+
 // effect puts a durable command into effect.
 func (cmd *command) effect(c *Core) {
 	l := c.lead
--- a/assign/core.go
+++ b/assign/core.go
@@ -51,6 +51,8 @@
 	phaseEnd  time.Duration
 	checkAt   time.Duration
 	supportAt time.Duration
+	// failures counts the last attempts that ended without a majority.
+	failures int
 	// willing holds the VMs that would give support.
 	willing map[ownership.VMID]bool
 	// support counts all promises, registered those given for the present term and round.
@@ -70,11 +72,12 @@
 	listKnown bool
 	stop      stopState
 	commands  []*command
-	// candidatesVersion is that of the list in use, candidatesSince its start.
+	// candidatesVersion is that of the list in use.
 	candidatesVersion uint64
-	candidatesSince   time.Duration
-	hot               hotKeys
-	nonces            uint64
+	// knows holds the list version that each supporter reported last.
+	knows  map[ownership.VMID]uint64
+	hot    hotKeys
+	nonces uint64
 }
 
 // New returns a Core that has just started: it waits for one support time
@@ -86,7 +89,7 @@
 	if opts.Initial != nil {
 		c.candidatesVersion = opts.Initial.CandidatesVersion
 	}
-	c.candidatesSince = lease.Never
+	c.knows = make(map[ownership.VMID]uint64)
 	c.checkAt = lease.Stretch(c.opts.Support, c.opts.RateMargin) + c.stagger()
 	c.store.retryAt = never
 	c.hot.since = make(map[ownership.KeyHash]time.Duration)
--- a/assign/durable.go
+++ b/assign/durable.go
@@ -43,6 +43,7 @@
 	// reading is set while a RecordRead is due, before readDeadline.
 	reading      bool
 	readDeadline time.Duration
+	readAt       time.Duration
 	write        *pendingWrite
 	// wantRead asks for a read, wantTakeOver for a take-over after it.
 	wantRead, wantTakeOver bool
@@ -110,6 +111,7 @@
 	}
 	d.wantRead = false
 	d.reading = true
+	d.readAt = c.now
 	d.readDeadline = c.now + readTimeout
 	c.emit(ReadRecord{})
 }
--- /dev/null
+++ b/assign/explain.go
@@ -0,0 +1,85 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/basiltally/basiltally/ownership"
+)
+
+// SlotInfo explains the state of a slot for operators.
+type SlotInfo struct {
+	Slot ownership.Slot `json:"slot"`
+	// Pinned is set for the slot of a pinned key.
+	Pinned bool `json:"pinned,omitempty"`
+	// State is free, granting, held or revoking.
+	State string `json:"state"`
+	// Holder may serve the slot now, Wanted should.
+	Holder ownership.TargetID `json:"holder,omitempty"`
+	Wanted ownership.TargetID `json:"wanted,omitempty"`
+	Token  string             `json:"token,omitempty"`
+	// LeaseFor is the longest time that the holder's lease may still run.
+	LeaseFor time.Duration `json:"lease_nanos,omitempty"`
+	// WaitFor is the time until the slot may pass to another target.
+	WaitFor time.Duration `json:"wait_nanos,omitempty"`
+	// Why says what the slot waits for, or why its owner is the wanted one.
+	Why string `json:"why"`
+}
+
+var slotStateNames = [...]string{"free", "granting", "held", "revoking"}
+
+// ExplainKey explains the slot of a key; ok is false unless this Core is assigner.
+func (c *Core) ExplainKey(now time.Duration, key ownership.KeyHash) (info SlotInfo, ok bool) {
+	if !c.Assigning(now) || c.lead.table.SlotCount == 0 {
+		return SlotInfo{}, false
+	}
+	s, pinned := c.lead.pins[key]
+	if !pinned {
+		s = key.BaseSlot(c.lead.table.SlotCount)
+	}
+	return c.explainSlot(now, s, pinned), true
+}
+
+func (c *Core) explainSlot(now time.Duration, s ownership.Slot, pinned bool) SlotInfo {
+	l := c.lead
+	st := &l.slots[s]
+	info := SlotInfo{Slot: s, Pinned: pinned, State: slotStateNames[st.state], Why: l.why(c, s)}
+	if w := l.wanted(s); w != none {
+		info.Wanted = l.targets[w].info.ID
+	}
+	if st.holder != none {
+		m := l.targets[st.holder]
+		info.Holder = m.info.ID
+		info.Token = st.token.String()
+		info.LeaseFor = max(m.lease.End()-now, 0)
+	}
+	if st.state != slotHeld {
+		info.WaitFor = max(st.freeAt-now, 0)
+	}
+	return info
+}
+
+// why names what a slot waits for.
+func (l *leader) why(c *Core, s ownership.Slot) string {
+	st := &l.slots[s]
+	w := l.wanted(s)
+	switch {
+	case st.state == slotRevoking:
+		return "the holder has to acknowledge the revocation, or its lease to end"
+	case st.state == slotGranting:
+		return "the grant is sent and not yet acknowledged"
+	case st.state == slotHeld && st.holder != w:
+		return "the wanted target cannot be granted a lease yet"
+	case st.state == slotHeld:
+		return "assigned by the table"
+	case w == none:
+		return "no target may be given the slot"
+	case l.targets[w].lost:
+		return "the wanted target is lost and no other may be given the slot"
+	case !l.targets[w].grantable(c):
+		return "the wanted target has not answered yet"
+	case c.now < st.freeAt:
+		return "a lease granted earlier may still run"
+	default:
+		return "another slot has to be revoked first"
+	}
+}
--- a/assign/force.go
+++ b/assign/force.go
@@ -47,7 +47,7 @@
 	rec.Term = max(c.known.term, rec.Term) + 1
 	rec.TableVersion++
 	rec.Candidates = slices.Clone(cmd.what.(ForceTakeOver).Candidates)
-	rec.CandidatesVersion++
+	rec.CandidatesVersion = max(rec.CandidatesVersion, c.known.candidatesVersion) + 1
 	wait := forceWait * lease.Stretch(c.opts.Support, c.opts.RateMargin)
 	c.inherited = inheritance{until: c.now + wait}
 	c.put(rec, &pendingWrite{commands: []*command{cmd}})
--- a/assign/knowledge.go
+++ b/assign/knowledge.go
@@ -17,9 +17,10 @@
 	storeSeen bool
 	// view is the newest view published or received.
 	view *ownership.View
-	// term and round are the highest seen.
-	term  uint64
-	round uint32
+	// term, round and candidatesVersion are the highest seen.
+	term              uint64
+	round             uint32
+	candidatesVersion uint64
 }
 
 // newer reports whether a is newer than b; b may be nil.
--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -12,8 +12,12 @@
 	queryTime = 150 * time.Millisecond
 	// gatherTime bounds the wait for support, and for the registration of a round.
 	gatherTime = 200 * time.Millisecond
+	// readAgain is the least time between two reads because of what supporters know.
+	readAgain = time.Second
 	// retryTime is the pause after an attempt that failed.
 	retryTime = 50 * time.Millisecond
+	// maxFailures limits the growth of the pause after divided support.
+	maxFailures = 3
 	// handoverPoll is the interval at which a named successor looks for its release.
 	handoverPoll = 15 * time.Millisecond
 	// handoverTime is how long a named successor looks for its release.
@@ -120,7 +124,10 @@
 	if c.now >= c.phaseEnd {
 		c.lead = nil
 		c.support = nil
-		c.follow(retryTime)
+		// Less preferred candidates give way more and more, so that two do not
+		// divide the supporters again and again.
+		c.failures = min(c.failures+1, maxFailures)
+		c.follow(retryTime + time.Duration(c.failures)*c.stagger())
 		return
 	}
 	c.heartbeatSupport()
@@ -158,7 +165,9 @@
 func (c *Core) supportAnswered(ev SupportAnswered) {
 	r := ev.Reply
 	c.known.raise(r.Term, r.Round)
-	if c.known.best != nil && (r.CandidatesVersion > c.known.best.CandidatesVersion || r.Term > c.known.best.Term) {
+	c.known.candidatesVersion = max(c.known.candidatesVersion, r.CandidatesVersion)
+	c.knows[ev.From] = r.CandidatesVersion
+	if c.outdated(r) && c.now-c.store.readAt >= readAgain {
 		c.store.wantRead = true
 	}
 	if ev.Request.Query {
@@ -179,6 +188,12 @@
 	}
 }
 
+// outdated reports whether a supporter knows more than the record at hand.
+func (c *Core) outdated(r lease.SupportReply) bool {
+	best := c.known.best
+	return best != nil && (r.CandidatesVersion > best.CandidatesVersion || r.Term > best.Term)
+}
+
 func (c *Core) queryAnswered(ev SupportAnswered) {
 	switch c.phase {
 	case following:
@@ -301,6 +316,7 @@
 
 func (c *Core) startLeading() {
 	c.phase = leading
+	c.failures = 0
 	c.inherited.successorUntil = 0
 	if rec := c.known.inStore; rec != nil && rec.Term > c.term {
 		c.store.wantRead = true
@@ -335,7 +351,6 @@
 		return
 	}
 	c.candidatesVersion = c.known.best.CandidatesVersion
-	c.candidatesSince = c.now
 	for _, s := range []*lease.Support{c.support, c.registered} {
 		if s != nil {
 			s.SetCandidates(c.candidates())
--- a/lease/supporter.go
+++ b/lease/supporter.go
@@ -40,7 +40,9 @@
 }
 
 // Learn raises the highest term and candidate list version known of a group,
-// from a record that was read.
+// from a record that this VM read, wrote or got from a peer. Requests do not
+// raise the list version: a supporter that refuses an older list has to be on a
+// VM that holds the newer one.
 func (s *Supporter) Learn(group ownership.GroupID, term, candidatesVersion uint64) {
 	p := s.group(group)
 	p.raise(term, 0)
@@ -97,7 +99,6 @@
 	p.incarnation = req.Incarnation
 	p.successor = ""
 	p.until = max(p.until, until)
-	p.candidatesVersion = req.CandidatesVersion
 	p.raise(req.Term, req.Round)
 }
 
