--- a/assign/history_test.go
+++ b/assign/history_test.go
@@ -188,6 +188,7 @@
 
 // stopVM stops a VM as planned and replaces it later.
 func (s *sim) stopVM(vm *simVM, d time.Duration) {
+	vm.stopping = true
 	s.step(vm, Stop{})
 	incarnation := vm.incarnation
 	s.after(d, func() {
@@ -206,7 +207,8 @@
 	s.store.down = storeDown
 	for _, vm := range s.vms {
 		s.thaw(&vm.simNode)
-		if vm.dead || vm.stopped {
+		if vm.dead || vm.stopping {
+			s.unfreeze(&vm.simNode)
 			s.boot(vm)
 		}
 	}
--- a/assign/sim_test.go
+++ b/assign/sim_test.go
@@ -75,7 +75,8 @@
 	core      *Core
 	supporter *lease.Supporter
 	wakeSeq   int
-	stopped   bool
+	// stopping is set by a planned stop, stopped when it is complete.
+	stopping, stopped bool
 }
 
 // simTarget is a target that keeps the lease protocol.
@@ -204,7 +205,7 @@
 // boot starts a new process on the VM.
 func (s *sim) boot(vm *simVM) {
 	vm.incarnation++
-	vm.dead, vm.stopped = false, false
+	vm.dead, vm.stopping, vm.stopped = false, false, false
 	vm.held = nil
 	vm.clock = simClock{rate: vm.clock.rate, started: s.now}
 	opts := s.opts
