Record outcomes whose caller has stopped waiting

A finish or release whose context had ended was dropped from the queue, so an entry that waits a quarter of a second for it left the key in doubt. Only claims are dropped now; TestOutcomeIsRecordedAfterItsCallerGaveUp failed before.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -185,6 +185,22 @@
 	})
 }
 
+func TestOutcomeIsRecordedAfterItsCallerGaveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, st := is.New(t), newFakeStore()
+		s := start(t, delayedStore{st, 27 * time.Millisecond}, nil)
+		d, err := s.Claim(t.Context(), request("a"))
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		is.True(s.Finish(ctx, d.Ref, Outcome{Status: 200}) != nil)
+		time.Sleep(time.Second)
+		d, err = s.Claim(t.Context(), request("a"))
+		is.NoErr(err)
+		is.Equal(d.Kind, Replay)
+	})
+}
+
 func TestFrozenClaimerRunsOnceAndLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx, st := is.New(t), t.Context(), newFakeStore()
--- a/claim/options.go
+++ b/claim/options.go
@@ -18,7 +18,7 @@
 	DefaultRetention      = time.Hour
 	DefaultAppendInterval = 100 * time.Millisecond
 	DefaultStoreCalls     = 50
-	DefaultFinishDelay    = 250 * time.Millisecond
+	DefaultFinishDelay    = 20 * time.Millisecond
 	DefaultWriteTimeout   = time.Second
 	DefaultLoadTimeout    = 10 * time.Second
 	DefaultCallTimeout    = time.Second
@@ -49,7 +49,7 @@
 	AppendInterval time.Duration
 	// StoreCalls bounds the calls of the store by this VM, per second. Default 50.
 	StoreCalls int
-	// FinishDelay is how long an outcome may wait for claims to share a write. Default 250 ms.
+	// FinishDelay is how long an outcome may wait for claims to share a write. Default 20 ms.
 	FinishDelay time.Duration
 	// WriteTimeout bounds one call of the store. Default 1 s.
 	WriteTimeout time.Duration
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -279,10 +279,11 @@
 }
 
 // dropEnded leaves out claims whose callers have gone, before they are written.
+// Outcomes and releases are written all the same: resends depend on them.
 func dropEnded(ops []*pendingOp) []*pendingOp {
 	live := ops[:0]
 	for _, o := range ops {
-		if o.ctx.Err() != nil {
+		if o.op.Kind == pb.ClaimOpKind_CLAIM_OP_KIND_CLAIM && o.ctx.Err() != nil {
 			o.finish(reply{err: &refusal{code: result.ClaimStoreDown, cause: o.ctx.Err()}})
 			continue
 		}
