--- a/assign/sim_test.go
+++ b/assign/sim_test.go
@@ -16,6 +16,8 @@
 	ms       = time.Millisecond
 	simGroup = ownership.GroupID("g")
 	storeDC  = 0
+	// maxEvents bounds a history, so that a Core that never rests fails the test.
+	maxEvents = 1_000_000
 )
 
 // timedFunc is one future event of a sim.
@@ -104,6 +106,7 @@
 	rng     *rand.Rand
 	now     time.Duration
 	seq     int
+	events  int
 	agenda  agenda
 	vms     []*simVM
 	targets []*simTarget
@@ -113,6 +116,8 @@
 	cut   map[[2]int]bool
 	loss  float64
 	spike time.Duration
+	// slow holds an extra delay for each direction.
+	slow map[[2]int]time.Duration
 	// view is the newest view that entries have.
 	view *ownership.View
 	// running tells until when a target that checks no tokens may run requests of a slot.
@@ -120,7 +125,8 @@
 	asked   map[string]Command
 	done    map[string]CommandDone
 	wrong   []string
-	// log of the actions of interest
+	// hook sees each action first and may take it away; trace logs it.
+	hook  func(vm *simVM, a Action) bool
 	trace func(format string, args ...any)
 }
 
@@ -142,6 +148,7 @@
 func newSim(cfg simConfig) *sim {
 	s := &sim{
 		rng:     rand.New(rand.NewPCG(cfg.seed, 1)),
+		slow:    make(map[[2]int]time.Duration),
 		cut:     make(map[[2]int]bool),
 		running: make(map[ownership.Slot]window),
 		asked:   make(map[string]Command),
@@ -184,6 +191,9 @@
 	for len(s.agenda) > 0 && s.agenda[0].at <= until {
 		e := heap.Pop(&s.agenda).(timedFunc)
 		s.now = e.at
+		if s.events++; s.events > maxEvents {
+			panic(fmt.Sprintf("more than %d events by %v", maxEvents, s.now))
+		}
 		e.run()
 	}
 	s.now = until
@@ -272,6 +282,7 @@
 	if from.dc != to.dc {
 		d *= 12
 	}
+	d += s.slow[[2]int{from.index, to.index}]
 	if s.spike > 0 && s.rng.IntN(4) == 0 {
 		d += time.Duration(s.rng.Int64N(int64(s.spike)))
 	}
@@ -329,6 +340,9 @@
 	if s.trace != nil {
 		s.trace("%v %s.%d %T %+v", s.now, vm.id, vm.incarnation, a, a)
 	}
+	if s.hook != nil && s.hook(vm, a) {
+		return
+	}
 	me := vm.incarnation
 	switch a := a.(type) {
 	case ReadRecord:
--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -41,6 +41,22 @@
 	is.Equal(request.Bundle.Version, uint64(2)) // a request keeps its version
 }
 
+func TestHolderWithoutPolicy(t *testing.T) {
+	is := is.New(t)
+	first, peer := NewHolder(HolderOptions{}), NewHolder(HolderOptions{})
+	is.Equal(first.Encoded(), nil)
+	is.NoErr(first.Adopt("local.ini", document(2, "local")))
+	is.NoErr(peer.Receive(first.Encoded(), "vm-1"))
+	is.Equal(peer.Version(), uint64(2))
+	is.True(peer.Adopt("local.ini", document(1, "older")) != nil)
+	is.True(peer.LastRefusal() != "")
+	is.True(peer.Receive(signed(t, 3, "third", Digest{}).Encode(), "vm-1") != nil) // nobody's approval counts
+	strict := newTestHolder(HolderOptions{})
+	is.Equal(codeOf(strict.Receive(first.Encoded(), "vm-1")), result.BadSignature)
+	is.NoErr(strict.Receive(signed(t, 3, "third", Digest{}).Encode(), "vm-1"))
+	is.Equal(strict.LastRefusal(), "")
+}
+
 func TestHolderAppliesWholeOrNotAtAll(t *testing.T) {
 	is := is.New(t)
 	fail := false
@@ -200,3 +216,20 @@
 	is.NoErr((&Follower{Store: s, Holder: started, Policy: testPolicy()}).Sync(t.Context()))
 	is.Equal(started.Version(), uint64(2))
 }
+
+// TestFollowerRestoresLostVersion loses the object of the accepted version, so
+// that a new VM could not read it.
+func TestFollowerRestoresLostVersion(t *testing.T) {
+	is := is.New(t)
+	s := newFakeStore()
+	h := newTestHolder(HolderOptions{})
+	f := &Follower{Store: s, Holder: h, Policy: testPolicy(), VM: "vm-1"}
+	is.NoErr(rollAs("anna", s, signed(t, 1, "first", Digest{})))
+	is.NoErr(f.Sync(t.Context()))
+	delete(s.objects, VersionKey(1))
+	is.NoErr(f.Sync(t.Context()))
+	checkHistory(t, s)
+	started := newTestHolder(HolderOptions{})
+	delete(s.objects, VersionKey(1))
+	is.True((&Follower{Store: s, Holder: started, Policy: testPolicy()}).Sync(t.Context()) != nil) // it cannot help itself
+}
