--- a/pipeline/retry/retry.go
+++ b/pipeline/retry/retry.go
@@ -28,6 +28,9 @@
 	// FirstWait is the mean wait before the first retry on the same target,
 	// doubled up to MaxWait. A new view ends the wait. Default 20 ms and 300 ms.
 	FirstWait, MaxWait time.Duration
+	// MaxStale bounds the time for which a request is sent again to targets that
+	// refuse it because they do not own its key. Default 3 s.
+	MaxStale time.Duration
 	// MaxWaiting bounds the requests that wait for a retry. Default 1024.
 	MaxWaiting int
 	// BodyBytes is the longest request body that is kept for a retry. Default 64 KiB.
@@ -40,6 +43,7 @@
 	o.MaxAttempts = cmp.Or(o.MaxAttempts, 4)
 	o.FirstWait = cmp.Or(o.FirstWait, 20*time.Millisecond)
 	o.MaxWait = cmp.Or(o.MaxWait, 300*time.Millisecond)
+	o.MaxStale = cmp.Or(o.MaxStale, 3*time.Second)
 	o.MaxWaiting = cmp.Or(o.MaxWaiting, 1024)
 	o.BodyBytes = cmp.Or(o.BodyBytes, 64<<10)
 	return o
@@ -88,6 +92,9 @@
 type attempts struct {
 	budget *balance.Budget
 	waits  *backoff.ExponentialBackOff
+	// staleUntil bounds the wait for an owner whose lease has lapsed; set by the
+	// first refusal of a target that does not own the key.
+	staleUntil time.Time
 	// unknown is the last error after which the request may have run.
 	unknown *result.Error
 }
@@ -112,6 +119,9 @@
 	if !f.safe(req, e) || req.Context.Err() != nil {
 		return false
 	}
+	if e.Code == result.StaleOwner && !a.mayAwaitOwner(f.opts.MaxStale) {
+		return false
+	}
 	if costly[e.Code] && (req.Attempts >= f.opts.MaxAttempts || !a.budget.Spend()) {
 		return false
 	}
@@ -126,6 +136,18 @@
 	return f.wait(req, f.nextWait(a))
 }
 
+// mayAwaitOwner reports whether the request may go on waiting for an owner. A
+// refusal for want of a lease costs the target no slot, so it is bounded by
+// time and by the waits between attempts, not by the budget: all keys of a group
+// are refused at once while its assigner is being replaced.
+func (a *attempts) mayAwaitOwner(limit time.Duration) bool {
+	now := time.Now()
+	if a.staleUntil.IsZero() {
+		a.staleUntil = now.Add(limit)
+	}
+	return now.Before(a.staleUntil)
+}
+
 // safe reports whether another attempt can do no harm and may help.
 func (f *filter) safe(req *pipeline.Request, e *result.Error) bool {
 	if req.BodyTaken {
@@ -146,7 +168,6 @@
 // costly failures have put work on a target, so that retries of them count
 // against the budget.
 var costly = map[result.Code]bool{
-	result.StaleOwner:      true,
 	result.TargetShed:      true,
 	result.TargetLeaving:   true,
 	result.TargetTimeout:   true,
