--- a/balance/gate.go
+++ b/balance/gate.go
@@ -13,9 +13,10 @@
 // serviceWeight is the weight of a new sample in the mean service time.
 const serviceWeight = 0.1
 
-// maxWaitPart is the divisor of the time left that a request may spend waiting.
-// At overload some requests must be refused; refusing early keeps the others fast.
-const maxWaitPart = 2
+// maxWaitShare is the share of the time left that a request may spend waiting. A
+// queue in which requests wait up to their deadline would take long to drain
+// after an overload, and would miss deadlines until then.
+const maxWaitShare = 0.5
 
 // Gate limits the requests that run at once and keeps the others in a bounded
 // queue, first in, first out. It refuses a request that would miss its deadline
@@ -110,7 +111,7 @@
 func (g *Gate) hopelessLocked(deadline time.Time, ahead int) bool {
 	wait := g.service * time.Duration(ahead) / time.Duration(g.limit.value())
 	left := time.Until(deadline)
-	return wait > left/maxWaitPart || wait+g.service > left
+	return wait.Seconds() > maxWaitShare*left.Seconds() || wait+g.service > left
 }
 
 func (g *Gate) leave(w *waiter) bool {
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -5,7 +5,7 @@
 const (
 	// acceptedSlowdown is the service time, in multiples of the shortest, up to
 	// which requests are not taken to wait at the target.
-	acceptedSlowdown = 2
+	acceptedSlowdown = 1.5
 	// headroom is added to the limit with each sample while all of it is in use.
 	headroom = 0.5
 	// smoothing is the weight of a new limit.
