End a target stand-in that is shut down while it starts to serve

A repeated run of the package under load did not end within 280 s. Shutdown found no listener in the HTTP server when Serve had passed its check and had not started to accept, so Serve went on for good and the test's clean-up waited for it. The new test, 2,000 starts with -race, failed on the old code ('Serve did not return').

--- a/standin/target/conns.go
+++ b/standin/target/conns.go
@@ -18,6 +18,7 @@
 
 	mu      sync.Mutex
 	open    map[*trackedConn]struct{}
+	closed  bool
 	crashed bool
 }
 
@@ -25,11 +26,30 @@
 	return &connSet{faults: faults, open: make(map[*trackedConn]struct{})}
 }
 
-// listen sets the listener, which must happen before Accept.
+// listen sets the listener, which must happen before Accept. It is closed at
+// once if the set was closed before.
 func (s *connSet) listen(ln net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Listener = ln
+	if s.closed {
+		_ = ln.Close()
+	}
+}
+
+// Close implements net.Listener. It ends accepting, also if listen comes later;
+// closing again does nothing.
+func (s *connSet) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	if s.Listener == nil {
+		return nil
+	}
+	return s.Listener.Close()
 }
 
 // Accept implements net.Listener. It resets connections over the limit.
@@ -87,11 +107,8 @@
 func (s *connSet) crash() {
 	s.mu.Lock()
 	s.crashed = true
-	ln := s.Listener
 	s.mu.Unlock()
-	if ln != nil {
-		_ = ln.Close()
-	}
+	_ = s.Close()
 	for _, c := range s.list() {
 		reset(c.Conn)
 	}
--- a/standin/target/faults_test.go
+++ b/standin/target/faults_test.go
@@ -261,3 +261,27 @@
 	h.Equal(post(`{"faults":{"shred":true}}`), http.StatusBadRequest)
 	h.Equal(post(`{"actions":["dance"]}`), http.StatusBadRequest)
 }
+
+func TestShutdownWhileServeStarts(t *testing.T) {
+	const attempts = 2000
+	for range attempts {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := New(Options{})
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			_ = server.Serve(ln)
+		}()
+		if err := server.Shutdown(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-served:
+		case <-time.After(patience):
+			t.Fatal("Serve did not return")
+		}
+	}
+}
--- a/standin/target/incarnation.go
+++ b/standin/target/incarnation.go
@@ -76,7 +76,9 @@
 		if s.stopped.Load() || !inc.crashed.Load() {
 			return err
 		}
-		s.restart()
+		if !s.restart() {
+			return nil
+		}
 		time.Sleep(time.Duration(s.Faults().RestartAfter))
 		if ln = s.listenAgain(address); ln == nil {
 			return nil
@@ -84,12 +86,16 @@
 	}
 }
 
-// restart makes the next incarnation the current one.
-func (s *Server) restart() {
+// restart makes the next incarnation the current one, unless the server was shut down.
+func (s *Server) restart() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped.Load() {
+		return false
+	}
 	s.number++
 	s.inc = s.newIncarnation(s.opts.Incarnation + s.number)
+	return true
 }
 
 // listenAgain returns nil once the server was shut down.
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/ownership"
@@ -97,6 +98,9 @@
 	s.gate.unfreeze()
 	inc := s.current()
 	defer inc.cancel()
+	if err := inc.conns.Close(); err != nil {
+		return errors.Wrap(err, "close listener")
+	}
 	return inc.http.ShutdownWithContext(ctx)
 }
 
