--- a/claim/options.go
+++ b/claim/options.go
@@ -17,7 +17,8 @@
 	DefaultRingSlots      = 64
 	DefaultRetention      = time.Hour
 	DefaultAppendInterval = 100 * time.Millisecond
-	DefaultFinishDelay    = 250 * time.Millisecond
+	DefaultStoreCalls     = 50
+	DefaultFinishDelay    = 20 * time.Millisecond
 	DefaultWriteTimeout   = time.Second
 	DefaultLoadTimeout    = 10 * time.Second
 	DefaultCallTimeout    = time.Second
@@ -46,7 +47,9 @@
 	// AppendInterval is the least time between two appends to a partition by one
 	// VM. Partitions divided by it bounds the writes per second. Default 100 ms.
 	AppendInterval time.Duration
-	// FinishDelay is how long an outcome may wait for claims to share a write. Default 250 ms.
+	// StoreCalls bounds the calls of the store by this VM, per second. Default 50.
+	StoreCalls int
+	// FinishDelay is how long an outcome may wait for claims to share a write. Default 20 ms.
 	FinishDelay time.Duration
 	// WriteTimeout bounds one call of the store. Default 1 s.
 	WriteTimeout time.Duration
@@ -78,6 +81,7 @@
 	setDefault(&o.RingSlots, DefaultRingSlots)
 	setDefault(&o.Retention, DefaultRetention)
 	setDefault(&o.AppendInterval, DefaultAppendInterval)
+	setDefault(&o.StoreCalls, DefaultStoreCalls)
 	setDefault(&o.FinishDelay, DefaultFinishDelay)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.LoadTimeout, DefaultLoadTimeout)
