--- a/capacity/project.go
+++ b/capacity/project.go
@@ -233,14 +233,19 @@
 	perBatch := (store.MaxValueBytes - p.fit(SweepClaims, BatchBytes).Intercept) / p.fit(SweepClaims, BatchBytes).Slope
 	p.row("store", "claims in a batch of the largest size", "", perBatch, 0)
 	p.row("store", "share of requests that all writes could claim", "share", left*perBatch/p.size.RequestsPerSecond, 0)
-	watchers, lists := p.nodes(), p.d.ListReadsPerSecond
+	roots := float64(p.d.RootsPerDataCentre * p.size.DataCentres)
+	watches := p.nodes()*float64(p.d.WatchesPerNode) + roots*float64(p.d.WatchesPerRoot)
+	lists := p.d.ListReadsPerSecond
 	if p.d.Planned.RootsOnly {
-		watchers = float64(p.d.RootsPerDataCentre * p.size.DataCentres)
-		lists = watchers / 2
+		lists = roots / listInterval
 	}
-	p.row("store", "waiting watches and reads of the VM list", "1/s", watchers+lists, p.limits.ReadsPerSecond)
+	p.row("store", "waiting watches and reads of the VM list", "1/s", watches+lists, p.limits.ReadsPerSecond)
 }
 
+// listInterval is the time between two reads of the VM list by one VM of a small
+// fleet, in seconds.
+const listInterval = 2
+
 // opsPerRequest counts the claim and the finish.
 const opsPerRequest = 2
 
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -55,6 +55,9 @@
 	OnceShare float64
 	// ClaimPartitions is the number of logs of claims; each has one VM that appends.
 	ClaimPartitions int
+	// WatchesPerNode and WatchesPerRoot count the watches of the store that wait
+	// on each node and, beyond those, on each relay root.
+	WatchesPerNode, WatchesPerRoot int
 	// ListReadsPerSecond is the rate at which all VMs together read the VM list.
 	ListReadsPerSecond float64
 	// Planned mechanisms that are not built.
@@ -64,8 +67,8 @@
 // Planned selects mechanisms that are not built; the projection shows what each
 // would change.
 type Planned struct {
-	// RootsOnly lets only relay roots watch the store and read the VM list, and
-	// lets them follow only VMs that assign a group.
+	// RootsOnly lets only relay roots read the VM list, and lets them follow only
+	// VMs that assign a group.
 	RootsOnly bool
 	// SmallDeltas sends changes of pins, targets and the bundle as deltas, and the
 	// states of targets only when they change.
@@ -96,6 +99,7 @@
 		HeartbeatsPerSecond: 1 / assign.DefaultHeartbeat.Seconds(),
 		FanOut:              relay.FanOut, RootsPerDataCentre: relay.RootsPerDataCentre,
 		Classes: 1000, ReplacedShare: 0.5, TargetConnections: 110, ListReadsPerSecond: 200,
+		WatchesPerNode: 2, WatchesPerRoot: 2, // The quarantine in both processes; records and bundles.
 		OnceShare: 0.001, ClaimPartitions: claim.DefaultPartitions,
 	}
 }
@@ -104,5 +108,6 @@
 func PlannedDesign() Design {
 	d := BuiltDesign()
 	d.Planned = Planned{RootsOnly: true, SmallDeltas: true}
+	d.WatchesPerNode, d.WatchesPerRoot = 0, 3
 	return d
 }
