End the wait for a frozen target when its keys move

Cause: after a target froze, its keys were granted elsewhere within 1.1 s (polled from the assigner's status), yet reads took up to 5.0 s: all slots of the entry at the frozen target were held by exchanges that waited out their silence timeout of 500 ms, and further reads queued behind them in rounds, while the limit of the slots shrank with each timeout. Ruled out: a late grant (status showed seq and owners changed at 1.1 s), the retry budget (no failed reads).

Change: a read that waits for a slot ends its wait when a newer view gives the key to another target, and is located again.

TestWaitingReadsFollowTheOwner failed before (16 of 20 reads).

--- a/balance/gate.go
+++ b/balance/gate.go
@@ -87,12 +87,26 @@
 	return <-w.grant
 }
 
+// TryAcquire takes a place if one is free. After true the caller must call Release.
+func (g *Gate) TryAcquire() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.takeLocked()
+}
+
+func (g *Gate) takeLocked() bool {
+	if g.running >= g.limit.value() || len(g.queue) > 0 {
+		return false
+	}
+	g.running++
+	return true
+}
+
 // enter takes a place or queues a waiter.
 func (g *Gate) enter(deadline time.Time) (*waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running < g.limit.value() && len(g.queue) == 0 {
-		g.running++
+	if g.takeLocked() {
 		return nil, nil
 	}
 	if len(g.queue) >= g.maxWait {
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -64,7 +64,7 @@
 // acquire takes a slot and a connection.
 func (x *exchange) acquire() error {
 	req := x.req
-	if err := x.lane.gate.Acquire(req.Context, req.Deadline); err != nil {
+	if err := x.acquireSlot(); err != nil {
 		return err
 	}
 	req.Started()
@@ -77,6 +77,25 @@
 	return nil
 }
 
+// acquireSlot waits for a slot of the target, but not for one of a target that
+// has lost the key meanwhile.
+func (x *exchange) acquireSlot() error {
+	req := x.req
+	if x.lane.gate.TryAcquire() {
+		return nil
+	}
+	if req.WatchOwner == nil {
+		return x.lane.gate.Acquire(req.Context, req.Deadline)
+	}
+	ctx, stop := req.WatchOwner(req.Context)
+	defer stop()
+	err := x.lane.gate.Acquire(ctx, req.Deadline)
+	if err != nil && context.Cause(ctx) == pipeline.ErrOwnerChanged {
+		return result.New(result.StaleOwner, "target %s lost the key while the request waited for it", req.Owner.Target.ID)
+	}
+	return err
+}
+
 // end gives the slot back and tells the observer. The error is nil after a whole answer.
 func (x *exchange) end(err error) {
 	if !x.started.IsZero() {
--- a/pipeline/locate/locate.go
+++ b/pipeline/locate/locate.go
@@ -58,6 +58,9 @@
 	if err := f.locate(req); err != nil {
 		return err
 	}
+	if req.Keyed() {
+		req.WatchOwner = func(ctx context.Context) (context.Context, func()) { return f.watchOwner(ctx, req) }
+	}
 	if err := f.next.Serve(req); err != nil {
 		return err
 	}
@@ -74,6 +77,25 @@
 	return ok && req.Owner.Token.Less(o.Token) && o.Target.ID != req.Owner.Target.ID
 }
 
+// watchOwner returns a context that ends when the request's owner has lost the key.
+func (f *filter) watchOwner(ctx context.Context, req *pipeline.Request) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		seen := req.View
+		for ctx.Err() == nil {
+			v := f.opts.Views.Await(ctx, req.Group, seen)
+			if v == nil || !seen.Less(v.Version()) {
+				continue
+			}
+			seen = v.Version()
+			if o, ok := v.Lookup(req.KeyHash); !ok || o.Target.ID != req.Owner.Target.ID {
+				cancel(pipeline.ErrOwnerChanged)
+			}
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
 // discard drops the answer; closing its stream makes the connection unusable.
 func discard(req *pipeline.Request) {
 	req.AbandonStream()
--- /dev/null
+++ b/pipeline/moved_test.go
@@ -0,0 +1,60 @@
+package pipeline_test
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/ownership"
+)
+
+// TestWaitingReadsFollowTheOwner freezes a target whose slots are all taken and
+// moves its keys: reads that wait for a slot must not wait for the old owner.
+func TestWaitingReadsFollowTheOwner(t *testing.T) {
+	const (
+		reads    = 20
+		movedAt  = 300 * time.Millisecond
+		servedIn = time.Second // within one silence timeout of 500 ms after the move
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		for range reads {
+			b.target.script = append(b.target.script, func(f *fakeTarget, nc net.Conn, r *http.Request) {
+				if r.Header.Get("Basiltally-Token") == "1.1" {
+					awaitClose(nc)
+					return
+				}
+				whole(f, nc, r)
+			})
+		}
+		time.AfterFunc(movedAt, func() {
+			moved := testView("sheets-0", 2)
+			moved.Targets = []ownership.Target{{ID: "t2", Address: "t2:1"}}
+			b.views.Apply(moved)
+		})
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		slowest, failed := time.Duration(0), 0
+		for range reads {
+			wg.Go(func() {
+				begin := time.Now()
+				got := b.do("GET", "/sheets/a1")
+				mu.Lock()
+				defer mu.Unlock()
+				slowest = max(slowest, time.Since(begin))
+				if got.code != "0" {
+					failed++
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(failed, 0)
+		is.True(slowest <= servedIn)
+	})
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -61,6 +61,9 @@
 	Owner ownership.Owner
 	// View is the version of the view in which the owner was found.
 	View ownership.Token
+	// WatchOwner, if set, returns a context that ends with ErrOwnerChanged as its
+	// cause once Owner owns the key no longer. The function must be called.
+	WatchOwner func(context.Context) (context.Context, func())
 	// Failed lists the targets on which an attempt failed.
 	Failed []ownership.TargetID
 	// Attempts counts exchanges with targets that may have carried a byte.
@@ -89,6 +92,10 @@
 // connection closes.
 var ErrCallerGone = errors.New("the caller closed its connection")
 
+// ErrOwnerChanged is the cause with which a wait for a target ends when the key
+// has another owner, or none, in a newer view.
+var ErrOwnerChanged = errors.New("the key's owner changed")
+
 // Handler serves a request: it fills the answer and returns nil, or returns an
 // error, most often a *result.Error.
 type Handler interface {
