Read the targets' clocks while asking for support

Cause: a successor asked for clock readings together with its trial, so that the readings of distant targets came after the registration and the first grants waited for the next heartbeat of support. Ruled out: the handover itself and the polling of the release, which cost no service.

Change: the clocks are read with the query before.

--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -86,6 +86,7 @@
 		c.runFollowing()
 	case querying:
 		if c.now >= c.phaseEnd {
+			c.lead = nil
 			c.follow(retryTime)
 		}
 	case gathering:
@@ -227,7 +228,8 @@
 }
 
 // query asks all candidates whether they would give support, so that an
-// attempt without prospects binds nobody.
+// attempt without prospects binds nobody. The targets' clocks are read
+// meanwhile, so that the readings precede the promises of the registration.
 func (c *Core) query() {
 	c.phase = querying
 	c.phaseEnd = c.now + queryTime
@@ -235,21 +237,20 @@
 		c.phaseEnd = c.now + 4*handoverPoll
 	}
 	c.willing = make(map[ownership.VMID]bool)
+	c.lead = newLeader(c)
+	c.lead.readClocks(c)
 	for _, vm := range c.candidates() {
 		c.ask(vm, lease.SupportRequest{Query: true})
 	}
 }
 
-// gather asks for support. The targets' clocks are read meanwhile, so that the
-// readings precede the promises of the registration.
+// gather asks for support.
 func (c *Core) gather() {
 	c.phase = gathering
 	c.phaseEnd = c.now + gatherTime
 	c.term, c.round = 0, 0
 	c.support = lease.NewSupport(lease.TrialTime(c.opts.Support), c.opts.RateMargin, c.candidates())
 	c.registered = nil
-	c.lead = newLeader(c)
-	c.lead.readClocks(c)
 	c.askAll()
 }
 
