Drop forgotten targets from the record

Cause: targets that left the list stayed in the record for good, so that it grew with every replaced target.

Change: the next write leaves out targets that are lost, left the list longer than ForgetAfter ago and own nothing; no write is made for this alone. Two fields that nothing read are gone.

--- a/assign/commands_test.go
+++ b/assign/commands_test.go
@@ -34,10 +34,10 @@
 	return s.view.Targets[st.Owner].ID
 }
 
-// other returns a target that does not own the slot.
+// other returns a living target that does not own the slot.
 func (s *sim) other(slot ownership.Slot) ownership.TargetID {
 	for _, t := range s.targets {
-		if t.info.ID != s.owner(slot) {
+		if t.info.ID != s.owner(slot) && !t.dead {
 			return t.info.ID
 		}
 	}
@@ -217,6 +217,27 @@
 	is.True(gap < 500*ms)
 }
 
+func TestForgottenTargetLeavesTheRecord(t *testing.T) {
+	is := is.New(t)
+	s := started(is, 14)
+	s.crashTarget(s.targets[0], forGood)
+	var list []TargetInfo
+	for _, x := range s.targets[1:] {
+		list = append(list, TargetInfo{Target: x.info})
+	}
+	s.step(s.assigner(), TargetsChanged{Targets: list})
+	s.runFor(DefaultForgetAfter + 2*time.Second)
+	is.Equal(len(s.store.rec.Targets), 4) // no write for this alone
+	to := s.other(3)
+	is.Equal(s.do("m", MoveSlot{Slot: 3, To: to}, 0, time.Second).Code, result.OK)
+	is.Equal(len(s.store.rec.Targets), 3)
+	is.Equal(s.store.rec.Targets[s.store.rec.Owners[3]].ID, to)
+	s.crash(s.assigner(), forGood)
+	s.runFor(serviceTime)
+	is.Equal(len(s.unserved()), 0)
+	is.Equal(s.owner(3), to)
+}
+
 func TestCandidatesChangeOneAtATime(t *testing.T) {
 	is := is.New(t)
 	s := newSim(simConfig{seed: 10, vms: 5, dcs: 3, targets: 2, slots: 4})
--- a/assign/durable.go
+++ b/assign/durable.go
@@ -274,7 +274,7 @@
 	}
 	rec.Term = max(c.term, c.known.term)
 	rec.TableVersion = max(c.known.best.TableVersion, rec.TableVersion) + 1
-	c.put(rec, w)
+	c.put(c.lead.compact(c, rec), w)
 }
 
 func (c *Core) writeDone(ev WriteDone) {
@@ -396,7 +396,7 @@
 	rec.CandidatesVersion = max(rec.CandidatesVersion, c.known.best.CandidatesVersion)
 	c.lead.table.TableVersion = rec.TableVersion
 	c.store.dirty = false
-	c.put(rec, &pendingWrite{takeOver: true})
+	c.put(c.lead.compact(c, rec), &pendingWrite{takeOver: true})
 }
 
 // merge adopts what changed in the store between base and rec; what did not
--- a/assign/failover.go
+++ b/assign/failover.go
@@ -96,7 +96,6 @@
 func (m *member) returned(c *Core) {
 	m.lost = false
 	m.full = true
-	m.heard = c.now
 	shift := min(max(m.losses-1, 0), maxReturnShift)
 	m.eligibleAt = c.now + c.opts.ReturnAfter<<shift
 }
--- a/assign/leader.go
+++ b/assign/leader.go
@@ -140,6 +140,42 @@
 	return rec
 }
 
+// compact returns rec without the targets that left the list long ago, are lost
+// and own nothing in it.
+func (l *leader) compact(c *Core, rec *ownership.Record) *ownership.Record {
+	owns := make([]bool, len(rec.Targets))
+	for _, o := range rec.Owners {
+		if o != ownership.NoOwner {
+			owns[o] = true
+		}
+	}
+	for _, p := range rec.Pins {
+		if p.Owner != ownership.NoOwner {
+			owns[p.Owner] = true
+		}
+	}
+	index := make([]uint32, len(rec.Targets))
+	kept := rec.Targets[:0:0]
+	for i, t := range rec.Targets {
+		index[i] = uint32(len(kept))
+		if m := l.targets[i]; owns[i] || !m.lost || !m.gone(c) {
+			kept = append(kept, t)
+		}
+	}
+	rec.Targets = kept
+	for i, o := range rec.Owners {
+		if o != ownership.NoOwner {
+			rec.Owners[i] = index[o]
+		}
+	}
+	for i, p := range rec.Pins {
+		if p.Owner != ownership.NoOwner {
+			rec.Pins[i].Owner = index[p.Owner]
+		}
+	}
+	return rec
+}
+
 // slotTotal returns the number of slots: the hashed ones and all up to the last pinned one.
 func (l *leader) slotTotal() int {
 	n := int(l.table.SlotCount)
--- a/assign/renewals.go
+++ b/assign/renewals.go
@@ -25,8 +25,6 @@
 	incarnation uint64
 	// asked is when the first request was sent, alive when the newest answered one was.
 	asked, alive time.Duration
-	// heard is the start of the present run of answers.
-	heard time.Duration
 	// via is the peer that forwards renewals while the direct way is cut.
 	via ownership.VMID
 	// reached is when a peer last reported the target as reachable.
@@ -63,7 +61,6 @@
 		lease:   lease.NewTargetLease(c.opts.Lease, c.opts.RateMargin),
 		asked:   lease.Never,
 		alive:   lease.Never,
-		heard:   never,
 		reached: lease.Never,
 		probing: never,
 		goneAt:  never,
@@ -238,9 +235,6 @@
 	if ev.Via == "" {
 		m.via = ""
 	}
-	if m.alive == lease.Never || c.now-m.alive >= c.opts.LostAfter {
-		m.heard = c.now
-	}
 	m.alive = max(m.alive, ev.SentAt)
 	m.probing = never
 	if m.lost && c.now-m.alive < c.opts.LostAfter {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -33,8 +33,6 @@
 	// freeAt is when a free slot may be granted, and when the lease of a holder
 	// that does not acknowledge the revocation has ended.
 	freeAt time.Duration
-	// revokedAt is when the revocation began.
-	revokedAt time.Duration
 	// same is a target to which a free slot may be granted before freeAt, or none.
 	same int
 	// reissue asks for a new token even if the owner stays.
@@ -209,7 +207,6 @@
 	st := &l.slots[s]
 	m := l.targets[st.holder]
 	st.state = slotRevoking
-	st.revokedAt = c.now
 	st.freeAt = c.endOfUse(m)
 	st.version = m.revoke(c, s)
 	l.viewChanged = true
