--- a/claim/fakestore_test.go
+++ b/claim/fakestore_test.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/basiltally/basiltally/store"
@@ -17,6 +18,7 @@
 	revision store.Version
 	objects  map[string]store.Object
 	writes   int
+	calls    int // Writes that were tried, and reads.
 	bytes    int
 	down     bool
 }
@@ -26,6 +28,7 @@
 func (s *fakeStore) Get(_ context.Context, key string) (store.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return store.Object{}, store.ErrUnavailable
 	}
@@ -39,6 +42,7 @@
 func (s *fakeStore) List(_ context.Context, prefix string) ([]store.Object, store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return nil, 0, store.ErrUnavailable
 	}
@@ -55,6 +59,7 @@
 func (s *fakeStore) Put(_ context.Context, key string, value []byte, expected store.Version) (store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return 0, store.ErrUnavailable
 	}
@@ -71,6 +76,7 @@
 func (s *fakeStore) Delete(_ context.Context, key string, expected store.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return store.ErrUnavailable
 	}
@@ -112,7 +118,7 @@
 type vmStore struct {
 	store.Store
 	vm  *simVM
-	f   *faults
+	f   *atomic.Pointer[faults]
 	mu  sync.Mutex
 	rng *rand.Rand
 }
@@ -120,7 +126,7 @@
 func (s *vmStore) draw() (p float64, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rng.Float64(), time.Duration(s.rng.ExpFloat64() * float64(s.f.latency))
+	return s.rng.Float64(), time.Duration(s.rng.ExpFloat64() * float64(s.f.Load().latency))
 }
 
 func (s *vmStore) travel(ctx context.Context) error {
@@ -139,7 +145,7 @@
 // read makes a call that changes nothing.
 func (s *vmStore) read(ctx context.Context, call func() error) error {
 	p, _ := s.draw()
-	if err := s.travel(ctx); err != nil || p < s.f.unavailable+s.f.lostBefore {
+	if err := s.travel(ctx); err != nil || p < s.f.Load().unavailable+s.f.Load().lostBefore {
 		return store.ErrUnavailable
 	}
 	err := call()
@@ -155,7 +161,8 @@
 	if err := s.travel(ctx); err != nil {
 		return err
 	}
-	switch f := s.f; {
+	f := s.f.Load()
+	switch {
 	case p < f.unavailable:
 		return store.ErrUnavailable
 	case p < f.unavailable+f.lostBefore:
@@ -165,7 +172,7 @@
 		return store.ErrUnknown
 	}
 	err := call()
-	if p > 1-s.f.lostAfter {
+	if p > 1-f.lostAfter {
 		return store.ErrUnknown
 	}
 	if s.travel(ctx) != nil {
--- a/claim/options.go
+++ b/claim/options.go
@@ -17,8 +17,10 @@
 	DefaultRingSlots      = 64
 	DefaultRetention      = time.Hour
 	DefaultAppendInterval = 100 * time.Millisecond
-	DefaultFinishDelay    = 250 * time.Millisecond
+	DefaultStoreCalls     = 50
+	DefaultFinishDelay    = 20 * time.Millisecond
 	DefaultWriteTimeout   = time.Second
+	DefaultLoadTimeout    = 10 * time.Second
 	DefaultCallTimeout    = time.Second
 	DefaultSuspectTime    = 2 * time.Second
 	DefaultDrainTimeout   = 5 * time.Second
@@ -45,10 +47,14 @@
 	// AppendInterval is the least time between two appends to a partition by one
 	// VM. Partitions divided by it bounds the writes per second. Default 100 ms.
 	AppendInterval time.Duration
-	// FinishDelay is how long an outcome may wait for claims to share a write. Default 250 ms.
+	// StoreCalls bounds the calls of the store by this VM, per second. Default 50.
+	StoreCalls int
+	// FinishDelay is how long an outcome may wait for claims to share a write. Default 20 ms.
 	FinishDelay time.Duration
 	// WriteTimeout bounds one call of the store. Default 1 s.
 	WriteTimeout time.Duration
+	// LoadTimeout bounds the list that loads a partition's log. Default 10 s.
+	LoadTimeout time.Duration
 	// CallTimeout bounds one call of another VM. Default 1 s.
 	CallTimeout time.Duration
 	// SuspectTime is how long a VM that failed a call is not called. Default 2 s.
@@ -75,8 +81,10 @@
 	setDefault(&o.RingSlots, DefaultRingSlots)
 	setDefault(&o.Retention, DefaultRetention)
 	setDefault(&o.AppendInterval, DefaultAppendInterval)
+	setDefault(&o.StoreCalls, DefaultStoreCalls)
 	setDefault(&o.FinishDelay, DefaultFinishDelay)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.LoadTimeout, DefaultLoadTimeout)
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
 	setDefault(&o.SuspectTime, DefaultSuspectTime)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
