--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 
 demo: build
 	bin/basiltally-demo
+
+# Prints the cost of each role from measured slopes, see docs/CAPACITY.md.
+capacity:
+	go run ./cmd/basiltally-capacity
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -92,6 +92,7 @@
 	a.mu.Lock()
 	a.ctx = ctx
 	a.mu.Unlock()
+	a.wg.Go(func() { a.followViews(ctx) })
 	a.reconcile()
 	<-ctx.Done()
 	a.wg.Wait()
@@ -165,6 +166,9 @@
 		g = a.newGroup(id, initial)
 		a.groups[id] = g
 		a.wg.Go(func() { g.run(a.ctx) })
+		if v := a.opts.Hub.View(id); v != nil {
+			g.deliver(assign.ViewReceived{View: v})
+		}
 	}
 	g.deliver(assign.TargetsChanged{Targets: targets})
 }
@@ -186,6 +190,59 @@
 	return false
 }
 
+// followViews tells the cores of views that other assigners published.
+func (a *Assigner) followViews(ctx context.Context) {
+	sub := a.opts.Hub.Subscribe(nil)
+	defer sub.Close()
+	seen := make(map[ownership.GroupID]ownership.Token)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.Wake():
+		}
+		sub.Skip()
+		for _, v := range a.opts.Hub.Views() {
+			if seen[v.Group].Less(v.Version()) {
+				seen[v.Group] = v.Version()
+				a.deliverView(v)
+			}
+		}
+	}
+}
+
+func (a *Assigner) deliverView(v *ownership.View) {
+	a.mu.Lock()
+	g := a.groups[v.Group]
+	a.mu.Unlock()
+	if g != nil && v.Assigner != a.opts.Self {
+		g.deliver(assign.ViewReceived{View: v})
+	}
+}
+
+// Sources names the VMs that may publish views: the candidates of all groups
+// whose records are known, or nil while none is.
+func (a *Assigner) Sources() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bundle == nil {
+		return nil
+	}
+	var out []string
+	for _, pool := range a.bundle.Pools {
+		for _, id := range pool.Groups {
+			record, err := ownership.UnmarshalRecord(a.records[id].Value)
+			if err != nil {
+				return nil
+			}
+			for _, c := range record.Candidates {
+				out = append(out, string(c))
+			}
+		}
+	}
+	return out
+}
+
 // Status describes one group as this VM sees it.
 type Status struct {
 	Group     ownership.GroupID `json:"group"`
--- a/assigner/convert.go
+++ b/assigner/convert.go
@@ -13,7 +13,7 @@
 func supportRequestToProto(r lease.SupportRequest) *pb.GroupSupportRequest {
 	return &pb.GroupSupportRequest{
 		Group: string(r.Group), Term: r.Term, Round: uint64(r.Round), CandidatesVersion: r.CandidatesVersion,
-		Query: r.Query, Release: r.Release, Successor: string(r.Successor),
+		Query: r.Query, Trial: r.Trial, Release: r.Release, Successor: string(r.Successor),
 	}
 }
 
@@ -21,7 +21,7 @@
 	return lease.SupportRequest{
 		Group: ownership.GroupID(m.Group), From: from, Incarnation: incarnation,
 		Term: m.Term, Round: uint32(m.Round), CandidatesVersion: m.CandidatesVersion,
-		Query: m.Query, Release: m.Release, Successor: ownership.VMID(m.Successor),
+		Query: m.Query, Trial: m.Trial, Release: m.Release, Successor: ownership.VMID(m.Successor),
 	}
 }
 
--- a/assigner/group.go
+++ b/assigner/group.go
@@ -25,7 +25,9 @@
 	assigning atomic.Bool
 	// waiting holds the answers to commands; only the run loop uses it.
 	waiting map[string]chan<- assign.CommandDone
-	ctx     context.Context
+	// handovers holds the senders that wait for an AnswerHandover; only the run loop uses it.
+	handovers map[ownership.VMID]chan<- struct{}
+	ctx       context.Context
 }
 
 type commandEvent struct {
@@ -33,13 +35,19 @@
 	answer chan<- assign.CommandDone
 }
 
+type handoverEvent struct {
+	assign.HandoverReceived
+	answer chan<- struct{}
+}
+
 func (a *Assigner) newGroup(id ownership.GroupID, initial *ownership.Record) *group {
 	o := a.opts.Core
 	o.Group, o.Self, o.Incarnation, o.Initial = id, a.opts.Self, a.opts.Incarnation, initial
 	return &group{
 		id: id, a: a, core: assign.New(o), ctx: a.ctx,
 		events: make(chan assign.Event, eventBuffer), stopped: make(chan struct{}),
-		waiting: make(map[string]chan<- assign.CommandDone),
+		waiting:   make(map[string]chan<- assign.CommandDone),
+		handovers: make(map[ownership.VMID]chan<- struct{}),
 	}
 }
 
@@ -74,16 +82,34 @@
 	for len(queue) > 0 {
 		next := queue[0]
 		queue = queue[1:]
-		if c, ok := next.(commandEvent); ok {
-			g.waiting[c.ID] = c.answer
-			next = c.CommandReceived
-		}
+		next = g.unwrap(next)
 		for _, action := range g.core.Step(g.a.now(), next) {
 			queue = append(queue, g.perform(ctx, action)...)
 		}
 	}
 }
 
+// unwrap notes who waits for the answer to an event.
+func (g *group) unwrap(e assign.Event) assign.Event {
+	switch ev := e.(type) {
+	case commandEvent:
+		g.waiting[ev.ID] = ev.answer
+		return ev.CommandReceived
+	case handoverEvent:
+		g.handovers[ev.From] = ev.answer
+		return ev.HandoverReceived
+	default:
+		return e
+	}
+}
+
+func (g *group) finishHandover(from ownership.VMID) {
+	if answer, ok := g.handovers[from]; ok {
+		delete(g.handovers, from)
+		answer <- struct{}{}
+	}
+}
+
 func (g *group) finishCommand(d assign.CommandDone) {
 	if answer, ok := g.waiting[d.ID]; ok {
 		delete(g.waiting, d.ID)
--- a/assigner/perform.go
+++ b/assigner/perform.go
@@ -31,6 +31,8 @@
 		g.a.opts.Hub.PublishView(act.View)
 	case assign.SendHandover:
 		go g.sendHandover(ctx, act)
+	case assign.AnswerHandover:
+		g.finishHandover(act.To)
 	case assign.CommandDone:
 		g.finishCommand(act)
 	case assign.Stopped:
--- a/assigner/serve.go
+++ b/assigner/serve.go
@@ -48,7 +48,7 @@
 		reply := a.answerRecord(ownership.GroupID(body.RecordRequest.Group))
 		return &pb.Envelope{Body: &pb.Envelope_RecordReply{RecordReply: reply}}, true
 	case *pb.Envelope_Handover:
-		return a.answerHandover(ownership.VMID(from.GetVm()), body.Handover), true
+		return a.answerHandover(ctx, ownership.VMID(from.GetVm()), body.Handover), true
 	case *pb.Envelope_VmListRequest:
 		reply := membership.ToProto(a.opts.Members.Snapshot())
 		return &pb.Envelope{Body: &pb.Envelope_VmListReply{VmListReply: reply}}, true
@@ -110,7 +110,8 @@
 	return &pb.RecordReply{Record: ownership.RecordToProto(record), Version: uint64(object.Version)}
 }
 
-func (a *Assigner) answerHandover(from ownership.VMID, m *pb.Handover) *pb.Envelope {
+// answerHandover answers once the core has taken the handover in.
+func (a *Assigner) answerHandover(ctx context.Context, from ownership.VMID, m *pb.Handover) *pb.Envelope {
 	h, err := handoverFromProto(m)
 	if err != nil {
 		return failure(err)
@@ -121,7 +122,15 @@
 	if g == nil {
 		return failure(errors.Errorf("no candidate of group %s", h.Group))
 	}
-	g.deliver(assign.HandoverReceived{From: from, Handover: h})
+	taken := make(chan struct{}, 1)
+	g.deliver(handoverEvent{assign.HandoverReceived{From: from, Handover: h}, taken})
+	select {
+	case <-taken:
+	case <-time.After(a.renewTimeout()):
+		return failure(errors.Errorf("group %s did not take the handover in", h.Group))
+	case <-ctx.Done():
+		return failure(ctx.Err())
+	}
 	return &pb.Envelope{Body: &pb.Envelope_HandoverReply{HandoverReply: &pb.HandoverReply{Group: string(h.Group)}}}
 }
 
--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -244,6 +244,7 @@
 func (p *assignProcess) newTree() *relay.Tree {
 	return &relay.Tree{
 		Hub: p.hub, Client: p.peers, Self: p.settings.Process.VM, OnBundle: offer(p.bundles),
+		Sources: func() []string { return p.assigner.Sources() },
 		Members: func() []relay.Member { return relayMembers(p.members.Snapshot()) },
 	}
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -170,7 +170,7 @@
 			return nil
 		case <-sub.Wake():
 		}
-		sub.Take()
+		sub.Skip()
 		for _, v := range p.hub.Views() {
 			p.views.Apply(v)
 		}
--- a/demo/failover.go
+++ b/demo/failover.go
@@ -113,21 +113,36 @@
 			return nil, 0, err
 		}
 	}
+	victim, err := c.ownerIndex("/sheets/key-0")
+	if err != nil {
+		return nil, 0, err
+	}
 	stop := make(chan struct{})
 	readers := c.readKeys(assigner, stop)
 	time.Sleep(time.Second)
-	if err := c.cause(l, assigner); err != nil {
+	if err := c.cause(l, assigner, victim); err != nil {
 		return nil, 0, err
 	}
 	time.Sleep(observeFor)
 	close(stop)
 	gaps, failed := readers()
-	return gaps, failed, c.repair(l, assigner)
+	return gaps, failed, c.repair(l, assigner, victim)
+}
+
+// ownerIndex finds the target that answers the path.
+func (c *Cluster) ownerIndex(path string) (int, error) {
+	a, err := c.request(&http.Client{Timeout: 8 * time.Second}, 0, http.MethodGet, path, "", "")
+	if err != nil {
+		return 0, err
+	}
+	var index int
+	_, err = fmt.Sscanf(field(a.body, "target"), "sheets-%d", &index)
+	return index, errors.Wrapf(err, "owner of %s: code %s", path, a.code)
 }
 
-func (c *Cluster) cause(l loss, assigner int) error {
+func (c *Cluster) cause(l loss, assigner, victim int) error {
 	if l.target {
-		if err := c.targetAction(0, target.Freeze); err != nil {
+		if err := c.targetAction(victim, target.Freeze); err != nil {
 			return err
 		}
 	}
@@ -137,14 +152,14 @@
 	return nil
 }
 
-func (c *Cluster) repair(l loss, assigner int) error {
+func (c *Cluster) repair(l loss, assigner, victim int) error {
 	if l.storeDown {
 		if err := c.storeFaults(faultstore.Faults{}); err != nil {
 			return err
 		}
 	}
 	if l.target {
-		if err := c.targetAction(0, target.Unfreeze); err != nil {
+		if err := c.targetAction(victim, target.Unfreeze); err != nil {
 			return err
 		}
 	}
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -151,6 +151,9 @@
 	return out
 }
 
+// Skip drops the changes that Take would return, for a subscriber that reads the hub itself.
+func (s *Subscription) Skip() { s.takeChanged() }
+
 func (s *Subscription) takeChanged() (*pb.Bundle, []*ownership.View) {
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
