Do not take short delays for a queue at the target, ramp up within 3 s

On loopback, where the shortest read takes some 100 µs, ordinary jitter made the limit fall to 1: the p50 through an entry was 1756 µs. 2 ms of slack are now accepted.

--- a/balance/limit.go
+++ b/balance/limit.go
@@ -6,6 +6,8 @@
 	// acceptedSlowdown is the service time, in multiples of the shortest, up to
 	// which requests are not taken to wait at the target.
 	acceptedSlowdown = 1.5
+	// slack is added to it: shorter delays come from the machines, not from queues.
+	slack = 2 * time.Millisecond
 	// headroom is added to the limit with each sample while all of it is in use.
 	headroom = 0.5
 	// smoothing is the weight of a new limit.
@@ -46,7 +48,7 @@
 	if l.shortest == 0 || took < l.shortest {
 		l.shortest = took
 	}
-	gradient := min(1, max(shrink, acceptedSlowdown*l.shortest/took))
+	gradient := min(1, max(shrink, (acceptedSlowdown*l.shortest+slack.Seconds())/took))
 	next := l.current * gradient
 	if full {
 		next += headroom
--- a/balance/selector.go
+++ b/balance/selector.go
@@ -28,7 +28,7 @@
 	// at a time. Default 0.34.
 	MaxEjected float64
 	// RampUp is the time over which a target that is new, warming or back from
-	// ejection gets its full share. Default 10 s.
+	// ejection gets its full share. Default 3 s.
 	RampUp time.Duration
 }
 
@@ -37,7 +37,7 @@
 	o.EjectAfter = cmp.Or(o.EjectAfter, 5)
 	o.EjectFor = cmp.Or(o.EjectFor, time.Second)
 	o.MaxEjected = cmp.Or(o.MaxEjected, 0.34)
-	o.RampUp = cmp.Or(o.RampUp, 10*time.Second)
+	o.RampUp = cmp.Or(o.RampUp, 3*time.Second)
 	return o
 }
 
