--- a/assign/durable.go
+++ b/assign/durable.go
@@ -43,6 +43,7 @@
 	// reading is set while a RecordRead is due, before readDeadline.
 	reading      bool
 	readDeadline time.Duration
+	readAt       time.Duration
 	write        *pendingWrite
 	// wantRead asks for a read, wantTakeOver for a take-over after it.
 	wantRead, wantTakeOver bool
@@ -110,6 +111,7 @@
 	}
 	d.wantRead = false
 	d.reading = true
+	d.readAt = c.now
 	d.readDeadline = c.now + readTimeout
 	c.emit(ReadRecord{})
 }
@@ -272,7 +274,7 @@
 	}
 	rec.Term = max(c.term, c.known.term)
 	rec.TableVersion = max(c.known.best.TableVersion, rec.TableVersion) + 1
-	c.put(rec, w)
+	c.put(c.lead.compact(c, rec), w)
 }
 
 func (c *Core) writeDone(ev WriteDone) {
@@ -394,7 +396,7 @@
 	rec.CandidatesVersion = max(rec.CandidatesVersion, c.known.best.CandidatesVersion)
 	c.lead.table.TableVersion = rec.TableVersion
 	c.store.dirty = false
-	c.put(rec, &pendingWrite{takeOver: true})
+	c.put(c.lead.compact(c, rec), &pendingWrite{takeOver: true})
 }
 
 // merge adopts what changed in the store between base and rec; what did not
--- a/assign/renewals.go
+++ b/assign/renewals.go
@@ -25,8 +25,6 @@
 	incarnation uint64
 	// asked is when the first request was sent, alive when the newest answered one was.
 	asked, alive time.Duration
-	// heard is the start of the present run of answers.
-	heard time.Duration
 	// via is the peer that forwards renewals while the direct way is cut.
 	via ownership.VMID
 	// reached is when a peer last reported the target as reachable.
@@ -51,6 +49,8 @@
 	version, held ownership.Token
 	// floor is the version at which the grants last started anew.
 	floor ownership.Token
+	// acknowledged is the held version that the slots have taken into account.
+	acknowledged ownership.Token
 	// full asks for a complete list of grants, urgent for sending without delay.
 	full, urgent bool
 }
@@ -61,7 +61,6 @@
 		lease:   lease.NewTargetLease(c.opts.Lease, c.opts.RateMargin),
 		asked:   lease.Never,
 		alive:   lease.Never,
-		heard:   never,
 		reached: lease.Never,
 		probing: never,
 		goneAt:  never,
@@ -236,9 +235,6 @@
 	if ev.Via == "" {
 		m.via = ""
 	}
-	if m.alive == lease.Never || c.now-m.alive >= c.opts.LostAfter {
-		m.heard = c.now
-	}
 	m.alive = max(m.alive, ev.SentAt)
 	m.probing = never
 	if m.lost && c.now-m.alive < c.opts.LostAfter {
@@ -309,4 +305,5 @@
 	m.version = c.nextToken()
 	m.held = ownership.Token{}
 	m.floor = m.version
+	m.acknowledged = ownership.Token{}
 }
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -33,8 +33,6 @@
 	// freeAt is when a free slot may be granted, and when the lease of a holder
 	// that does not acknowledge the revocation has ended.
 	freeAt time.Duration
-	// revokedAt is when the revocation began.
-	revokedAt time.Duration
 	// same is a target to which a free slot may be granted before freeAt, or none.
 	same int
 	// reissue asks for a new token even if the owner stays.
@@ -120,6 +118,7 @@
 // settle brings the unsettled slots closer to what is wanted.
 func (l *leader) settle(c *Core) {
 	l.settleAt = never
+	l.counts = nil
 	work := l.unsettled
 	l.unsettled = nil
 	for _, s := range work {
@@ -208,7 +207,6 @@
 	st := &l.slots[s]
 	m := l.targets[st.holder]
 	st.state = slotRevoking
-	st.revokedAt = c.now
 	st.freeAt = c.endOfUse(m)
 	st.version = m.revoke(c, s)
 	l.viewChanged = true
@@ -232,6 +230,10 @@
 // acknowledgeSlots ends the grants and revocations that target i acknowledged.
 func (l *leader) acknowledgeSlots(c *Core, i int) {
 	m := l.targets[i]
+	if m.acknowledged == m.held {
+		return
+	}
+	m.acknowledged = m.held
 	for s := range l.slots {
 		st := &l.slots[s]
 		if st.holder != i || m.held.Less(st.version) {
