--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -20,6 +20,7 @@
 	"github.com/basiltally/basiltally/pipeline/account"
 	"github.com/basiltally/basiltally/pipeline/admit"
 	"github.com/basiltally/basiltally/pipeline/guard"
+	"github.com/basiltally/basiltally/pipeline/hedge"
 	"github.com/basiltally/basiltally/pipeline/identify"
 	"github.com/basiltally/basiltally/pipeline/locate"
 	"github.com/basiltally/basiltally/pipeline/once"
@@ -75,10 +76,14 @@
 	p := &entryProcess{
 		settings: s, logger: logger.With("vm", s.Process.VM), registry: telemetry.NewRegistry("basiltally-entry"),
 		hub: relay.NewHub(), views: views.NewHolder(),
-		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "entry", TLS: tlsConfig}),
-		selector:   selector,
-		dispatcher: dispatch.New(dispatch.Options{Region: s.Process.Region, Observer: selector}), admission: admit.NewAdmission(),
+		peers:     peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "entry", TLS: tlsConfig}),
+		selector:  selector,
+		admission: admit.NewAdmission(),
 	}
+	p.dispatcher = dispatch.New(dispatch.Options{
+		Region: s.Process.Region, Observer: selector, Metrics: dispatch.NewMetrics(p.registry),
+		LinkBytesPerSecond: s.Entry.LinkBytesPerSecond,
+	})
 	o := holderOptions(p.registry, p.logger)
 	o.Ask = func(ctx context.Context) ([]byte, error) { return askPeer(ctx, p.peers, s.Entry.AssignAddress) }
 	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
@@ -125,6 +130,7 @@
 		once.New(once.Options{Claimer: p.claimer}),
 		retry.New(retry.Options{Views: p.views}),
 		locate.New(locate.Options{Views: p.views, Picker: p.selector}),
+		hedge.New(hedge.Options{}),
 		guard.New(guard.Options{Tracker: p.quarantine, Health: target.NewClient(target.ClientOptions{})}),
 	)
 }
@@ -177,8 +183,12 @@
 	}
 }
 
-// ready reports whether every group of the bundle has a view.
+// ready reports whether the entry may serve: no stop has begun and every group
+// of the bundle has a view.
 func (p *entryProcess) ready() error {
+	if p.frontend.Stopping() {
+		return errors.New("the process is stopping")
+	}
 	held, err := p.bundles.Serving()
 	if err != nil {
 		return err
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -84,11 +84,12 @@
 
 // Entry configures the callers' side of basiltally-entry.
 type Entry struct {
-	Listen        string        `ini:"listen" default:"127.0.0.1:8080" unit:"host:port" doc:"Address on which callers connect."`
-	AssignAddress string        `ini:"assign_address" default:"127.0.0.1:9200" unit:"host:port" doc:"Peer address of the assign process on the same VM."`
-	DrainLimit    time.Duration `ini:"drain_limit" default:"10m" unit:"duration" range:"0s..24h" doc:"Longest graceful stop; requests still running then are cut off. 0s waits without limit."`
-	HeaderTimeout time.Duration `ini:"header_timeout" default:"5s" unit:"duration" range:"100ms..5m" doc:"Longest wait for a request's header."`
-	MaxHeader     int           `ini:"max_header" default:"16384" unit:"bytes" range:"1024..1048576" doc:"Largest request header."`
+	Listen             string        `ini:"listen" default:"127.0.0.1:8080" unit:"host:port" doc:"Address on which callers connect."`
+	AssignAddress      string        `ini:"assign_address" default:"127.0.0.1:9200" unit:"host:port" doc:"Peer address of the assign process on the same VM."`
+	DrainLimit         time.Duration `ini:"drain_limit" default:"10m" unit:"duration" range:"0s..24h" doc:"Longest graceful stop; requests still running then are cut off. 0s waits without limit."`
+	LinkBytesPerSecond int64         `ini:"link_bytes_per_second" default:"0" unit:"bytes/s" range:"0..100000000000" doc:"This entry's share of the links from each other region for bulk answers; 0 does not pace them."`
+	HeaderTimeout      time.Duration `ini:"header_timeout" default:"5s" unit:"duration" range:"100ms..5m" doc:"Longest wait for a request's header."`
+	MaxHeader          int           `ini:"max_header" default:"16384" unit:"bytes" range:"1024..1048576" doc:"Largest request header."`
 }
 
 // EntrySettings is the settings file of basiltally-entry.
