--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 # Prints the cost of each role from measured slopes, see docs/CAPACITY.md.
 capacity:
 	go run ./cmd/basiltally-capacity
+
+# Compares one entry with direct calls, memory with slow readers, and policies with the baseline.
+bench: build
+	bin/basiltally-experiment overhead
+	bin/basiltally-experiment slow
+	bin/basiltally-experiment policy
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -93,6 +93,7 @@
 	a.ctx = ctx
 	a.mu.Unlock()
 	a.wg.Go(func() { a.followViews(ctx) })
+	a.wg.Go(func() { a.replaceCandidates(ctx) })
 	a.reconcile()
 	<-ctx.Done()
 	a.wg.Wait()
