Give hot keys a slot of their own from the entries' counts

Entries count keys per group by space-saving (256 counters) and report the top 16 each second to the group's assigner, which adds the reports of the last 3 s up and pins a key above hot_share (10 % of the group's requests).

--- a/assigner/group.go
+++ b/assigner/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	waiting map[string]chan<- assign.CommandDone
 	// handovers holds the senders that wait for an AnswerHandover; only the run loop uses it.
 	handovers map[ownership.VMID]chan<- struct{}
+	loadMu    sync.Mutex
+	load      loadSum
 	ctx       context.Context
 }
 
@@ -48,6 +51,7 @@
 		events: make(chan assign.Event, eventBuffer), stopped: make(chan struct{}),
 		waiting:   make(map[string]chan<- assign.CommandDone),
 		handovers: make(map[ownership.VMID]chan<- struct{}),
+		load:      loadSum{reports: make(map[string]loadReport)},
 	}
 }
 
--- a/assigner/serve.go
+++ b/assigner/serve.go
@@ -49,6 +49,9 @@
 		return &pb.Envelope{Body: &pb.Envelope_RecordReply{RecordReply: reply}}, true
 	case *pb.Envelope_Handover:
 		return a.answerHandover(ctx, ownership.VMID(from.GetVm()), body.Handover), true
+	case *pb.Envelope_KeyLoad:
+		a.takeLoad(ctx, from, body.KeyLoad)
+		return &pb.Envelope{}, true
 	case *pb.Envelope_VmListRequest:
 		reply := membership.ToProto(a.opts.Members.Snapshot())
 		return &pb.Envelope{Body: &pb.Envelope_VmListReply{VmListReply: reply}}, true
--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -105,7 +105,7 @@
 func coreOptions(s *Assign) assign.Options {
 	return assign.Options{
 		Support: s.Support, Heartbeat: s.Heartbeat, Lease: s.Lease,
-		LostAfter: s.LostAfter, RequestDeadline: s.RequestDeadline,
+		LostAfter: s.LostAfter, RequestDeadline: s.RequestDeadline, HotShare: s.HotShare,
 	}
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,17 +4,21 @@
 	"context"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/basiltally/basiltally/assigner"
 	"github.com/basiltally/basiltally/balance"
 	"github.com/basiltally/basiltally/bundle"
 	"github.com/basiltally/basiltally/claim"
 	"github.com/basiltally/basiltally/dispatch"
 	"github.com/basiltally/basiltally/frontend"
+	"github.com/basiltally/basiltally/hotkey"
 	"github.com/basiltally/basiltally/membership"
+	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/pipeline"
 	"github.com/basiltally/basiltally/pipeline/account"
@@ -34,6 +38,13 @@
 	"github.com/basiltally/basiltally/views"
 )
 
+const (
+	// keyCounters is the number of counters of frequent keys for each group.
+	keyCounters = 256
+	// keysReported is the number of keys in a report.
+	keysReported = 16
+)
+
 // entryProcess is the wiring of basiltally-entry.
 type entryProcess struct {
 	settings   *EntrySettings
@@ -46,6 +57,7 @@
 	claims     *claim.Service
 	claimer    *claim.Router
 	quarantine *quarantine.Tracker
+	keys       *hotkey.Recorder
 	peers      *peer.Client
 	selector   *balance.Selector
 	dispatcher *dispatch.Dispatcher
@@ -78,7 +90,7 @@
 		hub: relay.NewHub(), views: views.NewHolder(),
 		peers:     peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "entry", TLS: tlsConfig}),
 		selector:  selector,
-		admission: admit.NewAdmission(),
+		admission: admit.NewAdmission(), keys: hotkey.NewRecorder(keyCounters),
 	}
 	p.dispatcher = dispatch.New(dispatch.Options{
 		Region: s.Process.Region, Observer: selector, Metrics: dispatch.NewMetrics(p.registry),
@@ -129,7 +141,7 @@
 		p.admission.Filter(),
 		once.New(once.Options{Claimer: p.claimer}),
 		retry.New(retry.Options{Views: p.views}),
-		locate.New(locate.Options{Views: p.views, Picker: p.selector}),
+		locate.New(locate.Options{Views: p.views, Picker: p.selector, OnKey: p.keys.Observe}),
 		hedge.New(hedge.Options{}),
 		guard.New(guard.Options{Tracker: p.quarantine, Health: target.NewClient(target.ClientOptions{})}),
 	)
@@ -147,6 +159,7 @@
 	g.Go(func() error { return p.claims.Run(work) })
 	g.Go(func() error { return p.claimer.Run(work) })
 	g.Go(func() error { return p.quarantine.Run(work) })
+	g.Go(func() error { return p.reportKeys(work) })
 	g.Go(func() error {
 		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
 	})
@@ -183,6 +196,32 @@
 	}
 }
 
+// reportKeys tells the assign process each second which keys are requested most.
+func (p *entryProcess) reportKeys(ctx context.Context) error {
+	ticker := time.NewTicker(assigner.LoadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, load := range p.keys.Take(keysReported) {
+			p.sendLoad(ctx, load)
+		}
+	}
+}
+
+// sendLoad sends one report; a lost one is made up for by the next.
+func (p *entryProcess) sendLoad(ctx context.Context, load hotkey.Load) {
+	ctx, cancel := context.WithTimeout(ctx, assigner.LoadInterval)
+	defer cancel()
+	m := &pb.Envelope{Body: &pb.Envelope_KeyLoad{KeyLoad: assigner.LoadToProto(load)}}
+	if _, err := p.peers.Call(ctx, p.settings.Entry.AssignAddress, m); err != nil {
+		p.logger.Debug("load report not sent", "group", load.Group, "error", err)
+	}
+}
+
 // ready reports whether the entry may serve: no stop has begun and every group
 // of the bundle has a view.
 func (p *entryProcess) ready() error {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -43,6 +43,7 @@
 	Lease           time.Duration `ini:"lease" default:"1s" unit:"duration" range:"200ms..10s" doc:"Duration of a target's lease."`
 	LostAfter       time.Duration `ini:"lost_after" default:"750ms" unit:"duration" range:"100ms..30s" doc:"Silence after which a target is probed through peers and then called lost."`
 	RequestDeadline time.Duration `ini:"request_deadline" default:"10s" unit:"duration" range:"100ms..1h" doc:"Longest request; waited out before a slot leaves a target that does not check tokens."`
+	HotShare        float64       `ini:"hot_share" default:"0.1" unit:"share" range:"0..1" doc:"Share of a group's requests from which a key gets a slot of its own; 0 never."`
 	GroupSlots      int           `ini:"group_slots" default:"256" unit:"slots" range:"1..65536" doc:"Hashed slots of a group that is created by this process."`
 	Candidates      int           `ini:"candidates" default:"3" unit:"VMs" range:"1..9" doc:"Candidate VMs of a group that is created by this process; odd."`
 }
--- a/pipeline/locate/locate.go
+++ b/pipeline/locate/locate.go
@@ -21,6 +21,8 @@
 type Options struct {
 	Views  *views.Holder
 	Picker Picker
+	// OnKey, if set, is told of each request for a key. It must not block.
+	OnKey func(ownership.GroupID, ownership.KeyHash)
 	// MaxWait bounds the wait for an owner when a key has none, within the
 	// request's deadline. Default 3 s.
 	MaxWait time.Duration
@@ -55,6 +57,9 @@
 // Serve implements pipeline.Handler. It drops the answer of an owner that was
 // superseded meanwhile: its state may be older than the new owner's.
 func (f *filter) Serve(req *pipeline.Request) error {
+	if f.opts.OnKey != nil && req.Keyed() {
+		f.opts.OnKey(req.Group, req.KeyHash)
+	}
 	if err := f.locate(req); err != nil {
 		return err
 	}
