--- a/cmd/basiltally-demo/main.go
+++ b/cmd/basiltally-demo/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -19,6 +20,12 @@
 
 	Tour     struct{}    `cmd:"" default:"1" help:"Send requests of all classes and print who answered."`
 	Failover failoverCmd `cmd:"" help:"Take a target, the assigner or both away and print how long keys are without an answer."`
+	Rolling  struct{}    `cmd:"" help:"Replace every VM by a planned stop and a start while keys are read."`
+	Rest     restCmd     `cmd:"" help:"Measure calls of the object API and processor time without requests."`
+}
+
+type restCmd struct {
+	For time.Duration `default:"30s" help:"Time to measure."`
 }
 
 type failoverCmd struct {
@@ -51,8 +58,14 @@
 }
 
 func use(c *demo.Cluster, cli *commandLine, command string) error {
-	if command == "failover" {
+	switch command {
+	case "failover":
 		return c.Failover(os.Stdout, cli.Failover.Rounds)
+	case "rolling":
+		return c.Rolling(os.Stdout)
+	case "rest":
+		return c.Rest(os.Stdout, cli.Rest.For)
+	default:
+		return c.Tour(os.Stdout)
 	}
-	return c.Tour(os.Stdout)
 }
--- /dev/null
+++ b/demo/rest.go
@@ -0,0 +1,85 @@
+package demo
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/standin"
+	"github.com/basiltally/basiltally/standin/faultstore"
+)
+
+const cpuMetric = "process_cpu_seconds_total"
+
+// Rest leaves the system without requests and prints the calls of the object
+// API per second, and the processor time of the assign processes.
+func (c *Cluster) Rest(w io.Writer, observe time.Duration) error {
+	time.Sleep(afterRestart)
+	before, err := c.restSample()
+	if err != nil {
+		return err
+	}
+	time.Sleep(observe)
+	after, err := c.restSample()
+	if err != nil {
+		return err
+	}
+	seconds := observe.Seconds()
+	rate := func(a, b int) float64 { return float64(b-a) / seconds }
+	calls, was := after.calls, before.calls
+	fmt.Fprintf(w, "object API at rest, %d VMs, calls/s: get %.2f, list %.2f, put %.2f, watch %.2f, VM list %.2f; %d watches wait\n",
+		c.opts.VMs, rate(was.Get, calls.Get), rate(was.List, calls.List), rate(was.Put, calls.Put),
+		rate(was.Watch, calls.Watch), rate(was.ListVMs, calls.ListVMs), calls.Waiting)
+	_, err = fmt.Fprintf(w, "assign process at rest: %.2f %% of a core on average\n",
+		100*(after.cpu-before.cpu)/seconds/float64(c.opts.VMs))
+	return errors.Wrap(err, "print")
+}
+
+type restSample struct {
+	calls faultstore.Calls
+	// cpu is the processor time of all assign processes in seconds.
+	cpu float64
+}
+
+func (c *Cluster) restSample() (restSample, error) {
+	var s restSample
+	resp, err := http.Get("http://" + c.StoreAddress() + standin.CallsPath)
+	if err != nil {
+		return s, errors.Wrap(err, "calls of the object API")
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&s.calls); err != nil {
+		return s, errors.Wrap(err, "calls of the object API")
+	}
+	for vm := range c.opts.VMs {
+		cpu, err := metric(c.AssignTelemetry(vm), cpuMetric)
+		if err != nil {
+			return s, err
+		}
+		s.cpu += cpu
+	}
+	return s, nil
+}
+
+// metric reads one metric without labels.
+func metric(address, name string) (float64, error) {
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		return 0, errors.Wrap(err, "metrics")
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			v, err := strconv.ParseFloat(value, 64)
+			return v, errors.Wrapf(err, "metric %s", name)
+		}
+	}
+	return 0, errors.Errorf("no metric %s at %s", name, address)
+}
