Wait for the answers to support releases at a planned stop

Cause: a planned stop of an assigner cost its keys 0.8 s, the wait for its support to end. The core emits its releases and Stopped together; the process ended at Stopped, before the link, which gathers requests for 5 ms, had sent the releases. Ruled out: the handover itself (it was answered; the successor only lacked support).

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -119,6 +119,9 @@
 			return
 		}
 	}
+	flush, cancel := context.WithTimeout(ctx, silentLinkLimit)
+	defer cancel()
+	a.flushLinks(flush)
 }
 
 // Apply takes the groups of a configuration bundle into account.
--- a/assigner/support.go
+++ b/assigner/support.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,8 @@
 	// coalesceInterval is the time for which support requests of several groups
 	// to the same VM are gathered into one message.
 	coalesceInterval = 5 * time.Millisecond
+	// flushInterval is the pause between looks at the links at a planned stop.
+	flushInterval = 2 * time.Millisecond
 	// silentLinkLimit is the time without an answer after which a link's
 	// connection is replaced.
 	silentLinkLimit = time.Second
@@ -56,6 +60,19 @@
 	return l
 }
 
+// flushLinks waits until the peers have answered all support requests, or the
+// context ends: a release that is lost costs the successor a support time.
+func (a *Assigner) flushLinks(ctx context.Context) {
+	a.mu.Lock()
+	links := slices.Collect(maps.Values(a.links))
+	a.mu.Unlock()
+	for _, l := range links {
+		for !l.idle() && ctx.Err() == nil {
+			time.Sleep(flushInterval)
+		}
+	}
+}
+
 // ask queues a request; a later one for the same group takes its place.
 func (l *supportLink) ask(r assign.AskSupport) {
 	l.mu.Lock()
@@ -80,6 +97,13 @@
 	return out
 }
 
+// idle reports whether every request has been answered or dropped.
+func (l *supportLink) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) == 0 && len(l.asked) == 0
+}
+
 // drop forgets all requests, after the stream failed.
 func (l *supportLink) drop() {
 	l.mu.Lock()
