--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -235,6 +235,7 @@
 data_centre = %s
 [telemetry]
 listen = %s
+pprof = true
 [store]
 address = %s
 [peer]
@@ -258,6 +259,7 @@
 data_centre = %s
 [telemetry]
 listen = %s
+pprof = true
 [store]
 address = %s
 [entry]
