Build both processes on one node, and let supporters learn every record

The entry and the assign process set up log, metrics, TLS, peers, VM list, quarantine and claims twice; daemon/node.go does it once. Records that come from a peer or a handover now also raise what the supporter knows; before, only those from the store did. The capacity projection counts the candidates as sources of a relay root, as built.

--- a/assigner/keyload.go
+++ b/assigner/keyload.go
@@ -8,6 +8,7 @@
 	"github.com/basiltally/basiltally/hotkey"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/peer"
 )
 
 const (
@@ -76,7 +77,7 @@
 		return
 	}
 	view := a.opts.Hub.View(id)
-	if from.GetRole() != roleEntry || view == nil {
+	if from.GetRole() != peer.RoleEntry || view == nil {
 		return
 	}
 	if vm, ok := a.opts.Members.Snapshot().VM(view.Assigner); ok {
@@ -88,9 +89,6 @@
 	}
 }
 
-// roleEntry is the role by which entries introduce themselves.
-const roleEntry = "entry"
-
 func (g *group) addLoad(from string, m *pb.KeyLoad) {
 	g.loadMu.Lock()
 	sum, due := g.load.add(g.a.now(), from, m)
--- a/assigner/perform.go
+++ b/assigner/perform.go
@@ -67,6 +67,7 @@
 		}
 		record, version, err := g.a.fetchRecord(ctx, vm.Address, g.id)
 		if err == nil && record != nil {
+			g.a.learnRecord(record)
 			g.deliver(assign.RecordRead{Record: record, Version: version, FromPeer: true})
 		}
 	}
--- a/assigner/records.go
+++ b/assigner/records.go
@@ -34,9 +34,14 @@
 	if !newer || err != nil {
 		return
 	}
+	a.learnRecord(record)
+}
+
+// learnRecord keeps this VM from supporting anyone on the ground of an older record.
+func (a *Assigner) learnRecord(r *ownership.Record) {
 	a.supporterMu.Lock()
-	a.supporter.Learn(id, record.Term, record.CandidatesVersion)
-	a.supporterMu.Unlock()
+	defer a.supporterMu.Unlock()
+	a.supporter.Learn(r.Group, r.Term, r.CandidatesVersion)
 }
 
 // FollowRecords lists the groups' records and watches them for changes. Only
--- a/assigner/serve.go
+++ b/assigner/serve.go
@@ -125,6 +125,7 @@
 	if g == nil {
 		return failure(errors.Errorf("no candidate of group %s", h.Group))
 	}
+	a.learnRecord(h.Record)
 	taken := make(chan struct{}, 1)
 	g.deliver(handoverEvent{assign.HandoverReceived{From: from, Handover: h}, taken})
 	select {
--- a/capacity/project.go
+++ b/capacity/project.go
@@ -175,7 +175,7 @@
 	p.row("relay", "view updates", "1/s", u.deltas+u.complete, 0)
 	p.row("relay", "bytes sent by an inner node", "B/s", p.updateBytes()*children, p.limits.NodeBytesPerSecond)
 	p.row("relay", "CPU of an inner node and its children's ends", "share", (u.deltas+u.complete)*wire.At(children)/1e9, p.limits.NodeCPU)
-	followed := p.nodes() - 1
+	followed := p.groups() * float64(p.d.Candidates)
 	if p.d.Planned.RootsOnly {
 		followed = p.groups()
 	}
--- a/claim/options.go
+++ b/claim/options.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"log/slog"
 	"time"
 
@@ -77,20 +78,20 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Partitions, DefaultPartitions)
-	setDefault(&o.RingSlots, DefaultRingSlots)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.AppendInterval, DefaultAppendInterval)
-	setDefault(&o.StoreCalls, DefaultStoreCalls)
-	setDefault(&o.FinishDelay, DefaultFinishDelay)
-	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&o.LoadTimeout, DefaultLoadTimeout)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.SuspectTime, DefaultSuspectTime)
-	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
-	setDefault(&o.MaxBatch, DefaultMaxBatch)
-	setDefault(&o.MaxQueue, DefaultMaxQueue)
-	setDefault(&o.MaxBody, DefaultMaxBody)
+	o.Partitions = cmp.Or(o.Partitions, DefaultPartitions)
+	o.RingSlots = cmp.Or(o.RingSlots, DefaultRingSlots)
+	o.Retention = cmp.Or(o.Retention, DefaultRetention)
+	o.AppendInterval = cmp.Or(o.AppendInterval, DefaultAppendInterval)
+	o.StoreCalls = cmp.Or(o.StoreCalls, DefaultStoreCalls)
+	o.FinishDelay = cmp.Or(o.FinishDelay, DefaultFinishDelay)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.LoadTimeout = cmp.Or(o.LoadTimeout, DefaultLoadTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.SuspectTime = cmp.Or(o.SuspectTime, DefaultSuspectTime)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, DefaultDrainTimeout)
+	o.MaxBatch = cmp.Or(o.MaxBatch, DefaultMaxBatch)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
+	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
@@ -100,13 +101,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // minRingSlots keeps room for a segment while the ring goes on.
 const minRingSlots = 4
 
--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/tls"
 	"encoding/binary"
-	"log/slog"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/assign"
@@ -21,9 +17,7 @@
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
-	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/relay"
-	"github.com/basiltally/basiltally/store/objectapi"
 	"github.com/basiltally/basiltally/target"
 	"github.com/basiltally/basiltally/telemetry"
 )
@@ -31,23 +25,18 @@
 const (
 	// assignDrainLimit bounds the hand-over of groups at a planned stop.
 	assignDrainLimit = 10 * time.Second
+	// claimServeTimeout bounds the work for one claim of another process.
+	claimServeTimeout = 2 * claim.DefaultCallTimeout
 )
 
 // assignProcess is the wiring of basiltally-assign.
 type assignProcess struct {
-	settings   *AssignSettings
-	logger     *slog.Logger
-	registry   *prometheus.Registry
-	members    *membership.List
-	hub        *relay.Hub
-	peers      *peer.Client
-	server     *peer.Server
-	assigner   *assigner.Assigner
-	objects    *objectapi.Client
-	bundles    *bundle.Holder
-	claims     *claim.Service
-	quarantine *quarantine.Tracker
-	tree       *relay.Tree
+	*node
+	settings *AssignSettings
+	server   *peer.Server
+	assigner *assigner.Assigner
+	bundles  *bundle.Holder
+	tree     *relay.Tree
 }
 
 // RunAssign runs basiltally-assign until the context ends, then hands its
@@ -61,47 +50,30 @@
 }
 
 func newAssignProcess(s *AssignSettings) (*assignProcess, error) {
-	logger, err := telemetry.NewLogger(os.Stderr, s.Log)
-	if err != nil {
-		return nil, err
-	}
-	tlsConfig, err := peer.LoadTLS(s.Peer.TLSCertificateFile, s.Peer.TLSKeyFile, s.Peer.TLSAuthorityFile)
+	n, err := newNode(nodeOptions{
+		role: peer.RoleAssign, process: &s.Process, log: s.Log, store: &s.Store, peer: &s.Peer, claim: &s.Claim,
+		seeds: s.Peer.Seeds, claimVM: s.Process.VM,
+	})
 	if err != nil {
 		return nil, err
 	}
-	p := &assignProcess{
-		settings: s, logger: logger.With("vm", s.Process.VM), registry: telemetry.NewRegistry("basiltally-assign"),
-		hub:   relay.NewHub(),
-		peers: peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "assign", TLS: tlsConfig}),
-	}
-	p.objects = objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
-	lister := &membership.SeededLister{Platform: p.objects, Client: p.peers, Seeds: s.Peer.Seeds}
-	p.members = membership.New(membership.Options{Lister: lister, Registerer: p.registry})
+	p := &assignProcess{node: n, settings: s}
 	o := holderOptions(p.registry, p.logger)
 	o.Ask = p.askBundle
 	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
 		return nil, err
 	}
 	p.tree = p.newTree()
-	p.quarantine = quarantine.New(quarantine.Options{Store: p.objects, Registerer: p.registry, Logger: p.logger})
-	claimOptions := s.Claim.options(p.objects, s.Process.VM, p.registry, p.logger)
-	if p.claims, err = claim.NewService(claimOptions, claim.NewMetrics(p.registry)); err != nil {
-		return nil, err
-	}
 	p.assigner = assigner.New(assigner.Options{
 		Self: ownership.VMID(s.Process.VM), Incarnation: newIncarnation(), Core: coreOptions(&s.Assign),
 		GroupSlots: uint32(s.Assign.GroupSlots), Candidates: s.Assign.Candidates,
 		Store: p.objects, Targets: target.NewClient(target.ClientOptions{}), Peers: p.peers, Members: p.members, Hub: p.hub,
 		Logger: p.logger, Registerer: p.registry,
 	})
-	p.server, err = p.listen(tlsConfig)
+	p.server, err = peer.Listen(peer.ServerOptions{Address: s.Peer.Listen, TLS: p.tls, Handler: p.serve})
 	return p, err
 }
 
-func (p *assignProcess) listen(tlsConfig *tls.Config) (*peer.Server, error) {
-	return peer.Listen(peer.ServerOptions{Address: p.settings.Peer.Listen, TLS: tlsConfig, Handler: p.serve})
-}
-
 func coreOptions(s *Assign) assign.Options {
 	return assign.Options{
 		Support: s.Support, Heartbeat: s.Heartbeat, Lease: s.Lease,
@@ -121,14 +93,12 @@
 	defer stopWork()
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return p.server.Run(work) })
-	g.Go(func() error { return p.members.Run(work) })
+	p.node.run(work, g)
 	g.Go(func() error { return p.assigner.Run(work) })
 	g.Go(func() error { return p.tree.Run(work) })
 	g.Go(func() error { return p.tree.RunWhileRoot(work, p.assigner.FollowRecords) })
 	g.Go(func() error { return p.tree.RunWhileRoot(work, p.followBundles) })
 	g.Go(func() error { return p.bundles.Run(work) })
-	g.Go(func() error { return p.claims.Run(work) })
-	g.Go(func() error { return p.quarantine.Run(work) })
 	g.Go(func() error { return onBundle(work, p.bundles, p.applyBundle) })
 	g.Go(func() error { return telemetry.Serve(work, p.telemetryOptions()) })
 	p.logger.Info("started", "peer_address", p.server.Addr())
@@ -234,6 +204,8 @@
 }
 
 func (p *assignProcess) serveClaims(ctx context.Context, s *peer.Stream, m *pb.Envelope) {
+	ctx, cancel := context.WithTimeout(ctx, claimServeTimeout)
+	defer cancel()
 	reply := p.claims.Serve(ctx, m.GetClaimCall())
 	if err := s.Send(&pb.Envelope{Body: &pb.Envelope_ClaimReply{ClaimReply: reply}}); err != nil {
 		p.logger.Debug("claim reply not sent", "peer", s.Remote.GetVm(), "error", err)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"log/slog"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/assigner"
@@ -17,7 +14,6 @@
 	"github.com/basiltally/basiltally/dispatch"
 	"github.com/basiltally/basiltally/frontend"
 	"github.com/basiltally/basiltally/hotkey"
-	"github.com/basiltally/basiltally/membership"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/pipeline"
@@ -30,9 +26,7 @@
 	"github.com/basiltally/basiltally/pipeline/once"
 	answers "github.com/basiltally/basiltally/pipeline/relay"
 	"github.com/basiltally/basiltally/pipeline/retry"
-	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/relay"
-	"github.com/basiltally/basiltally/store/objectapi"
 	"github.com/basiltally/basiltally/target"
 	"github.com/basiltally/basiltally/telemetry"
 	"github.com/basiltally/basiltally/views"
@@ -47,18 +41,12 @@
 
 // entryProcess is the wiring of basiltally-entry.
 type entryProcess struct {
+	*node
 	settings   *EntrySettings
-	logger     *slog.Logger
-	registry   *prometheus.Registry
-	hub        *relay.Hub
 	views      *views.Holder
 	bundles    *bundle.Holder
-	members    *membership.List
-	claims     *claim.Service
 	claimer    *claim.Router
-	quarantine *quarantine.Tracker
 	keys       *hotkey.Recorder
-	peers      *peer.Client
 	selector   *balance.Selector
 	dispatcher *dispatch.Dispatcher
 	admission  *admit.Admission
@@ -76,24 +64,24 @@
 }
 
 func newEntryProcess(s *EntrySettings) (*entryProcess, error) {
-	logger, err := telemetry.NewLogger(os.Stderr, s.Log)
-	if err != nil {
-		return nil, err
-	}
-	tlsConfig, err := peer.LoadTLS(s.Peer.TLSCertificateFile, s.Peer.TLSKeyFile, s.Peer.TLSAuthorityFile)
+	n, err := newNode(nodeOptions{
+		role: peer.RoleEntry, process: &s.Process, log: s.Log, store: &s.Store, peer: &s.Peer, claim: &s.Claim,
+		seeds: []string{s.Entry.AssignAddress},
+	})
 	if err != nil {
 		return nil, err
 	}
-	selector := balance.NewSelector(balance.SelectorOptions{Region: s.Process.Region})
 	p := &entryProcess{
-		settings: s, logger: logger.With("vm", s.Process.VM), registry: telemetry.NewRegistry("basiltally-entry"),
-		hub: relay.NewHub(), views: views.NewHolder(),
-		peers:     peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: "entry", TLS: tlsConfig}),
-		selector:  selector,
-		admission: admit.NewAdmission(), keys: hotkey.NewRecorder(keyCounters),
+		node: n, settings: s, views: views.NewHolder(), keys: hotkey.NewRecorder(keyCounters),
+		selector:  balance.NewSelector(balance.SelectorOptions{Region: s.Process.Region}),
+		admission: admit.NewAdmission(),
 	}
+	// Claims go to the assign processes, which batch those of many entries; the
+	// service of this process is the fallback.
+	peers := &claimPeers{client: p.peers, members: p.members}
+	p.claimer = claim.NewRouter(p.claims, peers, peers)
 	p.dispatcher = dispatch.New(dispatch.Options{
-		Region: s.Process.Region, Observer: selector, Metrics: dispatch.NewMetrics(p.registry),
+		Region: s.Process.Region, Observer: p.selector, Metrics: dispatch.NewMetrics(p.registry),
 		LinkBytesPerSecond: s.Entry.LinkBytesPerSecond,
 	})
 	o := holderOptions(p.registry, p.logger)
@@ -101,9 +89,6 @@
 	if p.bundles, err = newBundleHolder(&s.Bundle, o); err != nil {
 		return nil, err
 	}
-	if err := p.newShared(); err != nil {
-		return nil, err
-	}
 	p.frontend = frontend.New(frontend.Options{
 		Address: s.Entry.Listen, Handler: p.handler(), HeaderBytes: s.Entry.MaxHeader,
 		HeaderTimeout: s.Entry.HeaderTimeout, HardLimit: s.Entry.DrainLimit,
@@ -111,26 +96,6 @@
 	return p, nil
 }
 
-// newShared builds what shares state through the object API: the quarantine and
-// the router of claims. It asks the assign processes, which
-// batch the claims of many entries, and falls back to a service of its own.
-func (p *entryProcess) newShared() error {
-	s := p.settings
-	objects := objectapi.New(objectapi.Options{Address: s.Store.Address, Timeout: s.Store.Timeout})
-	lister := &membership.SeededLister{Platform: objects, Client: p.peers, Seeds: []string{s.Entry.AssignAddress}}
-	p.members = membership.New(membership.Options{Lister: lister, Registerer: p.registry})
-	p.quarantine = quarantine.New(quarantine.Options{Store: objects, Registerer: p.registry, Logger: p.logger})
-	metrics := claim.NewMetrics(p.registry)
-	var err error
-	// The router has no VM name of its own: also this VM's assign process is asked as a peer.
-	if p.claims, err = claim.NewService(s.Claim.options(objects, "", p.registry, p.logger), metrics); err != nil {
-		return err
-	}
-	peers := &claimPeers{client: p.peers, members: p.members}
-	p.claimer = claim.NewRouter(p.claims, peers, peers)
-	return nil
-}
-
 // handler chains the filters in the order in which a request passes them.
 func (p *entryProcess) handler() pipeline.Handler {
 	return pipeline.Chain(
@@ -155,10 +120,8 @@
 	g.Go(func() error { return p.applyUpdates(work) })
 	g.Go(func() error { return p.dispatcher.Run(work) })
 	g.Go(func() error { return p.bundles.Run(work) })
-	g.Go(func() error { return p.members.Run(work) })
-	g.Go(func() error { return p.claims.Run(work) })
+	p.node.run(work, g)
 	g.Go(func() error { return p.claimer.Run(work) })
-	g.Go(func() error { return p.quarantine.Run(work) })
 	g.Go(func() error { return p.reportKeys(work) })
 	g.Go(func() error {
 		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -4,6 +4,7 @@
 package demo
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -135,11 +136,11 @@
 
 // Start starts a cluster and waits until every entry is ready.
 func Start(o Options) (*Cluster, error) {
-	setDefault(&o.Binaries, "bin")
-	setDefault(&o.VMs, 3)
-	setDefault(&o.Sheets, 3)
-	setDefault(&o.Filings, 2)
-	setDefault(&o.Drawings, 2)
+	o.Binaries = cmp.Or(o.Binaries, "bin")
+	o.VMs = cmp.Or(o.VMs, 3)
+	o.Sheets = cmp.Or(o.Sheets, 3)
+	o.Filings = cmp.Or(o.Filings, 2)
+	o.Drawings = cmp.Or(o.Drawings, 2)
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -173,13 +174,6 @@
 	return errors.New("no block of loopback ports is free")
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (c *Cluster) startAll() error {
 	if err := os.WriteFile(filepath.Join(c.dir, "bundle.ini"), []byte(bundleDocument), 0o600); err != nil {
 		return errors.Wrap(err, "write bundle")
--- a/peer/session.go
+++ b/peer/session.go
@@ -14,6 +14,12 @@
 	"github.com/basiltally/basiltally/pb"
 )
 
+// Roles by which processes introduce themselves in the Hello.
+const (
+	RoleAssign = "assign"
+	RoleEntry  = "entry"
+)
+
 const (
 	// keepAliveInterval is the interval of session pings, by which a silent connection is found.
 	keepAliveInterval = time.Second
