Let a relay root that knows no sources follow all VMs

Cause: a VM that started while the object API did not answer got no views: with no record known, the list of sources was nil, which the tree took for an empty set, so it followed nobody. Ruled out: the VM list (4 reads ok, 3 VMs seen through the seeds), the bundle (in force). Change: nil means that the sources are not known, and all VMs are followed.

--- a/cmd/basiltally-demo/main.go
+++ b/cmd/basiltally-demo/main.go
@@ -21,6 +21,7 @@
 	Tour     struct{}    `cmd:"" default:"1" help:"Send requests of all classes and print who answered."`
 	Failover failoverCmd `cmd:"" help:"Take a target, the assigner or both away and print how long keys are without an answer."`
 	Rolling  struct{}    `cmd:"" help:"Replace every VM by a planned stop and a start while keys are read."`
+	Outage   struct{}    `cmd:"" help:"Replace a VM while the object API does not answer."`
 	Rest     restCmd     `cmd:"" help:"Measure calls of the object API and processor time without requests."`
 }
 
@@ -63,6 +64,8 @@
 		return c.Failover(os.Stdout, cli.Failover.Rounds)
 	case "rolling":
 		return c.Rolling(os.Stdout)
+	case "outage":
+		return c.Outage(os.Stdout)
 	case "rest":
 		return c.Rest(os.Stdout, cli.Rest.For)
 	default:
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -234,17 +234,29 @@
 address = %s
 [peer]
 listen = %s
+seeds = %s
 [assign]
 group_slots = 64
 [bundle]
 file = %s
-`, VMName(i), region(i), dataCentre(i), c.AssignTelemetry(i), c.StoreAddress(), c.vmAddress(i, peerOffset), filepath.Join(c.dir, "bundle.ini")))
+`, VMName(i), region(i), dataCentre(i), c.AssignTelemetry(i), c.StoreAddress(), c.vmAddress(i, peerOffset), strings.Join(c.seeds(i), ", "), filepath.Join(c.dir, "bundle.ini")))
 	if err != nil {
 		return err
 	}
 	return c.spawn(VMName(i)+"-assign", "basiltally-assign", path)
 }
 
+// seeds lists the peer addresses of the other VMs.
+func (c *Cluster) seeds(self int) []string {
+	var out []string
+	for i := range c.opts.VMs {
+		if i != self {
+			out = append(out, c.vmAddress(i, peerOffset))
+		}
+	}
+	return out
+}
+
 // StartEntry starts the entry process of a VM.
 func (c *Cluster) StartEntry(i int) error {
 	path, err := c.writeSettings(VMName(i)+"-entry.ini", fmt.Sprintf(`[process]
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -24,7 +24,8 @@
 	Members func() []Member
 	// OnBundle, if set, decides whether a received bundle may enter the hub.
 	OnBundle func(*pb.Bundle) error
-	// Sources returns the names of VMs that may publish views; nil means all.
+	// Sources returns the names of VMs that may publish views. A nil function, or
+	// nil while they are not known, means all.
 	Sources func() []string
 
 	mu      sync.Mutex
@@ -141,8 +142,12 @@
 	if t.Sources == nil {
 		return nil
 	}
+	names := t.Sources()
+	if names == nil {
+		return nil
+	}
 	set := make(map[string]bool)
-	for _, id := range t.Sources() {
+	for _, id := range names {
 		set[id] = true
 	}
 	return set
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -89,3 +89,15 @@
 	}
 	is.True(deepest <= 4) // two levels of 16 below two roots hold 546, three hold 8738
 }
+
+func TestRootFollowsAllWhileItKnowsNoSources(t *testing.T) {
+	is := is.New(t)
+	members := []Member{{ID: "a", Address: "a:1"}, {ID: "b", Address: "b:1"}, {ID: "c", Address: "c:1"}}
+	var sources []string
+	tree := &Tree{Self: "a", Sources: func() []string { return sources }}
+	is.Equal(len(tree.wanted(Place{Root: true}, members)), 2)
+	sources = []string{"a", "c"}
+	wanted := tree.wanted(Place{Root: true}, members)
+	is.Equal(len(wanted), 1)
+	is.True(wanted["c:1"] != nil)
+}
