Guard the script of the fake target in the pipeline's tests

Cause: TestHedgesStayWithinBudget failed with a data race on a fresh clone: the test replaced the fake target's script while the exchange of a hedge that was given up still read it. The fault is in the test, not in the filter. Change: the script is set under the fake's lock; no check is changed. go test -race -run Hedge -count=30 ./pipeline: the race was reported before, 30 of 30 pass after.

--- a/pipeline/faults_test.go
+++ b/pipeline/faults_test.go
@@ -118,11 +118,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				b := newBench(t)
-				b.target.script = []behaviour{tt.fault}
+				b.target.play(tt.fault)
 				got := b.do("GET", "/sheets/a1")
 				b.check(t, "r1", got)
 				is.Equal(got.code, tt.read)
-				b.target.script = []behaviour{tt.fault}
+				b.target.play(tt.fault)
 				got = b.do("POST", "/filings", "Idempotency-Key: k1")
 				b.check(t, "r2", got)
 				is.Equal(got.code, tt.filing)
@@ -204,7 +204,7 @@
 		b := newBench(t)
 		b.do("POST", "/filings", "Idempotency-Key: k1")
 		is.Equal(string(b.claims.last.Body), "answer to /filings")
-		b.target.script = []behaviour{silentAfterRun}
+		b.target.play(silentAfterRun)
 		b.do("POST", "/filings", "Idempotency-Key: k2")
 		is.True(b.claims.last.Unknown)
 		is.Equal(b.claims.finished, 2)
--- a/pipeline/hedge_test.go
+++ b/pipeline/hedge_test.go
@@ -16,7 +16,7 @@
 		is := is.New(t)
 		b := newBench(t)
 		is.Equal(b.do("GET", "/quotes/q1").code, "0")
-		b.target.script = []behaviour{silentAfterRun}
+		b.target.play(silentAfterRun)
 		started := time.Now()
 		got := b.do("GET", "/quotes/q1")
 		is.Equal(got.body, "answer to /quotes/q1")
@@ -36,11 +36,11 @@
 		}
 		const requests = 100
 		for range requests {
-			b.target.script = []behaviour{slow} // A second attempt would be fast.
+			b.target.play(slow) // A second attempt would be fast.
 			is.Equal(b.do("GET", "/quotes/q1").code, "0")
 		}
 		is.True(b.target.total() <= requests+7) // The reserve and 2 of 100.
-		b.target.script = []behaviour{slow, slow}
+		b.target.play(slow, slow)
 		before := b.target.total()
 		b.do("POST", "/filings", "Idempotency-Key: k1")
 		b.do("GET", "/sheets/a1") // Its class allows no hedge.
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -116,6 +116,13 @@
 	return s
 }
 
+// play replaces the script. An exchange that was given up may still read it.
+func (f *fakeTarget) play(script ...func(f *fakeTarget, nc net.Conn, r *http.Request)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.script = script
+}
+
 func (f *fakeTarget) run(r *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pipeline/stream_test.go
+++ b/pipeline/stream_test.go
@@ -48,7 +48,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				b := newBench(t)
-				b.target.script = []behaviour{tt.fault}
+				b.target.play(tt.fault)
 				got := b.do("GET", "/drawings/d1")
 				is.Equal(got.err == nil && len(got.body) == packBytes, tt.whole)
 				is.Equal(got.err != nil, !tt.whole)
@@ -116,12 +116,12 @@
 			time.Sleep(time.Millisecond)
 			whole(f, nc, r)
 		}
-		b.target.script = []behaviour{slow, slow}
+		b.target.play(slow, slow)
 		go b.do("GET", "/sheets/a1")
 		b.do("GET", "/sheets/a1")
 		synctest.Wait()
 		is.Equal(b.target.dials, 2)
-		b.target.script = []behaviour{silentBeforeRun}
+		b.target.play(silentBeforeRun)
 		is.Equal(b.do("GET", "/sheets/a1").code, "0")
 		is.Equal(b.target.dials, 3) // The retry uses neither of them.
 		// An at-most-once request does not trust a connection that was idle for long.
