Decode each group record once

The assigner kept records as bytes and decoded them again at every use: for each group in each second's look at the relay sources, at every reconcile and candidate check, and twice for each record seen. It now keeps the decoded record, which the cores treat as unchanging; a value that cannot be decoded still counts as no record. The demo's two settings files share their common sections.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +61,7 @@
 	ctx     context.Context
 	wg      sync.WaitGroup
 	bundle  *config.Bundle
-	records map[ownership.GroupID]store.Object
+	records map[ownership.GroupID]storedRecord
 	groups  map[ownership.GroupID]*group
 	links   map[ownership.VMID]*supportLink
 	// learning holds the candidate list versions for which a record is being read.
@@ -78,7 +79,7 @@
 	a := &Assigner{
 		opts: o, start: time.Now(), metrics: newMetrics(o.Registerer),
 		supporter: lease.NewSupporter(0, support),
-		records:   make(map[ownership.GroupID]store.Object),
+		records:   make(map[ownership.GroupID]storedRecord),
 		groups:    make(map[ownership.GroupID]*group),
 		links:     make(map[ownership.VMID]*supportLink),
 		learning:  make(map[ownership.GroupID]uint64),
@@ -179,19 +180,13 @@
 
 func (a *Assigner) isCandidate(id ownership.GroupID, initial *ownership.Record) bool {
 	candidates := initial.Candidates
-	if object, ok := a.records[id]; ok {
-		record, err := ownership.UnmarshalRecord(object.Value)
-		if err != nil {
+	if s, ok := a.records[id]; ok {
+		if s.record == nil {
 			return false
 		}
-		candidates = record.Candidates
+		candidates = s.record.Candidates
 	}
-	for _, c := range candidates {
-		if c == a.opts.Self {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(candidates, a.opts.Self)
 }
 
 // followViews tells the cores of views that other assigners published.
@@ -235,8 +230,8 @@
 	var out []string
 	for _, pool := range a.bundle.Pools {
 		for _, id := range pool.Groups {
-			record, err := ownership.UnmarshalRecord(a.records[id].Value)
-			if err != nil {
+			record := a.records[id].record
+			if record == nil {
 				return nil
 			}
 			for _, c := range record.Candidates {
--- a/assigner/candidates.go
+++ b/assigner/candidates.go
@@ -102,11 +102,8 @@
 }
 
 func (a *Assigner) replaceCandidate(ctx context.Context, r *replacement) {
-	a.mu.Lock()
-	object := a.records[r.group]
-	a.mu.Unlock()
-	record, err := ownership.UnmarshalRecord(object.Value)
-	if err != nil {
+	record := a.stored(r.group).record
+	if record == nil {
 		return
 	}
 	change, due := r.next(a.now(), record.Candidates, a.opts.Members.Snapshot())
--- a/assigner/perform.go
+++ b/assigner/perform.go
@@ -48,9 +48,9 @@
 	object, err := g.a.opts.Store.Get(ctx, RecordPrefix+string(g.id))
 	g.a.metrics.storeCall("get", err)
 	if err == nil {
-		record, decodeErr := ownership.UnmarshalRecord(object.Value)
-		g.a.remember(g.id, object)
-		g.deliver(assign.RecordRead{Record: record, Version: object.Version, Err: decodeErr})
+		s, decodeErr := decodeStored(object.Value, object.Version)
+		g.a.remember(g.id, s)
+		g.deliver(assign.RecordRead{Record: s.record, Version: s.version, Err: decodeErr})
 		return
 	}
 	g.deliver(assign.RecordRead{Err: err})
@@ -79,11 +79,12 @@
 		g.deliver(assign.WriteDone{Nonce: w.Nonce, Err: store.ErrTooLarge})
 		return
 	}
-	key := RecordPrefix + string(g.id)
-	version, err := g.a.opts.Store.Put(ctx, key, value, w.Expected)
+	version, err := g.a.opts.Store.Put(ctx, RecordPrefix+string(g.id), value, w.Expected)
 	g.a.metrics.storeCall("put", err)
 	if err == nil {
-		g.a.remember(g.id, store.Object{Key: key, Value: value, Version: version})
+		// Decoded anew: nothing is shared with the core that made the record.
+		s, _ := decodeStored(value, version)
+		g.a.remember(g.id, s)
 	}
 	g.deliver(assign.WriteDone{Nonce: w.Nonce, Version: version, Err: err})
 }
--- a/assigner/records.go
+++ b/assigner/records.go
@@ -20,21 +20,41 @@
 	recordRetry = time.Second
 )
 
+// storedRecord is a group's record as the store held it at a version. The
+// record is not changed any more; it is nil if the value could not be decoded.
+type storedRecord struct {
+	record  *ownership.Record
+	version store.Version
+}
+
 // remember keeps the newest record of a group, to hand it on to peers and to
 // learn which VMs are candidates.
-func (a *Assigner) remember(id ownership.GroupID, object store.Object) {
+func (a *Assigner) remember(id ownership.GroupID, s storedRecord) {
 	a.mu.Lock()
-	known := a.records[id]
-	newer := object.Version > known.Version
+	newer := s.version > a.records[id].version
 	if newer {
-		a.records[id] = object
+		a.records[id] = s
 	}
 	a.mu.Unlock()
-	record, err := ownership.UnmarshalRecord(object.Value)
-	if !newer || err != nil {
-		return
+	if newer && s.record != nil {
+		a.learnRecord(s.record)
 	}
-	a.learnRecord(record)
+}
+
+// decodeStored decodes a value of the store; the record is nil if that fails.
+func decodeStored(value []byte, version store.Version) (storedRecord, error) {
+	record, err := ownership.UnmarshalRecord(value)
+	if err != nil {
+		return storedRecord{version: version}, err
+	}
+	return storedRecord{record, version}, nil
+}
+
+// stored returns the newest record known of a group.
+func (a *Assigner) stored(id ownership.GroupID) storedRecord {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.records[id]
 }
 
 // learnRecord keeps this VM from supporting anyone on the ground of an older record.
@@ -122,17 +142,17 @@
 
 func (a *Assigner) recordSeen(object store.Object) {
 	id := ownership.GroupID(strings.TrimPrefix(object.Key, RecordPrefix))
-	record, err := ownership.UnmarshalRecord(object.Value)
+	s, err := decodeStored(object.Value, object.Version)
 	if err != nil {
 		a.opts.Logger.Error("record is damaged", "group", id, "error", err)
 		return
 	}
-	a.remember(id, object)
+	a.remember(id, s)
 	a.reconcile()
 	a.mu.Lock()
 	g := a.groups[id]
 	a.mu.Unlock()
 	if g != nil {
-		g.deliver(assign.RecordChanged{Record: record, Version: object.Version})
+		g.deliver(assign.RecordChanged{Record: s.record, Version: s.version})
 	}
 }
--- a/assigner/serve.go
+++ b/assigner/serve.go
@@ -100,17 +100,11 @@
 }
 
 func (a *Assigner) answerRecord(id ownership.GroupID) *pb.RecordReply {
-	a.mu.Lock()
-	object, ok := a.records[id]
-	a.mu.Unlock()
-	if !ok {
-		return &pb.RecordReply{}
-	}
-	record, err := ownership.UnmarshalRecord(object.Value)
-	if err != nil {
+	s := a.stored(id)
+	if s.record == nil {
 		return &pb.RecordReply{}
 	}
-	return &pb.RecordReply{Record: ownership.RecordToProto(record), Version: uint64(object.Version)}
+	return &pb.RecordReply{Record: ownership.RecordToProto(s.record), Version: uint64(s.version)}
 }
 
 // answerHandover answers once the core has taken the handover in.
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -223,29 +223,34 @@
 
 // StartAssign starts the assign process of a VM.
 func (c *Cluster) StartAssign(i int) error {
-	path, err := c.writeSettings(VMName(i)+"-assign.ini", fmt.Sprintf(`[process]
-vm = %s
-region = %s
-data_centre = %s
-[telemetry]
-listen = %s
-pprof = true
-[store]
-address = %s
-[peer]
+	path, err := c.writeSettings(VMName(i)+"-assign.ini", c.commonSettings(i, c.AssignTelemetry(i))+fmt.Sprintf(`[peer]
 listen = %s
 seeds = %s
 [assign]
 group_slots = 64
 [bundle]
 file = %s
-`, VMName(i), region(i), dataCentre(i), c.AssignTelemetry(i), c.StoreAddress(), c.vmAddress(i, peerOffset), strings.Join(c.seeds(i), ", "), filepath.Join(c.dir, "bundle.ini")))
+`, c.vmAddress(i, peerOffset), strings.Join(c.seeds(i), ", "), filepath.Join(c.dir, "bundle.ini")))
 	if err != nil {
 		return err
 	}
 	return c.spawn(VMName(i)+"-assign", "basiltally-assign", path)
 }
 
+// commonSettings returns the sections that both processes of a VM have.
+func (c *Cluster) commonSettings(i int, telemetry string) string {
+	return fmt.Sprintf(`[process]
+vm = %s
+region = %s
+data_centre = %s
+[telemetry]
+listen = %s
+pprof = true
+[store]
+address = %s
+`, VMName(i), region(i), dataCentre(i), telemetry, c.StoreAddress())
+}
+
 // seeds lists the peer addresses of the other VMs.
 func (c *Cluster) seeds(self int) []string {
 	var out []string
@@ -259,21 +264,12 @@
 
 // StartEntry starts the entry process of a VM.
 func (c *Cluster) StartEntry(i int) error {
-	path, err := c.writeSettings(VMName(i)+"-entry.ini", fmt.Sprintf(`[process]
-vm = %s
-region = %s
-data_centre = %s
-[telemetry]
-listen = %s
-pprof = true
-[store]
-address = %s
-[entry]
+	path, err := c.writeSettings(VMName(i)+"-entry.ini", c.commonSettings(i, c.EntryTelemetry(i))+fmt.Sprintf(`[entry]
 listen = %s
 assign_address = %s
 [bundle]
 file = %s
-`, VMName(i), region(i), dataCentre(i), c.EntryTelemetry(i), c.StoreAddress(), c.EntryAddress(i), c.vmAddress(i, peerOffset),
+`, c.EntryAddress(i), c.vmAddress(i, peerOffset),
 		filepath.Join(c.dir, "bundle.ini")))
 	if err != nil {
 		return err
