Let an idle target in its ramp take one request of each entry

Cause: after a loss, an entry weighs a returned target by its ramp. With twelve entries each has about one request in flight at a target, and a weight below one half then scores an idle target behind all others, so that it took nothing for the first 1.5 s of its ramp of 3 s while the others ran above their capacity.

Change: an idle target scores one, whatever its weight; from its first request on the ramp holds.

--- a/balance/selector.go
+++ b/balance/selector.go
@@ -129,7 +129,13 @@
 func (s *Selector) scoreLocked(req *pipeline.Request, v *ownership.View, at int, now time.Time) score {
 	t := &v.Targets[at]
 	o := s.observedLocked(t.ID)
-	load := float64(o.inFlight+1) / s.weight(o, v.States[at], now)
+	weight := s.weight(o, v.States[at], now)
+	load := float64(o.inFlight+1) / weight
+	if o.inFlight == 0 {
+		// An entry with few requests in flight would never reach the load at which a
+		// target in its ramp is the least loaded.
+		load = 1
+	}
 	return score{s.tier(req, t, o, load, now), load}
 }
 
