Place requests by two choices out of a subset, and count answers from behind a queue

Logs by target: slow targets had 380 to 412 requests of 916 ms, fast ones 24 to 58 of 300 ms. Answers from behind a queue that took longer than the mean were left out of the service time, so that a crowded target counted only its short answers and seemed fast. Besides, up to twelve targets were compared for a request with loads told hundreds of milliseconds ago, so that VMs chose alike. Ruled out: speed of the VMs (0.012 of a core at the mean), distance (1,870 of 8,200 went to other regions).

Change: a request's time is divided by what the queue was expected to add when it was sent; the told load decays to its mean within a service time, not to zero within 300 ms; two targets of the region and one of others are compared, out of a subset of the VM's own (8 and 4, more while there are few VMs); a target of another region must be faster by one service time.

--- a/daemon/node_run.go
+++ b/daemon/node_run.go
@@ -99,7 +99,7 @@
 		objects:   platform.NewObjects(s.Store.Address, s.Store.Timeout),
 		directory: fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger}),
 		board: placing.New(placing.Options{
-			DataCentre: s.Process.DataCentre, Region: s.Process.Region,
+			VM: s.Process.VM, DataCentre: s.Process.DataCentre, Region: s.Process.Region,
 		}),
 		budget: budget.New(budget.Options{Ratio: s.Repeat.Ratio, Extra: s.Repeat.Extra, Window: s.Repeat.Window}),
 		keys:   gateway.NewKeyCounter(),
@@ -220,6 +220,7 @@
 	}
 	n.logger.Info("number of VMs", "vms", count)
 	n.budget.SetVMs(count)
+	n.board.SetVMs(count)
 	n.setConnectionLimit()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -314,7 +314,8 @@
 	if !c.idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	number := g.opts.Board.Begin(t.ID)
+	place := site(t)
+	number := g.opts.Board.Begin(&place)
 	c.tried = append(c.tried, t.ID)
 	a, err := g.opts.Upstream.Do(ctx, t.Address, r)
 	o, s := g.judge(c, t, a, err)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -214,7 +214,7 @@
 	is := is.New(t)
 	f := newFixture(t, true, good)
 	for range 60 {
-		f.board.Begin("t0")
+		f.board.Begin(&placing.Site{ID: "t0", Slots: 1})
 	}
 	r := f.send("/safe/x", "5")
 	is.Equal(r.Status, 503)
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -13,10 +13,14 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // Options of a Board.
 type Options struct {
+	// VM names this VM. It gives each VM a subset of its own.
+	VM string
 	// DataCentre and Region are those of this VM.
 	DataCentre, Region string
 	// NearRoundTrip and FarRoundTrip are what another data centre of the region and
@@ -31,13 +35,12 @@
 	ConnectCost time.Duration
 	// ServiceTime is assumed of a target that is not known yet. Default 80 ms.
 	ServiceTime time.Duration
-	// LoadMemory is how fast a told load is forgotten. Default 300 ms.
-	LoadMemory time.Duration
 	// Cold is how many times slower a target is that has just started. Default 2.
 	Cold float64
-	// SampleSize is the number of targets that are compared for a request, of each
-	// distance. Default 2.
-	SampleSize int
+	// Subset is the least number of targets of this region that the VM keeps to. The
+	// more it has, the more connections it opens and the less it sees of each.
+	// Default 8, from the model in the tests.
+	Subset int
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 	// Random returns a number in [0, n). Default math/rand/v2.
@@ -51,9 +54,8 @@
 	o.BulkFarCost = cmp.Or(o.BulkFarCost, 400*time.Millisecond)
 	o.ConnectCost = cmp.Or(o.ConnectCost, 15*time.Millisecond)
 	o.ServiceTime = cmp.Or(o.ServiceTime, 80*time.Millisecond)
-	o.LoadMemory = cmp.Or(o.LoadMemory, 300*time.Millisecond)
 	o.Cold = cmp.Or(o.Cold, 2)
-	o.SampleSize = cmp.Or(o.SampleSize, 2)
+	o.Subset = cmp.Or(o.Subset, 8)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -66,6 +68,8 @@
 const (
 	// serviceWeight is the weight of one answer in the mean service time.
 	serviceWeight = 0.1
+	// usualWeight is the weight of one report in the mean load.
+	usualWeight = 0.1
 	// errorWeight is the weight of one answer in the share of failures.
 	errorWeight = 0.1
 	// errorCost is the time that a certain failure is worth.
@@ -83,6 +87,18 @@
 	crowdCost = 0.3
 	// exploreOneIn is the number of requests of which one tries a target without any answer.
 	exploreOneIn = 10
+	// nearSample and farSample are the numbers of targets of this region and of others
+	// that are compared for a request. With more, the VMs, which all know the same old
+	// load, choose alike.
+	nearSample = 2
+	farSample  = 1
+	// farSubset is the part of the subset's size that is taken of other regions.
+	farSubset = 0.5
+	// subsetsPerTarget is the number of VMs that are to have a target in their subset.
+	subsetsPerTarget = 4
+	// farWork is the share of its service time that a target of another region must
+	// be faster: bytes between regions are paid for.
+	farWork = 1
 )
 
 // Site is a target as the Board needs it.
@@ -104,15 +120,21 @@
 	stats map[string]*stat
 	// maxInFlight bounds the requests of this VM at one target.
 	maxInFlight int
+	// vms is the number of VMs that share the targets; zero while it is not known.
+	vms int
 }
 
 // stat is what is known of one target.
 type stat struct {
-	inFlight map[uint64]time.Time
+	inFlight map[uint64]flight
 	next     uint64
 	// told is the load of others at the target when it last told, at toldAt.
 	told   float64
 	toldAt time.Time
+	// rank orders the targets for this VM's subset.
+	rank uint64
+	// usual is the mean of what was told.
+	usual float64
 	// service is the mean time of a request without waiting.
 	service time.Duration
 	errors  float64
@@ -128,6 +150,14 @@
 	lastAnswer     time.Time
 }
 
+// flight is a request at a target.
+type flight struct {
+	sentAt time.Time
+	// queueing is how many times the service time the request was expected to take
+	// when it was sent, for the requests ahead of it.
+	queueing float64
+}
+
 // New returns a Board that knows nothing.
 func New(opts Options) *Board {
 	return &Board{opts: opts.withDefaults(), stats: map[string]*stat{}, maxInFlight: math.MaxInt}
@@ -136,7 +166,7 @@
 func (b *Board) stat(id string) *stat {
 	s := b.stats[id]
 	if s == nil {
-		s = &stat{inFlight: map[uint64]time.Time{}, service: b.opts.ServiceTime}
+		s = &stat{inFlight: map[uint64]flight{}, service: b.opts.ServiceTime}
 		b.stats[id] = s
 	}
 	return s
@@ -154,10 +184,9 @@
 }
 
 // Pick returns the target on which a request is expected to be done first, out of a
-// random sample, or nil if there is none but those to avoid. Were the best of all
-// taken, the VMs, which know the same, would send all their requests to the same
-// few until they learned better. Suspended and stalled targets are taken only if
-// there is no other.
+// random sample of this VM's subset, or nil if there is none but those to avoid. Were
+// the best of all taken, the VMs would send all their requests to the same few until
+// they learned better. Suspended and stalled targets are taken only if there is no other.
 func (b *Board) Pick(sites []Site, bulk bool, avoid []string) *Site {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -194,29 +223,19 @@
 	}
 }
 
-// sample returns some targets of each distance at random, with and without a
-// connection. Only if all of these are of no use it returns all targets.
+// sample returns some targets at random: of this VM's subset, if these are of no use
+// or the request has been tried there of the others, and at last all.
 func (b *Board) sample(sites []Site, avoid []string, now time.Time) []*Site {
-	var counts [distances][2]int
-	out := make([]*Site, 0, 2*distances*b.opts.SampleSize)
-	start := 0
-	if len(sites) > 0 {
-		start = b.opts.Random(len(sites))
-	}
-	for _, i := range b.order(len(sites), start) {
-		site := &sites[i]
-		if slices.Contains(avoid, site.ID) {
-			continue
-		}
-		n := &counts[b.distanceOf(site)][boolIndex(site.Connected)]
-		if *n == b.opts.SampleSize {
-			continue
-		}
-		if b.useless(site, now) {
-			continue
-		}
-		*n++
-		out = append(out, site)
+	near, far := b.byRegion(sites)
+	out := make([]*Site, 0, nearSample+farSample)
+	if len(avoid) == 0 {
+		size := b.subsetSize(len(sites))
+		out = b.draw(out, b.subset(near, size), nearSample, avoid, now)
+		out = b.draw(out, b.subset(far, int(math.Ceil(farSubset*float64(size)))), farSample, avoid, now)
+	}
+	if len(out) == 0 {
+		out = b.draw(out, near, nearSample, avoid, now)
+		out = b.draw(out, far, farSample, avoid, now)
 	}
 	if len(out) > 0 {
 		return out
@@ -229,11 +248,62 @@
 	return out
 }
 
-func boolIndex(b bool) int {
-	if b {
-		return 1
+// byRegion parts the targets of this region from the others.
+func (b *Board) byRegion(sites []Site) (near, far []*Site) {
+	for i := range sites {
+		if b.distanceOf(&sites[i]) == otherRegion {
+			far = append(far, &sites[i])
+		} else {
+			near = append(near, &sites[i])
+		}
+	}
+	return near, far
+}
+
+// subsetSize is the number of targets that a VM keeps to, so that each of them is in
+// the subsets of several VMs.
+func (b *Board) subsetSize(targets int) int {
+	if b.vms == 0 {
+		return targets
+	}
+	return max(b.opts.Subset, (subsetsPerTarget*targets+b.vms-1)/b.vms)
+}
+
+// subset returns the first targets in this VM's own order, which hardly changes when
+// targets come and go.
+func (b *Board) subset(sites []*Site, size int) []*Site {
+	if len(sites) <= size {
+		return sites
+	}
+	ordered := slices.Clone(sites)
+	slices.SortFunc(ordered, func(x, y *Site) int { return cmp.Compare(b.rank(x.ID), b.rank(y.ID)) })
+	return ordered[:size]
+}
+
+func (b *Board) rank(id string) uint64 {
+	s := b.stat(id)
+	if s.rank == 0 {
+		s.rank = xxh3.HashString(b.opts.VM + "/" + id)
 	}
-	return 0
+	return s.rank
+}
+
+// draw appends up to n useful targets in random order.
+func (b *Board) draw(out, from []*Site, n int, avoid []string, now time.Time) []*Site {
+	if len(from) == 0 {
+		return out
+	}
+	for _, i := range b.order(len(from), b.opts.Random(len(from))) {
+		if n == 0 {
+			break
+		}
+		if slices.Contains(avoid, from[i].ID) || b.useless(from[i], now) {
+			continue
+		}
+		out = append(out, from[i])
+		n--
+	}
+	return out
 }
 
 // order returns the numbers below n in an order that a random start and stride give.
@@ -272,6 +342,13 @@
 	b.maxInFlight = max(n, 1)
 }
 
+// SetVMs sets how many VMs share the targets.
+func (b *Board) SetVMs(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vms = n
+}
+
 // unproven returns, for some of the requests, a target that has answered no VM yet.
 // Nothing is known of it, so that by its score it might never get a request.
 func (b *Board) unproven(sites []Site, avoid []string, now time.Time) *Site {
@@ -294,6 +371,9 @@
 	s := b.stat(site.ID)
 	service, wait := b.expected(s, site, now)
 	score := (service + wait + b.distance(site, bulk)).Seconds()
+	if b.distanceOf(site) == otherRegion {
+		score += farWork * service.Seconds()
+	}
 	if !site.Connected {
 		score += b.opts.ConnectCost.Seconds()
 	}
@@ -314,17 +394,23 @@
 	if now.Before(site.ColdUntil) {
 		service *= b.opts.Cold
 	}
+	crowding, queueing := b.delays(s, site, now)
+	return time.Duration(service * (1 + crowding)), time.Duration(service * queueing)
+}
+
+// delays returns what the requests at the target add to the next one, in service
+// times: by sharing the target with it, and by being ahead of it in the queue.
+func (b *Board) delays(s *stat, site *Site, now time.Time) (crowding, queueing float64) {
 	slots := float64(max(site.Slots, 1))
 	ahead := b.load(s, now)
 	// Work shares the target before all slots are busy: a little is added from the first.
-	crowd := crowdCost * math.Pow(min(ahead/slots, 1), 2)
-	return time.Duration(service * (1 + crowd)), time.Duration(service * max(ahead+1-slots, 0) / slots)
+	return crowdCost * math.Pow(min(ahead/slots, 1), 2), max(ahead+1-slots, 0) / slots
 }
 
 // load is the number of requests at the target: own ones, and others as told.
 func (b *Board) load(s *stat, now time.Time) float64 {
-	forget := math.Exp(-float64(now.Sub(s.toldAt)) / float64(b.opts.LoadMemory))
-	return float64(len(s.inFlight)) + s.told*forget
+	forget := math.Exp(-float64(now.Sub(s.toldAt)) / float64(s.service))
+	return float64(len(s.inFlight)) + s.usual + (s.told-s.usual)*forget
 }
 
 // RoundTrip is the time on the way to a target and back.
@@ -344,9 +430,9 @@
 // stalled reports whether the oldest request in flight is far older than usual
 // and nothing was answered since it was sent.
 func (s *stat) stalled(now time.Time) bool {
-	for _, sentAt := range s.inFlight {
-		age := now.Sub(sentAt)
-		if age > max(stallMin, stallFactor*s.service) && s.lastAnswer.Before(sentAt) {
+	for _, f := range s.inFlight {
+		age := now.Sub(f.sentAt)
+		if age > max(stallMin, stallFactor*s.service) && s.lastAnswer.Before(f.sentAt) {
 			return true
 		}
 	}
@@ -370,12 +456,13 @@
 }
 
 // Begin notes that a request is sent to the target. The returned number is for End.
-func (b *Board) Begin(id string) uint64 {
+func (b *Board) Begin(site *Site) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.stat(id)
+	s, now := b.stat(site.ID), b.opts.Now()
+	crowding, queueing := b.delays(s, site, now)
 	s.next++
-	s.inFlight[s.next] = b.opts.Now()
+	s.inFlight[s.next] = flight{sentAt: now, queueing: 1 + crowding + queueing}
 	return s.next
 }
 
@@ -401,7 +488,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, now := b.stat(id), b.opts.Now()
-	sentAt, ok := s.inFlight[number]
+	f, ok := s.inFlight[number]
 	delete(s.inFlight, number)
 	if !ok {
 		return
@@ -417,8 +504,7 @@
 		s.suspendedUntil = time.Time{}
 	}
 	if o.Told {
-		s.told = max(float64(o.Running+o.Waiting-len(s.inFlight)), 0)
-		s.toldAt = now
+		s.tell(float64(o.Running+o.Waiting-len(s.inFlight)), now)
 		s.seen.Told, s.seen.Load, s.seen.ToldAt = true, o.Running+o.Waiting, now
 	}
 	switch {
@@ -433,22 +519,27 @@
 		s.errors += errorWeight * (1 - s.errors)
 	case o.Answered:
 		s.errors -= errorWeight * s.errors
-		s.observe(now.Sub(sentAt)-o.RoundTrip, o.Waiting)
+		s.observe(now.Sub(f.sentAt)-o.RoundTrip, f.queueing)
 	}
 }
 
-// observe takes the time of an answer. One that came from behind a queue says
-// little of the service time and is left out.
-func (s *stat) observe(d time.Duration, waiting int) {
-	if waiting > 0 && d > s.service {
-		return
-	}
-	d = max(d, time.Millisecond)
+// observe takes the time of an answer, less what the queue was expected to add. A
+// queue that was longer than expected makes the target count as slower. Were
+// answers from behind a queue left out, only the short ones of a crowded target
+// would count, and it would seem fast.
+func (s *stat) observe(d time.Duration, queueing float64) {
+	d = max(time.Duration(float64(d)/queueing), time.Millisecond)
 	s.service += time.Duration(serviceWeight * float64(d-s.service))
 	s.sum += d
 	s.seen.Answers++
 }
 
+// tell takes the load of others at the target as it was at the instant.
+func (s *stat) tell(others float64, at time.Time) {
+	s.told, s.toldAt = max(others, 0), at
+	s.usual += usualWeight * (s.told - s.usual)
+}
+
 func (s *stat) suspend(now time.Time) {
 	s.suspendedUntil = now.Add(min(suspendMin<<min(s.refused, 10), suspendMax))
 	s.refused++
@@ -531,8 +622,7 @@
 		}
 		s.errors += sharedWeight * (sh.Failures - s.errors)
 		if at := now.Add(-sh.Age); sh.Told && at.After(s.toldAt) {
-			s.told = max(float64(sh.Load-len(s.inFlight)), 0)
-			s.toldAt = at
+			s.tell(float64(sh.Load-len(s.inFlight)), at)
 		}
 	}
 }
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -73,16 +73,32 @@
 
 	requests, rejected, late int
 	latencyTarget            time.Duration
+	// waited counts the requests that found all slots of their target busy.
+	waited      int
+	used        map[[2]any]time.Time
+	opened, far int
+	// total is the time of all requests.
+	total time.Duration
+	// tail is the share of requests that take tailFactor times as long.
+	tail float64
 }
 
+const (
+	modelTailFactor = 7
+	modelIdle       = 2 * time.Second
+)
+
 func newModel(vms, targets int, mean, latencyTarget time.Duration) *model {
-	m := &model{now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(1, 1)), mean: mean, latencyTarget: latencyTarget}
+	m := &model{used: map[[2]any]time.Time{}, now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(1, 1)), mean: mean, latencyTarget: latencyTarget}
 	for range vms {
 		m.boards = append(m.boards, New(Options{
-			DataCentre: "a", Region: "r", ServiceTime: mean,
+			VM: fmt.Sprint(len(m.boards)), DataCentre: "a", Region: "r", ServiceTime: mean,
 			Now: func() time.Time { return m.now }, Random: m.rng.IntN,
 		}))
 	}
+	for _, b := range m.boards {
+		b.SetVMs(vms)
+	}
 	for i := range targets {
 		m.targets = append(m.targets, &modelTarget{
 			site:  Site{ID: fmt.Sprint(i), DataCentre: "a", Region: "r", Slots: modelSlots, Connected: true},
@@ -119,9 +135,22 @@
 }
 
 func (m *model) send(vm int, sites []Site) {
-	site := m.pick(vm, sites)
 	b, began := m.boards[vm], m.now
-	number := b.Begin(site.ID)
+	for i := range sites {
+		last, ok := m.used[[2]any{vm, sites[i].ID}]
+		sites[i].Connected = ok && m.now.Sub(last) < modelIdle
+	}
+	site := m.pick(vm, sites)
+	if !site.Connected {
+		m.opened++
+	}
+	m.used[[2]any{vm, site.ID}] = m.now
+	way := modelWay
+	if b.distanceOf(site) == otherRegion {
+		m.far++
+		way += 12 * time.Millisecond
+	}
+	number := b.Begin(site)
 	var t *modelTarget
 	for _, candidate := range m.targets {
 		if candidate.site.ID == site.ID {
@@ -129,12 +158,12 @@
 		}
 	}
 	m.requests++
-	m.after(modelWay, func() {
+	m.after(way, func() {
 		t.arrivals++
 		load := t.load(m.now)
 		if load >= modelSlots+modelQueue {
 			m.rejected++
-			m.after(modelWay, func() { b.End(site.ID, number, Outcome{Answered: true, Refused: true}) })
+			m.after(way, func() { b.End(site.ID, number, Outcome{Answered: true, Refused: true}) })
 			return
 		}
 		first := 0
@@ -146,18 +175,24 @@
 		start := t.slots[first]
 		if start.Before(m.now) {
 			start = m.now
+		} else {
+			m.waited++
 		}
 		work := time.Duration(float64(m.mean) / t.speed * math.Exp(0.6*m.rng.NormFloat64()-0.18))
+		if m.rng.Float64() < m.tail {
+			work *= modelTailFactor
+		}
 		done := start.Add(work)
 		t.slots[first] = done
 		t.ends = append(t.ends, done)
-		m.after(done.Sub(m.now)+modelWay, func() {
+		m.after(done.Sub(m.now)+way, func() {
+			m.total += m.now.Sub(began)
 			if m.now.Sub(began) > m.latencyTarget {
 				m.late++
 			}
 			load := t.load(m.now)
 			b.End(site.ID, number, Outcome{
-				Answered: true, Told: true, Running: min(load, modelSlots), Waiting: max(load-modelSlots, 0), RoundTrip: 2 * modelWay,
+				Answered: true, Told: true, Running: min(load, modelSlots), Waiting: max(load-modelSlots, 0), RoundTrip: b.RoundTrip(site),
 			})
 		})
 	})
@@ -238,6 +273,39 @@
 	is.True(late < lateTurns)
 }
 
+// A calm day of the large deployment: a quarter of the slots are busy, a third of the
+// targets are fast, some requests take far longer. Fast targets have room for nearly
+// all, so hardly any request has to wait for a slot.
+func TestCalmLoadDoesNotWaitAtSlowTargets(t *testing.T) {
+	is := is.New(t)
+	m := newModel(79, 108, 450*time.Millisecond, 1500*time.Millisecond)
+	m.tail = 0.03
+	for i, target := range m.targets {
+		target.speed = []float64{0.7, 0.7, 1.6}[i%3]
+		target.site.DataCentre, target.site.Region = fmt.Sprint(i%9), fmt.Sprint(i%9/3)
+	}
+	for i, b := range m.boards {
+		b.opts.DataCentre, b.opts.Region = fmt.Sprint(i%9), fmt.Sprint(i%9/3)
+		b.opts.ServiceTime = 0
+		b.opts = b.opts.withDefaults()
+	}
+	m.run(0.25, 30*time.Second)
+	slow := 0
+	for _, target := range m.targets {
+		if target.speed < 1 {
+			slow += target.arrivals
+		}
+	}
+	late, rejected := m.shares()
+	waited, atSlow := float64(m.waited)/float64(m.requests), float64(slow)/float64(m.requests)
+	t.Logf("waited %.3f, at slow targets %.3f, late %.3f, rejected %.3f", waited, atSlow, late, rejected)
+	is.True(late < 1.5*m.tail) // The long requests are late at any target.
+	is.True(waited < 0.1)
+	is.Equal(rejected, 0.0)
+	is.True(float64(m.opened) < 0.4*float64(m.requests))
+	is.True(float64(m.far) < 0.15*float64(m.requests))
+}
+
 // The small deployment: 9 VMs, 12 targets.
 func TestFewVMsUseFastTargetsMore(t *testing.T) {
 	is := is.New(t)
@@ -258,7 +326,7 @@
 		{ID: "here", DataCentre: "a", Region: "r", Slots: 6, Connected: true},
 	}
 	for _, s := range sites {
-		n := b.Begin(s.ID)
+		n := b.Begin(&s)
 		b.End(s.ID, n, Outcome{Answered: true})
 	}
 	is.Equal(b.Pick(sites, true, nil).ID, "here")
@@ -272,8 +340,8 @@
 	now := time.Unix(0, 0)
 	b := New(Options{Now: func() time.Time { return now }})
 	sites := []Site{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}}
-	b.End("a", b.Begin("a"), Outcome{Unreachable: true})
-	b.End("b", b.Begin("b"), Outcome{Answered: true})
+	b.End("a", b.Begin(&sites[0]), Outcome{Unreachable: true})
+	b.End("b", b.Begin(&sites[1]), Outcome{Answered: true})
 	is.Equal(b.Unreachable(), []string{"a"})
 	for range 20 {
 		is.Equal(b.Pick(sites, false, nil).ID, "b")
@@ -287,7 +355,7 @@
 	is := is.New(t)
 	b := New(Options{})
 	sites := []Site{{ID: "old", Slots: 6, Connected: true}, {ID: "new", Slots: 6, ColdUntil: time.Now().Add(time.Hour)}}
-	b.End("old", b.Begin("old"), Outcome{Answered: true})
+	b.End("old", b.Begin(&sites[0]), Outcome{Answered: true})
 	tried := false
 	for range 300 {
 		tried = tried || b.Pick(sites, false, nil).ID == "new"
