Let the VMs of a large deployment take the store's changes from the assigner

Change: store/relayfeed. The assigner passes on what its polls return, on the stream it has with each VM. A VM that does not hear it, or hears that the store has not confirmed the role for 1.7 s or failed a read, polls the store itself from the revision up to which it knows. Above 24 VMs (relay_above); below, each VM polls as before. VMs with a thin link (under 20 Mbit/s) leave the role to others. Three VMs at a time, not all, look whether the store answers them but not the assigner. A call without an answer counts as a lost store at once: entries may lapse meanwhile. The grace for lapsed entries ends 2 s after the store's return, not 2 s after the removal.

Tests: store/relayfeed; TestNodesServeThePlatform both ways; TestEntryRemovedWithinTheGraceIsGoneAtItsEnd and TestOneSilentCallIsALoss failed before.

--- a/daemon/node_run.go
+++ b/daemon/node_run.go
@@ -25,6 +25,7 @@
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
 	"github.com/basiltally/basiltally/store/follow"
+	"github.com/basiltally/basiltally/store/relayfeed"
 	"github.com/basiltally/basiltally/telemetry"
 	"github.com/basiltally/basiltally/upstream"
 )
@@ -44,6 +45,11 @@
 	// longHoldShare is the share of the longest lease that is used while the store
 	// does not answer; a lease over the target's limit would be refused.
 	longHoldShare = 0.95
+	// assignerLink is the bandwidth in Mbit/s that the assigner needs to tell some
+	// hundred VMs of all targets: 15 KB/s each.
+	assignerLink = 20
+	// smallVMReluctance is longer than the VMs need to find a lost assigner.
+	smallVMReluctance = 300 * time.Millisecond
 	// roleNode introduces the process to its peers.
 	roleNode = "node"
 )
@@ -54,6 +60,7 @@
 	logger    *slog.Logger
 	registry  *prometheus.Registry
 	objects   *platform.Objects
+	feed      *relayfeed.Feed
 	directory *fleet.Directory
 	routes    atomic.Pointer[routing.Table]
 	// listed is set once the targets' entries were read.
@@ -88,6 +95,14 @@
 	return n.run(ctx)
 }
 
+// reluctance is how long the VM leaves the assigner's role to others.
+func reluctance(link float64) time.Duration {
+	if link < assignerLink {
+		return smallVMReluctance
+	}
+	return 0
+}
+
 // setMemory bounds the memory that the garbage collector lets grow.
 func setMemory(s *NodeSettings) {
 	debug.SetMemoryLimit(int64(float64(s.Gateway.Memory) * memoryShare * (1 << 20)))
@@ -106,6 +121,7 @@
 		peers:  peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: roleNode}),
 	}
 	n.settings.Store(s)
+	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, OnBatch: func(b relayfeed.Batch) { n.agent.ShareBatch(b) }})
 	n.upstream = upstream.New(upstream.Options{Headers: platform.TargetHeaders(), Registerer: n.registry})
 	leases := shard.Options{
 		Hold: min(s.Shard.Hold, s.Shard.HoldMax), LongHold: time.Duration(longHoldShare * float64(s.Shard.HoldMax)),
@@ -113,7 +129,8 @@
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.report,
-		OnVMs: n.setVMs, OnTargets: n.learn, RoleLease: s.Shard.RoleLease, Keeper: leases, Logger: logger,
+		OnVMs: n.setVMs, OnTargets: n.learn, Feed: n.feed,
+		RelayAbove: s.Shard.RelayAbove, Reluctance: reluctance(s.Gateway.Link), RoleLease: s.Shard.RoleLease, Keeper: leases, Logger: logger,
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
@@ -161,7 +178,7 @@
 }
 
 func (n *routerNode) follower(prefix string, c follow.Consumer, settle time.Duration) *follow.Follower {
-	return follow.New(follow.Options{Feed: n.objects, Prefix: prefix, Consumer: c, Settle: settle, Logger: n.logger})
+	return follow.New(follow.Options{Feed: n.feed, Prefix: prefix, Consumer: c, Settle: settle, Logger: n.logger})
 }
 
 // serveReady answers the balancer.
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -25,6 +25,7 @@
 	targets map[string]*standin.Target
 	servers map[string]*httptest.Server
 	nodes   []*benchNode
+	relayAbove int
 	// requests is the number of requests sent.
 	requests int
 }
@@ -37,7 +38,7 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, servers: map[string]*httptest.Server{}}
+	b := &bench{t: t, relayAbove: 24, store: standin.NewStore(), targets: map[string]*standin.Target{}, servers: map[string]*httptest.Server{}}
 	server := httptest.NewServer(b.store)
 	b.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
@@ -107,7 +108,7 @@
 			LameDuck: 100 * time.Millisecond, StopLimit: 5 * time.Second, Memory: 256,
 		},
 		Repeat: RepeatSettings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
-		Shard:  ShardSettings{Hold: 1500 * time.Millisecond, HoldMax: 5 * time.Second, RoleLease: 1500 * time.Millisecond},
+		Shard:  ShardSettings{Hold: 1500 * time.Millisecond, HoldMax: 5 * time.Second, RoleLease: 1500 * time.Millisecond, RelayAbove: b.relayAbove},
 	}
 	s.Telemetry.Listen = freeAddress(b.t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -193,10 +194,17 @@
 }
 
 // TestNodesServeThePlatform plays a day in small: three VMs, keyed and free targets,
-// a lost target, a lost assigner, a new configuration and an outage of the store.
+// a lost target, a lost assigner, a new configuration and an outage of the store; once
+// with VMs that all poll the store, once with VMs that leave that to the assigner.
 func TestNodesServeThePlatform(t *testing.T) {
+	t.Run("each VM polls", func(t *testing.T) { playDay(t, 24) })
+	t.Run("the assigner polls", func(t *testing.T) { playDay(t, 1) })
+}
+
+func playDay(t *testing.T, relayAbove int) {
 	is := is.New(t)
 	b := newBench(t)
+	b.relayAbove = relayAbove
 	nodes := []*benchNode{b.startReadyNode("vm1"), b.startReadyNode("vm2"), b.startReadyNode("vm3")}
 	b.eventually("all keys are served through all VMs", func() bool {
 		return b.allKeysServed(nodes[0]) && b.allKeysServed(nodes[1]) && b.allKeysServed(nodes[2])
--- a/daemon/nodesettings.go
+++ b/daemon/nodesettings.go
@@ -16,6 +16,7 @@
 	Regions     []string      `ini:"regions" required:"true" unit:"data_centre=region" doc:"The region of each data centre."`
 	LameDuck    time.Duration `ini:"lame_duck" default:"2200ms" unit:"duration" range:"0s..1m" doc:"How long new connections are taken after a stop has begun, until the balancer has seen it."`
 	StopLimit   time.Duration `ini:"stop_limit" default:"6s" unit:"duration" range:"1s..24h" doc:"Time after which the platform ends a stopping process; requests still running shortly before it are cut off."`
+	Link        float64       `ini:"link" default:"1000" unit:"Mbit/s" range:"0.1..1000000" doc:"Bandwidth of the VM; one with a thin link leaves the assigner's role to others."`
 	Memory      int           `ini:"memory" default:"256" unit:"MB" range:"32..1048576" doc:"Memory of the VM; the garbage collector works harder near it."`
 }
 
@@ -48,9 +49,10 @@
 
 // ShardSettings hold the timings of the owners' leases.
 type ShardSettings struct {
-	Hold      time.Duration `ini:"hold" default:"3s" unit:"duration" range:"500ms..1m" doc:"Duration of a target's lease. A range whose owner is lost waits for its end."`
-	HoldMax   time.Duration `ini:"hold_max" default:"10s" unit:"duration" range:"500ms..1m" doc:"Longest lease that targets accept; about that is used while the store does not answer."`
-	RoleLease time.Duration `ini:"role_lease" default:"4s" unit:"duration" range:"500ms..1m" doc:"How long the assigner acts after the store confirmed it."`
+	Hold       time.Duration `ini:"hold" default:"3s" unit:"duration" range:"500ms..1m" doc:"Duration of a target's lease. A range whose owner is lost waits for its end."`
+	HoldMax    time.Duration `ini:"hold_max" default:"10s" unit:"duration" range:"500ms..1m" doc:"Longest lease that targets accept; about that is used while the store does not answer."`
+	RoleLease  time.Duration `ini:"role_lease" default:"4s" unit:"duration" range:"500ms..1m" doc:"How long the assigner acts after the store confirmed it."`
+	RelayAbove int           `ini:"relay_above" default:"24" unit:"VMs" range:"1..1000000" doc:"Number of VMs above which they take changes of the store from the assigner in place of polling the store each."`
 }
 
 // NodeSettings is the settings file of basiltally-node.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -211,7 +211,11 @@
 	// A target that announced its leaving does not return.
 	if t.State == Ready && (d.outage || now.Before(d.graceUntil)) {
 		if _, ok := d.missing[id]; !ok {
-			d.missing[id] = now.Add(d.opts.RestoreGrace)
+			until := d.graceUntil
+			if d.outage {
+				until = now.Add(d.opts.RestoreGrace)
+			}
+			d.missing[id] = until
 			d.opts.Logger.Info("target entry missing after an outage of the store, kept for now", "target", id)
 		}
 		return
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -41,6 +41,20 @@
 	is.Equal(ids(d.Snapshot()), []string{"b"})
 }
 
+// The grace counts from the return of the store, not from the removal.
+func TestEntryRemovedWithinTheGraceIsGoneAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	d, now := testDirectory(&Target{ID: "a"})
+	d.StoreLost()
+	d.StoreRestored()
+	*now = now.Add(1500 * time.Millisecond)
+	d.Remove("a")
+	is.Equal(ids(d.Snapshot()), []string{"a"})
+	*now = now.Add(600 * time.Millisecond)
+	d.Expire()
+	is.Equal(len(d.Snapshot().ByID), 0)
+}
+
 func TestEntryThatReturnsWithinTheGraceStays(t *testing.T) {
 	is := is.New(t)
 	a := &Target{ID: "a"}
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -20,6 +20,7 @@
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/relayfeed"
 )
 
 // AgentOptions of an Agent.
@@ -41,6 +42,13 @@
 	OnVMs func(int)
 	// OnTargets is told what all VMs together know of the targets.
 	OnTargets func([]*pb.TargetState)
+	// Feed is the feed of the store that the assigner shares with the other VMs; nil
+	// shares none.
+	Feed *relayfeed.Feed
+	// RelayAbove is the number of VMs above which it is shared.
+	RelayAbove int
+	// Reluctance is how much longer than others this VM waits before it takes over.
+	Reluctance time.Duration
 	// RoleLease is how long the assigner acts after the store confirmed it. Default 4 s.
 	RoleLease time.Duration
 	// ReportInterval is the interval of reports. Default 250 ms.
@@ -73,6 +81,13 @@
 	silence = 5 * updateInterval
 	// seekPause separates two looks for the assigner.
 	seekPause = 200 * time.Millisecond
+	// seekSpread is added for each VM to the span in which the VMs look for a lost
+	// assigner, so that most of them find the next one.
+	seekSpread = 3 * time.Millisecond
+	// checkers is the number of VMs that look at a time whether the store answers them
+	// but not the assigner, and checkTurn how long it is their turn.
+	checkers  = 3
+	checkTurn = time.Second
 	// firstPause spreads the first reads of VMs that start together.
 	firstPause = 50 * time.Millisecond
 	// refusalPause separates the two refused connections that show that the
@@ -161,7 +176,7 @@
 
 // Run follows the assigner, or is it, until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
-	pause(ctx, mathrand.N(firstPause))
+	pause(ctx, mathrand.N(firstPause)+a.opts.Reluctance)
 	a.readTables(ctx)
 	s := seeker{agent: a}
 	for ctx.Err() == nil {
@@ -215,7 +230,7 @@
 	if err != nil {
 		a.opts.Logger.Info("role of the assigner not read", "error", err.Error())
 		a.askPeers(ctx)
-		pause(ctx, seekPause+mathrand.N(seekPause))
+		a.seekAgain(ctx)
 		return
 	}
 	if version != s.seen || s.seenAt == 0 {
@@ -223,12 +238,20 @@
 	}
 	v := s.vacant(ctx, r, version)
 	if v.reason == "" || a.resigned.Load() {
-		pause(ctx, seekPause+mathrand.N(seekPause))
+		a.seekAgain(ctx)
 		return
 	}
 	a.takeOver(ctx, r, version, v)
 }
 
+// seekAgain pauses before the next look for the assigner.
+func (a *Agent) seekAgain(ctx context.Context) {
+	a.mu.Lock()
+	vms := len(a.peers)
+	a.mu.Unlock()
+	pause(ctx, seekPause+mathrand.N(seekPause+time.Duration(vms)*seekSpread)+a.opts.Reluctance)
+}
+
 // vacancy says why the role may be taken over, and until when the last assigner
 // may act.
 type vacancy struct {
@@ -329,6 +352,16 @@
 	}
 }
 
+// ShareBatch passes changes of the store on while this VM is the assigner.
+func (a *Agent) ShareBatch(b relayfeed.Batch) {
+	a.mu.Lock()
+	l := a.leading
+	a.mu.Unlock()
+	if l != nil {
+		l.broadcastBatch(b)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,9 +37,11 @@
 		return "", err
 	}
 	defer s.Close()
+	a.beginFeed()
 	go a.sendReports(ctx, s)
 	defer func() {
 		a.setFollowing("")
+		a.beginFeed()
 		if err != nil {
 			// The session may have gone silent; the next one starts afresh.
 			a.opts.Peers.Forget(address)
@@ -64,7 +67,8 @@
 		if !a.take(u) {
 			return "", errors.Errorf("an update of %s was missed", address)
 		}
-		if time.Duration(u.GetConfirmedMsAgo())*time.Millisecond > a.opts.RoleLease/2 && !a.resigned.Load() {
+		a.takeFeed(u)
+		if ago := time.Duration(u.GetConfirmedMsAgo()) * time.Millisecond; ago > a.opts.RoleLease/2 && a.isChecker(ago) {
 			if err := a.checkAssigner(ctx); err != nil {
 				return "", err
 			}
@@ -81,6 +85,41 @@
 	return errUnconfirmed
 }
 
+// isChecker reports whether it is this VM's turn to look whether the store answers
+// others than the assigner. The turns go round, since it may refuse some VMs.
+func (a *Agent) isChecker(unconfirmed time.Duration) bool {
+	if a.resigned.Load() {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	own := slices.Index(a.peers, a.opts.Address)
+	if own < 0 {
+		return true
+	}
+	n := len(a.peers)
+	first := int(unconfirmed/checkTurn) * checkers % n
+	return (own-first+n)%n < checkers
+}
+
+// beginFeed makes this VM read the store itself until an assigner's changes come.
+func (a *Agent) beginFeed() {
+	if a.opts.Feed != nil {
+		a.opts.Feed.Begin()
+	}
+}
+
+// takeFeed takes the changes of the store that the assigner passes on.
+func (a *Agent) takeFeed(u *pb.ShardUpdate) {
+	if a.opts.Feed == nil {
+		return
+	}
+	for _, m := range u.GetFeed() {
+		a.opts.Feed.Take(batchFromProto(m))
+	}
+	a.opts.Feed.SetFresh(u.GetFeedFresh())
+}
+
 func (a *Agent) setFollowing(address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -155,6 +194,11 @@
 func (a *Agent) report() *pb.Envelope {
 	r := a.opts.Report()
 	r.Address = a.opts.Address
+	if a.opts.Feed != nil {
+		for prefix, at := range a.opts.Feed.Known() {
+			r.Known = append(r.Known, &pb.FeedPosition{Prefix: prefix, At: uint64(at)})
+		}
+	}
 	return &pb.Envelope{Body: &pb.Envelope_ShardReport{ShardReport: r}}
 }
 
--- a/shard/lead.go
+++ b/shard/lead.go
@@ -14,6 +14,7 @@
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/relayfeed"
 )
 
 const (
@@ -34,6 +35,9 @@
 	// loadMemory is the time constant of the keys' rates: short enough to find a hot
 	// spot within half a second, long enough to average some reports.
 	loadMemory = 700 * time.Millisecond
+	// feedSlack is how late a confirmation of the role may be until the VMs read the
+	// store themselves.
+	feedSlack = 400 * time.Millisecond
 	// subscriberQueue bounds the updates that wait for a slow peer.
 	subscriberQueue = 16
 )
@@ -103,6 +107,10 @@
 type subscriber struct {
 	address string
 	queue   chan *pb.ShardUpdate
+	// known are the revisions of the store that it has reported.
+	known map[string]store.Version
+	// fed is set once changes of the store are passed on to it.
+	fed bool
 	// dropped is set once the queue is closed.
 	dropped bool
 }
@@ -504,7 +512,7 @@
 		if r == nil {
 			continue
 		}
-		l.subscribe(sub, r.GetAddress())
+		l.subscribe(sub, r)
 		select {
 		case l.reports <- r:
 		case <-l.done:
@@ -514,13 +522,17 @@
 }
 
 // subscribe registers a follower at its first report and sends it all tables.
-func (l *leader) subscribe(sub *subscriber, address string) {
+func (l *leader) subscribe(sub *subscriber, r *pb.ShardReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sub.known = make(map[string]store.Version, len(r.GetKnown()))
+	for _, k := range r.GetKnown() {
+		sub.known[k.GetPrefix()] = store.Version(k.GetAt())
+	}
 	if _, ok := l.subscribers[sub]; ok || sub.dropped {
 		return
 	}
-	sub.address = address
+	sub.address = r.GetAddress()
 	l.subscribers[sub] = struct{}{}
 	u := l.updateLocked()
 	u.Vms = l.vmsLocked()
@@ -540,7 +552,55 @@
 func (l *leader) updateLocked() *pb.ShardUpdate {
 	return &pb.ShardUpdate{
 		Term: l.term, Beat: l.beats.Load(),
-		ConfirmedMsAgo: uint32((boottime.Now() - time.Duration(l.confirmedAt.Load())).Milliseconds()),
+		ConfirmedMsAgo: uint32(l.confirmedAgo().Milliseconds()), FeedFresh: l.feedFreshLocked(),
+	}
+}
+
+// confirmedAgo is the time since the store last confirmed the role.
+func (l *leader) confirmedAgo() time.Duration {
+	return boottime.Now() - time.Duration(l.confirmedAt.Load())
+}
+
+// sharesFeedLocked reports whether there are so many VMs that they are to get the
+// changes of the store here. The caller holds mu.
+func (l *leader) sharesFeedLocked() bool {
+	return l.agent.opts.Feed != nil && len(l.subscribers) >= l.agent.opts.RelayAbove
+}
+
+// feedFreshLocked reports whether the VMs may rely on that. The caller holds mu.
+func (l *leader) feedFreshLocked() bool {
+	return l.sharesFeedLocked() && l.agent.opts.Feed.Healthy() && l.confirmedAgo() < l.agent.opts.RoleLease/3+feedSlack
+}
+
+// feedLocked starts to pass the changes of the store on to the VMs that do not get
+// them yet. The caller holds mu.
+func (l *leader) feedLocked() {
+	if !l.sharesFeedLocked() {
+		return
+	}
+	for sub := range l.subscribers {
+		if sub.fed {
+			continue
+		}
+		sub.fed = true
+		u := l.updateLocked()
+		for _, b := range l.agent.opts.Feed.Since(sub.known) {
+			u.Feed = append(u.Feed, batchToProto(b))
+		}
+		l.enqueueLocked(sub, u)
+	}
+}
+
+// broadcastBatch passes changes of the store on.
+func (l *leader) broadcastBatch(b relayfeed.Batch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.updateLocked()
+	u.Feed = []*pb.FeedBatch{batchToProto(b)}
+	for sub := range l.subscribers {
+		if sub.fed {
+			l.enqueueLocked(sub, u)
+		}
 	}
 }
 
@@ -574,30 +634,36 @@
 func (l *leader) broadcast(targets []*pb.TargetState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.feedLocked()
 	u := l.updateLocked()
 	u.Targets = targets
 	l.broadcastLocked(u)
 	l.agent.learn(targets)
 }
 
-// broadcastLocked sends an update to all followers. A follower that does not keep
-// up is dropped; it comes back and gets all tables. The caller holds mu.
+// broadcastLocked sends an update to all followers. The caller holds mu.
 func (l *leader) broadcastLocked(u *pb.ShardUpdate) {
 	if vms := l.vmsLocked(); !slices.Equal(vms, l.vms) {
 		l.vms, u.Vms = vms, vms
 	}
 	for sub := range l.subscribers {
-		select {
-		case sub.queue <- u:
-		default:
-			delete(l.subscribers, sub)
-			sub.dropped = true
-			close(sub.queue)
-		}
+		l.enqueueLocked(sub, u)
 	}
 	l.agent.takeVMs(u.GetVms())
 }
 
+// enqueueLocked sends an update to a follower. One that does not keep up is dropped;
+// it comes back and gets all tables. The caller holds mu.
+func (l *leader) enqueueLocked(sub *subscriber, u *pb.ShardUpdate) {
+	select {
+	case sub.queue <- u:
+	default:
+		delete(l.subscribers, sub)
+		sub.dropped = true
+		close(sub.queue)
+	}
+}
+
 func (l *leader) sendUpdates(ctx context.Context, cancel func(), s *peer.Stream, sub *subscriber) {
 	defer cancel()
 	defer s.Close()
--- a/shard/wire.go
+++ b/shard/wire.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/relayfeed"
 )
 
 func tableToProto(service string, t *Table) *pb.RangeTable {
@@ -84,3 +86,24 @@
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Keys.From, b.Keys.From) })
 	return out
 }
+
+func batchToProto(b relayfeed.Batch) *pb.FeedBatch {
+	m := &pb.FeedBatch{Prefix: b.Prefix, After: uint64(b.After), At: uint64(b.At), Reset_: b.Reset}
+	for _, e := range b.Events {
+		m.Events = append(m.Events, &pb.FeedEvent{Key: e.Key, Value: e.Value, Version: uint64(e.Version), Deleted: e.Deleted})
+	}
+	return m
+}
+
+func batchFromProto(m *pb.FeedBatch) relayfeed.Batch {
+	b := relayfeed.Batch{
+		Prefix: m.GetPrefix(), After: store.Version(m.GetAfter()), At: store.Version(m.GetAt()), Reset: m.GetReset_(),
+	}
+	for _, e := range m.GetEvents() {
+		b.Events = append(b.Events, store.Event{
+			Object:  store.Object{Key: e.GetKey(), Value: e.GetValue(), Version: store.Version(e.GetVersion())},
+			Deleted: e.GetDeleted(),
+		})
+	}
+	return b
+}
--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -120,8 +120,12 @@
 // failure of a poll is retried soon: a server may cut waiting polls at any time.
 func (f *Follower) fail(err error) time.Duration {
 	f.failures++
+	if isTimeout(err) {
+		// The store was silent for the whole call: entries may lapse meanwhile.
+		f.failures = max(f.failures, failuresOfLoss)
+	}
 	f.opts.Logger.Info("store call failed", "prefix", f.opts.Prefix, "failures", f.failures, "error", err.Error())
-	if f.failures == failuresOfLoss && !f.lost {
+	if f.failures >= failuresOfLoss && !f.lost {
 		f.lost = true
 		f.opts.Logger.Warn("store lost", "prefix", f.opts.Prefix, "error", err.Error())
 		f.opts.Consumer.Lost()
@@ -130,6 +134,11 @@
 	return wait/2 + rand.N(wait/2+1)
 }
 
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 func (f *Follower) regained() {
 	f.failures = 0
 	if !f.lost {
--- a/store/follow/follow_test.go
+++ b/store/follow/follow_test.go
@@ -146,3 +146,39 @@
 		is.Equal(m.lost, 0)
 	})
 }
+
+// silent lets one call of a kind end by its timeout.
+type silent struct {
+	*memstore.Store
+	next atomic.Bool
+}
+
+type timeout struct{}
+
+func (timeout) Error() string { return "no answer" }
+func (timeout) Timeout() bool { return true }
+
+func (s *silent) Poll(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
+	if s.next.Swap(false) {
+		return nil, 0, timeout{}
+	}
+	return s.Store.Poll(ctx, prefix, after, wait)
+}
+
+// Entries lapse while the store is silent, so one call that got no answer is enough.
+func TestOneSilentCallIsALoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		feed := &silent{Store: memstore.New(memstore.Options{})}
+		feed.next.Store(true)
+		m := &mirror{}
+		f := follow.New(follow.Options{Feed: feed, Prefix: "a/", Consumer: m})
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(m.lost, 1)
+		is.Equal(m.restored, 1)
+	})
+}
--- /dev/null
+++ b/store/relayfeed/relayfeed.go
@@ -0,0 +1,301 @@
+// Package relayfeed lets many VMs follow the store through one that reads it. The
+// reader passes on what its polls return; the others poll the store themselves only
+// while that does not reach them, from the revision up to which they know.
+//
+// It answers the calls of a fleet: each change would otherwise end a poll of every VM.
+package relayfeed
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/store"
+)
+
+// Batch holds the changes under a prefix between two revisions.
+type Batch struct {
+	Prefix    string
+	After, At store.Version
+	Events    []store.Event
+	// Reset is set if changes before At may be missing, so that a list is needed.
+	Reset bool
+}
+
+// Options of a Feed.
+type Options struct {
+	// Direct reads the store.
+	Direct store.Feed
+	// Kept is the number of batches of a prefix that are kept for VMs that follow
+	// this one later. Default 1024.
+	Kept int
+	// CatchUp bounds the changes that a VM which follows this one is sent at first; one
+	// that lacks more reads the store. Default 50.
+	CatchUp int
+	// OnBatch is told each batch that this VM takes, from the store or from another VM.
+	OnBatch func(Batch)
+}
+
+// Feed is a store.Feed over the store and the VM that reads it for others.
+type Feed struct {
+	opts Options
+
+	mu      sync.Mutex
+	logs    map[string]*changeLog
+	streams map[string]*stream
+	// fresh is set while the reader's batches can be relied on.
+	fresh bool
+	// changed is closed and replaced when batches arrive or fresh changes.
+	changed chan struct{}
+	// failing are the prefixes whose last read of the store failed.
+	failing map[string]bool
+}
+
+// changeLog is what this VM knows of a prefix.
+type changeLog struct {
+	// base is the revision after which all changes are in batches.
+	base, at store.Version
+	batches  []Batch
+}
+
+// stream is what the reader has sent of a prefix and was not taken yet.
+type stream struct {
+	// from is the revision after which the batches have no gap; at is that of the last.
+	from, at store.Version
+	batches  []Batch
+	// resetAt is the revision before which changes may be missing.
+	resetAt store.Version
+}
+
+var _ store.Feed = (*Feed)(nil)
+
+// New returns a Feed that reads the store itself.
+func New(opts Options) *Feed {
+	opts.Kept, opts.CatchUp = cmp.Or(opts.Kept, 1024), cmp.Or(opts.CatchUp, 50)
+	return &Feed{
+		opts: opts, logs: map[string]*changeLog{}, streams: map[string]*stream{},
+		changed: make(chan struct{}), failing: map[string]bool{},
+	}
+}
+
+// List implements store.Feed. It always reads the store.
+func (f *Feed) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	objects, at, err := f.opts.Direct.List(ctx, prefix)
+	f.noteRead(prefix, err)
+	if err == nil {
+		f.record(Batch{Prefix: prefix, After: at, At: at, Reset: true})
+	}
+	return objects, at, err
+}
+
+// Poll implements store.Feed. It waits for the reader while that can be relied on.
+func (f *Feed) Poll(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		b, state, changed := f.relayed(prefix, after)
+		switch state {
+		case relayHas:
+			f.record(b)
+			return b.Events, b.At, nil
+		case relayReset:
+			return nil, 0, errors.WithMessagef(store.ErrCompacted, "%s: the reader of the store listed it anew", prefix)
+		case relayNone:
+			return f.pollStore(ctx, prefix, after, wait)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (f *Feed) pollStore(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
+	events, at, err := f.opts.Direct.Poll(ctx, prefix, after, wait)
+	if !errors.Is(err, store.ErrCompacted) {
+		f.noteRead(prefix, err)
+	}
+	if err == nil {
+		f.record(Batch{Prefix: prefix, After: after, At: max(at, after), Events: events})
+	}
+	return events, at, err
+}
+
+// relayState says what the reader has for a poll.
+type relayState int
+
+const (
+	// relayNone: the store must be polled.
+	relayNone relayState = iota
+	// relayWaits: nothing new has come yet.
+	relayWaits
+	// relayHas: changes have come.
+	relayHas
+	// relayReset: changes may be missing.
+	relayReset
+)
+
+// relayed returns the changes after a revision that the reader has sent, as one
+// batch, and the channel that is closed when more comes. A batch that holds changes
+// before the revision too is returned whole: taken in order, it ends in the same state,
+// while a deletion alone could undo a later creation.
+func (f *Feed) relayed(prefix string, after store.Version) (Batch, relayState, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.streams[prefix]
+	if !f.fresh || s == nil {
+		return Batch{}, relayNone, nil
+	}
+	if after < s.resetAt {
+		return Batch{}, relayReset, nil
+	}
+	if after < s.from {
+		return Batch{}, relayNone, nil
+	}
+	out := Batch{Prefix: prefix, After: after, At: after}
+	for _, b := range s.batches {
+		if b.At > after {
+			out.At = b.At
+			out.Events = append(out.Events, b.Events...)
+		}
+	}
+	if out.At == after {
+		return Batch{}, relayWaits, f.changed
+	}
+	s.from, s.batches = out.At, nil
+	return out, relayHas, nil
+}
+
+// noteRead notes whether the store answered.
+func (f *Feed) noteRead(prefix string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failing[prefix] = err != nil
+}
+
+// Healthy reports whether the last reads of the store succeeded.
+func (f *Feed) Healthy() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, failing := range f.failing {
+		if failing {
+			return false
+		}
+	}
+	return len(f.failing) > 0
+}
+
+// record keeps a batch that this VM has taken, and tells of it.
+func (f *Feed) record(b Batch) {
+	f.mu.Lock()
+	l := f.logs[b.Prefix]
+	if l == nil {
+		l = &changeLog{}
+		f.logs[b.Prefix] = l
+	}
+	switch {
+	case b.Reset:
+		l.base, l.at, l.batches = b.At, b.At, nil
+	default:
+		l.at = max(l.at, b.At)
+		l.batches = append(l.batches, b)
+		if over := len(l.batches) - f.opts.Kept; over > 0 {
+			l.base = l.batches[over-1].At
+			l.batches = slices.Delete(l.batches, 0, over)
+		}
+	}
+	f.mu.Unlock()
+	if f.opts.OnBatch != nil {
+		f.opts.OnBatch(b)
+	}
+}
+
+// Known returns the revision up to which this VM knows each prefix.
+func (f *Feed) Known() map[string]store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := make(map[string]store.Version, len(f.logs))
+	for prefix, l := range f.logs {
+		known[prefix] = l.at
+	}
+	return known
+}
+
+// Since returns, for a VM that knows the prefixes up to the revisions, one batch a
+// prefix with what it lacks. Where that is not kept, the batch starts at the
+// present: the VM must read the store up to there.
+func (f *Feed) Since(known map[string]store.Version) []Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Batch
+	for prefix, l := range f.logs {
+		b := Batch{Prefix: prefix, After: l.at, At: l.at}
+		if after, ok := known[prefix]; ok && after >= l.base && after <= l.at {
+			if events := l.since(after); len(events) <= f.opts.CatchUp {
+				b.After, b.Events = after, events
+			}
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// since returns the changes after a revision.
+func (l *changeLog) since(after store.Version) []store.Event {
+	var events []store.Event
+	for _, b := range l.batches {
+		if b.At > after {
+			events = append(events, b.Events...)
+		}
+	}
+	return events
+}
+
+// Begin forgets what an earlier reader has sent. The new one is not relied on until
+// SetFresh.
+func (f *Feed) Begin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams = map[string]*stream{}
+	f.fresh = false
+	f.wakeLocked()
+}
+
+// Take takes a batch of the reader.
+func (f *Feed) Take(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.streams[b.Prefix]
+	switch {
+	case s != nil && !b.Reset && b.After <= s.at:
+		s.batches = append(s.batches, b)
+		s.at = max(s.at, b.At)
+	case b.Reset:
+		f.streams[b.Prefix] = &stream{from: b.At, at: b.At, resetAt: b.At}
+	default:
+		f.streams[b.Prefix] = &stream{from: b.After, at: b.At, batches: []Batch{b}}
+	}
+	f.wakeLocked()
+}
+
+// SetFresh tells whether the reader is heard and reads the store.
+func (f *Feed) SetFresh(fresh bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fresh != fresh {
+		f.fresh = fresh
+		f.wakeLocked()
+	}
+}
+
+func (f *Feed) wakeLocked() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
--- /dev/null
+++ b/store/relayfeed/relayfeed_test.go
@@ -0,0 +1,192 @@
+package relayfeed_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/memstore"
+	"github.com/basiltally/basiltally/store/relayfeed"
+)
+
+const prefix = "a/"
+
+// counted counts the calls to a store that can be taken away.
+type counted struct {
+	*memstore.Store
+	lists, polls atomic.Int64
+	down         atomic.Bool
+}
+
+func (c *counted) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	c.lists.Add(1)
+	if c.down.Load() {
+		return nil, 0, store.ErrUnavailable
+	}
+	return c.Store.List(ctx, prefix)
+}
+
+func (c *counted) Poll(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
+	c.polls.Add(1)
+	if c.down.Load() {
+		return nil, 0, store.ErrUnavailable
+	}
+	return c.Store.Poll(ctx, prefix, after, wait)
+}
+
+type pair struct {
+	is             *is.I
+	store          *counted
+	reader, behind *relayfeed.Feed
+	readerAt       store.Version
+}
+
+// newPair returns a VM that reads the store and one that follows it, both after their list.
+func newPair(t *testing.T) *pair {
+	p := &pair{is: is.New(t), store: &counted{Store: memstore.New(memstore.Options{})}}
+	p.behind = relayfeed.New(relayfeed.Options{Direct: p.store})
+	p.reader = relayfeed.New(relayfeed.Options{Direct: p.store, OnBatch: func(b relayfeed.Batch) { p.behind.Take(b) }})
+	p.put("a/0")
+	_, _, err := p.behind.List(t.Context(), prefix)
+	p.is.NoErr(err)
+	_, p.readerAt, err = p.reader.List(t.Context(), prefix)
+	p.is.NoErr(err)
+	p.behind.Begin()
+	for _, b := range p.reader.Since(p.behind.Known()) {
+		p.behind.Take(b)
+	}
+	p.behind.SetFresh(true)
+	return p
+}
+
+func (p *pair) put(key string) store.Version {
+	v, err := p.store.Put(context.Background(), key, []byte("1"), 0)
+	p.is.NoErr(err)
+	return v
+}
+
+// read lets the reader poll once.
+func (p *pair) read() {
+	_, at, err := p.reader.Poll(context.Background(), prefix, p.readerAt, time.Second)
+	p.is.NoErr(err)
+	p.readerAt = at
+}
+
+// poll returns the keys that the follower sees next.
+func (p *pair) poll(after store.Version) ([]string, store.Version) {
+	events, at, err := p.behind.Poll(context.Background(), prefix, after, time.Second)
+	p.is.NoErr(err)
+	var keys []string
+	for _, e := range events {
+		keys = append(keys, e.Key)
+	}
+	return keys, at
+}
+
+func TestFollowerMakesNoCallsWhileTheReaderIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		for _, key := range []string{"a/1", "a/2"} {
+			p.put(key)
+			p.read()
+			var keys []string
+			keys, at = p.poll(at)
+			p.is.Equal(keys, []string{key})
+		}
+		keys, _ := p.poll(at) // Nothing new within the wait.
+		p.is.Equal(len(keys), 0)
+		p.is.Equal(p.store.polls.Load(), int64(2)) // The reader's.
+		p.is.Equal(p.store.lists.Load(), int64(2))
+	})
+}
+
+func TestFollowerPollsTheStoreOnceTheReaderIsNotReliedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			p.put("a/1")
+			p.behind.SetFresh(false)
+		}()
+		keys, _ := p.poll(at) // Waited for the reader, then read the store.
+		p.is.Equal(keys, []string{"a/1"})
+		p.is.Equal(p.store.polls.Load(), int64(1))
+	})
+}
+
+func TestReaderThatListedAnewMakesFollowersList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		p.put("a/1")
+		_, _, err := p.reader.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		_, _, err = p.behind.Poll(t.Context(), prefix, at, time.Second)
+		p.is.True(errors.Is(err, store.ErrCompacted))
+		_, at, err = p.behind.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		keys, _ := p.poll(at) // Goes on with the reader.
+		p.is.Equal(len(keys), 0)
+		p.is.Equal(p.store.polls.Load(), int64(0))
+	})
+}
+
+func TestFollowerOfANewReaderGetsWhatItLacks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		p.behind.Begin() // The stream broke; meanwhile a change is missed.
+		p.put("a/1")
+		p.read()
+		p.behind.Begin()
+		for _, b := range p.reader.Since(p.behind.Known()) {
+			p.behind.Take(b)
+		}
+		p.behind.SetFresh(true)
+		keys, _ := p.poll(at)
+		p.is.Equal(keys, []string{"a/1"})
+		p.is.Equal(p.store.polls.Load(), int64(1)) // The reader's.
+	})
+}
+
+// A follower that is behind what the reader has kept reads the store up to there.
+func TestGapIsReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		p.put("a/1")
+		late := relayfeed.New(relayfeed.Options{Direct: p.store})
+		_, _, err := late.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.behind.Begin()
+		for _, b := range late.Since(p.behind.Known()) {
+			p.behind.Take(b)
+		}
+		p.behind.SetFresh(true)
+		keys, at := p.poll(at)
+		p.is.Equal(keys, []string{"a/1"})
+		p.is.Equal(p.store.polls.Load(), int64(1))
+		keys, _ = p.poll(at)
+		p.is.Equal(len(keys), 0)
+		p.is.Equal(p.store.polls.Load(), int64(1))
+	})
+}
+
+func TestReaderThatLostTheStoreIsNotHealthy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		p.is.True(p.reader.Healthy())
+		p.store.down.Store(true)
+		_, _, err := p.reader.Poll(t.Context(), prefix, p.readerAt, time.Second)
+		p.is.True(errors.Is(err, store.ErrUnavailable))
+		p.is.True(!p.reader.Healthy())
+	})
+}
