Count requests that wait for a connection to an owner; keep a heavy key where it is for 10 s

Ruled out: refusals by the owner itself (369 at once).

Change: the estimate counts the turns at the VM's own connections, so that the reads are refused at once; a range of one key, which was moved for its load before, rests for 10 s.

Test: TestRequestsThatWaitForAConnectionAreCounted (failed before).

--- a/placing/placing.go
+++ b/placing/placing.go
@@ -399,12 +399,20 @@
 }
 
 // delays returns what the requests at the target add to the next one, in service
-// times: by sharing the target with it, and by being ahead of it in the queue.
+// times: by sharing the target with it, and by being ahead of it in the queue, there
+// or here while all connections to the target that this VM may have are in use.
 func (b *Board) delays(s *stat, site *Site, now time.Time) (crowding, queueing float64) {
 	slots := float64(max(site.Slots, 1))
-	ahead := b.load(s, now)
+	waitsHere := max(len(s.inFlight)-b.maxInFlight, 0)
+	ahead := b.load(s, now) - float64(waitsHere)
 	// Work shares the target before all slots are busy: a little is added from the first.
-	return crowdCost * math.Pow(min(ahead/slots, 1), 2), max(ahead+1-slots, 0) / slots
+	crowding = crowdCost * math.Pow(min(ahead/slots, 1), 2)
+	queueing = max(ahead+1-slots, 0) / slots
+	if len(s.inFlight) >= b.maxInFlight {
+		turns := float64(waitsHere+1) / float64(b.maxInFlight)
+		queueing += turns * (1 + crowding + queueing)
+	}
+	return crowding, queueing
 }
 
 // load is the number of requests at the target: own ones, and others as told.
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -317,6 +317,23 @@
 	is.True(late < 0.1)
 }
 
+// A VM that may have one connection to an owner knows that its second request waits
+// for the first to end, and its third for both.
+func TestRequestsThatWaitForAConnectionAreCounted(t *testing.T) {
+	is := is.New(t)
+	b := New(Options{ServiceTime: 100 * time.Millisecond})
+	b.SetMaxInFlight(1)
+	site := Site{ID: "a", Slots: 6}
+	_, wait := b.Expected(&site)
+	is.Equal(wait, time.Duration(0))
+	b.Begin(&site)
+	_, first := b.Expected(&site)
+	is.True(first >= 100*time.Millisecond)
+	b.Begin(&site)
+	_, second := b.Expected(&site)
+	is.True(second >= first+100*time.Millisecond)
+}
+
 func TestNearTargetsComeFirst(t *testing.T) {
 	is := is.New(t)
 	b := New(Options{DataCentre: "a", Region: "r"})
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -34,8 +34,8 @@
 	// Faster is how many times its owner's capacity a target must have to get a
 	// heavy key. Default 1.25.
 	Faster float64
-	// HeavyRest is how long a heavy key stays with its owner. Default 3 s: each move
-	// stalls it until its running work has ended.
+	// HeavyRest is how long a heavy key stays with its owner. Default 10 s: each move
+	// stalls it until its running work has ended, and hot spots last about 5 s.
 	HeavyRest time.Duration
 }
 
@@ -46,7 +46,7 @@
 	o.Rest = cmp.Or(o.Rest, 500*time.Millisecond)
 	o.HeavyShare = cmp.Or(o.HeavyShare, 0.4)
 	o.Faster = cmp.Or(o.Faster, 1.25)
-	o.HeavyRest = cmp.Or(o.HeavyRest, 3*time.Second)
+	o.HeavyRest = cmp.Or(o.HeavyRest, 10*time.Second)
 	return o
 }
 
@@ -361,7 +361,12 @@
 // moveHeavy moves a heavy key to a clearly faster target, if there is one.
 func (p *planner) moveHeavy(i int, key Key, from *planTarget) bool {
 	o := p.owned[i]
-	if !o.Settled || p.now-o.Since < p.opts.HeavyRest {
+	rest := p.opts.Rest
+	if o.Keys.Size() == 1 {
+		// It was moved as a heavy key before.
+		rest = p.opts.HeavyRest
+	}
+	if !o.Settled || p.now-o.Since < rest {
 		return false
 	}
 	var best *planTarget
