Pass on small changes only, and keep the assigner's role on VMs with a wide link

A configuration is 10 KB and more; in a storm a batch held three of them, for 78 VMs each 200 ms: 90 Mbit/s, from VMs with 10 or 200. The reports on targets alone fill 9 Mbit/s. Changes queued behind them for seconds on a live stream. Besides, a small VM became the assigner when the store refused the large one.

Change: a batch over 8 KiB is not passed on, all VMs read it from the store; VMs that are not to be the assigner wait 0.8 s unless the last assigner told that there is no other, and look for a refused assigner only after the role's lease; the turns of those that look are as short as the updates.

Test: TestLargeChangeIsReadFromTheStore.

--- a/daemon/node_run.go
+++ b/daemon/node_run.go
@@ -48,8 +48,8 @@
 	// assignerLink is the bandwidth in Mbit/s that the assigner needs to tell some
 	// hundred VMs of all targets: 15 KB/s each.
 	assignerLink = 20
-	// smallVMReluctance is longer than the VMs need to find a lost assigner.
-	smallVMReluctance = 300 * time.Millisecond
+	// smallVMReluctance covers the span of the VMs' starts, 300 ms, and of a take-over.
+	smallVMReluctance = 800 * time.Millisecond
 	// roleNode introduces the process to its peers.
 	roleNode = "node"
 )
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -19,12 +19,12 @@
 
 // bench is a small platform on loopback: a store, targets and VMs of the system.
 type bench struct {
-	t       *testing.T
-	store   *standin.Store
-	address string
-	targets map[string]*standin.Target
-	servers map[string]*httptest.Server
-	nodes   []*benchNode
+	t          *testing.T
+	store      *standin.Store
+	address    string
+	targets    map[string]*standin.Target
+	servers    map[string]*httptest.Server
+	nodes      []*benchNode
 	relayAbove int
 	// requests is the number of requests sent.
 	requests int
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -87,7 +87,7 @@
 	// checkers is the number of VMs that look at a time whether the store answers them
 	// but not the assigner, and checkTurn how long it is their turn.
 	checkers  = 3
-	checkTurn = time.Second
+	checkTurn = updateInterval
 	// firstPause spreads the first reads of VMs that start together.
 	firstPause = 50 * time.Millisecond
 	// refusalPause separates the two refused connections that show that the
@@ -112,8 +112,10 @@
 	// following is the address of the assigner that this VM follows.
 	following string
 	// heard is what the assigner last said of its role.
-	heard    heard
-	resigned atomic.Bool
+	heard heard
+	// othersWilling is set until an assigner tells that no other VM is to be preferred.
+	othersWilling bool
+	resigned      atomic.Bool
 }
 
 // heard is an assigner's word on when the store last confirmed it.
@@ -124,7 +126,7 @@
 
 // NewAgent returns an Agent that knows no tables.
 func NewAgent(opts AgentOptions) *Agent {
-	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{})}
+	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersWilling: true}
 	a.tables.Store(&map[string]*Table{})
 	return a
 }
@@ -176,7 +178,7 @@
 
 // Run follows the assigner, or is it, until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
-	pause(ctx, mathrand.N(firstPause)+a.opts.Reluctance)
+	pause(ctx, mathrand.N(firstPause)+a.reluctance())
 	a.readTables(ctx)
 	s := seeker{agent: a}
 	for ctx.Err() == nil {
@@ -249,7 +251,17 @@
 	a.mu.Lock()
 	vms := len(a.peers)
 	a.mu.Unlock()
-	pause(ctx, seekPause+mathrand.N(seekPause+time.Duration(vms)*seekSpread)+a.opts.Reluctance)
+	pause(ctx, seekPause+mathrand.N(seekPause+time.Duration(vms)*seekSpread)+a.reluctance())
+}
+
+// reluctance is how much longer this VM waits than those that are to be preferred.
+func (a *Agent) reluctance() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.othersWilling {
+		return 0
+	}
+	return a.opts.Reluctance
 }
 
 // vacancy says why the role may be taken over, and until when the last assigner
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -88,7 +88,7 @@
 // isChecker reports whether it is this VM's turn to look whether the store answers
 // others than the assigner. The turns go round, since it may refuse some VMs.
 func (a *Agent) isChecker(unconfirmed time.Duration) bool {
-	if a.resigned.Load() {
+	if a.resigned.Load() || a.reluctance() > 0 && unconfirmed < a.opts.RoleLease {
 		return false
 	}
 	a.mu.Lock()
@@ -138,6 +138,7 @@
 func (a *Agent) hear(u *pb.ShardUpdate) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.othersWilling = u.GetWilling() > 0
 	a.heard = heard{
 		term: u.GetTerm(), beat: u.GetBeat(),
 		confirmedAt: boottime.Now() - time.Duration(u.GetConfirmedMsAgo())*time.Millisecond,
@@ -193,7 +194,7 @@
 
 func (a *Agent) report() *pb.Envelope {
 	r := a.opts.Report()
-	r.Address = a.opts.Address
+	r.Address, r.Reluctant = a.opts.Address, a.opts.Reluctance > 0
 	if a.opts.Feed != nil {
 		for prefix, at := range a.opts.Feed.Known() {
 			r.Known = append(r.Known, &pb.FeedPosition{Prefix: prefix, At: uint64(at)})
--- a/shard/lead.go
+++ b/shard/lead.go
@@ -109,6 +109,8 @@
 	queue   chan *pb.ShardUpdate
 	// known are the revisions of the store that it has reported.
 	known map[string]store.Version
+	// reluctant is set if it leaves the role to others.
+	reluctant bool
 	// fed is set once changes of the store are passed on to it.
 	fed bool
 	// dropped is set once the queue is closed.
@@ -532,7 +534,7 @@
 	if _, ok := l.subscribers[sub]; ok || sub.dropped {
 		return
 	}
-	sub.address = r.GetAddress()
+	sub.address, sub.reluctant = r.GetAddress(), r.GetReluctant()
 	l.subscribers[sub] = struct{}{}
 	u := l.updateLocked()
 	u.Vms = l.vmsLocked()
@@ -553,9 +555,24 @@
 	return &pb.ShardUpdate{
 		Term: l.term, Beat: l.beats.Load(),
 		ConfirmedMsAgo: uint32(l.confirmedAgo().Milliseconds()), FeedFresh: l.feedFreshLocked(),
+		Willing: l.willingLocked(),
 	}
 }
 
+// willingLocked counts the VMs that do not leave the role to others. The caller holds mu.
+func (l *leader) willingLocked() uint32 {
+	n := uint32(0)
+	if l.agent.opts.Reluctance == 0 {
+		n++
+	}
+	for sub := range l.subscribers {
+		if !sub.reluctant {
+			n++
+		}
+	}
+	return n
+}
+
 // confirmedAgo is the time since the store last confirmed the role.
 func (l *leader) confirmedAgo() time.Duration {
 	return boottime.Now() - time.Duration(l.confirmedAt.Load())
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -36,7 +36,11 @@
 	// CatchUp bounds the changes that a VM which follows this one is sent at first; one
 	// that lacks more reads the store. Default 50.
 	CatchUp int
-	// OnBatch is told each batch that this VM takes, from the store or from another VM.
+	// MaxBatch is the number of bytes of values up to which a batch is passed on. All
+	// VMs read a larger one from the store, whose link is wider than a VM's. Default 8 KiB.
+	MaxBatch int
+	// OnBatch is told each batch that this VM takes, from the store or from another VM,
+	// to pass it on.
 	OnBatch func(Batch)
 }
 
@@ -76,6 +80,7 @@
 // New returns a Feed that reads the store itself.
 func New(opts Options) *Feed {
 	opts.Kept, opts.CatchUp = cmp.Or(opts.Kept, 1024), cmp.Or(opts.CatchUp, 50)
+	opts.MaxBatch = cmp.Or(opts.MaxBatch, 8<<10)
 	return &Feed{
 		opts: opts, logs: map[string]*changeLog{}, streams: map[string]*stream{},
 		changed: make(chan struct{}), failing: map[string]bool{},
@@ -200,8 +205,12 @@
 		l = &changeLog{}
 		f.logs[b.Prefix] = l
 	}
+	if size(b) > f.opts.MaxBatch {
+		// As if the changes had not been seen here.
+		b.After, b.Events = b.At, nil
+	}
 	switch {
-	case b.Reset:
+	case b.Reset || b.After > l.at:
 		l.base, l.at, l.batches = b.At, b.At, nil
 	default:
 		l.at = max(l.at, b.At)
@@ -217,6 +226,14 @@
 	}
 }
 
+func size(b Batch) int {
+	n := 0
+	for _, e := range b.Events {
+		n += len(e.Value)
+	}
+	return n
+}
+
 // Known returns the revision up to which this VM knows each prefix.
 func (f *Feed) Known() map[string]store.Version {
 	f.mu.Lock()
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -190,3 +190,22 @@
 		p.is.True(!p.reader.Healthy())
 	})
 }
+
+// A large change is not passed on: followers read it from the store, then go on.
+func TestLargeChangeIsReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		_, err := p.store.Put(t.Context(), "a/1", make([]byte, 9<<10), 0)
+		p.is.NoErr(err)
+		p.read()
+		keys, at := p.poll(at)
+		p.is.Equal(keys, []string{"a/1"})
+		p.is.Equal(p.store.polls.Load(), int64(2))
+		p.put("a/2")
+		p.read()
+		keys, _ = p.poll(at)
+		p.is.Equal(keys, []string{"a/2"})
+		p.is.Equal(p.store.polls.Load(), int64(3))
+	})
+}
