Announce a take-over to the other VMs; leave waiting polls to the assigner; take SIGTERM more than once

Found by the soak: a second SIGTERM within a stop ended the process and cut off a filing at work.

Change: the assigner announces its term to all peers; a VM that follows a lower term leaves it, and a superseded assigner stops. A poll that waits at the store is left once the assigner covers it. SIGTERM during a stop changes nothing, SIGINT ends at once.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -18,7 +18,7 @@
 	ExitOK       = 0
 	ExitFailure  = 1
 	ExitSettings = 2
-	// ExitForced follows a second signal during a graceful stop.
+	// ExitForced follows a SIGINT during a graceful stop.
 	ExitForced = 3
 )
 
@@ -29,10 +29,11 @@
 	Version       kong.VersionFlag `help:"Print the version and exit."`
 }
 
-const description = `Exit codes: 0 clean stop, 1 failure, 2 wrong settings, 3 stopped by a second signal.
+const description = `Exit codes: 0 clean stop, 1 failure, 2 wrong settings, 3 stopped by SIGINT during a stop.
 
 SIGTERM or SIGINT stops gracefully: no new work, everything in flight is
-finished. A second one stops at once and cuts off what is in flight.`
+finished. SIGTERM again changes nothing; SIGINT during a stop ends the process at
+once and cuts off what is in flight.`
 
 // Main runs a process from its command line: S is its settings file.
 func Main[S any](name string, s *S, run func(context.Context, *S) error) {
@@ -69,7 +70,8 @@
 	}
 }
 
-// signalContext ends with the first signal; the second ends the process.
+// signalContext ends with the first signal. SIGINT after it ends the process; SIGTERM
+// does not, since whoever stops processes may send it more than once.
 func signalContext() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
@@ -77,8 +79,11 @@
 	go func() {
 		<-signals
 		cancel()
-		<-signals
-		os.Exit(ExitForced)
+		for s := range signals {
+			if s == syscall.SIGINT {
+				os.Exit(ExitForced)
+			}
+		}
 	}()
 	return ctx
 }
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,9 +20,10 @@
 
 // bench is a small platform on loopback: a store, targets and VMs of the system.
 type bench struct {
-	t          *testing.T
-	store      *standin.Store
-	address    string
+	t     *testing.T
+	store *standin.Store
+	// doors are the VMs' ways to the store.
+	doors      []*httptest.Server
 	targets    map[string]*standin.Target
 	servers    map[string]*httptest.Server
 	nodes      []*benchNode
@@ -31,7 +33,10 @@
 }
 
 type benchNode struct {
-	name     string
+	name   string
+	router *routerNode
+	// refused is set while the store refuses this VM.
+	refused  *atomic.Bool
 	settings *NodeSettings
 	stop     context.CancelFunc
 	done     chan error
@@ -39,13 +44,13 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, relayAbove: 24, store: standin.NewStore(), targets: map[string]*standin.Target{}, servers: map[string]*httptest.Server{}}
-	server := httptest.NewServer(b.store)
-	b.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
 		b.stopAll()
 		b.store.SetFault(standin.Busy) // Ends the waiting polls.
-		server.CloseClientConnections()
-		server.Close()
+		for _, s := range b.doors {
+			s.CloseClientConnections()
+			s.Close()
+		}
 		for _, s := range b.servers {
 			s.CloseClientConnections()
 			s.Close()
@@ -99,9 +104,18 @@
 }
 
 func (b *bench) startNode(name string) *benchNode {
+	refused := &atomic.Bool{}
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refused.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		b.store.ServeHTTP(w, r)
+	}))
+	b.doors = append(b.doors, door)
 	s := &NodeSettings{
 		Process: Process{VM: name, Region: "r1", DataCentre: "dc1"},
-		Store:   Store{Address: b.address, Timeout: time.Second},
+		Store:   Store{Address: door.Listener.Addr().String(), Timeout: time.Second},
 		Peer:    Peer{Listen: freeAddress(b.t)},
 		Gateway: GatewaySettings{
 			Listen: freeAddress(b.t), ReadyListen: freeAddress(b.t), Regions: []string{"dc1=r1"},
@@ -112,8 +126,9 @@
 	}
 	s.Telemetry.Listen = freeAddress(b.t)
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &benchNode{name: name, settings: s, stop: cancel, done: make(chan error, 1)}
-	go func() { n.done <- newRouterNode(s, slog.New(slog.DiscardHandler)).run(ctx) }()
+	n := &benchNode{name: name, settings: s, stop: cancel, done: make(chan error, 1), refused: refused}
+	n.router = newRouterNode(s, slog.New(slog.DiscardHandler))
+	go func() { n.done <- n.router.run(ctx) }()
 	b.nodes = append(b.nodes, n)
 	return n
 }
@@ -245,6 +260,25 @@
 	})
 }
 
+// The store refuses the assigner and another VM. A third takes over, and the refused
+// ones follow it though they cannot read who it is.
+func TestRefusedVMsFollowTheNextAssigner(t *testing.T) {
+	b := newBench(t)
+	nodes := []*benchNode{b.startReadyNode("vm1"), b.startReadyNode("vm2"), b.startReadyNode("vm3")}
+	b.eventually("all keys are served through all VMs", func() bool {
+		return b.allKeysServed(nodes[0]) && b.allKeysServed(nodes[1]) && b.allKeysServed(nodes[2])
+	})
+	term := func(n *benchNode) uint64 { return n.router.agent.Table("keyed").Version.Term }
+	first := term(nodes[0])
+	nodes[0].refused.Store(true) // The first to start is the assigner.
+	nodes[1].refused.Store(true)
+	b.eventually("the VM that is served takes over", func() bool { return term(nodes[2]) > first })
+	began := time.Now()
+	b.eventually("the refused VMs follow it", func() bool { return term(nodes[0]) > first && term(nodes[1]) > first })
+	// Far less than a refusal lasts; without word of it they would wait for the store.
+	is.New(t).True(time.Since(began) < 2*time.Second)
+}
+
 // An unrepeatable request whose answer is lost is run once and not called refused.
 func TestLostAnswerOfAnUnrepeatableRequest(t *testing.T) {
 	is := is.New(t)
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/fleet"
@@ -88,6 +89,8 @@
 	// but not the assigner, and checkTurn how long it is their turn.
 	checkers  = 3
 	checkTurn = updateInterval
+	// announceAtOnce bounds the announcements under way.
+	announceAtOnce = 16
 	// firstPause spreads the first reads of VMs that start together.
 	firstPause = 50 * time.Millisecond
 	// refusalPause separates the two refused connections that show that the
@@ -113,6 +116,10 @@
 	following string
 	// heard is what the assigner last said of its role.
 	heard heard
+	// hints receives the address of an assigner that has announced itself.
+	hints chan string
+	// leave ends the stream to the assigner that this VM follows.
+	leave context.CancelFunc
 	// othersWilling is set until an assigner tells that no other VM is to be preferred.
 	othersWilling bool
 	resigned      atomic.Bool
@@ -126,7 +133,7 @@
 
 // NewAgent returns an Agent that knows no tables.
 func NewAgent(opts AgentOptions) *Agent {
-	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersWilling: true}
+	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersWilling: true, hints: make(chan string, 1)}
 	a.tables.Store(&map[string]*Table{})
 	return a
 }
@@ -251,7 +258,14 @@
 	a.mu.Lock()
 	vms := len(a.peers)
 	a.mu.Unlock()
-	pause(ctx, seekPause+mathrand.N(seekPause+time.Duration(vms)*seekSpread)+a.reluctance())
+	select {
+	case <-ctx.Done():
+	case address := <-a.hints:
+		if err := a.follow(ctx, address); err != nil {
+			a.opts.Logger.Info("announced assigner left", "address", address, "error", err.Error())
+		}
+	case <-time.After(seekPause + mathrand.N(seekPause+time.Duration(vms)*seekSpread) + a.reluctance()):
+	}
 }
 
 // reluctance is how much longer this VM waits than those that are to be preferred.
@@ -339,6 +353,7 @@
 	if a.resigned.Load() {
 		l.stop(errStopping)
 	}
+	go a.announce(ctx, r.Term)
 	err = l.run(r, version)
 	a.mu.Lock()
 	a.leading = nil
@@ -346,6 +361,78 @@
 	a.opts.Logger.Info("no longer the assigner", "term", r.Term, "reason", err.Error())
 }
 
+// announce tells the other VMs that this one is the assigner, so that those which the
+// store refuses, and a superseded assigner, learn of it.
+func (a *Agent) announce(ctx context.Context, term uint64) {
+	a.mu.Lock()
+	peers := append(slices.Clone(a.peers), a.opts.Seeds...)
+	a.mu.Unlock()
+	slices.Sort(peers)
+	var g errgroup.Group
+	g.SetLimit(announceAtOnce)
+	for _, address := range slices.Compact(peers) {
+		if address == a.opts.Address {
+			continue
+		}
+		g.Go(func() error {
+			if err := a.announceTo(ctx, address, term); err != nil {
+				a.opts.Logger.Debug("take-over not announced", "address", address, "term", term, "error", err.Error())
+			}
+			return nil
+		})
+	}
+	// The functions return no errors.
+	_ = g.Wait()
+}
+
+func (a *Agent) announceTo(ctx context.Context, address string, term uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
+	defer a.opts.Peers.Forget(address)
+	s, err := a.opts.Peers.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := s.Send(&pb.Envelope{Body: &pb.Envelope_ShardUpdate{ShardUpdate: &pb.ShardUpdate{
+		Term: term, Assigner: a.opts.Address,
+	}}}); err != nil {
+		return err
+	}
+	if err := s.SetReadDeadline(time.Now().Add(silence)); err != nil {
+		return err
+	}
+	// The peer closes the stream once it has read the message.
+	_, _ = s.Recv()
+	return nil
+}
+
+// heed takes the announcement of an assigner.
+func (a *Agent) heed(term uint64, address string) {
+	a.mu.Lock()
+	l, leave := a.leading, a.leave
+	known := a.heard.term
+	if l != nil {
+		known = l.term
+	}
+	a.mu.Unlock()
+	if term <= known {
+		return
+	}
+	a.opts.Logger.Info("assigner announced", "address", address, "term", term, "known_term", known)
+	select {
+	case <-a.hints: // An older one.
+	default:
+	}
+	a.hints <- address
+	if l != nil {
+		l.stop(errSuperseded)
+	}
+	if leave != nil {
+		leave()
+	}
+}
+
 // askPeers follows an assigner that another VM knows of.
 func (a *Agent) askPeers(ctx context.Context) {
 	a.mu.Lock()
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -37,6 +37,11 @@
 		return "", err
 	}
 	defer s.Close()
+	// An announcement of another assigner ends the wait for this one.
+	defer context.AfterFunc(ctx, func() { s.Close() })()
+	a.mu.Lock()
+	a.leave = cancel
+	a.mu.Unlock()
 	a.beginFeed()
 	go a.sendReports(ctx, s)
 	defer func() {
@@ -206,11 +211,22 @@
 // Serve answers a peer: as the assigner, or with the address of the one that
 // this VM follows. It is a peer.Handler.
 func (a *Agent) Serve(ctx context.Context, s *peer.Stream) {
+	if err := s.SetReadDeadline(time.Now().Add(silence)); err != nil {
+		return
+	}
+	first, err := s.Recv()
+	if err != nil {
+		return
+	}
+	if u := first.GetShardUpdate(); u != nil {
+		a.heed(u.GetTerm(), u.GetAssigner())
+		return
+	}
 	a.mu.Lock()
 	l, following := a.leading, a.following
 	a.mu.Unlock()
 	if l != nil {
-		l.serve(ctx, s)
+		l.serve(ctx, s, first.GetShardReport())
 		return
 	}
 	// A failure to send is seen by the peer.
--- a/shard/lead.go
+++ b/shard/lead.go
@@ -495,14 +495,22 @@
 	}
 }
 
-// serve registers a follower and hands its reports on.
-func (l *leader) serve(ctx context.Context, s *peer.Stream) {
+// serve registers a follower at its first report and hands its reports on.
+func (l *leader) serve(ctx context.Context, s *peer.Stream, first *pb.ShardReport) {
 	sub := &subscriber{queue: make(chan *pb.ShardUpdate, subscriberQueue)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go l.sendUpdates(ctx, cancel, s, sub)
 	defer l.unsubscribe(sub)
-	for ctx.Err() == nil {
+	for r := first; ctx.Err() == nil; {
+		if r != nil {
+			l.subscribe(sub, r)
+			select {
+			case l.reports <- r:
+			case <-l.done:
+				return
+			}
+		}
 		if err := s.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			return
 		}
@@ -510,16 +518,7 @@
 		if err != nil {
 			return
 		}
-		r := m.GetShardReport()
-		if r == nil {
-			continue
-		}
-		l.subscribe(sub, r)
-		select {
-		case l.reports <- r:
-		case <-l.done:
-			return
-		}
+		r = m.GetShardReport()
 	}
 }
 
--- /dev/null
+++ b/soak/client.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// host is the host of all routes.
+	host = "soak.example"
+	// callerTimeout is the time that callers wait.
+	callerTimeout = 1500 * time.Millisecond
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = time.Second
+	// callerPause is the mean pause of a caller between two requests.
+	callerPause = 30 * time.Millisecond
+	// onceMark is in the ids of requests that must not run twice.
+	onceMark = "-once"
+)
+
+func isOnce(id string) bool { return strings.HasSuffix(id, onceMark) }
+
+// caller sends requests to one node, on one connection as long as that is open.
+type caller struct {
+	name   string
+	node   *node
+	judge  *judge
+	rng    *rand.Rand
+	counts *counts
+	conn   net.Conn
+	reader *bufio.Reader
+	sent   int
+}
+
+// counts are what became of the requests.
+type counts struct {
+	served, refused, failed, lost, unreachable atomic.Int64
+}
+
+func (c *counts) String() string {
+	return fmt.Sprintf("served %d, refused %d, failed %d, no answer %d, no connection %d",
+		c.served.Load(), c.refused.Load(), c.failed.Load(), c.lost.Load(), c.unreachable.Load())
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.hangUp()
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(callerPause)))
+		c.request()
+	}
+}
+
+func (c *caller) hangUp() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// request sends one request of a random kind and judges its answer.
+func (c *caller) request() {
+	if c.conn == nil {
+		nc, err := net.DialTimeout("tcp", c.node.callers, connectTimeout)
+		if err != nil {
+			c.counts.unreachable.Add(1)
+			time.Sleep(100 * time.Millisecond)
+			return
+		}
+		c.conn, c.reader = nc, bufio.NewReader(nc)
+	}
+	c.sent++
+	id := fmt.Sprintf("%s-%d", c.name, c.sent)
+	method, path, body := http.MethodGet, "/keyed/"+id, ""
+	switch c.rng.IntN(3) {
+	case 0:
+		id += onceMark
+		method, path, body = http.MethodPost, "/once/"+id, "filing of "+id
+	case 1:
+		path = "/free/" + id
+	}
+	began := time.Now()
+	status, answer, err := c.exchange(id, method, path, body)
+	c.judgeAnswer(id, path, body, began, status, answer, err)
+}
+
+// exchange sends the request and reads the whole answer.
+func (c *caller) exchange(id, method, path, body string) (int, string, error) {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nRequest-Deadline-Ms: %d\r\nShard-Key: %d\r\n",
+		method, path, host, id, callerTimeout.Milliseconds(), c.rng.IntN(1<<16))
+	if body != "" {
+		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	if err := c.conn.SetDeadline(time.Now().Add(callerTimeout + connectTimeout)); err != nil {
+		return 0, "", err
+	}
+	if _, err := io.WriteString(c.conn, head+"\r\n"+body); err != nil {
+		return 0, "", err
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, "", err
+	}
+	if echoed := resp.Header.Get("Attempt-Id"); echoed != id && echoed != "" {
+		c.judge.breaks("own answers: %s got the answer to %s", id, echoed)
+	}
+	if resp.StatusCode < 300 && resp.Header.Get("Server-Seal") == "" {
+		c.judge.breaks("whole answers: %s got a success that no target made", id)
+	}
+	if resp.Close {
+		c.hangUp()
+	}
+	return resp.StatusCode, string(data), nil
+}
+
+func (c *caller) judgeAnswer(id, path, body string, began time.Time, status int, answer string, err error) {
+	switch {
+	case err != nil:
+		c.hangUp()
+		c.counts.lost.Add(1)
+		// Only the node's planned stop can have ended this connection.
+		if c.judge.ran(id) && c.node.onlyStopped(began.Add(-contact)) {
+			c.judge.breaks("planned stops: %s ran and got no answer from %s: %v", id, c.node.name, err)
+		}
+	case status < 300:
+		c.counts.served.Add(1)
+		if !strings.HasSuffix(answer, " "+path+" "+body) {
+			c.judge.breaks("whole answers: %s got %q", id, answer)
+		}
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest:
+		c.counts.refused.Add(1)
+		if isOnce(id) {
+			c.judge.said(id, strconv.Itoa(status)+" "+answer)
+		}
+	default:
+		c.counts.failed.Add(1)
+		if status < 500 && c.node.calm(began.Add(-contact)) {
+			c.judge.breaks("proper requests: %s got %d %q from %s", id, status, answer, c.node.name)
+		}
+	}
+}
--- /dev/null
+++ b/soak/node.go
@@ -0,0 +1,168 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// restartDelay is how long a process that has ended stays down, as on the platform.
+const restartDelay = 300 * time.Millisecond
+
+// node is a process of the system, started again whenever it ends.
+type node struct {
+	name, binary, settings, log string
+	callers, ready              string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	// stopped is set once it is not to be started again.
+	stopped bool
+	// frozen is set between SIGSTOP and SIGCONT.
+	frozen bool
+	// unplanned is the last instant at which it was disturbed, other than by SIGTERM;
+	// termAt that of the last SIGTERM.
+	unplanned, termAt time.Time
+}
+
+const nodeSettings = `[process]
+vm = %s
+region = r%d
+data_centre = dc%d
+[log]
+format = json
+[telemetry]
+listen = %s
+[store]
+address = %s
+timeout = 1500ms
+[peer]
+listen = %s
+seeds = %s
+[gateway]
+listen = %s
+ready_listen = %s
+regions = dc0=r0,dc1=r1,dc2=r2
+stop_limit = %s
+[shard]
+relay_above = %d
+`
+
+// start starts the process and watches it.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "log of "+n.name)
+	}
+	cmd := exec.Command(n.binary, n.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		out.Close()
+		return errors.Wrap(err, "start "+n.name)
+	}
+	n.cmd, n.done, n.frozen = cmd, make(chan struct{}), false
+	go n.watch(cmd, out, n.done)
+	return nil
+}
+
+func (n *node) watch(cmd *exec.Cmd, out *os.File, done chan struct{}) {
+	err := cmd.Wait()
+	fmt.Fprintf(out, "ended: %v\n", err)
+	out.Close()
+	close(done)
+	time.Sleep(restartDelay)
+	n.mu.Lock()
+	stopped := n.stopped
+	n.mu.Unlock()
+	if !stopped {
+		if err := n.start(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+}
+
+// signal sends a signal to the process that the soak has started, and notes the
+// disturbance.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch s {
+	case syscall.SIGTERM:
+		n.termAt = time.Now()
+	case syscall.SIGSTOP:
+		n.frozen, n.unplanned = true, time.Now()
+	case syscall.SIGCONT:
+		n.frozen, n.unplanned = false, time.Now()
+	case syscall.SIGHUP:
+	default:
+		n.unplanned = time.Now()
+	}
+	// A failure means that the process has ended.
+	_ = n.cmd.Process.Signal(s)
+}
+
+// disturb notes a disturbance of the node's links.
+func (n *node) disturb() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unplanned = time.Now()
+}
+
+// calm reports whether the node has not been disturbed since the instant.
+func (n *node) calm(since time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.frozen && n.unplanned.Before(since) && n.termAt.Before(since)
+}
+
+// onlyStopped reports whether the node was sent SIGTERM after the instant and has
+// not been disturbed otherwise since.
+func (n *node) onlyStopped(since time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.frozen && n.unplanned.Before(since) && n.termAt.After(since)
+}
+
+// end ends the process for good.
+func (n *node) end() {
+	n.mu.Lock()
+	n.stopped = true
+	done := n.done
+	n.mu.Unlock()
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	<-done
+}
+
+// isReady asks the process as the platform's balancer does.
+func (n *node) isReady() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + n.ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// newNode writes the settings of a node.
+func newNode(o Options, dir string, i int, ports func() string, peer, store, seeds string) (*node, error) {
+	name := fmt.Sprintf("vm%d", i)
+	n := &node{
+		name: name, binary: filepath.Join(o.Binaries, "basiltally-node"),
+		settings: filepath.Join(dir, name+".ini"), log: filepath.Join(dir, name+".log"),
+		callers: ports(), ready: ports(),
+	}
+	text := fmt.Sprintf(nodeSettings, name, i%3, i%3, ports(), store, peer, seeds, n.callers, n.ready, grace, o.RelayAbove)
+	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "settings")
+}
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -20,6 +20,19 @@
 	Slots, Queue int
 	// Work is the time of a request.
 	Work time.Duration
+	// Observer is told what happens at the target; nil for none.
+	Observer Observer
+}
+
+// Observer sees what happens at a target. Its methods are called with the target
+// locked and must not call it.
+type Observer interface {
+	// Ran tells that a request has begun to run.
+	Ran(target, id string, key uint16)
+	// Granted tells that a grant was taken.
+	Granted(target string, from, to uint16, fence uint64, until time.Time)
+	// Released tells that a release was taken.
+	Released(target string, from, to uint16)
 }
 
 // Target is a server of the platform. It is an http.Handler.
@@ -130,6 +143,9 @@
 	defer t.mu.Unlock()
 	if r.URL.Path == "/release" {
 		t.cutLocked(body.From, body.Target, body.Fence)
+		if t.opts.Observer != nil {
+			t.opts.Observer.Released(t.opts.ID, body.From, body.Target)
+		}
 		w.Header().Set("Handover", fmt.Sprintf("%s-%d", t.opts.ID, body.Fence))
 		return
 	}
@@ -145,7 +161,11 @@
 		}
 	}
 	t.cutLocked(body.From, body.Target, body.Fence)
-	t.grants = append(t.grants, holding{body.From, body.Target, body.Fence, time.Now().Add(hold)})
+	until := time.Now().Add(hold)
+	t.grants = append(t.grants, holding{body.From, body.Target, body.Fence, until})
+	if t.opts.Observer != nil {
+		t.opts.Observer.Granted(t.opts.ID, body.From, body.Target, body.Fence, until)
+	}
 }
 
 // cutLocked ends the holding of the keys and remembers the fencing token for them.
@@ -187,6 +207,9 @@
 	}
 	t.mu.Lock()
 	t.runs[id]++
+	if t.opts.Observer != nil {
+		t.opts.Observer.Ran(t.opts.ID, id, uint16(key))
+	}
 	lose := t.lose
 	t.mu.Unlock()
 	time.Sleep(t.opts.Work)
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -110,7 +110,11 @@
 		case relayReset:
 			return nil, 0, errors.WithMessagef(store.ErrCompacted, "%s: the reader of the store listed it anew", prefix)
 		case relayNone:
-			return f.pollStore(ctx, prefix, after, wait)
+			events, at, err := f.pollStore(ctx, prefix, after, wait)
+			if !errors.Is(err, errTakenOver) {
+				return events, at, err
+			}
+			continue
 		}
 		select {
 		case <-changed:
@@ -122,15 +126,51 @@
 	}
 }
 
+// pollStore polls the store until it answers. It returns errTakenOver once the reader
+// has what is asked for.
 func (f *Feed) pollStore(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
-	events, at, err := f.opts.Direct.Poll(ctx, prefix, after, wait)
-	if !errors.Is(err, store.ErrCompacted) {
-		f.noteRead(prefix, err)
-	}
-	if err == nil {
-		f.record(Batch{Prefix: prefix, After: after, At: max(at, after), Events: events})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan answer, 1)
+	go func() {
+		events, at, err := f.opts.Direct.Poll(ctx, prefix, after, wait)
+		answered <- answer{events, at, err}
+	}()
+	for {
+		covers, changed := f.covers(prefix, after)
+		if covers {
+			return nil, 0, errTakenOver
+		}
+		select {
+		case a := <-answered:
+			if !errors.Is(a.err, store.ErrCompacted) {
+				f.noteRead(prefix, a.err)
+			}
+			if a.err == nil {
+				f.record(Batch{Prefix: prefix, After: after, At: max(a.at, after), Events: a.events})
+			}
+			return a.events, a.at, a.err
+		case <-changed:
+		}
 	}
-	return events, at, err
+}
+
+// answer is the outcome of a poll of the store.
+type answer struct {
+	events []store.Event
+	at     store.Version
+	err    error
+}
+
+// errTakenOver reports that the reader has what the store was asked for.
+var errTakenOver = errors.New("relayfeed: the reader covers the poll")
+
+// covers reports whether the reader has, or will have, all changes after a revision.
+func (f *Feed) covers(prefix string, after store.Version) (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.streams[prefix]
+	return f.fresh && s != nil && after >= s.resetAt && after >= s.from, f.changed
 }
 
 // relayState says what the reader has for a poll.
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -209,3 +209,23 @@
 		p.is.Equal(p.store.polls.Load(), int64(3))
 	})
 }
+
+// A poll that waits at the store is left to the reader once that is heard, so that it
+// does not matter when the store cuts it.
+func TestWaitingPollIsTakenOverByTheReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		p.behind.SetFresh(false)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			p.behind.SetFresh(true)
+			time.Sleep(100 * time.Millisecond)
+			p.store.down.Store(true)
+			p.behind.Take(relayfeed.Batch{Prefix: prefix, After: at, At: at + 1, Events: []store.Event{{Object: store.Object{Key: "a/9"}}}})
+		}()
+		keys, _ := p.poll(at)
+		p.is.Equal(keys, []string{"a/9"})
+		p.is.Equal(p.store.polls.Load(), int64(1))
+	})
+}
