List the store after a reader was relied on, and pass lists on as changes

The store drops its history in a gap (platform_compact); a poll from an old revision is then taken and answers nothing. A VM that turned from the assigner's changes to polling did just that. Ruled out: congestion (version 7 is 5 KB; no storm).

Change: a VM that has relied on the assigner's changes lists before it polls; for 700 ms it waits for the next assigner first. A list of the assigner is passed on as its difference to what was known, so that the others need no list. A VM that becomes the assigner lists at once.

Tests: TestFollowerListsOnceTheReaderIsLost (polled before), TestListOfTheReaderIsPassedOnAsChanges, TestFollowerGoesOnWithTheNextReader.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -353,6 +353,9 @@
 	if a.resigned.Load() {
 		l.stop(errStopping)
 	}
+	if a.opts.Feed != nil {
+		a.opts.Feed.Lead()
+	}
 	go a.announce(ctx, r.Term)
 	err = l.run(r, version)
 	a.mu.Lock()
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -1,8 +1,11 @@
 // Package relayfeed lets many VMs follow the store through one that reads it. The
-// reader passes on what its polls return; the others poll the store themselves only
-// while that does not reach them, from the revision up to which they know.
+// reader passes on what its lists and polls return; the others read the store
+// themselves only while that does not reach them.
 //
 // It answers the calls of a fleet: each change would otherwise end a poll of every VM.
+//
+// A VM that has relied on a reader lists the store before it polls it: a store that has
+// dropped its history may take a poll from an old revision and answer nothing.
 package relayfeed
 
 import (
@@ -39,6 +42,9 @@
 	// MaxBatch is the number of bytes of values up to which a batch is passed on. All
 	// VMs read a larger one from the store, whose link is wider than a VM's. Default 8 KiB.
 	MaxBatch int
+	// Patience is how long a VM that has lost its reader waits for the next one before
+	// it lists the store. Default 700 ms: a take-over takes about half a second.
+	Patience time.Duration
 	// OnBatch is told each batch that this VM takes, from the store or from another VM,
 	// to pass it on.
 	OnBatch func(Batch)
@@ -51,8 +57,9 @@
 	mu      sync.Mutex
 	logs    map[string]*changeLog
 	streams map[string]*stream
-	// fresh is set while the reader's batches can be relied on.
-	fresh bool
+	// fresh is set while the reader's batches can be relied on; staleAt is when that ended.
+	fresh   bool
+	staleAt time.Time
 	// changed is closed and replaced when batches arrive or fresh changes.
 	changed chan struct{}
 	// failing are the prefixes whose last read of the store failed.
@@ -64,6 +71,10 @@
 	// base is the revision after which all changes are in batches.
 	base, at store.Version
 	batches  []Batch
+	// objects are the objects as of at.
+	objects map[string]store.Object
+	// relied is set once changes came from a reader since the last list.
+	relied bool
 }
 
 // stream is what the reader has sent of a prefix and was not taken yet.
@@ -81,6 +92,7 @@
 func New(opts Options) *Feed {
 	opts.Kept, opts.CatchUp = cmp.Or(opts.Kept, 1024), cmp.Or(opts.CatchUp, 50)
 	opts.MaxBatch = cmp.Or(opts.MaxBatch, 8<<10)
+	opts.Patience = cmp.Or(opts.Patience, 700*time.Millisecond)
 	return &Feed{
 		opts: opts, logs: map[string]*changeLog{}, streams: map[string]*stream{},
 		changed: make(chan struct{}), failing: map[string]bool{},
@@ -92,17 +104,50 @@
 	objects, at, err := f.opts.Direct.List(ctx, prefix)
 	f.noteRead(prefix, err)
 	if err == nil {
-		f.record(Batch{Prefix: prefix, After: at, At: at, Reset: true})
+		f.record(f.listed(prefix, objects, at))
 	}
 	return objects, at, err
 }
 
+// listed returns the difference between a list and what was known, as a batch.
+func (f *Feed) listed(prefix string, objects []store.Object, at store.Version) Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.logs[prefix]
+	if l == nil || at < l.at {
+		f.logs[prefix] = &changeLog{base: at, at: at, objects: index(objects)}
+		return Batch{Prefix: prefix, After: at, At: at, Reset: true}
+	}
+	l.relied = false
+	b := Batch{Prefix: prefix, After: l.at, At: at}
+	current := index(objects)
+	for key := range l.objects {
+		if _, ok := current[key]; !ok {
+			b.Events = append(b.Events, store.Event{Object: store.Object{Key: key}, Deleted: true})
+		}
+	}
+	for _, o := range objects {
+		if known, ok := l.objects[o.Key]; !ok || known.Version != o.Version {
+			b.Events = append(b.Events, store.Event{Object: o})
+		}
+	}
+	return b
+}
+
+func index(objects []store.Object) map[string]store.Object {
+	m := make(map[string]store.Object, len(objects))
+	for _, o := range objects {
+		m[o.Key] = o
+	}
+	return m
+}
+
 // Poll implements store.Feed. It waits for the reader while that can be relied on.
 func (f *Feed) Poll(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		b, state, changed := f.relayed(prefix, after)
+		b, state, changed, patience := f.relayed(prefix, after)
 		switch state {
 		case relayHas:
 			f.record(b)
@@ -116,13 +161,18 @@
 			}
 			continue
 		}
+		lost := time.NewTimer(patience)
 		select {
 		case <-changed:
+		case <-lost.C:
 		case <-timer.C:
+			lost.Stop()
 			return nil, after, nil
 		case <-ctx.Done():
+			lost.Stop()
 			return nil, 0, ctx.Err()
 		}
+		lost.Stop()
 	}
 }
 
@@ -166,11 +216,21 @@
 var errTakenOver = errors.New("relayfeed: the reader covers the poll")
 
 // covers reports whether the reader has, or will have, all changes after a revision.
+// If so, the poll relies on it from now on.
 func (f *Feed) covers(prefix string, after store.Version) (bool, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.streams[prefix]
-	return f.fresh && s != nil && after >= s.resetAt && after >= s.from, f.changed
+	if !f.fresh || !f.streams[prefix].coversLocked(after) {
+		return false, f.changed
+	}
+	if l := f.logs[prefix]; l != nil {
+		l.relied = true
+	}
+	return true, f.changed
+}
+
+func (s *stream) coversLocked(after store.Version) bool {
+	return s != nil && after >= s.resetAt && after >= s.from
 }
 
 // relayState says what the reader has for a poll.
@@ -188,36 +248,44 @@
 )
 
 // relayed returns the changes after a revision that the reader has sent, as one
-// batch, and the channel that is closed when more comes. A batch that holds changes
-// before the revision too is returned whole: taken in order, it ends in the same state,
-// while a deletion alone could undo a later creation.
-func (f *Feed) relayed(prefix string, after store.Version) (Batch, relayState, <-chan struct{}) {
+// batch, else the channel that is closed when more comes and how long to wait for a
+// lost reader. A batch that holds changes before the revision too is returned whole:
+// taken in order, it ends in the same state, while a deletion alone could undo a later
+// creation.
+func (f *Feed) relayed(prefix string, after store.Version) (Batch, relayState, <-chan struct{}, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.streams[prefix]
-	if !f.fresh || s == nil {
-		return Batch{}, relayNone, nil
-	}
-	if after < s.resetAt {
-		return Batch{}, relayReset, nil
-	}
-	if after < s.from {
-		return Batch{}, relayNone, nil
+	s, l := f.streams[prefix], f.logs[prefix]
+	relied := l != nil && l.relied
+	switch {
+	case f.fresh && s.coversLocked(after):
+	case !relied:
+		return Batch{}, relayNone, nil, 0
+	case !f.fresh && time.Since(f.staleAt) < f.opts.Patience:
+		return Batch{}, relayWaits, f.changed, f.opts.Patience - time.Since(f.staleAt)
+	case f.fresh && s == nil && time.Since(f.staleAt) < f.opts.Patience:
+		return Batch{}, relayWaits, f.changed, f.opts.Patience - time.Since(f.staleAt)
+	default:
+		return Batch{}, relayReset, nil, 0
 	}
+	l.relied = true
 	out := Batch{Prefix: prefix, After: after, At: after}
 	for _, b := range s.batches {
-		if b.At > after {
+		if b.At > out.At {
 			out.At = b.At
 			out.Events = append(out.Events, b.Events...)
 		}
 	}
 	if out.At == after {
-		return Batch{}, relayWaits, f.changed
+		return Batch{}, relayWaits, f.changed, longWait
 	}
 	s.from, s.batches = out.At, nil
-	return out, relayHas, nil
+	return out, relayHas, nil, 0
 }
 
+// longWait is longer than any poll.
+const longWait = time.Hour
+
 // noteRead notes whether the store answered.
 func (f *Feed) noteRead(prefix string, err error) {
 	f.mu.Lock()
@@ -241,10 +309,7 @@
 func (f *Feed) record(b Batch) {
 	f.mu.Lock()
 	l := f.logs[b.Prefix]
-	if l == nil {
-		l = &changeLog{}
-		f.logs[b.Prefix] = l
-	}
+	l.apply(b)
 	if size(b) > f.opts.MaxBatch {
 		// As if the changes had not been seen here.
 		b.After, b.Events = b.At, nil
@@ -266,6 +331,17 @@
 	}
 }
 
+// apply changes the objects as the batch says.
+func (l *changeLog) apply(b Batch) {
+	for _, e := range b.Events {
+		if e.Deleted {
+			delete(l.objects, e.Key)
+		} else {
+			l.objects[e.Key] = e.Object
+		}
+	}
+}
+
 func size(b Batch) int {
 	n := 0
 	for _, e := range b.Events {
@@ -321,10 +397,26 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams = map[string]*stream{}
-	f.fresh = false
+	f.setFreshLocked(false)
 	f.wakeLocked()
 }
 
+// Lead makes this VM read the store at once, for others to follow.
+func (f *Feed) Lead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams = map[string]*stream{}
+	f.fresh, f.staleAt = false, time.Time{}
+	f.wakeLocked()
+}
+
+func (f *Feed) setFreshLocked(fresh bool) {
+	if f.fresh && !fresh {
+		f.staleAt = time.Now()
+	}
+	f.fresh = fresh
+}
+
 // Take takes a batch of the reader.
 func (f *Feed) Take(b Batch) {
 	f.mu.Lock()
@@ -347,7 +439,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fresh != fresh {
-		f.fresh = fresh
+		f.setFreshLocked(fresh)
 		f.wakeLocked()
 	}
 }
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -107,34 +107,70 @@
 	})
 }
 
-func TestFollowerPollsTheStoreOnceTheReaderIsNotReliedOn(t *testing.T) {
+// A store that has dropped its history may take a poll from an old revision and hide
+// what came before, so a VM that has relied on the reader lists.
+func TestFollowerListsOnceTheReaderIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t)
 		at := p.behind.Known()[prefix]
+		p.put("a/1")
+		p.read()
+		_, at = p.poll(at) // Relies on the reader.
+		began := time.Now()
+		p.behind.Begin()
+		_, _, err := p.behind.Poll(t.Context(), prefix, at, 10*time.Second)
+		p.is.True(errors.Is(err, store.ErrCompacted))
+		p.is.Equal(time.Since(began), 700*time.Millisecond) // Waited for the next reader.
+		_, at, err = p.behind.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.put("a/2")
+		keys, _ := p.poll(at) // Polls the store from now on.
+		p.is.Equal(keys, []string{"a/2"})
+		p.is.Equal(p.store.polls.Load(), int64(2))
+	})
+}
+
+func TestFollowerGoesOnWithTheNextReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		at := p.behind.Known()[prefix]
+		p.put("a/1")
+		p.read()
+		_, at = p.poll(at)
 		go func() {
-			time.Sleep(100 * time.Millisecond)
-			p.put("a/1")
-			p.behind.SetFresh(false)
+			p.behind.Begin()
+			p.put("a/2")
+			time.Sleep(500 * time.Millisecond)
+			p.read() // The next reader: the log is the same.
+			for _, b := range p.reader.Since(p.behind.Known()) {
+				p.behind.Take(b)
+			}
+			p.behind.SetFresh(true)
 		}()
-		keys, _ := p.poll(at) // Waited for the reader, then read the store.
-		p.is.Equal(keys, []string{"a/1"})
-		p.is.Equal(p.store.polls.Load(), int64(1))
+		keys, _ := p.poll(at)
+		p.is.Equal(keys, []string{"a/2"})
+		p.is.Equal(p.store.lists.Load(), int64(2)) // Those at the start.
 	})
 }
 
-func TestReaderThatListedAnewMakesFollowersList(t *testing.T) {
+// A reader that lists anew passes on what has changed.
+func TestListOfTheReaderIsPassedOnAsChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t)
 		at := p.behind.Known()[prefix]
 		p.put("a/1")
-		_, _, err := p.reader.List(t.Context(), prefix)
+		zero, err := p.store.Get(t.Context(), "a/0")
 		p.is.NoErr(err)
-		_, _, err = p.behind.Poll(t.Context(), prefix, at, time.Second)
-		p.is.True(errors.Is(err, store.ErrCompacted))
-		_, at, err = p.behind.List(t.Context(), prefix)
+		p.is.NoErr(p.store.Delete(t.Context(), "a/0", zero.Version))
+		p.store.Compact()
+		_, _, err = p.reader.List(t.Context(), prefix)
 		p.is.NoErr(err)
-		keys, _ := p.poll(at) // Goes on with the reader.
-		p.is.Equal(len(keys), 0)
+		events, _, err := p.behind.Poll(t.Context(), prefix, at, time.Second)
+		p.is.NoErr(err)
+		p.is.Equal(len(events), 2)
+		p.is.Equal(events[0].Key, "a/0")
+		p.is.True(events[0].Deleted)
+		p.is.Equal(events[1].Key, "a/1")
 		p.is.Equal(p.store.polls.Load(), int64(0))
 	})
 }
