Take over from a refused assigner at once; list what is known while the assigner covers it

The VMs that looked whether the store answers them compared the role with the one that they had read before they followed, which the assigner had confirmed many times since, so no one took over in 9 s; the leases had been made long after 1.4 s, and the keys of 38 targets that were cut off waited for them. The refused VMs made 1,510 failed calls. Ruled out: the turns of those that look (two to three looks a second).

Change: the role must bear the beat that the assigner has told last; leases are made long at 0.7 of the role's lease, after another VM had its chance; a list is taken from what is known while the assigner covers it, without a call.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -253,6 +253,9 @@
 		a.seekAgain(ctx)
 		return
 	}
+	if v.role != nil {
+		r, version = *v.role, v.version
+	}
 	a.takeOver(ctx, r, version, v)
 }
 
@@ -287,40 +290,54 @@
 	reason string
 	// actsUntil bounds the sending of orders by the last assigner.
 	actsUntil time.Duration
+	// role and version are set if the role was read once more.
+	role    *role
+	version store.Version
 }
 
 // vacant returns why this VM may take the role over, or no reason.
 func (s *seeker) vacant(ctx context.Context, r role, version store.Version) vacancy {
 	a := s.agent
 	if version == 0 || r.VM == "" {
-		return vacancy{"no assigner", boottime.Now()}
+		return vacancy{reason: "no assigner", actsUntil: boottime.Now()}
 	}
 	if r.VM == a.opts.VM && r.Incarnation != a.incarnation {
 		if a.reluctance() > 0 {
 			a.vacate(ctx, r, version)
 			return vacancy{}
 		}
-		return vacancy{"held by an earlier start of this VM", boottime.Now()}
+		return vacancy{reason: "held by an earlier start of this VM", actsUntil: boottime.Now()}
 	}
 	err := a.follow(ctx, r.Address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		pause(ctx, refusalPause)
 		if errors.Is(a.follow(ctx, r.Address), syscall.ECONNREFUSED) {
-			return vacancy{"the assigner's process has ended", boottime.Now()}
+			return vacancy{reason: "the assigner's process has ended", actsUntil: boottime.Now()}
 		}
 	}
 	if errors.Is(err, errUnconfirmed) {
-		// The store answers this VM but no longer the assigner.
-		if now, nowVersion, err := readRole(ctx, a.opts.Store); err == nil && nowVersion == version {
-			return vacancy{"the store does not confirm the assigner", s.actsUntil(now)}
+		// The store answers this VM, but the assigner no longer: it has told of the beat
+		// that the role still bears.
+		now, nowVersion, err := readRole(ctx, a.opts.Store)
+		if err == nil && a.lastHeard(now) {
+			return vacancy{
+				reason: "the store does not confirm the assigner", actsUntil: s.actsUntil(now), role: &now, version: nowVersion,
+			}
 		}
 	}
 	if s.actsUntil(r) <= boottime.Now() && s.unchanged(ctx) {
-		return vacancy{"the assigner is silent", s.actsUntil(r)}
+		return vacancy{reason: "the assigner is silent", actsUntil: s.actsUntil(r)}
 	}
 	return vacancy{}
 }
 
+// lastHeard reports whether the role is as its holder has told.
+func (a *Agent) lastHeard(r role) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heard.term == r.Term && a.heard.beat == r.Beat
+}
+
 // vacate gives up the role that an earlier start of this VM had, for others to take.
 func (a *Agent) vacate(ctx context.Context, r role, version store.Version) {
 	if _, err := putRole(ctx, a.opts.Store, role{Term: r.Term}, version); err != nil {
--- a/shard/lead.go
+++ b/shard/lead.go
@@ -39,9 +39,10 @@
 	// the changes that the assigner passes on. A change must be known everywhere within
 	// 3 s, and the VMs wait for 700 ms and list.
 	feedFresh = 1700 * time.Millisecond
-	// awaySlack is how late a confirmation may be until leases are made long. The rest
-	// of the role's lease must suffice to renew all.
-	awaySlack = 400 * time.Millisecond
+	// awayShare is the share of the role's lease without a confirmation from which leases
+	// are made long. Before, another VM may take over if the store refuses this one only;
+	// the rest must suffice to renew all owners.
+	awayShare = 0.7
 	// subscriberQueue bounds the updates that wait for a slow peer.
 	subscriberQueue = 16
 )
@@ -358,7 +359,7 @@
 func (l *leader) act(ctx context.Context, now time.Duration) {
 	// A write without an answer is repeated until its outcome is known, so only time
 	// tells that the store is away.
-	away := l.confirmedAgo() > l.agent.opts.RoleLease/3+awaySlack
+	away := float64(l.confirmedAgo()) > awayShare*float64(l.agent.opts.RoleLease)
 	for _, s := range l.services {
 		if s.saving && !s.written {
 			continue
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -99,8 +100,11 @@
 	}
 }
 
-// List implements store.Feed. It always reads the store.
+// List implements store.Feed. It reads the store unless the reader covers what this VM knows.
 func (f *Feed) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	if objects, at, ok := f.known(prefix); ok {
+		return objects, at, nil
+	}
 	objects, at, err := f.opts.Direct.List(ctx, prefix)
 	f.noteRead(prefix, err)
 	if err == nil {
@@ -109,6 +113,29 @@
 	return objects, at, err
 }
 
+// known returns the objects as this VM knows them, if the reader has sent, and will
+// send, all changes since.
+func (f *Feed) known(prefix string) ([]store.Object, store.Version, bool) {
+	f.mu.Lock()
+	l := f.logs[prefix]
+	if l == nil || !f.fresh || !f.streams[prefix].coversLocked(l.at) {
+		f.mu.Unlock()
+		return nil, 0, false
+	}
+	after := l.at
+	f.mu.Unlock()
+	if b, state, _, _ := f.relayed(prefix, after); state == relayHas {
+		f.record(b)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	objects := make([]store.Object, 0, len(l.objects))
+	for _, key := range slices.Sorted(maps.Keys(l.objects)) {
+		objects = append(objects, l.objects[key])
+	}
+	return objects, l.at, true
+}
+
 // listed returns the difference between a list and what was known, as a batch.
 func (f *Feed) listed(prefix string, objects []store.Object, at store.Version) Batch {
 	f.mu.Lock()
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -153,6 +153,29 @@
 	})
 }
 
+// A VM that the store refuses gets its list from what it knows and the reader sends.
+func TestRefusedVMListsWhatItKnowsWithTheReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		p.behind.Begin()
+		p.store.down.Store(true)
+		_, _, err := p.behind.List(t.Context(), prefix)
+		p.is.True(errors.Is(err, store.ErrUnavailable))
+		p.store.down.Store(false)
+		p.put("a/1")
+		p.read()
+		p.store.down.Store(true)
+		for _, b := range p.reader.Since(p.behind.Known()) {
+			p.behind.Take(b)
+		}
+		p.behind.SetFresh(true)
+		objects, _, err := p.behind.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.is.Equal(len(objects), 2)
+		p.is.Equal(objects[1].Key, "a/1")
+	})
+}
+
 // A reader that lists anew passes on what has changed.
 func TestListOfTheReaderIsPassedOnAsChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
