--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate demo bench capacity
+.PHONY: build test lint generate demo bench capacity soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,6 +19,12 @@
 demo: build
 	bin/basiltally-demo
 
+# Plays the kept seeds, then fresh ones. Logs of a seed that breaks a promise stay in the
+# place for temporary files.
+soak: build
+	bin/basiltally-soak --seeds "$$(awk '!/^#/ && NF { print $$1 }' soak/seeds.txt | paste -sd,)"
+	bin/basiltally-soak --count 6
+
 # Prints the cost of each role from measured slopes, see docs/CAPACITY.md.
 capacity:
 	go run ./cmd/basiltally-capacity
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -223,8 +223,9 @@
 	}
 }
 
-// sample returns some targets at random: of this VM's subset, if these are of no use
-// or the request has been tried there of the others, and at last all.
+// sample returns some targets at random out of this VM's subset. If none of the subset is
+// of use, or the request was tried before, it draws from all targets, and if none of
+// these is of use it returns all.
 func (b *Board) sample(sites []Site, avoid []string, now time.Time) []*Site {
 	near, far := b.byRegion(sites)
 	out := make([]*Site, 0, nearSample+farSample)
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -460,7 +460,10 @@
 	case <-a.hints: // An older one.
 	default:
 	}
-	a.hints <- address
+	select {
+	case a.hints <- address:
+	default: // Another announcement came at the same moment; that assigner knows the newest.
+	}
 	if l != nil {
 		l.stop(errSuperseded)
 	}
