--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 # Plays the kept seeds, then fresh ones. Logs of a seed that breaks a promise stay in the
 # place for temporary files.
 soak: build
-	bin/basiltally-soak --seeds "$$(awk '!/^#/ && NF { print $$1 }' soak/seeds.txt | paste -sd,)"
+	bin/basiltally-soak --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds.txt | paste -sd,)"
 	bin/basiltally-soak --count 6
 
 # Prints the cost of each role from measured slopes, see docs/CAPACITY.md.
--- a/cmd/basiltally-soak/main.go
+++ b/cmd/basiltally-soak/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/basiltally/basiltally/soak"
+	"github.com/basiltally/basiltally/standin/soak"
 )
 
 var cli struct {
