--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -85,3 +85,22 @@
 	d.Put(&Target{ID: "a", Born: 10, Address: "old"})
 	is.Equal(d.Snapshot().ByID["a"].Address, "new")
 }
+
+// A list or a repeated change can be older than what is known. A target that has said that it leaves does not return.
+func TestOlderEntryDoesNotUndoDraining(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory(DirectoryOptions{})
+	ready := &Target{ID: "a", Service: "s", Born: 1, State: Ready}
+	draining := *ready
+	draining.State = Draining
+	d.Put(ready)
+	d.Put(&draining)
+	d.Put(ready)
+	is.Equal(d.Snapshot().ByID["a"].State, Draining)
+	d.Replace([]*Target{ready})
+	is.Equal(d.Snapshot().ByID["a"].State, Draining)
+	later := *ready
+	later.Born = 2
+	d.Put(&later)
+	is.Equal(d.Snapshot().ByID["a"].State, Ready)
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,9 @@
 	gateway   *gateway.Gateway
 	balancer  *placing.Balancer
 	directory *fleet.Directory
+	upstream  *upstream.Client
+	// entryAge is how long ago the directory takes its changes to have been made.
+	entryAge time.Duration
 
 	mu sync.Mutex
 	// servedBy holds the IDs of the targets that received a request, in order.
@@ -46,7 +49,8 @@
 
 // newFixture returns a fixture with a target for each handler: t0, t1, ...
 func newFixture(t *testing.T, keyed bool, handlers ...http.HandlerFunc) *fixture {
-	f := &fixture{t: t, balancer: placing.New(placing.Options{}), directory: fleet.NewDirectory(fleet.DirectoryOptions{})}
+	f := &fixture{t: t, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()})}
+	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
 	table := &shard.Table{Version: shard.Version{Term: 1, Seq: 1}}
 	for i, h := range handlers {
 		id := fmt.Sprintf("t%d", i)
@@ -72,7 +76,7 @@
 	f.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: func() *routing.Table { return routes }, Directory: f.directory, Shards: fixedTable{table}, Balancer: f.balancer,
-		Upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
+		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
 	})
 	return f
@@ -96,6 +100,14 @@
 	}
 }
 
+// markDraining changes a target's entry to draining, as if this had been learned the given time ago.
+func (f *fixture) markDraining(id string, ago time.Duration) {
+	t := *f.directory.Snapshot().ByID[id]
+	t.State = fleet.Draining
+	f.entryAge = ago
+	f.directory.Put(&t)
+}
+
 // requestsReceived returns the number of requests that targets received.
 func (f *fixture) requestsReceived() int {
 	f.mu.Lock()
--- /dev/null
+++ b/gateway/leaving_test.go
@@ -0,0 +1,85 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/ingress"
+)
+
+// longAgo is longer than any drain time.
+const longAgo = time.Minute
+
+// The owner of a key must not get requests for as long as the table names it: no assigner may be there to move the key.
+func TestLeavingOwnerGetsNoRequest(t *testing.T) {
+	leave := map[string]func(f *fixture){
+		"draining": func(f *fixture) { f.markDraining("t0", longAgo) },
+		"removed": func(f *fixture) {
+			f.entryAge = longAgo
+			f.directory.Remove("t0")
+		},
+	}
+	for name, change := range leave {
+		for _, path := range []string{"/safe/x", "/unsafe/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, true, answerOK)
+				is.Equal(f.send(path, "5").Status, 200)
+				change(f)
+				r := f.send(path, "5")
+				is.Equal(r.Status, http.StatusServiceUnavailable)
+				is.True(strings.Contains(string(r.Header), "Retry-After"))
+				is.Equal(f.requestsReceived(), 1) // Only that before the change.
+			})
+		}
+	}
+}
+
+// A request that waits for a connection must not be sent to a target that has begun to leave meanwhile.
+func TestWaitingRequestIsNotSentToLeavingOwner(t *testing.T) {
+	is := is.New(t)
+	entered, leave := make(chan struct{}, 2), make(chan struct{})
+	f := newFixture(t, true, func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-leave
+		answerOK(w, r)
+	})
+	f.upstream.SetLimit(1)
+	first, second := make(chan *ingress.Response, 1), make(chan *ingress.Response, 1)
+	go func() { first <- f.send("/safe/x", "5") }()
+	<-entered
+	go func() { second <- f.send("/safe/x", "5") }()
+	time.Sleep(50 * time.Millisecond) // The second request waits for the connection of the first.
+	f.markDraining("t0", longAgo)
+	close(leave)
+	is.Equal((<-first).Status, 200)
+	is.Equal((<-second).Status, http.StatusServiceUnavailable)
+	is.Equal(f.requestsReceived(), 1)
+}
+
+// A repeat must be placed by what is known then, not by what was known when the request began.
+func TestRepeatIsNotSentToTargetThatLeftMeanwhile(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{"lost answer": dropConnection, "target has no room": answerFull} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f *fixture
+			first := true
+			handler := func(other string) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					if first {
+						first = false
+						f.markDraining(other, longAgo)
+					}
+					answer(w, r)
+				}
+			}
+			f = newFixture(t, false, handler("t1"), handler("t0"))
+			f.send("/safe/x", "1")
+			is.Equal(f.requestsReceived(), 1)
+		})
+	}
+}
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -291,3 +291,34 @@
 		p.is.Equal(p.store.polls.Load(), int64(1))
 	})
 }
+
+// Readers that fall silent one after the other must not delay a change beyond two thirds of the drain time of 3 s, after
+// which a target that leaves must get no request.
+func TestSilentReadersDoNotHideAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		at := p.follower.KnownRevisions()[prefix]
+		p.put("a/1")
+		p.read()
+		_, at = p.poll(at) // The follower relies on the reader, which falls silent.
+		p.put("a/2")
+		began := time.Now()
+		go func() {
+			for range 3 {
+				time.Sleep(1500 * time.Millisecond) // The VM notices the silence.
+				p.follower.ForgetReader()
+				time.Sleep(100 * time.Millisecond) // The next reader knows as little, and falls silent as well.
+				p.follower.Receive(relayfeed.Batch{Prefix: prefix, After: at, At: at})
+				p.follower.SetReaderUsable(true)
+			}
+		}()
+		for after := at; after == at; {
+			_, _, err := p.follower.Poll(t.Context(), prefix, after, time.Second)
+			if errors.Is(err, store.ErrCompacted) {
+				_, after, err = p.follower.List(t.Context(), prefix)
+			}
+			p.is.NoErr(err)
+			p.is.True(time.Since(began) <= 2*time.Second)
+		}
+	})
+}
