Keep a draining target draining and remember departed incarnations

Callers' requests could reach a leaving target again: a list or a repeated batch of changes that is older than the known entry made the target ready for a moment or until its next entry.

Cause: the directory took the entry that came last for the newest. Batches of the relay are applied as a whole, also their part before the known revision, and pages of a list have different revisions. Ruled out: comparing store revisions, because relayed deletions carry none.

Change: within an incarnation draining is final.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -3,6 +3,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,10 +40,23 @@
 	WarmUpLeft time.Duration
 	// FirstSeen is the instant at which this VM first saw this incarnation.
 	FirstSeen time.Time
+	// LeavingSince is the instant at which this VM first saw that the target is draining. It is
+	// zero while the target is ready.
+	LeavingSince time.Time
 }
 
+// Incarnation identifies one run of a target's process.
+type Incarnation struct {
+	ID string
+	// Born is the start time of the process in Unix milliseconds.
+	Born int64
+}
+
+// Incarnation returns the identity of this run of the target's process.
+func (t *Target) Incarnation() Incarnation { return Incarnation{ID: t.ID, Born: t.Born} }
+
 // SameIncarnation reports whether t and o are the same incarnation of the same target.
-func (t *Target) SameIncarnation(o *Target) bool { return t.ID == o.ID && t.Born == o.Born }
+func (t *Target) SameIncarnation(o *Target) bool { return t.Incarnation() == o.Incarnation() }
 
 // Snapshot is the content of a Directory at one instant. It is not modified once published.
 type Snapshot struct {
@@ -50,6 +64,19 @@
 	Version  uint64
 	ByID     map[string]*Target
 	services map[string][]*Target
+	// departed maps the incarnations that are no longer listed to the instants at which this VM
+	// learned that they leave.
+	departed map[Incarnation]time.Time
+}
+
+// LeavingSince returns the instant at which this VM learned that the incarnation leaves: that
+// it is draining, that its entry is gone or that a later incarnation has replaced it. It
+// returns the zero time if the incarnation is ready or was never listed.
+func (s *Snapshot) LeavingSince(i Incarnation) time.Time {
+	if t := s.ByID[i.ID]; t != nil && t.Born == i.Born {
+		return t.LeavingSince
+	}
+	return s.departed[i]
 }
 
 // Service returns the targets of a service, draining ones included, ordered by ID.
@@ -66,6 +93,10 @@
 	Logger *slog.Logger
 }
 
+// departedRetention is how long a departed incarnation is remembered. It exceeds the longest
+// time for which a table of owners that names the incarnation may remain in use.
+const departedRetention = 5 * time.Minute
+
 // Directory is the set of targets that the platform lists. It is safe for concurrent use.
 type Directory struct {
 	opts    DirectoryOptions
@@ -75,7 +106,8 @@
 	targets map[string]*Target
 	// missing maps the IDs of the targets whose entries are gone but may return to the
 	// instants at which the targets are dropped.
-	missing map[string]time.Time
+	missing  map[string]time.Time
+	departed map[Incarnation]time.Time
 	// graceUntil is the end of the grace period after the last outage of the store.
 	graceUntil time.Time
 	// outage is set while the store does not answer.
@@ -95,7 +127,7 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	d := &Directory{opts: o, targets: map[string]*Target{}, missing: map[string]time.Time{}}
+	d := &Directory{opts: o, targets: map[string]*Target{}, missing: map[string]time.Time{}, departed: map[Incarnation]time.Time{}}
 	d.current.Store(&Snapshot{ByID: map[string]*Target{}})
 	return d
 }
@@ -196,13 +228,25 @@
 		return
 	}
 	next := *t
-	next.FirstSeen = d.opts.Now()
+	now := d.opts.Now()
+	next.FirstSeen, next.LeavingSince = now, time.Time{}
+	if next.State == Draining {
+		next.LeavingSince = now
+	}
 	if old != nil && old.SameIncarnation(t) {
 		next.FirstSeen = old.FirstSeen
+		if old.State == Draining {
+			// A target that drains ends. A ready entry is older and was read late.
+			next.State, next.LeavingSince = Draining, old.LeavingSince
+		}
 	}
 	if old != nil && *old == next {
 		return
 	}
+	if old != nil && !old.SameIncarnation(t) {
+		d.depart(old)
+	}
+	delete(d.departed, next.Incarnation())
 	d.version++
 	d.targets[t.ID] = &next
 	d.opts.Logger.Info("target entry added or changed", "target", t.ID, "service", t.Service, "address", t.Address,
@@ -233,17 +277,30 @@
 func (d *Directory) drop(id, reason string) {
 	delete(d.missing, id)
 	if t := d.targets[id]; t != nil {
+		d.depart(t)
 		delete(d.targets, id)
 		d.version++
 		d.opts.Logger.Info("target gone", "target", id, "service", t.Service, "address", t.Address, "reason", reason)
 	}
 }
 
+// depart records that the incarnation is no longer listed.
+func (d *Directory) depart(t *Target) {
+	since := t.LeavingSince
+	if since.IsZero() {
+		since = d.opts.Now()
+	}
+	d.departed[t.Incarnation()] = since
+}
+
 func (d *Directory) publish() {
+	forgetBefore := d.opts.Now().Add(-departedRetention)
+	maps.DeleteFunc(d.departed, func(_ Incarnation, since time.Time) bool { return since.Before(forgetBefore) })
 	s := &Snapshot{
 		Version:  d.version,
 		ByID:     make(map[string]*Target, len(d.targets)),
 		services: map[string][]*Target{},
+		departed: maps.Clone(d.departed),
 	}
 	for _, id := range sortedKeys(d.targets) {
 		t := d.targets[id]
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -104,3 +104,33 @@
 	d.Put(&later)
 	is.Equal(d.Snapshot().ByID["a"].State, Ready)
 }
+
+func TestLeavingSinceIsKeptForDepartedIncarnations(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	d := NewDirectory(DirectoryOptions{Now: func() time.Time { return now }})
+	ready := &Target{ID: "a", Service: "s", Born: 1, State: Ready}
+	draining := *ready
+	draining.State = Draining
+	leaving := func(born int64) time.Time { return d.Snapshot().LeavingSince(Incarnation{ID: "a", Born: born}) }
+	is.True(leaving(1).IsZero()) // Never listed.
+	d.Put(ready)
+	is.True(leaving(1).IsZero())
+	d.Put(&draining)
+	now = now.Add(time.Second)
+	d.Remove("a")
+	is.Equal(leaving(1), time.Unix(100, 0)) // Since it was draining, not since it is gone.
+	later := *ready
+	later.Born = 2
+	d.Put(&later)
+	is.True(leaving(2).IsZero())
+	later.Born = 3
+	d.Put(&later)
+	is.Equal(leaving(2), time.Unix(101, 0)) // A later incarnation replaced it.
+	now = now.Add(2 * departedRetention)
+	d.Remove("a")
+	is.True(leaving(2).IsZero())
+	is.Equal(leaving(3), now)
+	d.Put(&later) // The entry is back.
+	is.True(leaving(3).IsZero())
+}
