Ask before each send whether the target is still eligible

Cause: the gateway sends a keyed request to the owner that the table names, whatever the directory knows of it, and decides before the request waits for a connection. While no assigner moves the range, nothing stopped the sends but the end of the lease.

Change: package eligibility decides, and upstream asks it (Request.Permit) right before the first byte.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/budget"
+	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
@@ -141,7 +142,7 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter,
+		Directory: n.directory, Eligibility: eligibility.New(eligibility.Options{Directory: n.directory, LeavingGrace: s.Gateway.LeavingGrace}), Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter,
 		Registerer: n.registry, Logger: logger,
 	})
 	n.ingress = ingress.New(ingress.Options{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,11 +12,13 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/admission"
 	"github.com/basiltally/basiltally/budget"
+	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/placing"
@@ -52,15 +54,17 @@
 	// ExpectedTarget are not forwarded from callers.
 	TargetHeaders upstream.Headers
 	// Routes returns the current routes, or nil while none are known.
-	Routes     func() *routing.Table
-	Directory  *fleet.Directory
-	Shards     Shards
-	Balancer   *placing.Balancer
-	Upstream   *upstream.Client
-	Budget     *budget.Budget
-	KeyCounter *KeyCounter
-	Registerer prometheus.Registerer
-	Logger     *slog.Logger
+	Routes    func() *routing.Table
+	Directory *fleet.Directory
+	// Eligibility decides whether a request may be sent to a target.
+	Eligibility *eligibility.Tracker
+	Shards      Shards
+	Balancer    *placing.Balancer
+	Upstream    *upstream.Client
+	Budget      *budget.Budget
+	KeyCounter  *KeyCounter
+	Registerer  prometheus.Registerer
+	Logger      *slog.Logger
 }
 
 const (
@@ -74,6 +78,9 @@
 	// unreachableRetryAfter is the Retry-After time while no target can be reached.
 	noTargetRetryAfter    = 500 * time.Millisecond
 	unreachableRetryAfter = 200 * time.Millisecond
+	// leavingRetryAfter is the Retry-After time while the owner of a key leaves. It covers the
+	// move of the key to another target.
+	leavingRetryAfter = 300 * time.Millisecond
 	// ownerWaitShare is the share of the time until its deadline that a request may wait
 	// for its key to get an owner. If the table says that this takes longer, the request is
 	// refused at once.
@@ -305,6 +312,8 @@
 	stepUnreachable
 	// stepNoAnswer ends the request without an answer of a target.
 	stepNoAnswer
+	// stepIneligible means that the request was not sent because the target must not get it.
+	stepIneligible
 )
 
 // exchange sends the request to a target and records the outcome. The answer is nil if there
@@ -313,6 +322,12 @@
 	r := &upstream.Request{
 		ID: c.id, Method: c.method, URI: string(c.req.Header.RequestURI()), Header: c.forwardedHeader, Body: c.req.Body,
 		TargetID: t.ID, Deadline: c.deadline,
+		Permit: func() error {
+			if v := g.opts.Eligibility.Decide(t.Incarnation()); !v.OK() {
+				return v
+			}
+			return nil
+		},
 	}
 	r.MaxIdle = c.maxIdle()
 	if c.service.Keyed {
@@ -338,7 +353,7 @@
 // stepNames holds the values of the metric label and log key "outcome".
 var stepNames = map[step]string{
 	stepDone: "answered", stepTryOther: "failed", stepNotOwner: "moved",
-	stepFull: "full", stepUnreachable: "unreachable", stepNoAnswer: "over",
+	stepFull: "full", stepUnreachable: "unreachable", stepNoAnswer: "over", stepIneligible: "ineligible",
 }
 
 // logAttempt logs an exchange that did not give the final answer.
@@ -392,6 +407,9 @@
 		if f.Cause == upstream.ErrBusy {
 			return placing.Outcome{Refused: true}, stepFull
 		}
+		if errors.As(f.Cause, new(eligibility.Verdict)) {
+			return placing.Outcome{}, stepIneligible
+		}
 		return placing.Outcome{Unreachable: c.ctx.Err() == nil}, stepUnreachable
 	}
 	c.attempts++
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/budget"
+	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
@@ -75,7 +76,7 @@
 	}
 	f.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
-		Routes: func() *routing.Table { return routes }, Directory: f.directory, Shards: fixedTable{table}, Balancer: f.balancer,
+		Routes: func() *routing.Table { return routes }, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{Directory: f.directory}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
 	})
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basiltally/basiltally/admission"
+	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/result"
 	"github.com/basiltally/basiltally/shard"
@@ -27,6 +28,9 @@
 			continue
 		}
 		t := g.ownerTarget(entry)
+		if v := g.opts.Eligibility.Decide(t.Incarnation()); !v.OK() {
+			return nil, g.ineligible(c, t, v)
+		}
 		if !g.opts.Balancer.Reachable(t.ID) && !c.mayHaveRun {
 			return nil, refusal(result.NoTarget, unreachableRetryAfter, "the owner of the key, target %s, cannot be reached", t.ID)
 		}
@@ -42,6 +46,9 @@
 			return a, nil
 		case stepNoAnswer:
 			return nil, g.failure(c)
+		case stepIneligible:
+			// The verdict is asked for again, with the table that is known now.
+			continue
 		case stepFull:
 			if !c.mayHaveRun {
 				return nil, refusal(result.TargetShed, g.estimate(t).Wait, "the owner of the key has no room for the request")
@@ -59,6 +66,14 @@
 	}
 }
 
+// ineligible returns the error for a request that must not be sent to the owner t of its key.
+func (g *Gateway) ineligible(c *call, t *fleet.Target, v eligibility.Verdict) *result.Error {
+	if c.mayHaveRun {
+		return g.failure(c)
+	}
+	return refusal(result.TargetLeaving, leavingRetryAfter, "the owner of the key, target %s, leaves, as is known for %d ms", t.ID, v.Since.Milliseconds())
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -105,6 +105,12 @@
 	if err != nil {
 		return nil, &Failure{Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			c.putBack(address, cn)
+			return nil, &Failure{Cause: err}
+		}
+	}
 	a, keep, err := cn.exchange(ctx, &c.opts.Headers, r)
 	c.release(address, cn, keep)
 	return a, err
@@ -225,7 +231,7 @@
 		return nil, err
 	}
 	c.opened.Inc()
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleSince: time.Now()}, nil
 }
 
 // usable reports whether an idle connection is within the idle limits and has nothing to
@@ -263,6 +269,15 @@
 	p.idle = append(p.idle, cn)
 }
 
+// putBack returns a connection on which nothing was sent to the pool.
+func (c *Client) putBack(address string, cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	p.idle = append(p.idle, cn)
+	p.wakeNext()
+}
+
 // CloseIdle closes the idle connections to the address. It is called after another
 // connection to the address has failed.
 func (c *Client) CloseIdle(address string) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -53,6 +53,10 @@
 	// MaxIdle bounds how long the connection may have been idle. Zero sets no limit for
 	// this request.
 	MaxIdle time.Duration
+	// Permit is called once a connection is available, before the first byte is written. If it
+	// returns an error, nothing is sent and the error is the cause of the Failure. It may be
+	// nil.
+	Permit func() error
 }
 
 // Load is the load that a target reports: its running and waiting requests, and its slots.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -314,3 +314,20 @@
 	_, f := do(t, c, tg, r)
 	is.True(f != nil && f.Cause == ErrBusy)
 }
+
+func TestRequestWithoutPermitIsNotSent(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, answerInTurn(validAnswer, validAnswer))
+	c := New(Options{Headers: testHeaders})
+	refused := errors.New("no permit")
+	r := request("1")
+	r.Permit = func() error { return refused }
+	for range 2 {
+		_, f := do(t, c, tg, r)
+		is.True(!f.Sent)
+		is.Equal(f.Cause, refused)
+	}
+	_, f := do(t, c, tg, request("2")) // On the connection that was opened for the first request.
+	is.Equal(f, nil)
+	is.Equal(len(tg.conns), 1)
+}
