Place repeats by the present directory

A repeat of a request without a key was placed among the targets that were known when the request began, up to its whole timeout before: the target could have left, and one that had come since was not considered.

Ruled out: refreshing only after a failure to connect, because a full target and a lost answer take as long.

While no target of a service is ready, those that leave serve within their grace in place of a refusal.

TestRepeatUsesTargetThatCameMeanwhile and TestUnkeyedRequestsPreferReadyTargets fail without the change (503 for 200). go test -race ./gateway: ok.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -430,10 +430,12 @@
 // serveUnkeyed sends the request to targets of the service until one answers or no retry is
 // allowed.
 func (g *Gateway) serveUnkeyed(c *call) (*upstream.Answer, *result.Error) {
-	snapshot := g.opts.Directory.Snapshot()
-	candidates := g.candidates(snapshot, c)
+	var candidates []placing.Candidate
 	full := false
 	for {
+		// Targets may have left while the last exchange ran.
+		snapshot := g.opts.Directory.Snapshot()
+		candidates = g.candidates(snapshot, c)
 		candidate := g.opts.Balancer.Pick(candidates, c.entry.Kind == routing.Bulk, c.tried)
 		if candidate == nil {
 			break
@@ -466,16 +468,28 @@
 	return nil, g.failure(c)
 }
 
-// candidates returns the targets of the call's service that accept requests.
+// candidates returns the targets of the call's service that accept requests: those that are
+// ready or, if there are none, those that leave and are still eligible.
 func (g *Gateway) candidates(s *fleet.Snapshot, c *call) []placing.Candidate {
 	targets := s.Service(c.service.Name)
 	idleAddresses := g.opts.Upstream.IdleAddresses(c.maxIdle())
 	out := make([]placing.Candidate, 0, len(targets))
+	add := func(t *fleet.Target) {
+		candidate := newCandidate(t)
+		candidate.Connected = idleAddresses[t.Address]
+		out = append(out, candidate)
+	}
 	for _, t := range targets {
 		if t.State == fleet.Ready {
-			candidate := newCandidate(t)
-			candidate.Connected = idleAddresses[t.Address]
-			out = append(out, candidate)
+			add(t)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, t := range targets {
+		if g.opts.Eligibility.Decide(t.Incarnation()).OK() {
+			add(t)
 		}
 	}
 	return out
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/ingress"
 )
 
@@ -83,3 +85,33 @@
 		})
 	}
 }
+
+// Targets that leave get no request of a service without keys while another target is ready.
+func TestUnkeyedRequestsPreferReadyTargets(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, false, answerOK, answerOK)
+	f.markDraining("t0", 0)
+	for range 20 {
+		is.Equal(f.send("/safe/x", "1").Status, 200)
+	}
+	f.mu.Lock()
+	is.True(!slices.Contains(f.servedBy, "t0"))
+	f.mu.Unlock()
+	f.markDraining("t1", 0)
+	is.Equal(f.send("/safe/x", "1").Status, 200) // No other target is left.
+}
+
+// A repeat must be placed among the targets that are known then.
+func TestRepeatUsesTargetThatCameMeanwhile(t *testing.T) {
+	is := is.New(t)
+	var f *fixture
+	var late *fleet.Target
+	f = newFixture(t, false, func(w http.ResponseWriter, r *http.Request) {
+		f.directory.Put(late)
+		answerFull(w, r)
+	}, answerOK)
+	late = f.directory.Snapshot().ByID["t1"]
+	f.directory.Remove("t1")
+	is.Equal(f.send("/safe/x", "1").Status, 200)
+	is.Equal(f.requestsReceived(), 2)
+}
