Rely on the assigner's relay only while it confirms how far it has relayed

Cause: above 24 VMs a VM hears of changes from the assigner, and took each update for a proof that it lacked none. It noticed silence after 1.5 s, waited 0.7 s more, and began anew with each assigner that it followed, also with one that had read nothing since it took over. Updates that wait in a full link arrive in time and are old. Ruled out: shorter timeouts alone, which neither bound the sum over several assigners nor find a late link.

Change: a VM's report carries an instant of its own clock, the assigner's periodic update returns the last one together with the age of what it has read itself. Whatever the assigners do, a VM lists the store 1.6 s after the last instant up to which its knowledge was confirmed complete. A new assigner counts as healthy once it has read what it lacks. Builds without the field confirm nothing; with them a VM reads the store itself.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/fleet"
@@ -119,6 +120,8 @@
 	queue   chan *pb.ShardUpdate
 	// known holds, by key prefix, the store revisions that it has last reported.
 	known map[string]store.Version
+	// reportSentAtMs is the instant of its last report on its own clock.
+	reportSentAtMs uint64
 	// delaysTakeOver is set if it has a take-over delay, so that other VMs are preferred.
 	delaysTakeOver bool
 	// relaying is set once store changes are relayed to it.
@@ -558,6 +561,7 @@
 	for _, k := range r.GetKnown() {
 		f.known[k.GetPrefix()] = store.Version(k.GetAt())
 	}
+	f.reportSentAtMs = r.GetSentAtMs()
 	if _, ok := a.followers[f]; ok || f.dropped {
 		return
 	}
@@ -673,7 +677,7 @@
 	}
 	u := a.updateLocked()
 	u.Tables = []*pb.RangeTable{m}
-	a.broadcastLocked(u)
+	a.broadcastLocked(func(*follower) *pb.ShardUpdate { return u })
 }
 
 // broadcast sends all followers an update with the role and the changed target states.
@@ -681,22 +685,44 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.startRelayLocked()
-	u := a.updateLocked()
-	u.Targets = targets
-	a.broadcastLocked(u)
+	common := a.updateLocked()
+	a.broadcastLocked(func(f *follower) *pb.ShardUpdate {
+		u := proto.Clone(common).(*pb.ShardUpdate)
+		u.Targets = targets
+		a.confirmFeedLocked(u, f)
+		return u
+	})
 	a.agent.notifyTargets(targets)
 }
 
-// broadcastLocked sends an update to all followers, with the list of VMs if it changed.
-// The caller holds mu.
-func (a *assigner) broadcastLocked(u *pb.ShardUpdate) {
-	if vms := a.vmsLocked(); !slices.Equal(vms, a.vms) {
-		a.vms, u.Vms = vms, vms
+// confirmFeedLocked adds to an update up to when the follower has been sent all store
+// changes. Only earlier updates in its queue can have those, so that the confirmation must be
+// made when the update is queued. The caller holds mu.
+func (a *assigner) confirmFeedLocked(u *pb.ShardUpdate, f *follower) {
+	if !f.relaying {
+		return
+	}
+	if age, ok := a.agent.opts.Feed.ReadAge(); ok {
+		u.ReportSentAtMs, u.FeedAgeMs = f.reportSentAtMs, uint32(age.Milliseconds())
 	}
+}
+
+// broadcastLocked sends each follower its update, with the list of VMs if that changed. The
+// caller holds mu.
+func (a *assigner) broadcastLocked(updateFor func(*follower) *pb.ShardUpdate) {
+	vms := a.vmsLocked()
+	changed := !slices.Equal(vms, a.vms)
 	for f := range a.followers {
+		u := updateFor(f)
+		if changed {
+			u.Vms = vms
+		}
 		a.enqueueLocked(f, u)
 	}
-	a.agent.setVMs(u.GetVms())
+	if changed {
+		a.vms = vms
+		a.agent.setVMs(vms)
+	}
 }
 
 // enqueueLocked queues an update for a follower. A follower whose queue is full is
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -128,7 +128,11 @@
 	for _, m := range u.GetFeed() {
 		a.opts.Feed.Receive(batchFromProto(m))
 	}
-	a.opts.Feed.SetReaderUsable(u.GetFeedFresh())
+	confirmedAt := time.Duration(0)
+	if sentAt := u.GetReportSentAtMs(); sentAt > 0 {
+		confirmedAt = time.Duration(sentAt)*time.Millisecond - time.Duration(u.GetFeedAgeMs())*time.Millisecond
+	}
+	a.opts.Feed.SetReader(u.GetFeedFresh(), confirmedAt)
 }
 
 func (a *Agent) setFollowing(address string) {
@@ -207,6 +211,7 @@
 func (a *Agent) report() *pb.Envelope {
 	r := a.opts.Report()
 	r.Address, r.Reluctant = a.opts.Address, a.opts.TakeOverDelay > 0
+	r.SentAtMs = uint64(boottime.Now().Milliseconds())
 	if a.opts.Feed != nil {
 		for prefix, at := range a.opts.Feed.KnownRevisions() {
 			r.Known = append(r.Known, &pb.FeedPosition{Prefix: prefix, At: uint64(at)})
--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -90,7 +90,7 @@
 	}
 	events, at, err := f.opts.Feed.Poll(ctx, f.opts.Prefix, f.known, f.opts.Wait)
 	if errors.Is(err, store.ErrCompacted) {
-		f.opts.Logger.Info("the store dropped its change history, listing again", "prefix", f.opts.Prefix, "revision", f.known)
+		f.opts.Logger.Info("changes may be missing, listing again", "prefix", f.opts.Prefix, "revision", f.known, "error", err.Error())
 		f.listed = false
 		return nil
 	}
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -4,6 +4,10 @@
 //
 // This saves calls to the store: otherwise each change would end a poll of every VM.
 //
+// A reader that stands still, or whose link is full, cannot be told from one that has no changes
+// to relay. A follower therefore relies on a reader only while that confirms, by an instant of the
+// follower's own clock, up to when it has relayed all changes.
+//
 // A VM that has relied on a reader lists the store before it polls the store itself. A store
 // that has dropped its history may accept a poll from an old revision and return nothing.
 package relayfeed
@@ -18,6 +22,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/store"
 )
 
@@ -48,6 +53,13 @@
 	// TakeoverTimeout is how long a VM that has lost its reader waits for the next one
 	// before it lists the store. Default 700 ms, since a take-over takes about half a second.
 	TakeoverTimeout time.Duration
+	// MaxStaleness is how long ago the last confirmation of any reader may be until a VM that
+	// relies on readers lists the store, however often the reader changes. Default 1.6 s: a
+	// reader confirms each 300 ms, and its own knowledge is up to 500 ms old.
+	MaxStaleness time.Duration
+	// Now returns the time of a clock that goes on while the VM is suspended. Default
+	// boottime.Now.
+	Now func() time.Duration
 	// OnBatch is called with each batch that this VM receives from the store or from the
 	// reader, in order to relay it.
 	OnBatch func(Batch)
@@ -60,8 +72,11 @@
 	mu      sync.Mutex
 	logs    map[string]*changeLog
 	streams map[string]*stream
-	// readerUsable is set while the reader's batches can be relied on.
+	// readerUsable is set while the reader states that its batches can be relied on.
 	readerUsable bool
+	// confirmedAt is the instant up to which the present reader has confirmed to have relayed all
+	// changes, or zero. freshAt is the latest such instant of any reader.
+	confirmedAt, freshAt time.Duration
 	// unusableSince is when readerUsable last became false. It is zero after BecomeReader, so
 	// that no poll waits for another reader.
 	unusableSince time.Time
@@ -69,6 +84,17 @@
 	changed chan struct{}
 	// failing is true for a prefix whose last read of the store failed.
 	failing map[string]bool
+	// reads has, for each prefix, what this VM itself has read from the store.
+	reads map[string]*directReads
+}
+
+// directReads is how up to date the reads of a prefix from the store are.
+type directReads struct {
+	// polling is the number of polls that wait at the store. It answers them at once when
+	// there is a change.
+	polling int
+	// completeAt is the instant up to which all changes were read and relayed.
+	completeAt time.Duration
 }
 
 // changeLog holds the objects under a prefix and their latest changes, as this VM knows them.
@@ -100,9 +126,13 @@
 	opts.MaxBatches, opts.MaxCatchUpEvents = cmp.Or(opts.MaxBatches, 1024), cmp.Or(opts.MaxCatchUpEvents, 50)
 	opts.MaxBatchBytes = cmp.Or(opts.MaxBatchBytes, 8<<10)
 	opts.TakeoverTimeout = cmp.Or(opts.TakeoverTimeout, 700*time.Millisecond)
+	opts.MaxStaleness = cmp.Or(opts.MaxStaleness, 1600*time.Millisecond)
+	if opts.Now == nil {
+		opts.Now = boottime.Now
+	}
 	return &Feed{
 		opts: opts, logs: map[string]*changeLog{}, streams: map[string]*stream{},
-		changed: make(chan struct{}), failing: map[string]bool{},
+		changed: make(chan struct{}), failing: map[string]bool{}, reads: map[string]*directReads{},
 	}
 }
 
@@ -112,10 +142,12 @@
 	if objects, at, ok := f.listFromReader(prefix); ok {
 		return objects, at, nil
 	}
+	start := f.opts.Now()
 	objects, at, err := f.opts.Direct.List(ctx, prefix)
 	f.recordReadResult(prefix, err)
 	if err == nil {
 		f.record(f.diffFromList(prefix, objects, at))
+		f.setReadComplete(prefix, start)
 	}
 	return objects, at, err
 }
@@ -126,7 +158,7 @@
 func (f *Feed) listFromReader(prefix string) ([]store.Object, store.Version, bool) {
 	f.mu.Lock()
 	l := f.logs[prefix]
-	if l == nil || !f.readerUsable || !f.streams[prefix].coversLocked(l.at) {
+	if l == nil || !f.usableLocked() || !f.streams[prefix].coversLocked(l.at) {
 		f.mu.Unlock()
 		return nil, 0, false
 	}
@@ -221,6 +253,15 @@
 func (f *Feed) pollStore(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	f.addPolling(prefix, 1)
+	waiting := true
+	endWait := func() {
+		if waiting {
+			waiting = false
+			f.addPolling(prefix, -1)
+		}
+	}
+	defer endWait()
 	answered := make(chan pollResult, 1)
 	go func() {
 		events, at, err := f.opts.Direct.Poll(ctx, prefix, after, wait)
@@ -233,11 +274,15 @@
 		}
 		select {
 		case a := <-answered:
+			// Until the changes are relayed, this VM does not count as up to date.
+			endWait()
+			answeredAt := f.opts.Now()
 			if !errors.Is(a.err, store.ErrCompacted) {
 				f.recordReadResult(prefix, a.err)
 			}
 			if a.err == nil {
 				f.record(Batch{Prefix: prefix, After: after, At: max(a.at, after), Events: a.events})
+				f.setReadComplete(prefix, answeredAt)
 			}
 			return a.events, a.at, a.err
 		case <-changed:
@@ -262,7 +307,7 @@
 func (f *Feed) covers(prefix string, after store.Version) (bool, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.readerUsable || !f.streams[prefix].coversLocked(after) {
+	if !f.usableLocked() || !f.streams[prefix].coversLocked(after) {
 		return false, f.changed
 	}
 	if l := f.logs[prefix]; l != nil {
@@ -301,14 +346,14 @@
 	defer f.mu.Unlock()
 	s, l := f.streams[prefix], f.logs[prefix]
 	reliesOnReader := l != nil && l.reliesOnReader
+	usable, staleIn := f.usableLocked(), f.freshAt+f.opts.MaxStaleness-f.opts.Now()
+	takeoverWait := min(f.opts.TakeoverTimeout-time.Since(f.unusableSince), staleIn)
 	switch {
-	case f.readerUsable && s.coversLocked(after):
+	case usable && s.coversLocked(after):
 	case !reliesOnReader:
 		return Batch{}, relayNotCovered, nil, 0
-	case !f.readerUsable && time.Since(f.unusableSince) < f.opts.TakeoverTimeout:
-		return Batch{}, relayPending, f.changed, f.opts.TakeoverTimeout - time.Since(f.unusableSince)
-	case f.readerUsable && s == nil && time.Since(f.unusableSince) < f.opts.TakeoverTimeout:
-		return Batch{}, relayPending, f.changed, f.opts.TakeoverTimeout - time.Since(f.unusableSince)
+	case (!usable || s == nil) && takeoverWait > 0:
+		return Batch{}, relayPending, f.changed, takeoverWait
 	default:
 		return Batch{}, relayReset, nil, 0
 	}
@@ -321,14 +366,60 @@
 		}
 	}
 	if out.At == after {
-		return Batch{}, relayPending, f.changed, unlimitedWait
+		return Batch{}, relayPending, f.changed, staleIn
 	}
 	s.from, s.batches = out.At, nil
 	return out, relayChanges, nil, 0
 }
 
-// unlimitedWait is longer than any poll.
-const unlimitedWait = time.Hour
+// usableLocked reports whether the reader states that its batches can be relied on, and has
+// confirmed this within MaxStaleness. f.mu must be held.
+func (f *Feed) usableLocked() bool {
+	return f.readerUsable && f.confirmedAt > 0 && f.opts.Now()-f.confirmedAt < f.opts.MaxStaleness
+}
+
+// addPolling adds n to the number of polls of the prefix that wait at the store.
+func (f *Feed) addPolling(prefix string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readsLocked(prefix).polling += n
+}
+
+// setReadComplete records that all changes up to the instant were read and relayed.
+func (f *Feed) setReadComplete(prefix string, at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.readsLocked(prefix)
+	r.completeAt = max(r.completeAt, at)
+}
+
+func (f *Feed) readsLocked(prefix string) *directReads {
+	r := f.reads[prefix]
+	if r == nil {
+		r = &directReads{}
+		f.reads[prefix] = r
+	}
+	return r
+}
+
+// ReadAge returns the longest time since which changes may exist that this VM has not read
+// from the store and relayed, over all prefixes. It returns false while a prefix was not
+// read yet.
+func (f *Feed) ReadAge() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, age := f.opts.Now(), time.Duration(0)
+	for _, r := range f.reads {
+		switch {
+		case r.polling > 0:
+		case r.completeAt == 0:
+			return 0, false
+		default:
+			age = max(age, now-r.completeAt)
+		}
+	}
+	return age, len(f.reads) > 0
+}
 
 // recordReadResult records whether a read of the prefix from the store succeeded.
 func (f *Feed) recordReadResult(prefix string, err error) {
@@ -441,31 +532,42 @@
 }
 
 // ForgetReader discards what an earlier reader has sent. The next reader is not relied on
-// until SetReaderUsable is called.
+// until SetReader is called with a confirmation.
 func (f *Feed) ForgetReader() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams = map[string]*stream{}
-	f.setReaderUsableLocked(false)
+	f.setReaderLocked(false, 0)
+	f.confirmedAt = 0
 	f.wakeLocked()
 }
 
 // BecomeReader makes this VM the reader: it discards what an earlier reader has sent and
-// reads the store at once, without waiting for TakeoverTimeout.
+// reads the store at once, without waiting for TakeoverTimeout. Until it has read a prefix for
+// which it relied on the earlier reader, it is not Healthy.
 func (f *Feed) BecomeReader() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams = map[string]*stream{}
-	f.readerUsable, f.unusableSince = false, time.Time{}
+	f.readerUsable, f.confirmedAt, f.unusableSince = false, 0, time.Time{}
+	for prefix, l := range f.logs {
+		if l.reliesOnReader {
+			f.failing[prefix] = true
+		}
+	}
 	f.wakeLocked()
 }
 
-// setReaderUsableLocked sets readerUsable and unusableSince. f.mu must be held.
-func (f *Feed) setReaderUsableLocked(usable bool) {
+// setReaderLocked sets what the reader states and confirms. f.mu must be held.
+func (f *Feed) setReaderLocked(usable bool, confirmedAt time.Duration) {
 	if f.readerUsable && !usable {
 		f.unusableSince = time.Now()
 	}
 	f.readerUsable = usable
+	f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	if usable {
+		f.freshAt = max(f.freshAt, f.confirmedAt)
+	}
 }
 
 // Receive adds a batch that the reader has sent.
@@ -485,13 +587,15 @@
 	f.wakeLocked()
 }
 
-// SetReaderUsable sets whether the reader's batches can be relied on: the reader can be
-// reached and reads the store.
-func (f *Feed) SetReaderUsable(usable bool) {
+// SetReader sets whether the reader states that its batches can be relied on, and the instant
+// up to which it has confirmed to have relayed all changes. A zero instant confirms nothing
+// new.
+func (f *Feed) SetReader(usable bool, confirmedAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.readerUsable != usable {
-		f.setReaderUsableLocked(usable)
+	before := f.usableLocked()
+	f.setReaderLocked(usable, confirmedAt)
+	if f.usableLocked() != before {
 		f.wakeLocked()
 	}
 }
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -46,12 +47,20 @@
 	store            *countingStore
 	reader, follower *relayfeed.Feed
 	readerAt         store.Version
+	began            time.Time
 }
 
+// now returns the virtual time on a clock that began an hour before the test.
+func (p *feeds) now() time.Duration { return time.Hour + time.Since(p.began) }
+
+// confirm makes the reader state that it is usable, and confirm what it has relayed so far.
+func (p *feeds) confirm() { p.follower.SetReader(true, p.now()) }
+
 // newFeeds returns the feeds of a reader and its follower. Both have listed the store.
 func newFeeds(t *testing.T) *feeds {
 	p := &feeds{is: is.New(t), store: &countingStore{Store: memstore.New(memstore.Options{})}}
-	p.follower = relayfeed.New(relayfeed.Options{Direct: p.store})
+	p.began = time.Now()
+	p.follower = relayfeed.New(relayfeed.Options{Direct: p.store, Now: p.now})
 	p.reader = relayfeed.New(relayfeed.Options{Direct: p.store, OnBatch: func(b relayfeed.Batch) { p.follower.Receive(b) }})
 	p.put("a/0")
 	_, _, err := p.follower.List(t.Context(), prefix)
@@ -62,7 +71,7 @@
 	for _, b := range p.reader.BatchesSince(p.follower.KnownRevisions()) {
 		p.follower.Receive(b)
 	}
-	p.follower.SetReaderUsable(true)
+	p.confirm()
 	return p
 }
 
@@ -146,7 +155,7 @@
 			for _, b := range p.reader.BatchesSince(p.follower.KnownRevisions()) {
 				p.follower.Receive(b)
 			}
-			p.follower.SetReaderUsable(true)
+			p.confirm()
 		}()
 		keys, _ := p.poll(at)
 		p.is.Equal(keys, []string{"a/2"})
@@ -170,7 +179,7 @@
 		for _, b := range p.reader.BatchesSince(p.follower.KnownRevisions()) {
 			p.follower.Receive(b)
 		}
-		p.follower.SetReaderUsable(true)
+		p.confirm()
 		objects, _, err := p.follower.List(t.Context(), prefix)
 		p.is.NoErr(err)
 		p.is.Equal(len(objects), 2)
@@ -211,7 +220,7 @@
 		for _, b := range p.reader.BatchesSince(p.follower.KnownRevisions()) {
 			p.follower.Receive(b)
 		}
-		p.follower.SetReaderUsable(true)
+		p.confirm()
 		keys, _ := p.poll(at)
 		p.is.Equal(keys, []string{"a/1"})
 		p.is.Equal(p.store.polls.Load(), int64(1)) // That of the reader.
@@ -231,7 +240,7 @@
 		for _, b := range late.BatchesSince(p.follower.KnownRevisions()) {
 			p.follower.Receive(b)
 		}
-		p.follower.SetReaderUsable(true)
+		p.confirm()
 		keys, at := p.poll(at)
 		p.is.Equal(keys, []string{"a/1"})
 		p.is.Equal(p.store.polls.Load(), int64(1))
@@ -278,10 +287,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newFeeds(t)
 		at := p.follower.KnownRevisions()[prefix]
-		p.follower.SetReaderUsable(false)
+		p.follower.SetReader(false, 0)
 		go func() {
 			time.Sleep(100 * time.Millisecond)
-			p.follower.SetReaderUsable(true)
+			p.confirm()
 			time.Sleep(100 * time.Millisecond)
 			p.store.unavailable.Store(true)
 			p.follower.Receive(relayfeed.Batch{Prefix: prefix, After: at, At: at + 1, Events: []store.Event{{Object: store.Object{Key: "a/9"}}}})
@@ -303,15 +312,17 @@
 		_, at = p.poll(at) // The follower relies on the reader, which falls silent.
 		p.put("a/2")
 		began := time.Now()
-		go func() {
+		var readers sync.WaitGroup
+		defer readers.Wait()
+		readers.Go(func() {
 			for range 3 {
 				time.Sleep(1500 * time.Millisecond) // The VM notices the silence.
 				p.follower.ForgetReader()
 				time.Sleep(100 * time.Millisecond) // The next reader knows as little, and falls silent as well.
 				p.follower.Receive(relayfeed.Batch{Prefix: prefix, After: at, At: at})
-				p.follower.SetReaderUsable(true)
+				p.follower.SetReader(true, 0)
 			}
-		}()
+		})
 		for after := at; after == at; {
 			_, _, err := p.follower.Poll(t.Context(), prefix, after, time.Second)
 			if errors.Is(err, store.ErrCompacted) {
@@ -322,3 +333,78 @@
 		}
 	})
 }
+
+// A reader whose updates arrive late, over a full link, goes on stating that it is usable.
+func TestLateReaderIsNotReliedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		at := p.follower.KnownRevisions()[prefix]
+		p.put("a/1")
+		p.read()
+		_, at = p.poll(at) // The follower relies on the reader.
+		lag := p.now()
+		var updates sync.WaitGroup
+		defer updates.Wait()
+		updates.Go(func() {
+			for range 20 {
+				time.Sleep(300 * time.Millisecond)
+				p.follower.SetReader(true, lag) // What the reader has relayed remains that of the start.
+			}
+		})
+		began := time.Now()
+		_, _, err := p.follower.Poll(t.Context(), prefix, at, 25*time.Second)
+		p.is.True(errors.Is(err, store.ErrCompacted))
+		p.is.True(time.Since(began) <= 2*time.Second)
+		_, at, err = p.follower.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.put("a/2")
+		keys, _ := p.poll(at)
+		p.is.Equal(keys, []string{"a/2"}) // From the store.
+	})
+}
+
+// A VM that becomes the reader must not state that it is healthy before it has read what it lacks.
+func TestNewReaderIsNotHealthyBeforeItHasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		at := p.follower.KnownRevisions()[prefix]
+		p.put("a/1")
+		p.read()
+		_, at = p.poll(at) // The follower relies on the reader.
+		p.follower.BecomeReader()
+		p.is.True(!p.follower.Healthy())
+		_, _, err := p.follower.Poll(t.Context(), prefix, at, time.Second)
+		p.is.True(errors.Is(err, store.ErrCompacted))
+		_, _, err = p.follower.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.is.True(p.follower.Healthy())
+	})
+}
+
+func TestReadAgeIsZeroWhileAPollWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		feed := relayfeed.New(relayfeed.Options{Direct: p.store, Now: p.now})
+		_, ok := feed.ReadAge()
+		p.is.True(!ok) // Nothing was read.
+		_, at, err := feed.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		time.Sleep(time.Second)
+		age, ok := feed.ReadAge()
+		p.is.True(ok)
+		p.is.Equal(age, time.Second)
+		var polls sync.WaitGroup
+		polls.Go(func() {
+			_, _, err := feed.Poll(t.Context(), prefix, at, time.Minute)
+			p.is.NoErr(err)
+		})
+		time.Sleep(10 * time.Second)
+		age, _ = feed.ReadAge()
+		p.is.Equal(age, time.Duration(0))
+		p.put("a/1")
+		polls.Wait()
+		time.Sleep(100 * time.Millisecond)
+		age, _ = feed.ReadAge()
+		p.is.Equal(age, 100*time.Millisecond)
+	})
+}
