Complete the assigner's update before it is queued

Change: the changed list is taken once and set before any follower's queue gets the message. go test -race -short ./daemon ./shard: ok.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -677,7 +677,11 @@
 	}
 	u := a.updateLocked()
 	u.Tables = []*pb.RangeTable{m}
-	a.broadcastLocked(func(*follower) *pb.ShardUpdate { return u })
+	u.Vms = a.takeChangedVMsLocked()
+	for f := range a.followers {
+		a.enqueueLocked(f, u)
+	}
+	a.agent.setVMs(u.GetVms())
 }
 
 // broadcast sends all followers an update with the role and the changed target states.
@@ -686,12 +690,14 @@
 	defer a.mu.Unlock()
 	a.startRelayLocked()
 	common := a.updateLocked()
-	a.broadcastLocked(func(f *follower) *pb.ShardUpdate {
+	vms := a.takeChangedVMsLocked()
+	for f := range a.followers {
 		u := proto.Clone(common).(*pb.ShardUpdate)
-		u.Targets = targets
+		u.Targets, u.Vms = targets, vms
 		a.confirmFeedLocked(u, f)
-		return u
-	})
+		a.enqueueLocked(f, u)
+	}
+	a.agent.setVMs(vms)
 	a.agent.notifyTargets(targets)
 }
 
@@ -707,22 +713,15 @@
 	}
 }
 
-// broadcastLocked sends each follower its update, with the list of VMs if that changed. The
-// caller holds mu.
-func (a *assigner) broadcastLocked(updateFor func(*follower) *pb.ShardUpdate) {
+// takeChangedVMsLocked returns the list of VMs if it changed since the last call, else nil.
+// The caller holds mu.
+func (a *assigner) takeChangedVMsLocked() []string {
 	vms := a.vmsLocked()
-	changed := !slices.Equal(vms, a.vms)
-	for f := range a.followers {
-		u := updateFor(f)
-		if changed {
-			u.Vms = vms
-		}
-		a.enqueueLocked(f, u)
-	}
-	if changed {
-		a.vms = vms
-		a.agent.setVMs(vms)
+	if slices.Equal(vms, a.vms) {
+		return nil
 	}
+	a.vms = vms
+	return vms
 }
 
 // enqueueLocked queues an update for a follower. A follower whose queue is full is
