Count a target's time to leave from before its entry changed

Cause: the VM did not know how old the change was and had to assume the worst. Ruled out: a longer fixed grace, which breaks the drain time when a change is learned late.

Change: the feed bounds from before when a change was made (a poll that waited: the store answers at once; else the instant up to which all changes were known), and an owner gets requests until 300 ms before the end of the drain time counted from there.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -119,8 +119,7 @@
 func newNodeProcess(s *NodeSettings, logger *slog.Logger) *nodeProcess {
 	n := &nodeProcess{
 		logger: logger, registry: telemetry.NewRegistry("basiltally-node"),
-		objects:   platform.NewObjectStore(s.Store.Address, s.Store.Timeout),
-		directory: fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger}),
+		objects: platform.NewObjectStore(s.Store.Address, s.Store.Timeout),
 		balancer: placing.New(placing.Options{
 			VM: s.Process.VM, DataCentre: s.Process.DataCentre, Region: s.Process.Region,
 		}),
@@ -130,6 +129,7 @@
 	}
 	n.settings.Store(s)
 	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
+	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
 	n.upstream = upstream.New(upstream.Options{Headers: platform.TargetHeaders(), Registerer: n.registry})
 	leases := shard.LeaseOptions{
 		LeaseDuration: min(s.Shard.LeaseDuration, s.Shard.MaxLeaseDuration), LongLeaseDuration: time.Duration(longLeaseShare * float64(s.Shard.MaxLeaseDuration)),
@@ -142,7 +142,7 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: eligibility.New(eligibility.Options{Directory: n.directory, LeavingGrace: s.Gateway.LeavingGrace}), Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter,
+		Directory: n.directory, Eligibility: eligibility.New(eligibility.Options{Directory: n.directory, DrainTime: s.Gateway.DrainTime}), Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter,
 		Registerer: n.registry, Logger: logger,
 	})
 	n.ingress = ingress.New(ingress.Options{
@@ -270,6 +270,17 @@
 	}
 }
 
+// targetsChangedAfter returns an instant after which the changes of the targets' entries were made
+// that are being applied.
+func (n *nodeProcess) targetsChangedAfter() time.Time {
+	ago, known := n.feed.ChangedAgo(platform.TargetPrefix)
+	if !known {
+		// The first list after the start.
+		return time.Now()
+	}
+	return time.Now().Add(-ago)
+}
+
 func (n *nodeProcess) targetsChanged() {
 	known := n.directory.Snapshot().ByID
 	n.balancer.Retain(func(id string) bool { return known[id] != nil })
--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -27,7 +27,7 @@
 // Verdict states whether a request may be sent to a target.
 type Verdict struct {
 	Reason Reason
-	// Since is how long the reason has been known.
+	// Since is how long the reason holds at most.
 	Since time.Duration
 }
 
@@ -36,26 +36,30 @@
 
 // Error implements error, for a Verdict that is not OK.
 func (v Verdict) Error() string {
-	return fmt.Sprintf("the target is not eligible: %s, known for %d ms", v.Reason, v.Since.Milliseconds())
+	return fmt.Sprintf("the target is not eligible: %s for up to %d ms", v.Reason, v.Since.Milliseconds())
 }
 
 // Options configures a Tracker.
 type Options struct {
 	// Directory has the targets' entries.
 	Directory *fleet.Directory
-	// LeavingGrace is how long the owner of a key still gets requests after this VM has
-	// learned that it leaves, while its keys move to another target. Default 600 ms.
-	LeavingGrace time.Duration
+	// DrainTime is how long a target takes requests after it has said that it leaves. Default
+	// 2 s.
+	DrainTime time.Duration
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
 }
 
+// drainMargin is how long before the end of a target's drain time the last request is sent to it.
+// It covers the way of the request, and of the change through the store.
+const drainMargin = 300 * time.Millisecond
+
 // Tracker decides about the incarnations of targets. It is safe for concurrent use.
 type Tracker struct{ opts Options }
 
 // New returns a Tracker.
 func New(opts Options) *Tracker {
-	opts.LeavingGrace = cmp.Or(opts.LeavingGrace, 600*time.Millisecond)
+	opts.DrainTime = cmp.Or(opts.DrainTime, 2*time.Second)
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
@@ -68,8 +72,8 @@
 	if since.IsZero() {
 		return Verdict{}
 	}
-	if known := t.opts.Now().Sub(since); known > t.opts.LeavingGrace {
-		return Verdict{Reason: Leaving, Since: known}
+	if leaving := t.opts.Now().Sub(since); leaving > t.opts.DrainTime-drainMargin {
+		return Verdict{Reason: Leaving, Since: leaving}
 	}
 	return Verdict{}
 }
--- a/eligibility/eligibility_test.go
+++ b/eligibility/eligibility_test.go
@@ -10,12 +10,12 @@
 	"github.com/basiltally/basiltally/fleet"
 )
 
-func TestLeavingTargetIsEligibleForTheGraceOnly(t *testing.T) {
+func TestLeavingTargetIsEligibleForItsDrainTimeOnly(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	clock := func() time.Time { return now }
 	d := fleet.NewDirectory(fleet.DirectoryOptions{Now: clock})
-	tracker := eligibility.New(eligibility.Options{Directory: d, LeavingGrace: time.Second, Now: clock})
+	tracker := eligibility.New(eligibility.Options{Directory: d, DrainTime: 1300 * time.Millisecond, Now: clock})
 	first := &fleet.Target{ID: "a", Service: "s", Born: 1}
 	is.True(tracker.Decide(first.Incarnation()).OK()) // Not listed yet.
 	d.Put(first)
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -40,8 +40,8 @@
 	WarmUpLeft time.Duration
 	// FirstSeen is the instant at which this VM first saw this incarnation.
 	FirstSeen time.Time
-	// LeavingSince is the instant at which this VM first saw that the target is draining. It is
-	// zero while the target is ready.
+	// LeavingSince is an instant after which the target has said that it is draining, as close as
+	// this VM knows. It is zero while the target is ready.
 	LeavingSince time.Time
 }
 
@@ -64,14 +64,14 @@
 	Version  uint64
 	ByID     map[string]*Target
 	services map[string][]*Target
-	// departed maps the incarnations that are no longer listed to the instants at which this VM
-	// learned that they leave.
+	// departed maps the incarnations that are no longer listed to instants after which they have
+	// said that they leave.
 	departed map[Incarnation]time.Time
 }
 
-// LeavingSince returns the instant at which this VM learned that the incarnation leaves: that
-// it is draining, that its entry is gone or that a later incarnation has replaced it. It
-// returns the zero time if the incarnation is ready or was never listed.
+// LeavingSince returns an instant after which the incarnation has begun to leave: it is draining,
+// its entry is gone or a later incarnation has replaced it. LeavingSince returns the zero
+// time if the incarnation is ready or was never listed.
 func (s *Snapshot) LeavingSince(i Incarnation) time.Time {
 	if t := s.ByID[i.ID]; t != nil && t.Born == i.Born {
 		return t.LeavingSince
@@ -89,6 +89,9 @@
 	RestoreGrace time.Duration
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
+	// ChangedAfter returns an instant after which the change that is being applied was made.
+	// Default Now. A target's time to leave counts from there.
+	ChangedAfter func() time.Time
 	// Logger gets a line for each change. Without it nothing is logged.
 	Logger *slog.Logger
 }
@@ -124,6 +127,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.ChangedAfter == nil {
+		o.ChangedAfter = o.Now
+	}
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -231,7 +237,7 @@
 	now := d.opts.Now()
 	next.FirstSeen, next.LeavingSince = now, time.Time{}
 	if next.State == Draining {
-		next.LeavingSince = now
+		next.LeavingSince = d.opts.ChangedAfter()
 	}
 	if old != nil && old.SameIncarnation(t) {
 		next.FirstSeen = old.FirstSeen
@@ -288,7 +294,7 @@
 func (d *Directory) depart(t *Target) {
 	since := t.LeavingSince
 	if since.IsZero() {
-		since = d.opts.Now()
+		since = d.opts.ChangedAfter()
 	}
 	d.departed[t.Incarnation()] = since
 }
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -71,7 +71,7 @@
 	if c.mayHaveRun {
 		return g.failure(c)
 	}
-	return refusal(result.TargetLeaving, leavingRetryAfter, "the owner of the key, target %s, leaves, as is known for %d ms", t.ID, v.Since.Milliseconds())
+	return refusal(result.TargetLeaving, leavingRetryAfter, "the owner of the key, target %s, has been leaving for up to %d ms", t.ID, v.Since.Milliseconds())
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -85,7 +85,8 @@
 	// failing is true for a prefix whose last read of the store failed.
 	failing map[string]bool
 	// reads has, for each prefix, what this VM itself has read from the store.
-	reads map[string]*directReads
+	reads  map[string]*directReads
+	bounds map[string]*changeBounds
 }
 
 // directReads is how up to date the reads of a prefix from the store are.
@@ -97,6 +98,20 @@
 	completeAt time.Duration
 }
 
+// changeBounds bounds when the changes under a prefix were made.
+type changeBounds struct {
+	// changedAfter is an instant after which the changes were made that the last List or Poll
+	// returned.
+	changedAfter time.Duration
+	// undelivered is set if the reader has sent changes that no List or Poll has returned yet.
+	// They were made after undeliveredAfter.
+	undelivered      bool
+	undeliveredAfter time.Duration
+}
+
+// maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
+const maxPollDelay = 200 * time.Millisecond
+
 // changeLog holds the objects under a prefix and their latest changes, as this VM knows them.
 type changeLog struct {
 	// base is the revision after which batches has all changes. at is the revision up to
@@ -133,6 +148,7 @@
 	return &Feed{
 		opts: opts, logs: map[string]*changeLog{}, streams: map[string]*stream{},
 		changed: make(chan struct{}), failing: map[string]bool{}, reads: map[string]*directReads{},
+		bounds: map[string]*changeBounds{},
 	}
 }
 
@@ -147,6 +163,7 @@
 	f.recordReadResult(prefix, err)
 	if err == nil {
 		f.record(f.diffFromList(prefix, objects, at))
+		f.boundChanges(prefix, 0)
 		f.setReadComplete(prefix, start)
 	}
 	return objects, at, err
@@ -167,6 +184,7 @@
 	if b, state, _, _ := f.pollReader(prefix, after); state == relayChanges {
 		f.record(b)
 	}
+	f.boundChanges(prefix, 0)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	objects := make([]store.Object, 0, len(l.objects))
@@ -223,6 +241,7 @@
 		switch state {
 		case relayChanges:
 			f.record(b)
+			f.boundChanges(prefix, 0)
 			return b.Events, b.At, nil
 		case relayReset:
 			return nil, 0, errors.WithMessagef(store.ErrCompacted, "%s: changes from the reader of the store may be missing", prefix)
@@ -254,7 +273,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.addPolling(prefix, 1)
-	waiting := true
+	start, waiting := f.opts.Now(), true
 	endWait := func() {
 		if waiting {
 			waiting = false
@@ -282,6 +301,12 @@
 			}
 			if a.err == nil {
 				f.record(Batch{Prefix: prefix, After: after, At: max(a.at, after), Events: a.events})
+				if answeredAt-start > maxPollDelay {
+					// A change before the poll would have ended it at once.
+					f.boundChanges(prefix, answeredAt-maxPollDelay)
+				} else {
+					f.boundChanges(prefix, 0)
+				}
 				f.setReadComplete(prefix, answeredAt)
 			}
 			return a.events, a.at, a.err
@@ -366,6 +391,7 @@
 		}
 	}
 	if out.At == after {
+		f.boundsLocked(prefix).undelivered = false
 		return Batch{}, relayPending, f.changed, staleIn
 	}
 	s.from, s.batches = out.At, nil
@@ -402,6 +428,37 @@
 	return r
 }
 
+// boundChanges records an instant after which the changes were made that List or Poll is about to
+// return: the given one or, if it is later, that up to which this VM knew all changes.
+func (f *Feed) boundChanges(prefix string, after time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.boundsLocked(prefix)
+	known := max(f.readsLocked(prefix).completeAt, f.freshAt)
+	if b.undelivered {
+		known = b.undeliveredAfter
+	}
+	b.changedAfter, b.undelivered = max(after, known), false
+}
+
+func (f *Feed) boundsLocked(prefix string) *changeBounds {
+	b := f.bounds[prefix]
+	if b == nil {
+		b = &changeBounds{}
+		f.bounds[prefix] = b
+	}
+	return b
+}
+
+// ChangedAgo returns an upper bound on how long ago the changes were made that the last List or
+// Poll of the prefix returned. It returns false if that is unknown.
+func (f *Feed) ChangedAgo(prefix string) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	after := f.boundsLocked(prefix).changedAfter
+	return f.opts.Now() - after, after > 0
+}
+
 // ReadAge returns the longest time since which changes may exist that this VM has not read
 // from the store and relayed, over all prefixes. It returns false while a prefix was not
 // read yet.
@@ -575,6 +632,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.streams[b.Prefix]
+	gap := s != nil && b.After > s.at
+	if bounds := f.boundsLocked(b.Prefix); !bounds.undelivered && (len(b.Events) > 0 || b.Reset || gap) {
+		bounds.undelivered, bounds.undeliveredAfter = true, max(f.readsLocked(b.Prefix).completeAt, f.freshAt)
+	}
 	switch {
 	case s != nil && !b.Reset && b.After <= s.at:
 		s.batches = append(s.batches, b)
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -61,7 +61,7 @@
 	p := &feeds{is: is.New(t), store: &countingStore{Store: memstore.New(memstore.Options{})}}
 	p.began = time.Now()
 	p.follower = relayfeed.New(relayfeed.Options{Direct: p.store, Now: p.now})
-	p.reader = relayfeed.New(relayfeed.Options{Direct: p.store, OnBatch: func(b relayfeed.Batch) { p.follower.Receive(b) }})
+	p.reader = relayfeed.New(relayfeed.Options{Direct: p.store, Now: p.now, OnBatch: func(b relayfeed.Batch) { p.follower.Receive(b) }})
 	p.put("a/0")
 	_, _, err := p.follower.List(t.Context(), prefix)
 	p.is.NoErr(err)
@@ -408,3 +408,62 @@
 		p.is.Equal(age, 100*time.Millisecond)
 	})
 }
+
+// The time at which a change was made must be bounded from before, whichever way the change came.
+func TestChangedAgoReachesBackToTheChange(t *testing.T) {
+	const second = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		ago := func(f *relayfeed.Feed) time.Duration {
+			d, ok := f.ChangedAgo(prefix)
+			p.is.True(ok)
+			return d
+		}
+		time.Sleep(second)
+		// A poll that waited: the change ended it.
+		go func() {
+			time.Sleep(second / 2)
+			p.put("a/1")
+		}()
+		p.read()
+		p.is.True(ago(p.reader) > 0 && ago(p.reader) < second/2)
+		// A poll that did not wait: the change may have come at any time since the last.
+		time.Sleep(second)
+		p.put("a/2")
+		time.Sleep(2 * second)
+		p.read()
+		p.is.Equal(ago(p.reader), 3*second)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		at := p.follower.KnownRevisions()[prefix]
+		ago := func() time.Duration {
+			d, ok := p.follower.ChangedAgo(prefix)
+			p.is.True(ok)
+			return d
+		}
+		p.put("a/0.5")
+		p.read()
+		_, at = p.poll(at) // The follower relies on the reader.
+		time.Sleep(second)
+		p.confirm()
+		p.put("a/1")
+		time.Sleep(second / 2)
+		p.read() // The change is relayed.
+		p.confirm()
+		time.Sleep(second / 2)
+		_, at = p.poll(at)
+		p.is.Equal(ago(), second) // Since the confirmation before the relayed change.
+		// The follower loses the reader before it takes a change from it, and lists.
+		p.put("a/2")
+		time.Sleep(second / 4)
+		p.read()
+		p.confirm()
+		p.follower.ForgetReader()
+		_, _, err := p.follower.Poll(t.Context(), prefix, at, 10*second)
+		p.is.True(errors.Is(err, store.ErrCompacted))
+		_, _, err = p.follower.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.is.True(ago() >= second/4+700*time.Millisecond)
+	})
+}
