Let a VM with a take-over delay wait after it has found the role vacant

Cause: the delay was part of the pause between two searches. After one loss all VMs search in step and the delay separates them; after the second their searches are spread, and of 47 small and 12 large VMs a small one is mostly first. Ruled out: longer delays in the search, which change the phase only.

Change: such a VM waits its delay once it has found the vacancy, reads the role again, and takes over only if no other VM has.

TestVMWithTakeOverDelayLeavesTheRoleToPreferredVM fails without the change (the VM has the role).

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -268,9 +268,20 @@
 	if v.role != nil {
 		r, version = *v.role, v.version
 	}
+	if delay := a.takeOverDelay(); delay > 0 && !s.vacantAfter(ctx, delay, version) {
+		return
+	}
 	a.takeOver(ctx, r, version, v)
 }
 
+// vacantAfter waits, so that a preferred VM can take the role over first. It reports whether
+// the role in the store still has the version afterwards.
+func (s *assignerSearch) vacantAfter(ctx context.Context, delay time.Duration, version store.Version) bool {
+	pause(ctx, delay)
+	_, now, err := readRole(ctx, s.agent.opts.Store)
+	return err == nil && now == version && ctx.Err() == nil && !s.agent.resigned.Load()
+}
+
 // awaitNextSearch pauses before the next search for the assigner. If an assigner
 // announces itself meanwhile, it follows that one instead.
 func (a *Agent) awaitNextSearch(ctx context.Context) {
--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -1,12 +1,18 @@
 package shard
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/basiltally/basiltally/boottime"
+	"github.com/basiltally/basiltally/fleet"
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/memstore"
 )
 
 // A VM that knows the assigner's last confirmation waits for the end of the role lease
@@ -22,3 +28,42 @@
 	is.Equal(s.actsUntil(role{Term: 4, Beat: 10}), now+3*time.Second)
 	is.Equal(s.actsUntil(role{Term: 5, Beat: 9}), now+3*time.Second)
 }
+
+// takingStore is a store in which another VM takes the role over right before the read with the number takenBeforeRead.
+type takingStore struct {
+	store.Store
+	reads, takenBeforeRead int
+}
+
+func (s *takingStore) Get(ctx context.Context, key string) (store.Object, error) {
+	s.reads++
+	if s.reads == s.takenBeforeRead {
+		r, version, err := readRole(ctx, s.Store)
+		if err != nil {
+			return store.Object{}, err
+		}
+		if _, err := putRole(ctx, s.Store, role{VM: "preferred", Address: "127.0.0.1:1", Term: r.Term + 1}, version); err != nil {
+			return store.Object{}, err
+		}
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// A VM with a take-over delay often finds a lost assigner first, because there are more such VMs. It must not take over
+// before a preferred VM has had the time to do so.
+func TestVMWithTakeOverDelayLeavesTheRoleToPreferredVM(t *testing.T) {
+	is := is.New(t)
+	stored := &takingStore{Store: memstore.New(memstore.Options{}), takenBeforeRead: 2}
+	a := NewAgent(AgentOptions{
+		VM: "small", Address: "127.0.0.1:2", Store: stored, TakeOverDelay: 20 * time.Millisecond, RoleLease: time.Second,
+		Directory: fleet.NewDirectory(fleet.DirectoryOptions{}), Peers: peer.NewClient(peer.ClientOptions{VM: "small", Role: "test"}),
+		Services: func() ([]string, bool) { return nil, false }, Report: func() *pb.ShardReport { return &pb.ShardReport{} },
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	s := assignerSearch{agent: a}
+	s.step(ctx)
+	r, _, err := readRole(t.Context(), stored.Store)
+	is.NoErr(err)
+	is.Equal(r.VM, "preferred")
+}
