Wait for the end of a silent assigner's role instead of searching again

Cause: a VM tries to reach the silent assigner for 1.5 s; if its role ends right after that, the VM searches again and waits 1.5 s more. Ruled out: taking over before the role ends, which would allow two assigners.

Change: after a failed attempt the VM waits for the end of the role, if that is within 1.5 s, unless another assigner announces itself.

TestRoleIsTakenOverAtTheEndOfTheSilentAssignersLease fails without the change.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -352,12 +352,36 @@
 			}
 		}
 	}
+	if !s.awaitEndOfRole(ctx, r) {
+		return vacancy{}
+	}
 	if s.actsUntil(r) <= boottime.Now() && s.unchanged(ctx) {
 		return vacancy{reason: "the assigner is silent", actsUntil: s.actsUntil(r)}
 	}
 	return vacancy{}
 }
 
+// awaitEndOfRole waits until the assigner that wrote the role r, which did not answer, may no longer
+// act, if that is soon: another search would take up to assignerTimeout. It returns false if
+// an assigner announces itself meanwhile.
+func (s *assignerSearch) awaitEndOfRole(ctx context.Context, r role) bool {
+	wait := s.actsUntil(r) - boottime.Now()
+	if wait <= 0 || wait > assignerTimeout {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	case address := <-s.agent.announcements:
+		select {
+		case s.agent.announcements <- address:
+		default: // A newer announcement has come.
+		}
+		return false
+	}
+	return true
+}
+
 // confirmedLast reports whether the role has the term and beat that its holder last
 // reported as confirmed.
 func (a *Agent) confirmedLast(r role) bool {
--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -67,3 +69,40 @@
 	is.NoErr(err)
 	is.Equal(r.VM, "preferred")
 }
+
+// The end of a silent assigner's role often comes right after a VM has failed to reach it. The VM must not begin another
+// search then, which can take longer than the role.
+func TestRoleIsTakenOverAtTheEndOfTheSilentAssignersLease(t *testing.T) {
+	is := is.New(t)
+	stored := memstore.New(memstore.Options{})
+	_, err := putRole(t.Context(), stored, role{VM: "silent", Address: "127.0.0.1:1", Term: 1}, 0)
+	is.NoErr(err)
+	dial := func(context.Context, string) (net.Conn, error) { return nil, errors.New("no route") }
+	a := NewAgent(AgentOptions{
+		VM: "next", Address: "127.0.0.1:2", Store: stored, RoleLease: 100 * time.Millisecond,
+		Directory: fleet.NewDirectory(fleet.DirectoryOptions{}), Peers: peer.NewClient(peer.ClientOptions{VM: "next", Role: "test", Dial: dial}),
+		Services: func() ([]string, bool) { return nil, false }, Report: func() *pb.ShardReport { return &pb.ShardReport{} },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	taken := make(chan struct{})
+	go func() {
+		defer close(taken)
+		s := assignerSearch{agent: a}
+		s.step(ctx) // Acts as the assigner until the context ends.
+	}()
+	for {
+		r, _, err := readRole(t.Context(), stored)
+		is.NoErr(err)
+		if r.VM == "next" {
+			break
+		}
+		select {
+		case <-taken:
+			t.Fatal("the search ended without a take-over")
+		case <-time.After(time.Millisecond):
+		}
+	}
+	cancel()
+	<-taken
+}
