Hold the number of VMs for 10 s when it falls

Cause: the assigner counts the VMs that are connected to it, and a new one starts with itself. Ruled out: announcing the old list, since a successor may be a VM that never had it.

Change: the highest number of the last 10 s is in force; a higher one at once.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -34,8 +34,7 @@
 const (
 	// stopMargin is how long before the platform's limit requests still running are cut off.
 	stopMargin = 300 * time.Millisecond
-	// expireInterval is the interval at which targets are dropped whose entries did not
-	// return after an outage of the store.
+	// expireInterval is the interval at which expire looks for what has expired.
 	expireInterval = 100 * time.Millisecond
 	// memoryShare is the share of the VM's memory that is set as the garbage collector's
 	// memory limit.
@@ -79,7 +78,9 @@
 	agent         *shard.Agent
 	gateway       *gateway.Gateway
 	ingress       *ingress.Server
-	vmCount       atomic.Int64
+	vmCount       vmCount
+	// vmsInForce is the number of VMs by which the shares are divided.
+	vmsInForce atomic.Int64
 }
 
 // RunNode runs basiltally-node until the context ends. It returns when the requests in
@@ -168,7 +169,7 @@
 	g.Go(func() error { return n.follower(platform.TargetPrefix, newTargetConsumer(n), targetSettle).Run(work) })
 	g.Go(func() error { return n.agent.Run(work) })
 	g.Go(func() error { return n.upstream.Run(work) })
-	g.Go(func() error { return n.expireTargets(work) })
+	g.Go(func() error { return n.expire(work) })
 	g.Go(func() error { return n.serveReady(work) })
 	g.Go(func() error {
 		return telemetry.Serve(work, telemetry.Options{Settings: n.settings.Load().Telemetry, Gatherer: n.registry, Ready: n.ready})
@@ -240,9 +241,16 @@
 	return names, true
 }
 
-// setVMCount divides the retry budget, the targets and their connections among the VMs.
+// setVMCount records the number of VMs that the assigner counts.
 func (n *nodeProcess) setVMCount(count int) {
-	if n.vmCount.Swap(int64(count)) == int64(count) {
+	n.vmCount.set(count, time.Now())
+	n.divideAmongVMs()
+}
+
+// divideAmongVMs divides the retry budget, the targets and their connections among the VMs.
+func (n *nodeProcess) divideAmongVMs() {
+	count := n.vmCount.get(time.Now())
+	if count == 0 || n.vmsInForce.Swap(int64(count)) == int64(count) {
 		return
 	}
 	n.logger.Info("number of VMs changed", "vms", count)
@@ -254,7 +262,7 @@
 // setConnectionLimit divides the connections that a target accepts among the VMs. The lowest
 // limit of all services holds for every target.
 func (n *nodeProcess) setConnectionLimit() {
-	t, vms := n.routes.Load(), int(n.vmCount.Load())
+	t, vms := n.routes.Load(), int(n.vmsInForce.Load())
 	if t == nil || vms == 0 {
 		return
 	}
@@ -286,8 +294,9 @@
 	n.balancer.Retain(func(id string) bool { return known[id] != nil })
 }
 
-// expireTargets drops targets whose entries did not return after an outage of the store.
-func (n *nodeProcess) expireTargets(ctx context.Context) error {
+// expire drops targets whose entries did not return after an outage of the store, and numbers of
+// VMs that are no longer in force, until the context ends.
+func (n *nodeProcess) expire(ctx context.Context) error {
 	tick := time.NewTicker(expireInterval)
 	defer tick.Stop()
 	for {
@@ -296,6 +305,7 @@
 			return nil
 		case <-tick.C:
 			n.directory.Expire()
+			n.divideAmongVMs()
 		}
 	}
 }
