Keep each VM to its share of the limit that a target names

Change: upstream decodes what a target states of itself, from its own answers only; malformed values are ignored with one log line a second. eligibility keeps a bucket of tokens for each incarnation that names a limit, filled at the VM's share: the limit divided by the number of VMs, or, if that is less than a whole request, by the VMs that rank first for the target. The limit ends with an answer that names none.

Weighed: shares by demand, given out by the assigner (use the limit better, but the sum does not hold when the assigner is lost; may come on top); one VM as the target's home (one hop more, and its loss). Ruled out: limits on concurrency, which bound no rate.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -71,6 +71,7 @@
 	// targetsListed is set once the targets' entries were read.
 	targetsListed atomic.Bool
 	balancer      *placing.Balancer
+	eligibility   *eligibility.Tracker
 	budget        *budget.Budget
 	keyCounter    *gateway.KeyCounter
 	upstream      *upstream.Client
@@ -79,6 +80,7 @@
 	gateway       *gateway.Gateway
 	ingress       *ingress.Server
 	vmCount       vmCount
+	vms           atomic.Pointer[[]string]
 	// vmsInForce is the number of VMs by which the shares are divided.
 	vmsInForce atomic.Int64
 }
@@ -138,12 +140,15 @@
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
-		OnVMs: n.setVMCount, OnTargets: n.mergeTargetStates, Feed: n.feed,
+		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed,
 		RelayAbove: s.Shard.RelayAbove, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
+	n.eligibility = eligibility.New(eligibility.Options{
+		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, Registerer: n.registry, Logger: logger,
+	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: eligibility.New(eligibility.Options{Directory: n.directory, DrainTime: s.Gateway.DrainTime}), Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter,
+		Directory: n.directory, Eligibility: n.eligibility, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter,
 		Registerer: n.registry, Logger: logger,
 	})
 	n.ingress = ingress.New(ingress.Options{
@@ -241,9 +246,11 @@
 	return names, true
 }
 
-// setVMCount records the number of VMs that the assigner counts.
-func (n *nodeProcess) setVMCount(count int) {
-	n.vmCount.set(count, time.Now())
+// setVMs records the addresses of the VMs that are connected to the assigner.
+func (n *nodeProcess) setVMs(vms []string) {
+	n.vmCount.set(len(vms), time.Now())
+	n.vms.Store(&vms)
+	n.eligibility.SetVMs(vms, n.vmCount.get(time.Now()))
 	n.divideAmongVMs()
 }
 
@@ -254,6 +261,9 @@
 		return
 	}
 	n.logger.Info("number of VMs changed", "vms", count)
+	if vms := n.vms.Load(); vms != nil {
+		n.eligibility.SetVMs(*vms, count)
+	}
 	n.budget.SetVMs(count)
 	n.balancer.SetVMs(count)
 	n.setConnectionLimit()
@@ -292,6 +302,7 @@
 func (n *nodeProcess) targetsChanged() {
 	known := n.directory.Snapshot().ByID
 	n.balancer.Retain(func(id string) bool { return known[id] != nil })
+	n.eligibility.Retain(func(i fleet.Incarnation) bool { return known[i.ID] != nil && known[i.ID].Born == i.Born })
 }
 
 // expire drops targets whose entries did not return after an outage of the store, and numbers of
--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -1,13 +1,21 @@
-// Package eligibility decides whether a request may be sent to a target. All paths of a
-// request ask it last, right before the first byte is written, because a request may wait
-// for a connection or be repeated seconds after its target was chosen.
+// Package eligibility decides whether a request may be sent to a target, from what the target's
+// entry and its answers state. All paths of a request ask it last, right before the first
+// byte is written, because a request may wait for a connection or be repeated seconds after
+// its target was chosen.
+//
+// The limits that targets name hold for all VMs together. Each VM keeps to a share of its own,
+// so that the sum holds while the VMs cannot talk to each other.
 package eligibility
 
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
+	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/basiltally/basiltally/fleet"
 )
 
@@ -19,15 +27,19 @@
 	None Reason = iota
 	// Leaving means that the target leaves and takes no new requests.
 	Leaving
+	// Limited means that this VM's share of the limit that the target has named is used up.
+	Limited
 )
 
 // String returns the name of the reason.
-func (r Reason) String() string { return [...]string{"none", "leaving"}[r] }
+func (r Reason) String() string { return [...]string{"none", "leaving", "limited"}[r] }
 
 // Verdict states whether a request may be sent to a target.
 type Verdict struct {
 	Reason Reason
-	// Since is how long the reason holds at most.
+	// RetryIn is the time after which a request may be sent again; zero if that is unknown.
+	RetryIn time.Duration
+	// Since is how long a target leaves at most, if that is the reason.
 	Since time.Duration
 }
 
@@ -35,19 +47,23 @@
 func (v Verdict) OK() bool { return v.Reason == None }
 
 // Error implements error, for a Verdict that is not OK.
-func (v Verdict) Error() string {
-	return fmt.Sprintf("the target is not eligible: %s for up to %d ms", v.Reason, v.Since.Milliseconds())
-}
+func (v Verdict) Error() string { return fmt.Sprintf("the target is not eligible: %s", v.Reason) }
 
 // Options configures a Tracker.
 type Options struct {
 	// Directory has the targets' entries.
 	Directory *fleet.Directory
+	// VM is this VM's name among those given to SetVMs.
+	VM string
 	// DrainTime is how long a target takes requests after it has said that it leaves. Default
 	// 2 s.
 	DrainTime time.Duration
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
+	// Registerer is where the metrics are registered. Nil registers none.
+	Registerer prometheus.Registerer
+	// Logger gets a line for each change of what a target states. Without it nothing is logged.
+	Logger *slog.Logger
 }
 
 // drainMargin is how long before the end of a target's drain time the last request is sent to it.
@@ -55,25 +71,212 @@
 const drainMargin = 300 * time.Millisecond
 
 // Tracker decides about the incarnations of targets. It is safe for concurrent use.
-type Tracker struct{ opts Options }
+type Tracker struct {
+	opts    Options
+	refused *prometheus.CounterVec
+
+	mu     sync.Mutex
+	states map[fleet.Incarnation]*state
+	vms    []string
+	count  int
+}
 
-// New returns a Tracker.
+// state is what an incarnation has stated in its answers.
+type state struct {
+	limit limit
+	// unreported is set if the limit was stated since the last call of TakeStatements.
+	unreported bool
+}
+
+// New returns a Tracker that knows no statements.
 func New(opts Options) *Tracker {
 	opts.DrainTime = cmp.Or(opts.DrainTime, 2*time.Second)
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	return &Tracker{opts: opts}
+	if opts.Logger == nil {
+		opts.Logger = slog.New(slog.DiscardHandler)
+	}
+	t := &Tracker{
+		opts: opts, states: map[fleet.Incarnation]*state{},
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "basiltally_ineligible_total", Help: "Requests that were not sent to a target, by the reason.",
+		}, []string{"reason"}),
+	}
+	if opts.Registerer != nil {
+		opts.Registerer.MustRegister(t.refused)
+	}
+	return t
 }
 
 // Decide returns whether a request may be sent to the incarnation now.
 func (t *Tracker) Decide(i fleet.Incarnation) Verdict {
+	now := t.opts.Now()
+	if v := t.leaving(i, now); !v.OK() {
+		return v
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limitedLocked(i, now)
+}
+
+// Take decides like Decide, and counts the request as sent if it may be.
+func (t *Tracker) Take(i fleet.Incarnation) Verdict {
+	now := t.opts.Now()
+	v := t.leaving(i, now)
+	if v.OK() {
+		t.mu.Lock()
+		if v = t.limitedLocked(i, now); v.OK() {
+			if s := t.states[i]; s != nil && s.limit.active(now) {
+				s.limit.tokens--
+			}
+		}
+		t.mu.Unlock()
+	}
+	if !v.OK() {
+		t.refused.WithLabelValues(v.Reason.String()).Inc()
+	}
+	return v
+}
+
+// PromiseReturn returns the time after which the caller of a request should return that the
+// verdict refused. Callers that wait for the same share of a limit return one after the other.
+func (t *Tracker) PromiseReturn(i fleet.Incarnation, v Verdict) time.Duration {
+	if v.Reason != Limited {
+		return v.RetryIn
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[i]
+	if s == nil {
+		return v.RetryIn
+	}
+	return s.limit.promise(t.opts.Now())
+}
+
+func (t *Tracker) leaving(i fleet.Incarnation, now time.Time) Verdict {
 	since := t.opts.Directory.Snapshot().LeavingSince(i)
 	if since.IsZero() {
 		return Verdict{}
 	}
-	if leaving := t.opts.Now().Sub(since); leaving > t.opts.DrainTime-drainMargin {
+	if leaving := now.Sub(since); leaving > t.opts.DrainTime-drainMargin {
 		return Verdict{Reason: Leaving, Since: leaving}
 	}
 	return Verdict{}
 }
+
+// limitedLocked decides by the limit that the incarnation has named. t.mu must be held.
+func (t *Tracker) limitedLocked(i fleet.Incarnation, now time.Time) Verdict {
+	s := t.states[i]
+	if s == nil || !s.limit.active(now) {
+		return Verdict{}
+	}
+	if wait := s.limit.wait(now); wait > 0 {
+		return Verdict{Reason: Limited, RetryIn: wait}
+	}
+	return Verdict{}
+}
+
+// Statement is what a target states in an answer, or what another VM was told in one.
+type Statement struct {
+	Incarnation fleet.Incarnation
+	// LimitPerSecond is the number of requests a second that the target takes from all VMs
+	// together; zero if it takes all.
+	LimitPerSecond float64
+	// Age is how long ago the target stated it.
+	Age time.Duration
+}
+
+// Observe records what a target stated in an answer to the request with the ID.
+func (t *Tracker) Observe(s Statement, request string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.states[s.Incarnation]
+	if known == nil && s.LimitPerSecond == 0 {
+		return
+	}
+	if t.mergeLocked(s, "request", request) {
+		t.states[s.Incarnation].unreported = true
+	}
+}
+
+// Merge records what other VMs were told, unless this VM knows something later.
+func (t *Tracker) Merge(statements []Statement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range statements {
+		if t.states[s.Incarnation] != nil || s.LimitPerSecond > 0 {
+			t.mergeLocked(s, "source", "another VM")
+		}
+	}
+}
+
+// mergeLocked records a statement that is not older than what is known, and logs a change. t.mu
+// must be held.
+func (t *Tracker) mergeLocked(s Statement, sourceKey, source string) bool {
+	known := t.states[s.Incarnation]
+	if known == nil {
+		known = &state{}
+		t.states[s.Incarnation] = known
+	}
+	now := t.opts.Now()
+	at := now.Add(-s.Age)
+	if at.Before(known.limit.statedAt) || s.Age >= limitMemory {
+		return false
+	}
+	before, wasActive := known.limit.perSecond, known.limit.active(now)
+	known.limit.state(s.LimitPerSecond, t.shareLocked(s), at, now)
+	if known.limit.perSecond != before || wasActive != known.limit.active(now) {
+		t.opts.Logger.Info("limit of target changed", "target", s.Incarnation.ID, "born", s.Incarnation.Born, "per_second", s.LimitPerSecond,
+			"before", before, "share", known.limit.share.perSecond, "age_ms", s.Age.Milliseconds(), sourceKey, source)
+	}
+	return true
+}
+
+func (t *Tracker) shareLocked(s Statement) share {
+	if s.LimitPerSecond == 0 {
+		return share{}
+	}
+	return shareOf(s.LimitPerSecond, s.Incarnation.ID, t.opts.VM, t.vms, t.count)
+}
+
+// SetVMs sets the VMs that share the targets. The list may lack some of the number of VMs.
+func (t *Tracker) SetVMs(vms []string, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms, t.count = vms, count
+	now := t.opts.Now()
+	for i, s := range t.states {
+		if s.limit.active(now) {
+			sh := t.shareLocked(Statement{Incarnation: i, LimitPerSecond: s.limit.perSecond})
+			s.limit.state(s.limit.perSecond, sh, s.limit.statedAt, now)
+		}
+	}
+}
+
+// TakeStatements returns what this VM itself was told since the last call.
+func (t *Tracker) TakeStatements() []Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	var out []Statement
+	for i, s := range t.states {
+		if !s.unreported {
+			continue
+		}
+		s.unreported = false
+		out = append(out, Statement{Incarnation: i, LimitPerSecond: s.limit.perSecond, Age: now.Sub(s.limit.statedAt)})
+	}
+	return out
+}
+
+// Retain discards the statements of the incarnations for which known returns false.
+func (t *Tracker) Retain(known func(fleet.Incarnation) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.states {
+		if !known(i) {
+			delete(t.states, i)
+		}
+	}
+}
--- /dev/null
+++ b/eligibility/limit.go
@@ -0,0 +1,131 @@
+package eligibility
+
+import (
+	"math"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// limitMemory is how long a limit holds that the target has not named again. A VM that gets no
+	// share of a small limit learns from the others that it still holds.
+	limitMemory = 15 * time.Second
+	// burstSeconds and burstRequests bound what all VMs together may send at once, beyond the
+	// limit's rate: burstSeconds times the limit, and burstRequests. A target allows in 4 s half
+	// as much again as its limit, and 5 requests; the rest of that covers requests on their way.
+	burstSeconds  = 1.2
+	burstRequests = 3
+	// withoutShareRetryAfter is the time after which a caller may return to a VM that has no
+	// share of a limit. Most callers return to another VM.
+	withoutShareRetryAfter = time.Second
+	// maxPromise bounds how far ahead refused callers are asked to return.
+	maxPromise = 2 * time.Second
+)
+
+// limit is what a target that takes fewer requests than usual gets from this VM.
+type limit struct {
+	// perSecond is the number of requests a second that the target takes from all VMs; zero if
+	// it takes all.
+	perSecond float64
+	// statedAt is when the target last named its limit, or that it has none.
+	statedAt time.Time
+	share    share
+	// tokens is the number of requests that this VM may send, as of filledAt.
+	tokens   float64
+	filledAt time.Time
+	// promised is the latest instant at which a refused caller was asked to return.
+	promised time.Time
+}
+
+// share is this VM's part of a limit.
+type share struct {
+	// perSecond is the rate at which tokens are added, and burst is the highest number of them.
+	// Both are zero if the VM has no part.
+	perSecond, burst float64
+}
+
+// shareOf returns the part of the limit that the VM has, without asking the others. All parts
+// together make up the limit, and all bursts burstSeconds of it and burstRequests. If the
+// bursts would be less than one request, the limit is shared by the VMs that rank first for the
+// target. count is the number of VMs, of which the list may lack some.
+func shareOf(perSecond float64, target, vm string, vms []string, count int) share {
+	count = max(count, len(vms), 1)
+	burst := burstSeconds*perSecond + burstRequests
+	sharers := min(count, int(burst))
+	if sharers < count && rankOf(vm, target, vms) >= sharers {
+		return share{}
+	}
+	return share{perSecond: perSecond / float64(sharers), burst: burst / float64(sharers)}
+}
+
+// rankOf returns how many of the VMs rank before the VM for the target, by the hash of both. A VM
+// that is not in the list ranks last.
+func rankOf(vm, target string, vms []string) int {
+	own, rank, listed := xxh3.HashString(vm+"/"+target), 0, false
+	for _, other := range vms {
+		if other == vm {
+			listed = true
+		} else if xxh3.HashString(other+"/"+target) < own {
+			rank++
+		}
+	}
+	if !listed {
+		return math.MaxInt
+	}
+	return rank
+}
+
+// active reports whether the limit holds at the instant now.
+func (l *limit) active(now time.Time) bool {
+	return l.perSecond > 0 && now.Sub(l.statedAt) < limitMemory
+}
+
+// state sets what the target has named at the instant at. It starts with half of the burst, because
+// requests are on their way.
+func (l *limit) state(perSecond float64, s share, at, now time.Time) {
+	if !l.active(now) {
+		l.tokens, l.filledAt = s.burst/2, now
+	}
+	l.fill(now)
+	l.perSecond, l.statedAt, l.share = perSecond, at, s
+	l.tokens = min(l.tokens, s.burst)
+}
+
+// fill adds the tokens since the last call.
+func (l *limit) fill(now time.Time) {
+	if since := now.Sub(l.filledAt).Seconds(); since > 0 {
+		l.tokens = min(l.tokens+since*l.share.perSecond, l.share.burst)
+	}
+	l.filledAt = now
+}
+
+// wait returns the time until there is a token; zero if there is one.
+func (l *limit) wait(now time.Time) time.Duration {
+	l.fill(now)
+	switch {
+	case l.tokens >= 1:
+		return 0
+	case l.share.perSecond == 0:
+		return withoutShareRetryAfter
+	default:
+		return time.Duration((1 - l.tokens) / l.share.perSecond * float64(time.Second))
+	}
+}
+
+// promise returns the time after which one more refused caller should return. The callers are
+// asked to return one after the other, at the rate of the tokens.
+func (l *limit) promise(now time.Time) time.Duration {
+	next := now.Add(l.wait(now))
+	if l.share.perSecond > 0 {
+		after := l.promised.Add(time.Duration(float64(time.Second) / l.share.perSecond))
+		if after.After(next) {
+			next = after
+		}
+	}
+	if latest := now.Add(maxPromise); next.After(latest) {
+		next = latest
+	}
+	l.promised = next
+	return next.Sub(now)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -106,6 +107,9 @@
 	duration *telemetry.ClassHistogram
 	results  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
+	// malformedLoggedAt is when a malformed statement was last logged, in nanoseconds since the
+	// Unix epoch.
+	malformedLoggedAt atomic.Int64
 }
 
 var _ ingress.Handler = (*Gateway)(nil)
@@ -323,7 +327,7 @@
 		ID: c.id, Method: c.method, URI: string(c.req.Header.RequestURI()), Header: c.forwardedHeader, Body: c.req.Body,
 		TargetID: t.ID, Deadline: c.deadline,
 		Permit: func() error {
-			if v := g.opts.Eligibility.Decide(t.Incarnation()); !v.OK() {
+			if v := g.opts.Eligibility.Take(t.Incarnation()); !v.OK() {
 				return v
 			}
 			return nil
@@ -343,6 +347,9 @@
 	number := g.opts.Balancer.Begin(&candidate)
 	c.tried = append(c.tried, t.ID)
 	a, err := g.opts.Upstream.Do(ctx, t.Address, r)
+	if err == nil && a.Statements != nil {
+		g.observe(c, t, a.Statements)
+	}
 	o, s := g.classify(c, t, a, err)
 	g.opts.Balancer.End(t.ID, number, o)
 	g.logAttempt(c, t, a, err, s)
@@ -350,6 +357,21 @@
 	return a, s
 }
 
+// malformedLogInterval is the least time between two log lines on malformed statements.
+const malformedLogInterval = time.Second
+
+// observe passes on what the target states of itself in an answer.
+func (g *Gateway) observe(c *call, t *fleet.Target, s *upstream.Statements) {
+	g.opts.Eligibility.Observe(eligibility.Statement{Incarnation: t.Incarnation(), LimitPerSecond: s.LimitPerSecond}, c.id)
+	if len(s.Malformed) == 0 {
+		return
+	}
+	now, last := time.Now().UnixNano(), g.malformedLoggedAt.Load()
+	if now-last >= int64(malformedLogInterval) && g.malformedLoggedAt.CompareAndSwap(last, now) {
+		g.opts.Logger.Warn("malformed statement of target ignored", "id", c.id, "target", t.ID, "born", t.Born, "values", s.Malformed)
+	}
+}
+
 // stepNames holds the values of the metric label and log key "outcome".
 var stepNames = map[step]string{
 	stepDone: "answered", stepTryOther: "failed", stepNotOwner: "moved",
@@ -435,7 +457,11 @@
 	for {
 		// Targets may have left while the last exchange ran.
 		snapshot := g.opts.Directory.Snapshot()
-		candidates = g.candidates(snapshot, c)
+		var ineligible *ineligibleTarget
+		candidates, ineligible = g.candidates(snapshot, c)
+		if len(candidates) == 0 && ineligible != nil && !c.mayHaveRun {
+			return nil, g.ineligible(c, ineligible.target, ineligible.verdict)
+		}
 		candidate := g.opts.Balancer.Pick(candidates, c.entry.Kind == routing.Bulk, c.tried)
 		if candidate == nil {
 			break
@@ -468,9 +494,16 @@
 	return nil, g.failure(c)
 }
 
+// ineligibleTarget is a target that must not get a request, with the reason.
+type ineligibleTarget struct {
+	target  *fleet.Target
+	verdict eligibility.Verdict
+}
+
 // candidates returns the targets of the call's service that accept requests: those that are
-// ready or, if there are none, those that leave and are still eligible.
-func (g *Gateway) candidates(s *fleet.Snapshot, c *call) []placing.Candidate {
+// ready and eligible or, if none is ready, those that leave and are still eligible. It
+// also returns the ready target that will be eligible first, if any is not.
+func (g *Gateway) candidates(s *fleet.Snapshot, c *call) ([]placing.Candidate, *ineligibleTarget) {
 	targets := s.Service(c.service.Name)
 	idleAddresses := g.opts.Upstream.IdleAddresses(c.maxIdle())
 	out := make([]placing.Candidate, 0, len(targets))
@@ -479,20 +512,27 @@
 		candidate.Connected = idleAddresses[t.Address]
 		out = append(out, candidate)
 	}
+	var first *ineligibleTarget
 	for _, t := range targets {
-		if t.State == fleet.Ready {
+		if t.State != fleet.Ready {
+			continue
+		}
+		v := g.opts.Eligibility.Decide(t.Incarnation())
+		if v.OK() {
 			add(t)
+		} else if first == nil || v.RetryIn < first.verdict.RetryIn {
+			first = &ineligibleTarget{t, v}
 		}
 	}
-	if len(out) > 0 {
-		return out
+	if len(out) > 0 || first != nil {
+		return out, first
 	}
 	for _, t := range targets {
 		if g.opts.Eligibility.Decide(t.Incarnation()).OK() {
 			add(t)
 		}
 	}
-	return out
+	return out, nil
 }
 
 func newCandidate(t *fleet.Target) placing.Candidate {
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -66,11 +66,15 @@
 	}
 }
 
-// ineligible returns the error for a request that must not be sent to the owner t of its key.
+// ineligible returns the error for a request that must not be sent to the target, by the verdict.
 func (g *Gateway) ineligible(c *call, t *fleet.Target, v eligibility.Verdict) *result.Error {
 	if c.mayHaveRun {
 		return g.failure(c)
 	}
+	if v.Reason == eligibility.Limited {
+		return refusal(result.NoCapacity, g.opts.Eligibility.PromiseReturn(t.Incarnation(), v),
+			"target %s has named a limit, of which the share of this VM is used up", t.ID)
+	}
 	return refusal(result.TargetLeaving, leavingRetryAfter, "the owner of the key, target %s, has been leaving for up to %d ms", t.ID, v.Since.Milliseconds())
 }
 
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -39,8 +39,8 @@
 	Services func() ([]string, bool)
 	// Report returns the loads and target states that this VM reports to the assigner.
 	Report func() *pb.ShardReport
-	// OnVMs is called with the number of serving VMs when their list is updated.
-	OnVMs func(int)
+	// OnVMs is called with the addresses of the serving VMs when their list is updated.
+	OnVMs func([]string)
 	// OnTargets is called with changed target states, which combine the reports of all VMs.
 	OnTargets func([]*pb.TargetState)
 	// Feed holds the store changes that the assigner relays to the other VMs. If it is
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -189,7 +189,7 @@
 	a.peers = vms
 	a.mu.Unlock()
 	if a.opts.OnVMs != nil {
-		a.opts.OnVMs(len(vms))
+		a.opts.OnVMs(vms)
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -32,6 +32,9 @@
 	NotRun string
 	// Load carries the target's load: running requests, waiting requests and slots.
 	Load string
+	// Limit carries the number of requests a second, a decimal number, that the target takes
+	// from all VMs together.
+	Limit string
 }
 
 // Request is a request to a target.
@@ -74,6 +77,18 @@
 	NotRun bool
 	// Sealed is set if the target itself produced the answer.
 	Sealed bool
+	// Statements is what the target states of itself, or nil if the answer may be that of another
+	// target: it misdirects the request or has neither seal nor "not run".
+	Statements *Statements
+}
+
+// Statements is what a target states of itself in an answer.
+type Statements struct {
+	// LimitPerSecond is the number of requests a second that the target takes from all VMs
+	// together; zero if it names none.
+	LimitPerSecond float64
+	// Malformed has the values that could not be understood and are ignored.
+	Malformed []string
 }
 
 // Failure is the error of an exchange without a usable answer.
@@ -367,6 +382,9 @@
 		Sealed: len(head.Peek(h.Seal)) > 0,
 	}
 	a.NotRun = len(head.Peek(h.NotRun)) > 0 || a.Status == fasthttp.StatusMisdirectedRequest && !a.Sealed
+	if a.Status != fasthttp.StatusMisdirectedRequest && (a.Sealed || a.NotRun) {
+		a.Statements = parseStatements(h, head)
+	}
 	if len(head.Peek(fasthttp.HeaderContentEncoding)) > 0 {
 		return nil, errEncoded
 	}
@@ -375,7 +393,7 @@
 	}
 	for name, value := range head.All() {
 		lower := strings.ToLower(string(name))
-		if hopByHop[lower] || strings.EqualFold(lower, h.Load) {
+		if hopByHop[lower] || strings.EqualFold(lower, h.Load) || strings.EqualFold(lower, h.Limit) {
 			continue
 		}
 		a.Header = appendLine(a.Header, string(name), string(value))
@@ -383,6 +401,45 @@
 	return a, nil
 }
 
+// maxLimit is the highest limit in requests a second that is taken as one.
+const maxLimit = 1e6
+
+// maxMalformedBytes bounds a malformed value that is reported.
+const maxMalformedBytes = 32
+
+// parseStatements returns what the header states of the target. A value that is repeated or
+// malformed states nothing.
+func parseStatements(h *Headers, head *fasthttp.ResponseHeader) *Statements {
+	s := &Statements{}
+	parse := func(name string, into func(string) bool) {
+		values := head.PeekAll(name)
+		if name == "" || len(values) == 0 {
+			return
+		}
+		if value := string(values[0]); len(values) > 1 || !into(value) {
+			s.Malformed = append(s.Malformed, name+": "+value[:min(len(value), maxMalformedBytes)])
+		}
+	}
+	parse(h.Limit, func(value string) bool {
+		n, ok := parseDecimal(value)
+		if ok = ok && n > 0 && n <= maxLimit; ok {
+			s.LimitPerSecond = n
+		}
+		return ok
+	})
+	return s
+}
+
+// parseDecimal parses digits with an optional fraction. Signs, exponents and names of numbers,
+// which strconv.ParseFloat accepts, are malformed.
+func parseDecimal(text string) (float64, bool) {
+	if text == "" || strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	return n, err == nil
+}
+
 // parseLoad parses "RUNNING,WAITING,SLOTS". It returns nil if the text is malformed.
 func parseLoad(text string) *Load {
 	parts := strings.Split(text, ",")
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -331,3 +331,56 @@
 	is.Equal(f, nil)
 	is.Equal(len(tg.conns), 1)
 }
+
+func TestStatementsAreTakenFromTheTargetsOwnAnswersOnly(t *testing.T) {
+	const name = "X-Limit"
+	head := func(status, headers string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Id: %s\r\n" + headers + "Content-Length: 0\r\n\r\n"
+	}
+	tests := map[string]struct {
+		text      string
+		limit     float64
+		malformed int
+		ignored   bool
+	}{
+		"success":                {text: head("200 OK", "X-Seal: 1\r\n"+name+": 2.5\r\n"), limit: 2.5},
+		"refusal":                {text: head("503 Full", "X-Not-Run: 1\r\n"+name+": 2\r\n"), limit: 2},
+		"none":                   {text: head("200 OK", "X-Seal: 1\r\n")},
+		"misdirected":            {text: head("421 Misdirected", name+": 2\r\n"), ignored: true},
+		"neither seal nor claim": {text: head("500 Oops", name+": 2\r\n"), ignored: true},
+		"repeated":               {text: head("200 OK", "X-Seal: 1\r\n"+name+": 2\r\n"+name+": 3\r\n"), malformed: 1},
+		"negative":               {text: head("200 OK", "X-Seal: 1\r\n"+name+": -2\r\n"), malformed: 1},
+		"zero":                   {text: head("200 OK", "X-Seal: 1\r\n"+name+": 0\r\n"), malformed: 1},
+		"huge":                   {text: head("200 OK", "X-Seal: 1\r\n"+name+": 99999999999999999999\r\n"), malformed: 1},
+		"empty":                  {text: head("200 OK", "X-Seal: 1\r\n"+name+": \r\n"), malformed: 1},
+		"not a number":           {text: head("200 OK", "X-Seal: 1\r\n"+name+": NaN\r\n"), malformed: 1},
+		"hexadecimal":            {text: head("200 OK", "X-Seal: 1\r\n"+name+": 0x1p4\r\n"), malformed: 1},
+	}
+	headers := testHeaders
+	headers.Limit = name
+	for title, tt := range tests {
+		t.Run(title, func(t *testing.T) {
+			is := is.New(t)
+			a, f := do(t, New(Options{Headers: headers}), startTarget(t, answerInTurn(tt.text)), request("1"))
+			is.Equal(f, nil)
+			is.Equal(a.Statements == nil, tt.ignored)
+			if tt.ignored {
+				return
+			}
+			is.Equal(a.Statements.LimitPerSecond, tt.limit)
+			is.Equal(len(a.Statements.Malformed), tt.malformed)
+			is.True(!strings.Contains(string(a.Header), name))
+		})
+	}
+}
+
+func FuzzParseDecimal(f *testing.F) {
+	for _, text := range []string{"1", "2.5", ".5", "1e9", "-1", "NaN", "1.2.3", "", "99999999999999999999999999"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		if n, ok := parseDecimal(text); ok && !(n >= 0) {
+			t.Fatalf("%q parsed as %v", text, n)
+		}
+	})
+}
