Tell the assigner of named limits and move keys away from such targets

Callers of keys were refused for the whole time in which a target named a limit, though other targets had room; and a VM without a share of a small limit did not know that it still held.

Cause: the plan takes slots by service time for a target's power, and a target that names a limit answers as fast as before. Ruled out: counting refusals as load, which would move the keys of any busy target.

Change: VMs report the limits that they were told, the assigner passes the latest on with the states of targets, and takes it for the target's capacity: from 0.8 of it on, keys move to targets of lower utilisation.

--- a/daemon/node_report.go
+++ b/daemon/node_report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/basiltally/basiltally/eligibility"
+	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/placing"
 )
@@ -19,19 +21,38 @@
 		}
 		r.Loads = append(r.Loads, load)
 	}
+	limits := map[string]*pb.TargetLimit{}
+	for _, s := range n.eligibility.TakeStatements() {
+		limits[s.Incarnation.ID] = &pb.TargetLimit{Born: s.Incarnation.Born, PerSecond: s.LimitPerSecond, AgeMs: uint32(s.Age.Milliseconds())}
+	}
 	now := time.Now()
 	for _, observation := range n.balancer.TakeObservations() {
 		r.Targets = append(r.Targets, &pb.TargetReport{
 			Target: observation.ID, ServiceMicros: uint32(observation.ServiceTime.Microseconds()), Answers: uint32(observation.Answers),
 			Failures: uint32(observation.Failures), Told: observation.LoadKnown, Load: uint32(observation.Load), AgeMs: uint32(now.Sub(observation.LoadAt).Milliseconds()),
+			Limit: limits[observation.ID],
 		})
+		delete(limits, observation.ID)
+	}
+	for id, limit := range limits {
+		r.Targets = append(r.Targets, &pb.TargetReport{Target: id, Limit: limit})
 	}
 	return r
 }
 
-// mergeTargetStates passes the states of the targets, put together from the reports of all
-// VMs, to the balancer.
+// mergeTargetStates passes on the states of the targets, put together from the reports of all
+// VMs.
 func (n *nodeProcess) mergeTargetStates(states []*pb.TargetState) {
+	var statements []eligibility.Statement
+	for _, s := range states {
+		if l := s.GetLimit(); l != nil {
+			statements = append(statements, eligibility.Statement{
+				Incarnation: fleet.Incarnation{ID: s.GetTarget(), Born: l.GetBorn()}, LimitPerSecond: l.GetPerSecond(),
+				Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+			})
+		}
+	}
+	n.eligibility.Merge(statements)
 	shared := make([]placing.SharedStats, len(states))
 	for i, s := range states {
 		shared[i] = placing.SharedStats{
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -413,7 +413,7 @@
 func (a *assigner) plan(ctx context.Context, s *serviceState, now time.Duration) {
 	s.leases.RetryLost(now)
 	owned := s.leases.OwnedRanges()
-	targets := a.planTargets(s, owned)
+	targets := a.planTargets(s, owned, now)
 	if len(owned) == 0 && !a.targetsStable(s.name) {
 		return
 	}
@@ -444,7 +444,7 @@
 }
 
 // planTargets returns the targets of the service that may own keys.
-func (a *assigner) planTargets(s *serviceState, owned []OwnedRange) []PlanTarget {
+func (a *assigner) planTargets(s *serviceState, owned []OwnedRange, now time.Duration) []PlanTarget {
 	var out []PlanTarget
 	for _, t := range a.agent.opts.Directory.Snapshot().Service(s.name) {
 		if t.State != fleet.Ready {
@@ -455,7 +455,11 @@
 			continue
 		}
 		withoutKeys := !slices.ContainsFunc(owned, func(o OwnedRange) bool { return o.Owner.ID == t.ID })
-		out = append(out, PlanTarget{Holder: h, Capacity: float64(t.Slots) / a.targets.serviceTime(t.ID).Seconds(), WithoutKeys: withoutKeys})
+		p := PlanTarget{Holder: h, Capacity: float64(t.Slots) / a.targets.serviceTime(t.ID).Seconds(), WithoutKeys: withoutKeys}
+		if limit, ok := a.targets.limitOf(h, now); ok && limit < p.Capacity {
+			p.Capacity, p.Limited = limit, true
+		}
+		out = append(out, p)
 	}
 	return out
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -11,6 +11,9 @@
 	Holder Holder
 	// Capacity is the number of requests a second that the target can serve.
 	Capacity float64
+	// Limited is set if the target has named its Capacity as a limit: it gets no more, and the
+	// rest of the requests for its keys is refused.
+	Limited bool
 	// WithoutKeys is set if the target owns no keys yet. The plan gives it some.
 	WithoutKeys bool
 }
@@ -20,6 +23,10 @@
 	// HighUtilisation is the utilisation from which keys are moved away from a target.
 	// Default 0.6: above it, the queue of a target with six slots grows.
 	HighUtilisation float64
+	// LimitedUtilisation is the utilisation from which keys are moved away from a limited
+	// target, if others are less utilised. Default 0.8: the VMs do not use their shares of the
+	// limit to the same degree.
+	LimitedUtilisation float64
 	// Imbalance is the multiple of the mean utilisation that a target must reach before
 	// keys are moved away from it. Default 1.5.
 	Imbalance float64
@@ -42,6 +49,7 @@
 
 func (o PlanOptions) withDefaults() PlanOptions {
 	o.HighUtilisation = cmp.Or(o.HighUtilisation, 0.6)
+	o.LimitedUtilisation = cmp.Or(o.LimitedUtilisation, 0.8)
 	o.Imbalance = cmp.Or(o.Imbalance, 1.5)
 	o.MaxMoves = cmp.Or(o.MaxMoves, 8)
 	o.MinStay = cmp.Or(o.MinStay, 500*time.Millisecond)
@@ -323,7 +331,7 @@
 func (p *planner) spreadLoad() {
 	for n := 0; n < p.opts.MaxMoves; n++ {
 		from, mean := p.mostUtilised(), p.meanUtilisation()
-		if from == nil || from.utilisation() < p.opts.HighUtilisation || from.utilisation() < p.opts.Imbalance*mean {
+		if from == nil || !p.overloaded(from, mean) {
 			return
 		}
 		if !p.offload(from, mean) {
@@ -332,6 +340,14 @@
 	}
 }
 
+// overloaded reports whether keys should move away from the target, given the mean utilisation.
+func (p *planner) overloaded(t *planTarget, mean float64) bool {
+	if t.Limited {
+		return t.utilisation() >= max(p.opts.LimitedUtilisation, mean)
+	}
+	return t.utilisation() >= max(p.opts.HighUtilisation, p.opts.Imbalance*mean)
+}
+
 // offload moves keys away from a target. It returns false if none may move.
 func (p *planner) offload(from *planTarget, mean float64) bool {
 	to := p.mostSpareCapacity(from)
@@ -449,6 +465,15 @@
 	return p.currentOwner(o) == t && o.Settled && p.now-o.Since >= p.opts.MinStay
 }
 
+// wouldOverload reports whether a target that receives the rate would be no better off than the
+// target that it comes from.
+func (p *planner) wouldOverload(to, from *planTarget, rate float64) bool {
+	if from.Limited {
+		return (to.rate+rate)/to.Capacity >= from.utilisation()
+	}
+	return to.rate+rate >= from.rate
+}
+
 // moveRate moves the smallest part of a range that has the rate from one target to
 // another. It returns false if no part may move, or if the receiving target would end up
 // with at least the rate that the other one has now.
@@ -459,7 +484,7 @@
 			continue
 		}
 		keys, got, ok := p.load.Narrowest(o.Keys, rate)
-		if !ok || to.rate+got >= from.rate {
+		if !ok || p.wouldOverload(to, from, got) {
 			continue
 		}
 		if best < 0 || keys.Size() < bestKeys.Size() {
--- a/shard/plan_test.go
+++ b/shard/plan_test.go
@@ -207,3 +207,30 @@
 	w.applyLoad(20*time.Second, map[KeyRange]float64{AllKeys: 400})
 	is.Equal(w.moves, 0)
 }
+
+// A target that names a limit refuses what exceeds it, although it answers the rest as fast as before. Its keys must move to targets
+// that have room, and must not go on moving then.
+func TestKeysMoveAwayFromTargetsThatNameALimit(t *testing.T) {
+	is := is.New(t)
+	w := newPlanSimulation(1, 1, 1, 1, 1, 1)
+	load := map[KeyRange]float64{AllKeys: 120}
+	w.applyLoad(5*time.Second, load)
+	w.moves = 0
+	for i := range 4 {
+		w.targets[i].Capacity, w.targets[i].Limited = 10, true // Half of what each gets.
+	}
+	w.applyLoad(4*time.Second, load)
+	for i, target := range w.targets {
+		rate := 0.0
+		for _, o := range w.owned {
+			if o.Owner.ID == target.Holder.ID {
+				rate += w.load.Rate(o.Keys)
+			}
+		}
+		is.True(rate <= target.Capacity)
+		is.True(i < 4 || rate > 20)
+	}
+	w.moves = 0
+	w.applyLoad(10*time.Second, load)
+	is.True(w.moves <= 8)
+}
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -33,6 +33,12 @@
 	// loadReportedAt is the instant at which the target reported its load, or zero if it
 	// has not reported any.
 	loadReportedAt time.Duration
+	// limit is the limit that the target last named, in requests a second; zero if none.
+	// limitBorn is the incarnation that named it, and limitAt the instant, or zero if none
+	// ever did.
+	limit     float64
+	limitBorn int64
+	limitAt   time.Duration
 	// changed is set if a report came since the last call of takeChanged.
 	changed bool
 }
@@ -58,6 +64,24 @@
 	if at := now - time.Duration(r.GetAgeMs())*time.Millisecond; r.GetTold() && at >= s.loadReportedAt {
 		s.load, s.loadReportedAt = r.GetLoad(), at
 	}
+	if l := r.GetLimit(); l != nil {
+		if at := now - time.Duration(l.GetAgeMs())*time.Millisecond; at >= s.limitAt {
+			s.limit, s.limitBorn, s.limitAt = l.GetPerSecond(), l.GetBorn(), at
+		}
+	}
+}
+
+// limitMemory is how long a limit holds that the target has not named again.
+const limitMemory = 15 * time.Second
+
+// limitOf returns the limit in requests a second that the incarnation has named, or false if none
+// holds.
+func (t *targetStates) limitOf(h Holder, now time.Duration) (float64, bool) {
+	s := t.states[h.ID]
+	if s == nil || s.limit == 0 || s.limitBorn != h.Born || now-s.limitAt > limitMemory {
+		return 0, false
+	}
+	return s.limit, true
 }
 
 // observe adds n answers with the given mean service time.
@@ -96,6 +120,9 @@
 		if s.loadReportedAt > 0 {
 			m.Told, m.Load, m.AgeMs = true, s.load, uint32((now - s.loadReportedAt).Milliseconds())
 		}
+		if s.limitAt > 0 {
+			m.Limit = &pb.TargetLimit{Born: s.limitBorn, PerSecond: s.limit, AgeMs: uint32((now - s.limitAt).Milliseconds())}
+		}
 		out = append(out, m)
 	}
 	return out
