Do not take a repeated refusal for that of another request

Operators of systems like ours report that a faulty target wrote an earlier refusal once more on a kept connection: callers were told 'not run' for requests that had run or were running, or these ran at a second target.

Here: yes, in two ways. A refusal without a request ID counted as that of the request that was waiting, on any connection. And a request that was refused and sent again, as after a new table of owners, could use the connection on which its first refusal may come once more, with its own ID.

Change: a refusal without ID counts on a new connection only, and is skipped on a kept one like an answer to another request. A connection remembers which requests were refused on it (16, then it is closed), and these are sent again on another one. Ruled out: closing each connection that saw a refusal; new connections are dear to targets.

TestRepeatedRefusalIsNotTakenForAnotherRequests and TestRequestIsNotSentAgainOnTheConnectionOnWhichItWasRefused fail without the change.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -194,7 +194,7 @@
 	for len(p.idle) > 0 {
 		cn := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.usable(cn, r.MaxIdle) {
+		if c.usable(cn, r.MaxIdle) && !slices.Contains(cn.refused, r.ID) {
 			c.mu.Unlock()
 			c.reused.Inc()
 			return cn, nil, nil
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -157,8 +157,16 @@
 	idleSince time.Time
 	// idleLimit is the idle timeout that the target stated, or zero if it stated none.
 	idleLimit time.Duration
+	// requests is the number of requests that were sent on the connection.
+	requests int
+	// refused has the IDs of the requests that the target refused on the connection. A faulty
+	// target may write a refusal once more, as the answer to the same request sent again.
+	refused []string
 }
 
+// maxRefused is the number of refusals after which a connection is not reused.
+const maxRefused = 16
+
 // exchange sends the request and reads its answer. keep reports whether the connection may
 // be used again. The error is a *Failure.
 func (c *conn) exchange(ctx context.Context, h *Headers, r *Request) (a *Answer, keep bool, err error) {
@@ -170,6 +178,7 @@
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
 	defer stop()
+	c.requests++
 	sent := make(chan error, 1)
 	if err := c.send(h, r, sent); err != nil {
 		return nil, false, &Failure{Sent: true, Reset: !isTimeout(err), Cause: err}
@@ -256,9 +265,13 @@
 				return nil, false, &Failure{Sent: true, InvalidAnswer: true, Cause: err}
 			}
 			c.recordIdleLimit(head)
+			if a.NotRun {
+				c.refused = append(c.refused, r.ID)
+				reusable = reusable && len(c.refused) < maxRefused
+			}
 			return a, reusable && endStated && !head.ConnectionClose() && c.reader.Buffered() == 0, nil
 		}
-		if refusedWithoutRequestID(h, head) {
+		if refusedWithoutRequestID(h, head) && c.requests == 1 {
 			return &Answer{Status: head.StatusCode(), NotRun: true}, false, nil
 		}
 		if !endStated {
@@ -269,8 +282,9 @@
 	return nil, false, &Failure{Sent: true, InvalidAnswer: true, Cause: errOtherRequest}
 }
 
-// refusedWithoutRequestID reports whether an answer without a request ID refuses the
-// request, as a target does if it is not the expected one.
+// refusedWithoutRequestID reports whether an answer without a request ID refuses a
+// request, as a target does if it is not the expected one. Only on a new connection is it
+// certain which request that is: an earlier refusal may be written once more.
 func refusedWithoutRequestID(h *Headers, head *fasthttp.ResponseHeader) bool {
 	return len(head.Peek(h.RequestID)) == 0 && len(head.Peek(h.Seal)) == 0 &&
 		(head.StatusCode() == fasthttp.StatusMisdirectedRequest || len(head.Peek(h.NotRun)) > 0)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -384,3 +384,42 @@
 		}
 	})
 }
+
+// A faulty target may write an earlier refusal once more on a kept connection. It must not be taken for the refusal of a
+// request that the target runs.
+func TestRepeatedRefusalIsNotTakenForAnotherRequests(t *testing.T) {
+	const (
+		fullWithoutID = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		misdirected   = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+		fullOther     = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	)
+	for name, refusal := range map[string]string{"without request ID": fullWithoutID, "misdirected": misdirected, "of an earlier request": fullOther} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tg := startTarget(t, answerInTurn(validAnswer, refusal+validAnswer))
+			c := New(Options{Headers: testHeaders})
+			_, f := do(t, c, tg, request("1"))
+			is.Equal(f, nil)
+			a, f := do(t, c, tg, request("2"))
+			is.Equal(f, nil)
+			is.True(!a.NotRun)
+			is.Equal(string(a.Body), "ok")
+			is.Equal(len(tg.conns), 1)
+		})
+	}
+}
+
+func TestRequestIsNotSentAgainOnTheConnectionOnWhichItWasRefused(t *testing.T) {
+	const full = "HTTP/1.1 503 Service Unavailable\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	is := is.New(t)
+	// On the first connection, the earlier refusal comes once more, while the request runs.
+	tg := startTarget(t, answerInTurn(full, full), answerInTurn(validAnswer))
+	c := New(Options{Headers: testHeaders})
+	a, f := do(t, c, tg, request("1"))
+	is.Equal(f, nil)
+	is.True(a.NotRun)
+	a, f = do(t, c, tg, request("1"))
+	is.Equal(f, nil)
+	is.True(!a.NotRun)
+	is.Equal(len(tg.conns), 2)
+}
