Bound the memory that answers without end take

Here: heads, trailers and chunk sizes were bounded by the read buffer and the deadline. A body without end or in chunks grew to 64 MiB for each request, so that a few requests exceeded a VM's memory, and the answer to a grant or release to 256 MiB.

Change: bodies that are being received share a fifth of the VM's memory (Options.MaxReceiveBytes); one that finds no room is given up and its connection closed. Ruled out: a smaller bound for each answer, which cuts large downloads and does not bound the sum.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -39,6 +39,9 @@
 	// memoryShare is the share of the VM's memory that is set as the garbage collector's
 	// memory limit.
 	memoryShare = 0.7
+	// receiveShare is the share of the VM's memory that the bodies may take which are being
+	// received from targets.
+	receiveShare = 0.2
 	// configSettle is the pause after a change of the configuration in which further
 	// changes are collected. A configuration must be in force within 2 s.
 	configSettle = 200 * time.Millisecond
@@ -133,7 +136,9 @@
 	n.settings.Store(s)
 	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
 	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
-	n.upstream = upstream.New(upstream.Options{Headers: platform.TargetHeaders(), Registerer: n.registry})
+	n.upstream = upstream.New(upstream.Options{
+		Headers: platform.TargetHeaders(), Registerer: n.registry, MaxReceiveBytes: int64(float64(s.Gateway.MemoryMB) * receiveShare * (1 << 20)),
+	})
 	leases := shard.LeaseOptions{
 		LeaseDuration: min(s.Shard.LeaseDuration, s.Shard.MaxLeaseDuration), LongLeaseDuration: time.Duration(longLeaseShare * float64(s.Shard.MaxLeaseDuration)),
 	}
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -3,6 +3,7 @@
 package httpcall
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -15,8 +16,8 @@
 )
 
 const (
-	// maxAnswerBytes bounds the body of an answer, such as that to a list or watch.
-	maxAnswerBytes = 256 << 20
+	// defaultMaxAnswerBytes bounds the body of an answer, such as that to a list or watch.
+	defaultMaxAnswerBytes = 256 << 20
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alives. They
 	// detect an unreachable peer within about 2 s, so that a long poll needs no short
 	// timeout.
@@ -36,6 +37,8 @@
 	Timeout time.Duration
 	// MaxConnections bounds the open connections, including those of waiting watches.
 	MaxConnections int
+	// MaxAnswerBytes bounds the body of an answer. Default 256 MiB.
+	MaxAnswerBytes int
 	// ResetOnClose makes the close of a connection discard data that the network has not
 	// delivered yet, so that a call that timed out does not arrive later.
 	ResetOnClose bool
@@ -54,7 +57,7 @@
 		DialTimeout:               opts.dial,
 		MaxConns:                  opts.MaxConnections,
 		MaxConnWaitTimeout:        opts.Timeout,
-		MaxResponseBodySize:       maxAnswerBytes,
+		MaxResponseBodySize:       cmp.Or(opts.MaxAnswerBytes, defaultMaxAnswerBytes),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 	}}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -28,6 +28,9 @@
 	// MaxIdle is how long an idle connection is kept, unless the target states a
 	// shorter time. Default 8 s.
 	MaxIdle time.Duration
+	// MaxReceiveBytes bounds the memory that the bodies take which are being received. A body that
+	// finds no room is given up. Default 256 MiB.
+	MaxReceiveBytes int64
 	// Registerer is where the metrics are registered. Nil registers none.
 	Registerer prometheus.Registerer
 }
@@ -49,6 +52,7 @@
 	opts Options
 	// limit is the maximum number of connections that this VM may open to one target.
 	limit  atomic.Int64
+	memory *memory
 	opened prometheus.Counter
 	reused prometheus.Counter
 
@@ -75,8 +79,9 @@
 		var d net.Dialer
 		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
+	opts.MaxReceiveBytes = cmp.Or(opts.MaxReceiveBytes, 256<<20)
 	c := &Client{
-		opts: opts, pools: map[string]*pool{},
+		opts: opts, pools: map[string]*pool{}, memory: &memory{max: opts.MaxReceiveBytes},
 		opened: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "basiltally_upstream_connections_opened_total", Help: "Connections opened to targets.",
 		}),
@@ -231,7 +236,7 @@
 		return nil, err
 	}
 	c.opened.Inc()
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleSince: time.Now()}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), memory: c.memory, idleSince: time.Now()}, nil
 }
 
 // usable reports whether an idle connection is within the idle limits and has nothing to
