Take a target's word in its answers for leaving and for a pause

Change: both are decoded from the target's own answers to the request that waits; what is repeated, malformed or over an hour is ignored with one log line a second. Leaving makes the incarnation draining in the directory, whatever its entry says, and so counts on all paths; a new life starts clean. A pause of 30 s at most is kept in eligibility: no request until its end, then, spread over up to 0.5 s, one each 100 ms until the target answers without another. Requests without keys go to other targets, the others are refused at once, not run, with the time that is left.

TestTargetThatStatesThatItLeavesGetsNoRequestLater and TestTargetThatAsksForAPauseGetsIt failed before (200 for 503; more than 2 of 50 requests sent).

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -29,10 +29,12 @@
 	Leaving
 	// Limited means that this VM's share of the limit that the target has named is used up.
 	Limited
+	// Paused means that the target has asked this VM to pause.
+	Paused
 )
 
 // String returns the name of the reason.
-func (r Reason) String() string { return [...]string{"none", "leaving", "limited"}[r] }
+func (r Reason) String() string { return [...]string{"none", "leaving", "limited", "paused"}[r] }
 
 // Verdict states whether a request may be sent to a target.
 type Verdict struct {
@@ -84,6 +86,7 @@
 // state is what an incarnation has stated in its answers.
 type state struct {
 	limit limit
+	pause pause
 	// unreported is set if the limit was stated since the last call of TakeStatements.
 	unreported bool
 }
@@ -117,7 +120,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limitedLocked(i, now)
+	return t.statedLocked(i, now)
 }
 
 // Take decides like Decide, and counts the request as sent if it may be.
@@ -126,9 +129,9 @@
 	v := t.leaving(i, now)
 	if v.OK() {
 		t.mu.Lock()
-		if v = t.limitedLocked(i, now); v.OK() {
-			if s := t.states[i]; s != nil && s.limit.active(now) {
-				s.limit.tokens--
+		if v = t.statedLocked(i, now); v.OK() {
+			if s := t.states[i]; s != nil {
+				s.take(now)
 			}
 		}
 		t.mu.Unlock()
@@ -165,18 +168,31 @@
 	return Verdict{}
 }
 
-// limitedLocked decides by the limit that the incarnation has named. t.mu must be held.
-func (t *Tracker) limitedLocked(i fleet.Incarnation, now time.Time) Verdict {
+// statedLocked decides by what the incarnation has stated. t.mu must be held.
+func (t *Tracker) statedLocked(i fleet.Incarnation, now time.Time) Verdict {
 	s := t.states[i]
-	if s == nil || !s.limit.active(now) {
+	if s == nil {
 		return Verdict{}
 	}
-	if wait := s.limit.wait(now); wait > 0 {
-		return Verdict{Reason: Limited, RetryIn: wait}
+	if wait := s.pause.wait(now); wait > 0 {
+		return Verdict{Reason: Paused, RetryIn: wait}
+	}
+	if s.limit.active(now) {
+		if wait := s.limit.wait(now); wait > 0 {
+			return Verdict{Reason: Limited, RetryIn: wait}
+		}
 	}
 	return Verdict{}
 }
 
+// take counts a request that is sent.
+func (s *state) take(now time.Time) {
+	s.pause.take(now)
+	if s.limit.active(now) {
+		s.limit.tokens--
+	}
+}
+
 // Statement is what a target states in an answer, or what another VM was told in one.
 type Statement struct {
 	Incarnation fleet.Incarnation
@@ -185,6 +201,9 @@
 	LimitPerSecond float64
 	// Age is how long ago the target stated it.
 	Age time.Duration
+	// Pause is how long the target wants no requests from this VM; zero if it states none. It
+	// does not concern other VMs.
+	Pause time.Duration
 }
 
 // Observe records what a target stated in an answer to the request with the ID.
@@ -192,7 +211,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.states[s.Incarnation]
-	if known == nil && s.LimitPerSecond == 0 {
+	if known == nil && s.LimitPerSecond == 0 && s.Pause == 0 {
+		return
+	}
+	t.observePauseLocked(s, request)
+	if known == nil && s.LimitPerSecond == 0 || known != nil && known.limit.statedAt.IsZero() && s.LimitPerSecond == 0 {
 		return
 	}
 	if t.mergeLocked(s, "request", request) {
@@ -200,6 +223,24 @@
 	}
 }
 
+// observePauseLocked records a pause that the target asks for, or an answer without one. t.mu must
+// be held.
+func (t *Tracker) observePauseLocked(s Statement, request string) {
+	known, now := t.states[s.Incarnation], t.opts.Now()
+	if known == nil {
+		known = &state{}
+		t.states[s.Incarnation] = known
+	}
+	if s.Pause == 0 {
+		known.pause.observeAnswer(now)
+		return
+	}
+	pause := min(s.Pause, maxPause)
+	known.pause.begin(pause, now)
+	t.opts.Logger.Info("target asks for a pause", "target", s.Incarnation.ID, "born", s.Incarnation.Born, "pause_ms", pause.Milliseconds(),
+		"until_ms", known.pause.until.Sub(now).Milliseconds(), "request", request)
+}
+
 // Merge records what other VMs were told, unless this VM knows something later.
 func (t *Tracker) Merge(statements []Statement) {
 	t.mu.Lock()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -111,6 +111,8 @@
 	// instants at which the targets are dropped.
 	missing  map[string]time.Time
 	departed map[Incarnation]time.Time
+	// stated maps the incarnations that have said in an answer that they leave to when they did.
+	stated map[Incarnation]time.Time
 	// graceUntil is the end of the grace period after the last outage of the store.
 	graceUntil time.Time
 	// outage is set while the store does not answer.
@@ -133,7 +135,7 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	d := &Directory{opts: o, targets: map[string]*Target{}, missing: map[string]time.Time{}, departed: map[Incarnation]time.Time{}}
+	d := &Directory{opts: o, targets: map[string]*Target{}, missing: map[string]time.Time{}, departed: map[Incarnation]time.Time{}, stated: map[Incarnation]time.Time{}}
 	d.current.Store(&Snapshot{ByID: map[string]*Target{}})
 	return d
 }
@@ -168,6 +170,22 @@
 // Put adds or updates a target's entry. An entry of an earlier incarnation is ignored.
 func (d *Directory) Put(t *Target) { d.update(func() { d.put(t) }) }
 
+// RecordLeaving records that an incarnation has said in an answer that it leaves. From then on it
+// counts as draining, whatever its entry says. It returns false if that was known.
+func (d *Directory) RecordLeaving(i Incarnation) bool {
+	if !d.Snapshot().LeavingSince(i).IsZero() {
+		return false
+	}
+	d.update(func() {
+		d.stated[i] = d.opts.Now()
+		d.version++
+		if t := d.targets[i.ID]; t != nil && t.Incarnation() == i {
+			d.put(t)
+		}
+	})
+	return true
+}
+
 // Remove removes a target's entry. During an outage of the store and the grace period after
 // it, a ready target stays in the directory until Expire drops it.
 func (d *Directory) Remove(id string) { d.update(func() { d.remove(id) }) }
@@ -239,6 +257,9 @@
 	if next.State == Draining {
 		next.LeavingSince = d.opts.ChangedAfter()
 	}
+	if since, ok := d.stated[t.Incarnation()]; ok {
+		next.State, next.LeavingSince = Draining, since
+	}
 	if old != nil && old.SameIncarnation(t) {
 		next.FirstSeen = old.FirstSeen
 		if old.State == Draining {
@@ -301,13 +322,20 @@
 
 func (d *Directory) publish() {
 	forgetBefore := d.opts.Now().Add(-departedRetention)
-	maps.DeleteFunc(d.departed, func(_ Incarnation, since time.Time) bool { return since.Before(forgetBefore) })
+	for _, m := range []map[Incarnation]time.Time{d.departed, d.stated} {
+		maps.DeleteFunc(m, func(_ Incarnation, since time.Time) bool { return since.Before(forgetBefore) })
+	}
 	s := &Snapshot{
 		Version:  d.version,
 		ByID:     make(map[string]*Target, len(d.targets)),
 		services: map[string][]*Target{},
 		departed: maps.Clone(d.departed),
 	}
+	for i, since := range d.stated {
+		if _, ok := s.departed[i]; !ok {
+			s.departed[i] = since
+		}
+	}
 	for _, id := range sortedKeys(d.targets) {
 		t := d.targets[id]
 		s.ByID[id] = t
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,6 +41,9 @@
 	upstream  *upstream.Client
 	// entryAge is how long ago the directory takes its changes to have been made.
 	entryAge time.Duration
+	// later is added to the time by which it is decided what targets may get.
+	later time.Duration
+	table *shard.Table
 
 	mu sync.Mutex
 	// servedBy holds the IDs of the targets that received a request, in order.
@@ -64,6 +67,7 @@
 			Wait: time.Minute,
 		})
 	}
+	f.table = table
 	routes, err := routing.NewTable(&routing.Config{
 		Version:  1,
 		Services: []routing.Service{{Name: "s", Keyed: keyed}},
@@ -76,7 +80,9 @@
 	}
 	f.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
-		Routes: func() *routing.Table { return routes }, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{Directory: f.directory}), Shards: fixedTable{table}, Balancer: f.balancer,
+		Routes: func() *routing.Table { return routes }, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
+			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) },
+		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
 	})
@@ -109,6 +115,15 @@
 	f.directory.Put(&t)
 }
 
+// setOwner changes the incarnation that the table names as the owner of the target's keys.
+func (f *fixture) setOwner(id string, born int64) {
+	for i := range f.table.Entries {
+		if f.table.Entries[i].Owner.ID == id {
+			f.table.Entries[i].Owner.Born = born
+		}
+	}
+}
+
 // requestsReceived returns the number of requests that targets received.
 func (f *fixture) requestsReceived() int {
 	f.mu.Lock()
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/basiltally/basiltally/admission"
@@ -71,13 +72,21 @@
 	if c.mayHaveRun {
 		return g.failure(c)
 	}
-	if v.Reason == eligibility.Limited {
+	switch v.Reason {
+	case eligibility.Limited:
 		return refusal(result.NoCapacity, g.opts.Eligibility.PromiseReturn(t.Incarnation(), v),
 			"target %s has named a limit, of which the share of this VM is used up", t.ID)
+	case eligibility.Paused:
+		e := result.New(result.TargetShed, "target %s has asked for a pause of %d ms more", t.ID, v.RetryIn.Milliseconds())
+		e.RetryAfter = v.RetryIn + rand.N(pauseReturnSpread)
+		return e
 	}
 	return refusal(result.TargetLeaving, leavingRetryAfter, "the owner of the key, target %s, has been leaving for up to %d ms", t.ID, v.Since.Milliseconds())
 }
 
+// pauseReturnSpread is the time over which callers return after the pause of a target.
+const pauseReturnSpread = 500 * time.Millisecond
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -35,6 +35,8 @@
 	// Limit carries the number of requests a second, a decimal number, that the target takes
 	// from all VMs together.
 	Limit string
+	// Leaving is present with the value 1 in all answers of a target that is about to leave.
+	Leaving string
 }
 
 // Request is a request to a target.
@@ -87,6 +89,11 @@
 	// LimitPerSecond is the number of requests a second that the target takes from all VMs
 	// together; zero if it names none.
 	LimitPerSecond float64
+	// Leaving is set if the target is about to leave.
+	Leaving bool
+	// Pause is how long the target wants no requests from this VM; zero if it states none. Only
+	// a refusal states one.
+	Pause time.Duration
 	// Malformed has the values that could not be understood and are ignored.
 	Malformed []string
 }
@@ -428,7 +435,7 @@
 	}
 	a.NotRun = len(head.Peek(h.NotRun)) > 0 || a.Status == fasthttp.StatusMisdirectedRequest && !a.Sealed
 	if a.Status != fasthttp.StatusMisdirectedRequest && (a.Sealed || a.NotRun) {
-		a.Statements = parseStatements(h, head)
+		a.Statements = parseStatements(h, head, a)
 	}
 	if len(head.Peek(fasthttp.HeaderContentEncoding)) > 0 {
 		return nil, errEncoded
@@ -438,7 +445,7 @@
 	}
 	for name, value := range head.All() {
 		lower := strings.ToLower(string(name))
-		if hopByHop[lower] || strings.EqualFold(lower, h.Load) || strings.EqualFold(lower, h.Limit) {
+		if hopByHop[lower] || strings.EqualFold(lower, h.Load) || strings.EqualFold(lower, h.Limit) || strings.EqualFold(lower, h.Leaving) {
 			continue
 		}
 		a.Header = appendLine(a.Header, string(name), string(value))
@@ -449,12 +456,15 @@
 // maxLimit is the highest limit in requests a second that is taken as one.
 const maxLimit = 1e6
 
+// maxPauseSeconds is the longest pause that is taken as one.
+const maxPauseSeconds = 3600
+
 // maxMalformedBytes bounds a malformed value that is reported.
 const maxMalformedBytes = 32
 
 // parseStatements returns what the header states of the target. A value that is repeated or
 // malformed states nothing.
-func parseStatements(h *Headers, head *fasthttp.ResponseHeader) *Statements {
+func parseStatements(h *Headers, head *fasthttp.ResponseHeader, a *Answer) *Statements {
 	s := &Statements{}
 	parse := func(name string, into func(string) bool) {
 		values := head.PeekAll(name)
@@ -472,6 +482,19 @@
 		}
 		return ok
 	})
+	parse(h.Leaving, func(value string) bool {
+		s.Leaving = value == "1"
+		return s.Leaving
+	})
+	if a.NotRun && a.Status == fasthttp.StatusServiceUnavailable {
+		parse(fasthttp.HeaderRetryAfter, func(value string) bool {
+			seconds, ok := parseDecimal(value)
+			if ok = ok && seconds <= maxPauseSeconds; ok {
+				s.Pause = time.Duration(seconds * float64(time.Second))
+			}
+			return ok
+		})
+	}
 	return s
 }
 
