Tell all VMs that a target has said that it leaves, and move its keys

Callers of keys were refused from the end of the drain time until the target's entry changed, which may be never while targets are cut off from the store; other VMs learned of it one by one.

Cause: what a target states in an answer stayed with the VM that got it. Change: VMs report it for 10 s, the assigner takes it for a draining entry, so that the plan moves the keys by release and grant as always, and passes it on with the states of targets.

--- a/daemon/node_report.go
+++ b/daemon/node_report.go
@@ -34,17 +34,34 @@
 		})
 		delete(limits, observation.ID)
 	}
+	for _, i := range n.directory.StatedLeaving(leavingReportTime) {
+		r.Targets = append(r.Targets, &pb.TargetReport{Target: i.ID, LeavingBorn: &i.Born})
+	}
 	for id, limit := range limits {
 		r.Targets = append(r.Targets, &pb.TargetReport{Target: id, Limit: limit})
 	}
 	return r
 }
 
+// recordLeaving records that a target has said to another VM that it leaves.
+func (n *nodeProcess) recordLeaving(i fleet.Incarnation) {
+	if n.directory.RecordLeaving(i) {
+		n.logger.Info("target states that it leaves", "target", i.ID, "born", i.Born, "source", "another VM")
+	}
+}
+
+// leavingReportTime is how long it is reported that a target has said that it leaves. It covers
+// the loss of an assigner that got the first reports.
+const leavingReportTime = 10 * time.Second
+
 // mergeTargetStates passes on the states of the targets, put together from the reports of all
 // VMs.
 func (n *nodeProcess) mergeTargetStates(states []*pb.TargetState) {
 	var statements []eligibility.Statement
 	for _, s := range states {
+		if s.LeavingBorn != nil {
+			n.recordLeaving(fleet.Incarnation{ID: s.GetTarget(), Born: s.GetLeavingBorn()})
+		}
 		if l := s.GetLimit(); l != nil {
 			statements = append(statements, eligibility.Statement{
 				Incarnation: fleet.Incarnation{ID: s.GetTarget(), Born: l.GetBorn()}, LimitPerSecond: l.GetPerSecond(),
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -327,3 +327,72 @@
 	status, _ = b.send(n, "POST", "/unsafe/x", 1)
 	is.Equal(status, 200)
 }
+
+// A target that states in its answers that it leaves must lose its keys to others, and all VMs must stop sending to it, although
+// its entry in the store says that it is ready.
+func TestKeysMoveFromTargetThatStatesThatItLeaves(t *testing.T) {
+	is := is.New(t)
+	b := newTestPlatform(t)
+	first, second := b.startReadyNode("vm0"), b.startReadyNode("vm1")
+	b.eventually("all keys are served", func() bool { return b.allKeysServed(first) && b.allKeysServed(second) })
+	leaving := b.targets["k0"]
+	leaving.SetStatements(map[string]string{"Server-Leaving": "1"})
+	b.eventually("the target holds no keys", func() bool {
+		if !b.allKeysServed(first) { // Only this VM gets the answers.
+			return false
+		}
+		for key := range 65536 / 64 {
+			if leaving.Holds(uint16(key * 64)) {
+				return false
+			}
+		}
+		return true
+	})
+	b.eventually("all keys are served", func() bool { return b.allKeysServed(first) && b.allKeysServed(second) })
+	before := leaving.TotalRuns()
+	for range 3 {
+		is.True(b.allKeysServed(second))
+	}
+	is.Equal(leaving.TotalRuns(), before)
+}
+
+// The VMs tell each other of the limit that a target names, and move its keys.
+func TestKeysMoveFromTargetThatNamesALimit(t *testing.T) {
+	is := is.New(t)
+	b := newTestPlatform(t)
+	first, second := b.startReadyNode("vm0"), b.startReadyNode("vm1")
+	b.eventually("all keys are served", func() bool { return b.allKeysServed(first) && b.allKeysServed(second) })
+	limited := b.targets["k0"]
+	limited.SetStatements(map[string]string{"Server-Limit": "0.5"})
+	keys := func() int {
+		n := 0
+		for key := range 65536 / 64 {
+			if limited.Holds(uint16(key * 64)) {
+				n++
+			}
+		}
+		return n
+	}
+	before := keys()
+	is.True(before > 0)
+	b.eventually("keys have moved", func() bool {
+		b.allKeysServed(first)
+		return keys() < before
+	})
+	known := func() bool {
+		for id, target := range second.process.directory.Snapshot().ByID {
+			if id == "k0" && !second.process.eligibility.Decide(target.Incarnation()).OK() {
+				return true
+			}
+		}
+		return false
+	}
+	b.eventually("the other VM knows of the limit", func() bool {
+		// Without a request of its own, the other VM has at most what the limit allows at once.
+		for range 10 {
+			second.process.eligibility.Take(second.process.directory.Snapshot().ByID["k0"].Incarnation())
+		}
+		b.allKeysServed(first)
+		return known()
+	})
+}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -186,6 +186,20 @@
 	return true
 }
 
+// StatedLeaving returns the incarnations that have said in an answer within the duration that they
+// leave.
+func (d *Directory) StatedLeaving(within time.Duration) []Incarnation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Incarnation
+	for i, at := range d.stated {
+		if d.opts.Now().Sub(at) < within {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // Remove removes a target's entry. During an outage of the store and the grace period after
 // it, a ready target stays in the directory until Expire drops it.
 func (d *Directory) Remove(id string) { d.update(func() { d.remove(id) }) }
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -39,6 +39,8 @@
 	limit     float64
 	limitBorn int64
 	limitAt   time.Duration
+	// leavingBorn is the incarnation that has said that it leaves, or nil.
+	leavingBorn *int64
 	// changed is set if a report came since the last call of takeChanged.
 	changed bool
 }
@@ -64,6 +66,9 @@
 	if at := now - time.Duration(r.GetAgeMs())*time.Millisecond; r.GetTold() && at >= s.loadReportedAt {
 		s.load, s.loadReportedAt = r.GetLoad(), at
 	}
+	if r.LeavingBorn != nil {
+		s.leavingBorn = r.LeavingBorn
+	}
 	if l := r.GetLimit(); l != nil {
 		if at := now - time.Duration(l.GetAgeMs())*time.Millisecond; at >= s.limitAt {
 			s.limit, s.limitBorn, s.limitAt = l.GetPerSecond(), l.GetBorn(), at
@@ -113,7 +118,7 @@
 			continue
 		}
 		s.changed = false
-		m := &pb.TargetState{Target: id, FailurePermille: uint32(1000 * s.failures)}
+		m := &pb.TargetState{Target: id, LeavingBorn: s.leavingBorn, FailurePermille: uint32(1000 * s.failures)}
 		if s.answers >= minAnswers {
 			m.ServiceMicros = uint32(s.serviceTime.Microseconds())
 		}
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -52,6 +52,8 @@
 	hang bool
 	// loseAnswers breaks the connection after a request has run, instead of answering it.
 	loseAnswers bool
+	// statements are header lines that all answers to requests have.
+	statements map[string]string
 }
 
 // grantedRange is a range of keys, both ends included, that was granted with a fencing
@@ -85,6 +87,14 @@
 	return total
 }
 
+// SetStatements sets the header lines that all answers to requests have, with which a target states
+// that it leaves, names a limit or asks for a pause.
+func (t *Target) SetStatements(lines map[string]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statements = lines
+}
+
 // SetHang sets whether new calls hang without an answer until their caller gives up.
 func (t *Target) SetHang(hang bool) {
 	t.mu.Lock()
@@ -201,6 +211,11 @@
 func (t *Target) runRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
+	t.mu.Lock()
+	for name, value := range t.statements {
+		w.Header().Set(name, value)
+	}
+	t.mu.Unlock()
 	if expected := r.Header.Get("Target-Instance"); expected != "" && expected != t.opts.ID {
 		w.Header().Set("Instance-Id", t.opts.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
