Count a target's time to leave from the earliest evidence

Cause: what was learned first fixed the instant, and an answer that states it comes after the change of the entry, which the VM may read later with a bound from before.

Change: the earliest of the entry's bound, the answer and what was known counts.

TestRandomHistoriesKeepTheDrainTime (2,000 random histories of entries, answers, outages, restarts and pauses) found it and failed before.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -272,13 +272,13 @@
 		next.LeavingSince = d.opts.ChangedAfter()
 	}
 	if since, ok := d.stated[t.Incarnation()]; ok {
-		next.State, next.LeavingSince = Draining, since
+		next.leaveSince(since)
 	}
 	if old != nil && old.SameIncarnation(t) {
 		next.FirstSeen = old.FirstSeen
 		if old.State == Draining {
 			// A target that drains ends. A ready entry is older and was read late.
-			next.State, next.LeavingSince = Draining, old.LeavingSince
+			next.leaveSince(old.LeavingSince)
 		}
 	}
 	if old != nil && *old == next {
@@ -325,6 +325,14 @@
 	}
 }
 
+// leaveSince makes the target draining since the instant, or since an earlier one that is known.
+func (t *Target) leaveSince(since time.Time) {
+	if t.State != Draining || since.Before(t.LeavingSince) {
+		t.LeavingSince = since
+	}
+	t.State = Draining
+}
+
 // depart records that the incarnation is no longer listed.
 func (d *Directory) depart(t *Target) {
 	since := t.LeavingSince
@@ -346,7 +354,7 @@
 		departed: maps.Clone(d.departed),
 	}
 	for i, since := range d.stated {
-		if _, ok := s.departed[i]; !ok {
+		if known, ok := s.departed[i]; !ok || since.Before(known) {
 			s.departed[i] = since
 		}
 	}
