Skip the check of each target while none has stated anything

For each request without a key the gateway asked for the verdict on every ready target, 159 of them on the largest service here, each with a lock. Mostly no target has named a limit or asked for a pause.

Change: the tracker counts the incarnations that have; while there are none, ready targets are candidates as they are, and the verdict before the send locks nothing.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -76,6 +77,8 @@
 type Tracker struct {
 	opts    Options
 	refused *prometheus.CounterVec
+	// stateCount is the number of states. While it is zero, as mostly, mu need not be locked.
+	stateCount atomic.Int64
 
 	mu     sync.Mutex
 	states map[fleet.Incarnation]*state
@@ -115,7 +118,7 @@
 // Decide returns whether a request may be sent to the incarnation now.
 func (t *Tracker) Decide(i fleet.Incarnation) Verdict {
 	now := t.opts.Now()
-	if v := t.leaving(i, now); !v.OK() {
+	if v := t.leaving(i, now); !v.OK() || !t.HasStatements() {
 		return v
 	}
 	t.mu.Lock()
@@ -123,11 +126,15 @@
 	return t.statedLocked(i, now)
 }
 
+// HasStatements reports whether any incarnation has named a limit or asked for a pause. If not, all
+// targets that are ready are eligible.
+func (t *Tracker) HasStatements() bool { return t.stateCount.Load() > 0 }
+
 // Take decides like Decide, and counts the request as sent if it may be.
 func (t *Tracker) Take(i fleet.Incarnation) Verdict {
 	now := t.opts.Now()
 	v := t.leaving(i, now)
-	if v.OK() {
+	if v.OK() && t.HasStatements() {
 		t.mu.Lock()
 		if v = t.statedLocked(i, now); v.OK() {
 			if s := t.states[i]; s != nil {
@@ -208,29 +215,35 @@
 
 // Observe records what a target stated in an answer to the request with the ID.
 func (t *Tracker) Observe(s Statement, request string) {
+	if s.LimitPerSecond == 0 && s.Pause == 0 && !t.HasStatements() {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.states[s.Incarnation]
-	if known == nil && s.LimitPerSecond == 0 && s.Pause == 0 {
-		return
-	}
-	t.observePauseLocked(s, request)
-	if known == nil && s.LimitPerSecond == 0 || known != nil && known.limit.statedAt.IsZero() && s.LimitPerSecond == 0 {
-		return
+	if known == nil {
+		if s.LimitPerSecond == 0 && s.Pause == 0 {
+			return
+		}
+		known = t.addStateLocked(s.Incarnation)
 	}
-	if t.mergeLocked(s, "request", request) {
-		t.states[s.Incarnation].unreported = true
+	t.observePauseLocked(known, s, request)
+	if s.LimitPerSecond > 0 || known.limit.named() {
+		known.unreported = t.mergeLimitLocked(known, s, "request", request) || known.unreported
 	}
 }
 
+func (t *Tracker) addStateLocked(i fleet.Incarnation) *state {
+	s := &state{}
+	t.states[i] = s
+	t.stateCount.Store(int64(len(t.states)))
+	return s
+}
+
 // observePauseLocked records a pause that the target asks for, or an answer without one. t.mu must
 // be held.
-func (t *Tracker) observePauseLocked(s Statement, request string) {
-	known, now := t.states[s.Incarnation], t.opts.Now()
-	if known == nil {
-		known = &state{}
-		t.states[s.Incarnation] = known
-	}
+func (t *Tracker) observePauseLocked(known *state, s Statement, request string) {
+	now := t.opts.Now()
 	if s.Pause == 0 {
 		known.pause.observeAnswer(now)
 		return
@@ -246,23 +259,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range statements {
-		if t.states[s.Incarnation] != nil || s.LimitPerSecond > 0 {
-			t.mergeLocked(s, "source", "another VM")
+		known := t.states[s.Incarnation]
+		if known == nil {
+			if s.LimitPerSecond == 0 {
+				continue
+			}
+			known = t.addStateLocked(s.Incarnation)
 		}
+		t.mergeLimitLocked(known, s, "source", "another VM")
 	}
 }
 
-// mergeLocked records a statement that is not older than what is known, and logs a change. t.mu
-// must be held.
-func (t *Tracker) mergeLocked(s Statement, sourceKey, source string) bool {
-	known := t.states[s.Incarnation]
-	if known == nil {
-		known = &state{}
-		t.states[s.Incarnation] = known
-	}
+// mergeLimitLocked records a limit, or that there is none, and logs a change. It returns false if
+// the statement is older than what is known. t.mu must be held.
+func (t *Tracker) mergeLimitLocked(known *state, s Statement, sourceKey, source string) bool {
 	now := t.opts.Now()
 	at := now.Add(-s.Age)
-	if at.Before(known.limit.statedAt) || s.Age >= limitMemory {
+	if at.Before(known.limit.statedAt) || s.Age >= LimitMemory {
 		return false
 	}
 	before, wasActive := known.limit.perSecond, known.limit.active(now)
@@ -320,4 +333,5 @@
 			delete(t.states, i)
 		}
 	}
+	t.stateCount.Store(int64(len(t.states)))
 }
--- a/eligibility/limit.go
+++ b/eligibility/limit.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// limitMemory is how long a limit holds that the target has not named again. A VM that gets no
+	// LimitMemory is how long a limit holds that the target has not named again. A VM that gets no
 	// share of a small limit learns from the others that it still holds.
-	limitMemory = 15 * time.Second
+	LimitMemory = 15 * time.Second
 	// burstSeconds and burstRequests bound what all VMs together may send at once, beyond the
 	// limit's rate: burstSeconds times the limit, and burstRequests. A target allows in 4 s half
 	// as much again as its limit, and 5 requests; the rest of that covers requests on their way.
@@ -78,9 +78,12 @@
 
 // active reports whether the limit holds at the instant now.
 func (l *limit) active(now time.Time) bool {
-	return l.perSecond > 0 && now.Sub(l.statedAt) < limitMemory
+	return l.perSecond > 0 && now.Sub(l.statedAt) < LimitMemory
 }
 
+// named reports whether the target has ever named a limit.
+func (l *limit) named() bool { return !l.statedAt.IsZero() }
+
 // state sets what the target has named at the instant at. It starts with half of the burst, because
 // requests are on their way.
 func (l *limit) state(perSecond float64, s share, at, now time.Time) {
--- a/eligibility/limit_test.go
+++ b/eligibility/limit_test.go
@@ -190,15 +190,25 @@
 	}
 }
 
-func BenchmarkDecide(b *testing.B) {
-	v := newVMs(1)
-	v.target.ID = "t199"
-	for i := range 200 {
-		target := fleet.Incarnation{ID: fmt.Sprintf("t%d", i), Born: 1}
-		v.trackers[0].Observe(eligibility.Statement{Incarnation: target, LimitPerSecond: 1e5}, "r")
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		v.trackers[0].Take(v.target)
+// BenchmarkTake has 200 targets, of which none or all have named a limit.
+func BenchmarkTake(b *testing.B) {
+	for name, stated := range map[string]bool{"without statements": false, "with limits": true} {
+		b.Run(name, func(b *testing.B) {
+			d := fleet.NewDirectory(fleet.DirectoryOptions{})
+			tracker := eligibility.New(eligibility.Options{Directory: d, VM: "vm"})
+			var targets []fleet.Incarnation
+			for i := range 200 {
+				t := &fleet.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Born: 1}
+				d.Put(t)
+				targets = append(targets, t.Incarnation())
+				if stated {
+					tracker.Observe(eligibility.Statement{Incarnation: t.Incarnation(), LimitPerSecond: 1e5}, "r")
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				tracker.Take(targets[i%len(targets)])
+			}
+		})
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -516,10 +516,15 @@
 		out = append(out, candidate)
 	}
 	var first *ineligibleTarget
+	anyStated := g.opts.Eligibility.HasStatements()
 	for _, t := range targets {
 		if t.State != fleet.Ready {
 			continue
 		}
+		if !anyStated {
+			add(t)
+			continue
+		}
 		v := g.opts.Eligibility.Decide(t.Incarnation())
 		if v.OK() {
 			add(t)
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/pb"
 )
 
@@ -76,14 +77,11 @@
 	}
 }
 
-// limitMemory is how long a limit holds that the target has not named again.
-const limitMemory = 15 * time.Second
-
 // limitOf returns the limit in requests a second that the incarnation has named, or false if none
 // holds.
 func (t *targetStates) limitOf(h Holder, now time.Duration) (float64, bool) {
 	s := t.states[h.ID]
-	if s == nil || s.limit == 0 || s.limitBorn != h.Born || now-s.limitAt > limitMemory {
+	if s == nil || s.limit == 0 || s.limitBorn != h.Born || now-s.limitAt > eligibility.LimitMemory {
 		return 0, false
 	}
 	return s.limit, true
