Do not take a key for hot because of the limit of its owner

Cause: a key counts as hot from 0.4 of its owner's capacity, which the plan took for the limit, so that each of the keys was hot, and a hot key is moved alone.

Change: hot is measured by what the owner could serve.

TestKeysMoveTogetherFromTargetThatNamesALimit fails without the change.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -457,7 +457,7 @@
 		withoutKeys := !slices.ContainsFunc(owned, func(o OwnedRange) bool { return o.Owner.ID == t.ID })
 		p := PlanTarget{Holder: h, Capacity: float64(t.Slots) / a.targets.serviceTime(t.ID).Seconds(), WithoutKeys: withoutKeys}
 		if limit, ok := a.targets.limitOf(h, now); ok && limit < p.Capacity {
-			p.Capacity, p.Limited = limit, true
+			p.Capacity, p.FullCapacity = limit, p.Capacity
 		}
 		out = append(out, p)
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -11,9 +11,9 @@
 	Holder Holder
 	// Capacity is the number of requests a second that the target can serve.
 	Capacity float64
-	// Limited is set if the target has named its Capacity as a limit: it gets no more, and the
-	// rest of the requests for its keys is refused.
-	Limited bool
+	// FullCapacity is set if the target has named its Capacity as a limit: it gets no more, and the
+	// rest of the requests for its keys is refused. It is what the target could serve.
+	FullCapacity float64
 	// WithoutKeys is set if the target owns no keys yet. The plan gives it some.
 	WithoutKeys bool
 }
@@ -82,6 +82,9 @@
 	nothingToMove bool
 }
 
+// limited reports whether the target has named its capacity as a limit.
+func (t *planTarget) limited() bool { return t.FullCapacity > 0 }
+
 // utilisation returns the share of the target's capacity that its keys take.
 func (t *planTarget) utilisation() float64 { return t.rate / t.Capacity }
 
@@ -342,7 +345,7 @@
 
 // overloaded reports whether keys should move away from the target, given the mean utilisation.
 func (p *planner) overloaded(t *planTarget, mean float64) bool {
-	if t.Limited {
+	if t.limited() {
 		return t.utilisation() >= max(p.opts.LimitedUtilisation, mean)
 	}
 	return t.utilisation() >= max(p.opts.HighUtilisation, p.opts.Imbalance*mean)
@@ -383,7 +386,8 @@
 		if p.currentOwner(o) != t {
 			continue
 		}
-		if keys, _, ok := p.load.Narrowest(o.Keys, p.opts.HotKeyShare*t.Capacity); ok && keys.Size() == 1 {
+		// A limit makes no key hot: its load can move together with that of others.
+		if keys, _, ok := p.load.Narrowest(o.Keys, p.opts.HotKeyShare*cmp.Or(t.FullCapacity, t.Capacity)); ok && keys.Size() == 1 {
 			return i, keys.From, true
 		}
 	}
@@ -468,7 +472,7 @@
 // wouldOverload reports whether a target that receives the rate would be no better off than the
 // target that it comes from.
 func (p *planner) wouldOverload(to, from *planTarget, rate float64) bool {
-	if from.Limited {
+	if from.limited() {
 		return (to.rate+rate)/to.Capacity >= from.utilisation()
 	}
 	return to.rate+rate >= from.rate
--- a/shard/plan_test.go
+++ b/shard/plan_test.go
@@ -217,7 +217,7 @@
 	w.applyLoad(5*time.Second, load)
 	w.moves = 0
 	for i := range 4 {
-		w.targets[i].Capacity, w.targets[i].Limited = 10, true // Half of what each gets.
+		w.targets[i].FullCapacity, w.targets[i].Capacity = w.targets[i].Capacity, 10 // Half of what each gets.
 	}
 	w.applyLoad(4*time.Second, load)
 	for i, target := range w.targets {
@@ -234,3 +234,22 @@
 	w.applyLoad(10*time.Second, load)
 	is.True(w.moves <= 8)
 }
+
+// Keys that exceed the limit of their owner, but not what it could serve, are not hot: they must move together, not one by one.
+func TestKeysMoveTogetherFromTargetThatNamesALimit(t *testing.T) {
+	is := is.New(t)
+	w := newPlanSimulation(4, 4, 4, 4)
+	hot := KeyRange{4000, 4009}
+	load := map[KeyRange]float64{AllKeys: 40, hot: 60}
+	w.applyLoad(5*time.Second, load)
+	is.Equal(w.moves, 0)
+	owner := &w.targets[0]
+	owner.FullCapacity, owner.Capacity = owner.Capacity, 12
+	moved := 0
+	for _, m := range Plan(w.owned, w.targets, w.load, PlanOptions{}, w.now) {
+		if m.Keys.Overlaps(hot) {
+			moved = max(moved, m.Keys.Overlap(hot).Size())
+		}
+	}
+	is.True(moved > hot.Size()/2)
+}
