Excuse a node of the soak that was started again since it was told

Traced: vm1 got SIGTERM at 07.87, was told at 08.16 while it finished its requests, ended at 10.12 and was started again at 10.53; the request came at 10.72. The users' rule excuses a restart since then; the check looked at the signal, which was before.

Change: what a node was told is forgotten when its process is another one. Bounds and checks are as they were.

--- a/standin/soak/node.go
+++ b/standin/soak/node.go
@@ -32,6 +32,8 @@
 	// disturbedAt is the last instant at which the node was disturbed, other than by
 	// SIGTERM. terminatedAt is the instant of the last SIGTERM.
 	disturbedAt, terminatedAt time.Time
+	// startedAt is when the present process was started.
+	startedAt time.Time
 }
 
 const nodeSettingsFormat = `[process]
@@ -71,7 +73,7 @@
 		out.Close()
 		return errors.Wrap(err, "start "+n.name)
 	}
-	n.cmd, n.done, n.frozen = cmd, make(chan struct{}), false
+	n.cmd, n.done, n.frozen, n.startedAt = cmd, make(chan struct{}), false, time.Now()
 	go n.watch(cmd, out, n.done)
 	return nil
 }
@@ -113,6 +115,13 @@
 	_ = n.cmd.Process.Signal(s)
 }
 
+// started returns when the present process was started.
+func (n *node) started() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.startedAt
+}
+
 // noteDisturbed records a disturbance of the node's links.
 func (n *node) noteDisturbed() {
 	n.mu.Lock()
