Compare optional fields of messages with the generated code as well

The committed code is that of the sources; the pattern knew repeated fields only, so that it would have passed over an optional field that was not generated.

Change: the pattern takes both. All fields that were compared still are, and optional ones too.

go test ./pb failed before and passes.

--- a/pb/generated_test.go
+++ b/pb/generated_test.go
@@ -17,7 +17,7 @@
 
 var (
 	messageLine = regexp.MustCompile(`^message (\w+) \{`)
-	fieldLine   = regexp.MustCompile(`^\s+(?:repeated )?\w+ (\w+) = (\d+);`)
+	fieldLine   = regexp.MustCompile(`^\s+(?:repeated |optional )?\w+ (\w+) = (\d+);`)
 	lineEnd     = regexp.MustCompile(`\r?\n`)
 )
 
