Grant a long lease after a renewal in flight at the start of an outage

Cause: when the store stops confirming the role, all renewals become due with the long lease. A renewal that is in flight then has the short one, and its answer scheduled the next renewal a third of a lease later, after the end of the role. The keys were without an owner from the end of the short lease to the end of the outage (code 1202 through any VM).

Ruled out: the record not written after a take-over in the outage (act writes it in each tick).

Change: an answered grant that is shorter than the leases granted now is due again at once.

The new test failed first (0 orders due in place of 1). go test ./shard ./daemon -short: ok.

--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -413,16 +413,21 @@
 	}
 	s.inFlight = true
 	s.fence = lm.newFence()
-	lease := lm.opts.LeaseDuration
-	if lm.storeOutage {
-		lease = lm.opts.LongLeaseDuration
-	}
+	lease := lm.leaseDuration()
 	lm.trackGrant(s, now+lm.opts.OrderTimeout+lm.maxLease(lease))
 	return Order{
 		To: s.owner, Keys: s.keys, Fence: s.fence, LeaseDuration: lease, Handover: s.handover, Timeout: lm.opts.OrderTimeout,
 	}, true
 }
 
+// leaseDuration returns the duration of the leases that are granted now.
+func (lm *LeaseManager) leaseDuration() time.Duration {
+	if lm.storeOutage {
+		return lm.opts.LongLeaseDuration
+	}
+	return lm.opts.LeaseDuration
+}
+
 // newFence returns the fencing token for an order. No token is used twice, since a
 // renewal may reach a later incarnation of its target, which must not acquire keys with
 // a token of an earlier incarnation.
@@ -538,6 +543,10 @@
 		s.held, s.lost, s.failures, s.bound.predecessor = true, false, 0, 0
 		s.handover = ""
 		s.next = now + lm.opts.RenewInterval
+		if r.Order.LeaseDuration < lm.leaseDuration() {
+			// The outage began while the renewal was in flight.
+			s.next = now
+		}
 	case errors.Is(r.Err, ErrFenced):
 		s.next = now + lm.opts.RetryPause
 		lm.opts.Logger.Warn("target refused a grant: it has seen a higher fencing token", "target", s.owner.ID,
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -46,3 +46,26 @@
 	answerOrders(next, now, "a")
 	is.True(next.OwnedRanges()[0].Settled)
 }
+
+// A renewal that is in flight when the store stops confirming the role has the short lease. The
+// owner must get a long one as soon as the renewal is answered: the role ends before the next
+// renewal is due, and the keys would be without an owner for the rest of the outage.
+func TestRenewalInFlightAtTheStartOfAnOutageIsFollowedByALongLease(t *testing.T) {
+	is := is.New(t)
+	a := Holder{ID: "a", Address: "a:1"}
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	lm.Propose([]Move{{AllKeys, a}}, 0)
+	lm.FinishProposal(true)
+	answerOrders(lm, 0, "")
+	renewals := lm.DueOrders(time.Second)
+	is.Equal(len(renewals), 1)
+	is.Equal(renewals[0].LeaseDuration, 3*time.Second)
+	lm.SetStoreOutage(true, 1100*time.Millisecond)
+	is.Equal(len(lm.DueOrders(1100*time.Millisecond)), 0) // One order for a range at a time.
+	lm.HandleResult(Result{Order: renewals[0]}, 1200*time.Millisecond)
+	long := lm.DueOrders(1200 * time.Millisecond)
+	is.Equal(len(long), 1)
+	is.Equal(long[0].LeaseDuration, 9*time.Second)
+	lm.HandleResult(Result{Order: long[0]}, 1300*time.Millisecond)
+	is.Equal(len(lm.DueOrders(1300*time.Millisecond)), 0)
+}
