Serve a configuration whose parts are not all understood, and uploads

Cause: DecodeConfig rejected a whole configuration for one route type without a word in routeKinds (upload), and NewTable for one invalid route.

Ruled out: leaving out a route that is not understood. Its requests would match a route with a shorter prefix, which may lead to another service, or get a 404, after which callers do not return.

Change: the parts of a configuration are decoded one by one. A field that cannot be read is left out; an unknown route type is served at most once; a route without known services keeps its requests and refuses them (503, 1501), and so is the share of a service that is not configured; the rest serves. Only malformed JSON and a missing version keep the last configuration in force. Counter basiltally_config_problems_total by cause, gauge basiltally_config_refused_since_seconds, one log line a configuration. Upload is a kind of its own: at most once, large bodies.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -173,9 +173,7 @@
 		return err
 	}
 	g.Go(func() error { return server.Run(work) })
-	g.Go(func() error {
-		return n.follower(platform.ConfigPrefix, &configConsumer{process: n}, configSettle).Run(work)
-	})
+	g.Go(func() error { return n.follower(platform.ConfigPrefix, newConfigConsumer(n), configSettle).Run(work) })
 	g.Go(func() error { return n.follower(platform.TargetPrefix, newTargetConsumer(n), targetSettle).Run(work) })
 	g.Go(func() error { return n.agent.Run(work) })
 	g.Go(func() error { return n.upstream.Run(work) })
@@ -228,11 +226,10 @@
 // limits returns the limits for callers that are in force: the configuration's, or default
 // limits until one is known.
 func (n *nodeProcess) limits() routing.Limits {
-	l := routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	if t := n.routes.Load(); t != nil {
-		l = t.Config.Limits
+		return t.Config.Limits
 	}
-	return l
+	return routing.DefaultLimits()
 }
 
 // keyedServices returns the names of the services whose targets own keys; false until the
--- a/daemon/node_consumers.go
+++ b/daemon/node_consumers.go
@@ -1,6 +1,10 @@
 package daemon
 
 import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/routing"
@@ -8,7 +12,33 @@
 )
 
 // configConsumer puts the operator's configuration into force.
-type configConsumer struct{ process *nodeProcess }
+type configConsumer struct {
+	process *nodeProcess
+	// problems counts the parts of configurations that could not be understood, by cause.
+	problems *prometheus.CounterVec
+	// refusedSince is the Unix time in seconds since which the newest configuration could not be put
+	// into force, or zero.
+	refusedSince prometheus.Gauge
+	refused      bool
+}
+
+// maxLoggedProblems bounds how many problems of a configuration are logged.
+const maxLoggedProblems = 5
+
+func newConfigConsumer(n *nodeProcess) *configConsumer {
+	c := &configConsumer{
+		process: n,
+		problems: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "basiltally_config_problems_total", Help: "Parts of configurations that could not be understood or are not valid, by cause.",
+		}, []string{"cause"}),
+		refusedSince: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "basiltally_config_refused_since_seconds",
+			Help: "Unix time since which the newest configuration could not be put into force; zero if it is in force.",
+		}),
+	}
+	n.registry.MustRegister(c.problems, c.refusedSince)
+	return c
+}
 
 // Replace implements follow.Consumer.
 func (c *configConsumer) Replace(objects []store.Object) {
@@ -39,7 +69,7 @@
 	n := c.process
 	config, err := platform.DecodeConfig(o.Value)
 	if err != nil {
-		n.logger.Error("cannot decode the configuration; the last one stays in force", "revision", o.Version, "error", err.Error())
+		c.refuse(o, err)
 		return
 	}
 	old := n.routes.Load()
@@ -47,17 +77,44 @@
 		n.logger.Info("configuration ignored: its version is not newer", "version", config.Version, "in_force", old.Config.Version, "revision", o.Version)
 		return
 	}
-	table, err := routing.NewTable(config)
-	if err != nil {
-		n.logger.Error("configuration is not valid; the last one stays in force", "version", config.Version, "error", err.Error())
-		return
-	}
+	table := routing.NewTable(config)
 	n.gateway.SetClasses(table)
 	n.routes.Store(table)
 	n.setConnectionLimit()
+	c.refused = false
+	c.refusedSince.Set(0)
+	c.reportProblems(table)
 	n.logger.Info("configuration in force", "version", config.Version, "revision", o.Version, "routes", len(config.Routes), "services", len(config.Services))
 }
 
+// refuse records that a configuration cannot be put into force.
+func (c *configConsumer) refuse(o store.Object, err error) {
+	if !c.refused {
+		c.refused = true
+		c.refusedSince.Set(float64(time.Now().Unix()))
+	}
+	inForce := uint64(0)
+	if t := c.process.routes.Load(); t != nil {
+		inForce = t.Config.Version
+	}
+	c.process.logger.Error("cannot decode the configuration; the last one stays in force", "revision", o.Version, "in_force", inForce, "error", err.Error())
+}
+
+// reportProblems counts and logs the parts of a configuration that do not serve as written.
+func (c *configConsumer) reportProblems(t *routing.Table) {
+	if len(t.Problems) == 0 {
+		return
+	}
+	var texts []string
+	for _, p := range t.Problems {
+		c.problems.WithLabelValues(p.Cause).Inc()
+		if len(texts) < maxLoggedProblems {
+			texts = append(texts, p.String())
+		}
+	}
+	c.process.logger.Warn("configuration is not valid in parts; the rest is in force", "version", t.Config.Version, "problems", len(t.Problems), "first", texts)
+}
+
 // targetConsumer passes the targets' entries to the directory.
 type targetConsumer struct {
 	process *nodeProcess
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,14 +178,14 @@
 	tableVersion shard.Version
 }
 
-// MayOverlap implements ingress.Handler. It returns false for at-most-once requests.
+// MayOverlap implements ingress.Handler. It returns false for requests that must not run more than once.
 func (g *Gateway) MayOverlap(r *ingress.Request) bool {
 	t := g.opts.Routes()
 	if t == nil {
 		return true
 	}
 	e := t.Lookup(string(r.Header.Host()), requestPath(r))
-	return e == nil || e.Kind != routing.AtMostOnce
+	return e == nil || e.Kind.MayRepeat()
 }
 
 func requestPath(r *ingress.Request) string {
@@ -205,15 +205,19 @@
 func (g *Gateway) serve(c *call) (*upstream.Answer, *result.Error) {
 	t := g.opts.Routes()
 	if t == nil {
-		e := result.New(result.ConfigStale, "no configuration is known yet")
-		e.RetryAfter = noConfigRetryAfter
-		return nil, e
+		return nil, configRefusal("no configuration is known yet")
 	}
 	c.configVersion = t.Config.Version
 	if c.entry = t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); c.entry == nil {
 		return nil, result.New(result.UnknownClass, "no route matches the host and path")
 	}
-	c.service = t.Service(c.entry.ChooseService(g.seed))
+	if c.entry.Unserved != "" {
+		return nil, configRefusal("the route is not valid: %s", c.entry.Unserved)
+	}
+	name := c.entry.ChooseService(g.seed)
+	if c.service = t.Service(name); c.service == nil {
+		return nil, configRefusal("service %q is not configured", name)
+	}
 	c.deadline = g.deadline(c)
 	c.forwardedHeader = g.forwardHeader(c.req.Header)
 	g.opts.Budget.CountRequest(c.service.Name)
@@ -229,6 +233,13 @@
 	return g.serveKeyed(c)
 }
 
+// configRefusal returns the error for a request that no configuration allows to serve at present.
+func configRefusal(format string, args ...any) *result.Error {
+	e := result.New(result.ConfigStale, format, args...)
+	e.RetryAfter = noConfigRetryAfter
+	return e
+}
+
 // deadline returns the earlier of the caller's and the route's deadline.
 func (g *Gateway) deadline(c *call) time.Time {
 	left := c.entry.Timeout
@@ -282,7 +293,7 @@
 
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
-func (c *call) idempotent() bool { return c.entry.Kind != routing.AtMostOnce }
+func (c *call) idempotent() bool { return c.entry.Kind.MayRepeat() }
 
 // maxIdle returns how long the connection for the request may have been idle; zero means no
 // bound.
@@ -465,7 +476,7 @@
 		if len(candidates) == 0 && ineligible != nil && !c.mayHaveRun {
 			return nil, g.ineligible(c, ineligible.target, ineligible.verdict)
 		}
-		candidate := g.opts.Balancer.Pick(candidates, c.entry.Kind == routing.Bulk, c.tried)
+		candidate := g.opts.Balancer.Pick(candidates, c.entry.Kind.Large(), c.tried)
 		if candidate == nil {
 			break
 		}
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -164,9 +164,12 @@
 		return nil
 	}
 	e := g.estimate(t)
-	ok, roomIn := admission.Decide(e, admission.Request{
-		UntilDeadline: c.timeLeft(), UntilLatencyTarget: c.entry.LatencyTarget - time.Since(c.req.Received),
-	})
+	untilDeadline := c.timeLeft()
+	untilLatencyTarget := untilDeadline
+	if c.entry.LatencyTarget > 0 {
+		untilLatencyTarget = c.entry.LatencyTarget - time.Since(c.req.Received)
+	}
+	ok, roomIn := admission.Decide(e, admission.Request{UntilDeadline: untilDeadline, UntilLatencyTarget: untilLatencyTarget})
 	if ok {
 		return nil
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -22,13 +22,22 @@
 	AtMostOnce
 	// Bulk requests are idempotent and have large answers.
 	Bulk
+	// Upload requests must not run more than once and have large bodies.
+	Upload
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	return [...]string{"idempotent", "at-most-once", "bulk"}[k]
+	return [...]string{"idempotent", "at-most-once", "bulk", "upload"}[k]
 }
 
+// MayRepeat reports whether a request of the kind may run more than once.
+func (k Kind) MayRepeat() bool { return k == Idempotent || k == Bulk }
+
+// Large reports whether the bodies of requests or answers of the kind are large, so that the traffic
+// between regions counts.
+func (k Kind) Large() bool { return k == Bulk || k == Upload }
+
 // WeightedService is a service that gets a share of a route's requests.
 type WeightedService struct {
 	Service string
@@ -54,6 +63,10 @@
 	Services []WeightedService
 	// MaxAttempts bounds how often one request is sent to a target.
 	MaxAttempts int
+	// Unserved says why the requests of the route are refused; it is empty if they are served. The
+	// route still takes the requests that match it from routes with shorter prefixes, which may lead to
+	// other services.
+	Unserved string
 }
 
 // Service is a set of targets that serve the same requests.
@@ -76,17 +89,51 @@
 	IdleTimeout   time.Duration
 }
 
+// DefaultLimits returns the limits that apply where no configuration states others.
+func DefaultLimits() Limits {
+	return Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+}
+
+// Problem is a part of a configuration that cannot be understood or is not valid. The rest of the
+// configuration is in force.
+type Problem struct {
+	// Cause is one of the Cause constants.
+	Cause string
+	// Part names the route, service or limit, and Detail says what is wrong with it.
+	Part, Detail string
+}
+
+// Causes of Problems, which are values of a metric label.
+const (
+	// CauseField is a field without which its route or service can be used.
+	CauseField = "field"
+	// CauseKind is an unknown kind of requests, which are served at most once.
+	CauseKind = "kind"
+	// CauseRoute is a route of which all requests are refused, or those for a service that is not
+	// configured. It is left out if even its host or prefix is not known.
+	CauseRoute = "route"
+	// CauseService is a service that is left out.
+	CauseService = "service"
+)
+
+// String returns the problem as it is logged.
+func (p Problem) String() string { return p.Cause + " " + p.Part + ": " + p.Detail }
+
 // Config is one version of the configuration.
 type Config struct {
 	Version  uint64
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Problems has what could not be understood when the configuration was read.
+	Problems []Problem
 }
 
 // Table is a Config indexed for look-up.
 type Table struct {
-	Config   *Config
+	Config *Config
+	// Problems has those of the Config and the routes that are not valid.
+	Problems []Problem
 	hosts    map[string][]*Entry
 	services map[string]*Service
 }
@@ -106,16 +153,22 @@
 // divided by their greatest common divisor.
 const maxOrderLength = 1000
 
-// NewTable returns a Table for the configuration, or an error for the first invalid route.
-func NewTable(c *Config) (*Table, error) {
-	t := &Table{Config: c, hosts: map[string][]*Entry{}, services: map[string]*Service{}}
+// NewTable returns a Table for the configuration. The requests of routes that are not valid are
+// refused; Table.Problems says why.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, Problems: slices.Clone(c.Problems), hosts: map[string][]*Entry{}, services: map[string]*Service{}}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
 	for _, r := range c.Routes {
-		e, err := t.newEntry(r)
-		if err != nil {
-			return nil, errors.WithMessagef(err, "route %q", r.Name)
+		e := &Entry{Route: r}
+		if !strings.HasPrefix(r.Prefix, "/") {
+			t.addProblem(r, errors.Errorf("path prefix %q does not begin with a slash; the route is left out", r.Prefix))
+			continue
+		}
+		if err := t.divide(e); err != nil {
+			t.addProblem(r, err)
+			e.Unserved = err.Error()
 		}
 		host := normalizeHost(r.Host)
 		t.hosts[host] = append(t.hosts[host], e)
@@ -123,33 +176,52 @@
 	for _, entries := range t.hosts {
 		slices.SortStableFunc(entries, func(a, b *Entry) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	return t, nil
+	return t
+}
+
+func (t *Table) addProblem(r Route, err error) {
+	t.Problems = append(t.Problems, Problem{Cause: CauseRoute, Part: r.Name, Detail: err.Error()})
 }
 
-func (t *Table) newEntry(r Route) (*Entry, error) {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return nil, errors.Errorf("path prefix %q does not begin and end with a slash", r.Prefix)
+// divide sets how the requests of the entry are divided among its services. It returns an error
+// for an invalid route.
+func (t *Table) divide(e *Entry) error {
+	if e.Unserved != "" {
+		return errors.New(e.Unserved)
 	}
-	if len(r.Services) == 0 || len(r.Services) > 255 {
-		return nil, errors.Errorf("the route has %d services, want 1 to 255", len(r.Services))
+	if !strings.HasSuffix(e.Prefix, "/") {
+		// The route takes only what its prefix is certain to match.
+		prefix := e.Prefix
+		e.Prefix += "/"
+		return errors.Errorf("path prefix %q does not end with a slash", prefix)
 	}
-	e := &Entry{Route: r}
-	for _, s := range r.Services {
+	if len(e.Services) == 0 || len(e.Services) > 255 {
+		return errors.Errorf("the route has %d services, want 1 to 255", len(e.Services))
+	}
+	unknown := 0
+	for _, s := range e.Services {
 		if t.services[s.Service] == nil {
-			return nil, errors.Errorf("service %q is not configured", s.Service)
+			unknown++
+			t.addProblem(e.Route, errors.Errorf("service %q is not configured", s.Service))
 		}
 		if s.Weight < 0 {
-			return nil, errors.Errorf("weight %d of service %q is negative", s.Weight, s.Service)
+			return errors.Errorf("weight %d of service %q is negative", s.Weight, s.Service)
 		}
 		e.totalWeight += s.Weight
 	}
-	if e.totalWeight == 0 {
-		return nil, errors.New("all weights are zero")
+	if e.totalWeight <= 0 || e.totalWeight > maxTotalWeight {
+		return errors.Errorf("the weights add up to %d, want 1 to %d", e.totalWeight, maxTotalWeight)
+	}
+	if unknown == len(e.Services) {
+		return errors.New("none of its services is configured")
 	}
-	e.order = interleave(r.Services, e.totalWeight)
-	return e, nil
+	e.order = interleave(e.Services, e.totalWeight)
+	return nil
 }
 
+// maxTotalWeight bounds the sum of the weights of a route.
+const maxTotalWeight = 1 << 30
+
 // interleave returns indices into services in the order of smooth weighted round robin, so
 // that any run of consecutive requests is divided closely by the weights.
 func interleave(services []WeightedService, total int) []uint8 {
@@ -202,7 +274,8 @@
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// ChooseService returns the name of the service for the next request. Each VM should pass a
+// ChooseService returns the name of the service for the next request. If that service is not
+// configured, the request is refused: the other services keep their shares. Each VM should pass a
 // seed of its own, so that the VMs start at different places in the order.
 func (e *Entry) ChooseService(seed uint64) string {
 	if len(e.Services) == 1 {
