Read bodies whole within one bound of memory, refuse early and late ones

Cause, from the code: bodies of callers had no bound together, a request that could not be served was read whole first, and a body that arrived slowly during a planned stop was passed on at any time up to its end, where it was cut off. A caller that stated 0 ms got the default of 30 s.

Weighed: reading the body whole first (chosen: a slow, stopped or vanished caller holds no slot, no target gets a part of a body, and an upload can be offered to another target as long as none has taken it); streaming (saves 60 kB for each upload and the time of its transfer, but a slow caller holds a slot, and a body that breaks off has run).

Change: package bodies reads bodies for upstream and ingress; all bodies of a VM share 20 % of its memory, also answers that wait to be written. Before the body is read, the gateway refuses what has no route, no time or no target; a short rest is discarded, otherwise the connection closes after the answer. No 100 Continue before a refusal. From 300 ms after the listener has closed in a stop, requests are refused as not run. A body is awaited until the caller's deadline.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/budget"
 	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
@@ -39,9 +40,8 @@
 	// memoryShare is the share of the VM's memory that is set as the garbage collector's
 	// memory limit.
 	memoryShare = 0.7
-	// receiveShare is the share of the VM's memory that the bodies may take which are being
-	// received from targets.
-	receiveShare = 0.2
+	// bodyShare is the share of the VM's memory that the bodies of requests and answers may take.
+	bodyShare = 0.2
 	// configSettle is the pause after a change of the configuration in which further
 	// changes are collected. A configuration must be in force within 2 s.
 	configSettle = 200 * time.Millisecond
@@ -136,8 +136,12 @@
 	n.settings.Store(s)
 	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
 	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
+	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
+	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "basiltally_body_memory_bytes", Help: "Memory that the bodies of requests and answers take.",
+	}, func() float64 { return float64(memory.Used()) }))
 	n.upstream = upstream.New(upstream.Options{
-		Headers: platform.TargetHeaders(), Registerer: n.registry, MaxReceiveBytes: int64(float64(s.Gateway.MemoryMB) * receiveShare * (1 << 20)),
+		Headers: platform.TargetHeaders(), Registerer: n.registry, Memory: memory,
 	})
 	leases := shard.LeaseOptions{
 		LeaseDuration: min(s.Shard.LeaseDuration, s.Shard.MaxLeaseDuration), LongLeaseDuration: time.Duration(longLeaseShare * float64(s.Shard.MaxLeaseDuration)),
@@ -158,7 +162,7 @@
 	})
 	n.ingress = ingress.New(ingress.Options{
 		Address: s.Gateway.Listen, Handler: n.gateway, Limits: n.limits,
-		LameDuck: s.Gateway.LameDuck, StopLimit: s.Gateway.StopLimit - stopMargin, Logger: logger,
+		LameDuck: s.Gateway.LameDuck, StopLimit: s.Gateway.StopLimit - stopMargin, Memory: memory, Logger: logger,
 	})
 	n.directory.OnChange(n.targetsChanged)
 	return n
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,10 @@
 	connectionWaitDivisor = 3
 	// noConfigRetryAfter is the Retry-After time while no configuration is known.
 	noConfigRetryAfter = time.Second
+	// noMemoryRetryAfter is the Retry-After time while bodies take all the memory that they may.
+	noMemoryRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After time while this VM stops. Other VMs serve the caller.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // Gateway serves callers' requests. It implements ingress.Handler.
@@ -178,6 +182,10 @@
 	tableVersion shard.Version
 }
 
+func (g *Gateway) newCall(ctx context.Context, r *ingress.Request) *call {
+	return &call{ctx: ctx, req: r, id: string(r.Header.Peek(g.opts.Headers.RequestID)), method: string(r.Header.Method())}
+}
+
 // MayOverlap implements ingress.Handler. It returns false for requests that must not run more than once.
 func (g *Gateway) MayOverlap(r *ingress.Request) bool {
 	t := g.opts.Routes()
@@ -195,7 +203,7 @@
 
 // Serve implements ingress.Handler. It always returns a response.
 func (g *Gateway) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
-	c := &call{ctx: ctx, req: r, id: string(r.Header.Peek(g.opts.Headers.RequestID)), method: string(r.Header.Method())}
+	c := g.newCall(ctx, r)
 	a, e := g.serve(c)
 	return g.finish(c, a, e)
 }
@@ -203,22 +211,14 @@
 // serve returns the target's answer, or the reason why there is none. If it returns neither,
 // the caller gets the call's failedAnswer.
 func (g *Gateway) serve(c *call) (*upstream.Answer, *result.Error) {
-	t := g.opts.Routes()
-	if t == nil {
-		return nil, configRefusal("no configuration is known yet")
-	}
-	c.configVersion = t.Config.Version
-	if c.entry = t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); c.entry == nil {
-		return nil, result.New(result.UnknownClass, "no route matches the host and path")
-	}
-	if c.entry.Unserved != "" {
-		return nil, configRefusal("the route is not valid: %s", c.entry.Unserved)
+	t, e := g.findRoute(c)
+	if e != nil {
+		return nil, e
 	}
 	name := c.entry.ChooseService(g.seed)
 	if c.service = t.Service(name); c.service == nil {
 		return nil, configRefusal("service %q is not configured", name)
 	}
-	c.deadline = g.deadline(c)
 	c.forwardedHeader = g.forwardHeader(c.req.Header)
 	g.opts.Budget.CountRequest(c.service.Name)
 	if !c.service.Keyed {
@@ -233,6 +233,60 @@
 	return g.serveKeyed(c)
 }
 
+// findRoute sets the call's route and deadline. It returns an error if no route serves the request.
+func (g *Gateway) findRoute(c *call) (*routing.Table, *result.Error) {
+	t := g.opts.Routes()
+	if t == nil {
+		return nil, configRefusal("no configuration is known yet")
+	}
+	c.configVersion = t.Config.Version
+	if c.entry = t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); c.entry == nil {
+		return nil, result.New(result.UnknownClass, "no route matches the host and path")
+	}
+	c.deadline = g.deadline(c)
+	if c.entry.Unserved != "" {
+		return nil, configRefusal("the route is not valid: %s", c.entry.Unserved)
+	}
+	return t, nil
+}
+
+// Precheck implements ingress.Handler. It refuses requests without a route, without time left or
+// without any target.
+func (g *Gateway) Precheck(r *ingress.Request) (*ingress.Response, time.Time) {
+	c := g.newCall(context.Background(), r)
+	_, e := g.findRoute(c)
+	switch {
+	case e != nil:
+	case c.timeLeft() <= minAttemptTime:
+		e = result.New(result.QueueDeadline, "the caller waits for %d ms more", c.timeLeft().Milliseconds())
+	case !g.anyTarget(c.entry):
+		e = refusal(result.NoTarget, noTargetRetryAfter, "no target of the route's services is known")
+	default:
+		return nil, c.deadline
+	}
+	return g.finish(c, nil, e), time.Time{}
+}
+
+// anyTarget reports whether a target of any of the route's services is known.
+func (g *Gateway) anyTarget(e *routing.Entry) bool {
+	s := g.opts.Directory.Snapshot()
+	return slices.ContainsFunc(e.Services, func(w routing.WeightedService) bool { return len(s.Service(w.Service)) > 0 })
+}
+
+// Refuse implements ingress.Handler.
+func (g *Gateway) Refuse(r *ingress.Request, cause ingress.RefusalCause) *ingress.Response {
+	c := g.newCall(context.Background(), r)
+	e := refusal(result.QueueFull, noMemoryRetryAfter, "the bodies of other requests and answers take the memory of this VM")
+	if cause == ingress.Stopping {
+		e = result.New(result.EntryDraining, "this VM is stopping")
+		e.RetryAfter = stoppingRetryAfter
+	}
+	if _, routeError := g.findRoute(c); routeError != nil {
+		e = routeError
+	}
+	return g.finish(c, nil, e)
+}
+
 // configRefusal returns the error for a request that no configuration allows to serve at present.
 func configRefusal(format string, args ...any) *result.Error {
 	e := result.New(result.ConfigStale, format, args...)
@@ -243,14 +297,15 @@
 // deadline returns the earlier of the caller's and the route's deadline.
 func (g *Gateway) deadline(c *call) time.Time {
 	left := c.entry.Timeout
+	if left == 0 {
+		left = defaultTimeout
+	}
 	if ms, err := strconv.ParseInt(string(c.req.Header.Peek(g.opts.Headers.TimeLeft)), 10, 64); err == nil && ms >= 0 {
-		if own := time.Duration(min(ms, maxTimeLeft.Milliseconds())) * time.Millisecond; left == 0 || own < left {
+		own := time.Duration(min(ms, maxTimeLeft.Milliseconds())) * time.Millisecond
+		if own < left || c.entry.Timeout == 0 {
 			left = own
 		}
 	}
-	if left == 0 {
-		left = defaultTimeout
-	}
 	return c.req.Received.Add(left)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -262,3 +262,55 @@
 	is.Equal(r.Status, http.StatusGatewayTimeout)
 	is.True(time.Since(began) < 1300*time.Millisecond)
 }
+
+// uploadRequest returns a request to the path of which the body was not read yet.
+func uploadRequest(path, left string) *ingress.Request {
+	h := &fasthttp.RequestHeader{}
+	h.SetMethod("POST")
+	h.SetHost("h")
+	h.SetRequestURI(path)
+	h.Set("Attempt-Id", "1")
+	h.Set("Request-Deadline-Ms", left)
+	return &ingress.Request{Header: h, Received: time.Now()}
+}
+
+// What cannot be served must be refused before its body is read, as not run.
+func TestPrecheckRefusesWhatCannotBeServed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, false, func(http.ResponseWriter, *http.Request) {})
+	refusal, until := f.gateway.Precheck(uploadRequest("/upload/x", "700"))
+	is.Equal(refusal, nil)
+	is.True(time.Until(until) > 500*time.Millisecond && time.Until(until) <= 700*time.Millisecond)
+	refusal, _ = f.gateway.Precheck(uploadRequest("/elsewhere/x", "700"))
+	is.Equal(refusal.Status, 404)
+	refusal, _ = f.gateway.Precheck(uploadRequest("/upload/x", "0"))
+	is.Equal(refusal.Status, 503)
+	f.directory.Remove("t0")
+	refusal, _ = f.gateway.Precheck(uploadRequest("/upload/x", "700"))
+	is.Equal(refusal.Status, 503)
+	is.True(strings.Contains(string(refusal.Header), "Retry-After: "))
+	is.Equal(f.requestsReceived(), 0)
+}
+
+// An upload may have run if its answer is lost: it must not be sent again.
+func TestUploadIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	hangUp := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	f := newFixture(t, false, hangUp, hangUp)
+	r := uploadRequest("/upload/x", "1000")
+	r.Body = []byte(strings.Repeat("x", 100_000))
+	is.Equal(f.gateway.Serve(context.Background(), r).Status, 502)
+	is.Equal(f.requestsReceived(), 1)
+}
+
+// Requests that arrive too late in a stop, or find no memory, are refused as not run.
+func TestRefusalsOfTheIngressAreNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, false, func(http.ResponseWriter, *http.Request) {})
+	for _, cause := range []ingress.RefusalCause{ingress.NoMemory, ingress.Stopping} {
+		refusal := f.gateway.Refuse(uploadRequest("/upload/x", "700"), cause)
+		is.Equal(refusal.Status, 503)
+		is.True(strings.Contains(string(refusal.Header), "Retry-After: "))
+		is.True(strings.Contains(string(refusal.Header), "Attempt-Id: 1"))
+	}
+}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/routing"
 )
 
@@ -53,6 +54,19 @@
 	done chan struct{}
 	// closeAfter is set if the connection is closed after the answer.
 	closeAfter bool
+	// body is the request's body, or nil.
+	body *bodies.Body
+	// unread is the number of bytes of the request's body that are discarded, since the request was
+	// refused before they were read.
+	unread int
+	// releaseAnswer ends the counting of the answer's body.
+	releaseAnswer func()
+}
+
+// refuse sets the answer to a request that is not served.
+func (x *exchange) refuse(r *Response) {
+	x.response = r
+	close(x.done)
 }
 
 // read reads requests and dispatches them until the connection has ended or must be closed.
@@ -75,6 +89,10 @@
 			c.discardUntilClosed()
 			return
 		}
+		if !c.discardBody(x) {
+			c.awaitAnswers()
+			return
+		}
 	}
 }
 
@@ -194,41 +212,19 @@
 	if err := checkHeader(&req.Header); err != nil {
 		return nil, err
 	}
-	r := &Request{Header: &req.Header, Received: time.Now()}
-	if err := c.readBody(req, r); err != nil {
-		return nil, err
-	}
-	return &exchange{request: r, done: make(chan struct{}), closeAfter: req.Header.ConnectionClose()}, nil
-}
-
-// readBody reads the body of the request, if it has one, after a 100 Continue if the caller
-// expects it.
-func (c *conn) readBody(req *fasthttp.Request, r *Request) error {
-	if n := req.Header.ContentLength(); n == 0 || n < -1 && !req.MayContinue() {
-		return nil
-	}
-	if req.MayContinue() {
-		c.awaitDrained()
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return err
-		}
-	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return err
+	x := &exchange{
+		request: &Request{Header: &req.Header, Received: time.Now()}, done: make(chan struct{}), closeAfter: req.Header.ConnectionClose(),
 	}
-	if err := req.ContinueReadBody(c.reader, c.limits.BodyBytes, false); err != nil {
-		return err
+	if err := c.receiveBody(req, x); err != nil {
+		return nil, err
 	}
-	r.Body = req.Body()
-	return nil
+	return x, nil
 }
 
 const (
 	// finalReadTimeout is how long a stop still waits for a request on an idle connection
 	// before it closes the connection, and for connections in the listener's queue.
 	finalReadTimeout = 20 * time.Millisecond
-	// bodyTimeout bounds the time to receive a body.
-	bodyTimeout = 30 * time.Second
 	// lastAnswerTimeout bounds how long a connection that accepts no further request is
 	// watched while its last answers are produced.
 	lastAnswerTimeout = 5 * time.Minute
@@ -238,22 +234,33 @@
 // first waits until all earlier requests are answered. It returns false if the connection
 // is closing, in which case the request is not accepted.
 func (c *conn) dispatch(x *exchange) bool {
-	overlap := c.server.opts.Handler.MayOverlap(x.request)
-	if !overlap {
+	refused := x.response != nil
+	if !refused && !c.server.opts.Handler.MayOverlap(x.request) {
 		c.awaitDrained()
 	}
 	c.mu.Lock()
 	if c.closing || c.ctx.Err() != nil {
 		c.mu.Unlock()
+		x.body.Release()
 		return false
 	}
+	if !refused && c.server.refusing.Load() {
+		refused = true
+		x.refuse(c.server.opts.Handler.Refuse(x.request, Stopping))
+	}
 	c.pending++
 	c.receiving = false
 	c.closing = x.closeAfter
 	c.mu.Unlock()
 	c.queue <- x
+	if refused {
+		x.body.Release()
+		return true
+	}
 	go func() {
 		x.response = c.server.opts.Handler.Serve(c.ctx, x.request)
+		x.body.Release()
+		x.releaseAnswer = c.server.opts.Memory.Hold(len(x.response.Body))
 		close(x.done)
 	}()
 	return true
@@ -296,7 +303,7 @@
 	for x := range c.queue {
 		<-x.done
 		if broken {
-			c.markAnswered()
+			c.markAnswered(x)
 			continue
 		}
 		last := c.closesAfter(x)
@@ -305,7 +312,7 @@
 			c.nc.Close()
 			broken = true
 		}
-		c.markAnswered()
+		c.markAnswered(x)
 		if last && !broken {
 			c.linger()
 			broken = true
@@ -329,8 +336,11 @@
 	return false
 }
 
-// markAnswered records that the answer to a pending request was written or discarded.
-func (c *conn) markAnswered() {
+// markAnswered records that the answer of the exchange was written or discarded.
+func (c *conn) markAnswered(x *exchange) {
+	if x.releaseAnswer != nil {
+		x.releaseAnswer()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
@@ -416,11 +426,11 @@
 	switch {
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, bodies.ErrTooLong):
 		return fasthttp.StatusRequestEntityTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fasthttp.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, new(*net.OpError)):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, bodies.ErrEnded), errors.As(err, new(*net.OpError)):
 		return 0
 	default:
 		return fasthttp.StatusBadRequest
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/routing"
 )
 
@@ -41,11 +42,28 @@
 	Abort bool
 }
 
+// RefusalCause is why the Server does not pass a request on to the Handler.
+type RefusalCause int
+
+const (
+	// NoMemory means that the request's body finds no room in memory.
+	NoMemory RefusalCause = iota
+	// Stopping means that the request arrived so late in a stop that it might not be
+	// finished.
+	Stopping
+)
+
 // Handler serves requests.
 type Handler interface {
 	// Serve returns the answer to the request. The context is cancelled when the caller
 	// disconnects.
 	Serve(ctx context.Context, r *Request) *Response
+	// Precheck is called before the body of a request is read. It returns the answer if it is
+	// already known that the request cannot be served, and otherwise when its body must
+	// have arrived.
+	Precheck(r *Request) (refusal *Response, bodyUntil time.Time)
+	// Refuse returns the answer to a request that is not served because of the cause.
+	Refuse(r *Request, cause RefusalCause) *Response
 	// MayOverlap reports whether the request may run concurrently with others of its
 	// connection.
 	MayOverlap(r *Request) bool
@@ -65,7 +83,10 @@
 	// StopLimit bounds the duration of a stop. Connections still open then are closed,
 	// and their requests in flight are aborted.
 	StopLimit time.Duration
-	Logger    *slog.Logger
+	// Memory bounds the memory that bodies take. Requests whose bodies find no room are refused.
+	// Default: up to 256 MiB, of this Server alone.
+	Memory *bodies.Memory
+	Logger *slog.Logger
 }
 
 const (
@@ -83,12 +104,19 @@
 	minIdleBeforeStop = 150 * time.Millisecond
 	// minHeaderBuffer is the minimum size of the buffer for a request header.
 	minHeaderBuffer = 4 << 10
+	// lateRequestAfter is how long after the listener was closed by a stop further requests are
+	// still served. It covers requests that were on their way to an open connection.
+	lateRequestAfter = 300 * time.Millisecond
+	// defaultMemory is the bound of Options.Memory in bytes if it is not set.
+	defaultMemory = 256 << 20
 )
 
 // Server accepts and serves callers' connections on one address.
 type Server struct {
 	opts     Options
 	stopping atomic.Bool
+	// refusing is set late in a stop, when no further request is served.
+	refusing atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -99,6 +127,9 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.New(slog.DiscardHandler)
 	}
+	if opts.Memory == nil {
+		opts.Memory = bodies.NewMemory(defaultMemory)
+	}
 	return &Server{opts: opts, conns: map[*conn]struct{}{}}
 }
 
@@ -117,7 +148,8 @@
 
 // Serve serves callers on the listener. When the context ends, it accepts connections for
 // Options.LameDuck more, completes the requests in flight within Options.StopLimit, closes
-// all connections and returns nil.
+// all connections and returns nil. Requests that arrive late in the stop, which it might have to cut
+// off, are refused.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	accepting := make(chan error, 1)
 	go func() { accepting <- s.accept(ln) }()
@@ -137,6 +169,7 @@
 	s.opts.Logger.Info("stopping: readiness check now fails", "connections", s.openConnections())
 	time.Sleep(s.opts.LameDuck)
 	s.closeListener(ln)
+	time.AfterFunc(lateRequestAfter, func() { s.refusing.Store(true) })
 	for s.openConnections() > 0 && time.Since(started) < s.opts.StopLimit {
 		s.forEachConn((*conn).closeForStop)
 		time.Sleep(stopPoll)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/routing"
 )
 
@@ -24,10 +25,25 @@
 func (h handler) Serve(ctx context.Context, r *Request) *Response { return h(ctx, r) }
 func (h handler) MayOverlap(r *Request) bool                      { return r.Header.IsGet() }
 
+// Precheck lets all requests through whose paths do not begin with /refused.
+func (h handler) Precheck(r *Request) (*Response, time.Time) {
+	if strings.HasPrefix(string(r.Header.RequestURI()), "/refused") {
+		return &Response{Status: 503, Header: []byte("Retry-After: 1\r\n"), Body: []byte("refused")}, time.Time{}
+	}
+	return nil, time.Now().Add(2 * time.Second)
+}
+
+func (h handler) Refuse(_ *Request, cause RefusalCause) *Response {
+	return &Response{Status: 503, Body: fmt.Appendf(nil, "refused because of %d", cause)}
+}
+
 func echo(_ context.Context, r *Request) *Response {
 	return &Response{Status: 200, Body: append([]byte(string(r.Header.RequestURI())+" "), r.Body...)}
 }
 
+// testMemory is how much memory the bodies may take.
+const testMemory = 1 << 20
+
 type testServer struct {
 	server  *Server
 	address string
@@ -39,6 +55,7 @@
 	t.Helper()
 	limits.HeaderBytes = max(limits.HeaderBytes, 4096)
 	limits.BodyBytes = max(limits.BodyBytes, 1<<20)
+	memory := bodies.NewMemory(testMemory)
 	if limits.HeaderTimeout == 0 {
 		limits.HeaderTimeout = 2 * time.Second
 	}
@@ -51,7 +68,7 @@
 	}
 	s := New(Options{
 		Handler: h, Limits: func() routing.Limits { return limits },
-		LameDuck: 300 * time.Millisecond, StopLimit: 3 * time.Second,
+		LameDuck: 300 * time.Millisecond, StopLimit: 3 * time.Second, Memory: memory,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ts := &testServer{s, ln.Addr().String(), cancel, make(chan error, 1)}
@@ -63,6 +80,11 @@
 		case <-time.After(5 * time.Second):
 			t.Error("the server did not stop within 5 s")
 		}
+		// A handler may still have run when the server closed its connection.
+		for end := time.Now().Add(2 * time.Second); memory.Used() > 0 && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		is.New(t).Equal(memory.Used(), int64(0))
 	})
 	return ts
 }
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/bodies"
 )
 
 // endless returns a script that answers with the beginning and then with the piece again and again, until the caller closes.
@@ -62,7 +64,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			tg := startTarget(t, s)
-			c := New(Options{Headers: testHeaders, MaxReceiveBytes: maxBytes})
+			memory := bodies.NewMemory(maxBytes)
+			c := New(Options{Headers: testHeaders, Memory: memory})
 			c.SetLimit(concurrent)
 			var before runtime.MemStats
 			runtime.GC()
@@ -80,7 +83,7 @@
 			var after runtime.MemStats
 			runtime.ReadMemStats(&after)
 			is.True(after.TotalAlloc-before.TotalAlloc < mostAllocated)
-			is.Equal(c.memory.used.Load(), int64(0))
+			is.Equal(memory.Used(), int64(0))
 		})
 	}
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/idleconn"
 )
 
@@ -28,9 +29,9 @@
 	// MaxIdle is how long an idle connection is kept, unless the target states a
 	// shorter time. Default 8 s.
 	MaxIdle time.Duration
-	// MaxReceiveBytes bounds the memory that the bodies take which are being received. A body that
-	// finds no room is given up. Default 256 MiB.
-	MaxReceiveBytes int64
+	// Memory bounds the memory that bodies take. An answer whose body finds no room is given up.
+	// Default: up to 256 MiB, of this Client alone.
+	Memory *bodies.Memory
 	// Registerer is where the metrics are registered. Nil registers none.
 	Registerer prometheus.Registerer
 }
@@ -52,7 +53,6 @@
 	opts Options
 	// limit is the maximum number of connections that this VM may open to one target.
 	limit  atomic.Int64
-	memory *memory
 	opened prometheus.Counter
 	reused prometheus.Counter
 
@@ -79,9 +79,11 @@
 		var d net.Dialer
 		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	opts.MaxReceiveBytes = cmp.Or(opts.MaxReceiveBytes, 256<<20)
+	if opts.Memory == nil {
+		opts.Memory = bodies.NewMemory(defaultMemory)
+	}
 	c := &Client{
-		opts: opts, pools: map[string]*pool{}, memory: &memory{max: opts.MaxReceiveBytes},
+		opts: opts, pools: map[string]*pool{},
 		opened: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "basiltally_upstream_connections_opened_total", Help: "Connections opened to targets.",
 		}),
@@ -96,6 +98,9 @@
 	return c
 }
 
+// defaultMemory is the bound of Options.Memory in bytes if it is not set.
+const defaultMemory = 256 << 20
+
 // defaultLimit is the number of connections to one target until SetLimit is called.
 const defaultLimit = 8
 
@@ -236,7 +241,7 @@
 		return nil, err
 	}
 	c.opened.Inc()
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), memory: c.memory, idleSince: time.Now()}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), memory: c.opts.Memory, idleSince: time.Now()}, nil
 }
 
 // usable reports whether an idle connection is within the idle limits and has nothing to
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -4,17 +4,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/bodies"
 )
 
 // Headers are the names of the headers between the router and the targets.
@@ -139,8 +138,6 @@
 	readBufferBytes = 16 << 10
 	// maxBodyBytes bounds the body of an answer, which is held in memory.
 	maxBodyBytes = 64 << 20
-	// bodyChunkBytes is the size of the pieces in which a body is read.
-	bodyChunkBytes = 64 << 10
 	// maxAnswersPerExchange bounds the answers read in one exchange, including answers to
 	// other requests.
 	maxAnswersPerExchange = 4
@@ -155,17 +152,14 @@
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errEncoded      = errors.New("the answer has a Content-Encoding header")
 	errUnsealed     = errors.New("the answer reports success without the seal of a target")
-	errTooLong      = errors.New("the answer's body is too long")
-	errNoMemory     = errors.New("the bodies that are being received take too much memory")
-	errBodyEnded    = errors.New("the answer's body ended early")
 )
 
 // conn is a connection to a target. One exchange uses it at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// memory bounds what the bodies that are being received take.
-	memory    *memory
+	// memory bounds what the bodies take, of which this is one while it is received.
+	memory    *bodies.Memory
 	idleSince time.Time
 	// idleLimit is the idle timeout that the target stated, or zero if it stated none.
 	idleLimit time.Duration
@@ -342,79 +336,23 @@
 	if method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return nil, true, nil
 	}
-	switch n := head.ContentLength(); n {
+	var b *bodies.Body
+	n := head.ContentLength()
+	switch n {
 	case chunkedLength:
-		body, err = c.readChunks()
-		return body, true, err
+		b, err = c.memory.ReadChunked(c.reader, maxBodyBytes)
 	case unstatedLength:
-		body, err = c.readAll(c.reader)
-		return body, false, err
+		b, err = c.memory.ReadAll(c.reader, maxBodyBytes)
 	default:
-		if n > maxBodyBytes {
-			return nil, true, errTooLong
-		}
-		if !c.memory.reserve(n) {
-			return nil, true, errNoMemory
-		}
-		defer c.memory.release(n)
-		body = make([]byte, n)
-		if _, err := io.ReadFull(c.reader, body); err != nil {
-			if err == io.EOF || err == io.ErrUnexpectedEOF {
-				err = errBodyEnded
-			}
-			return nil, true, err
-		}
-		return body, true, nil
-	}
-}
-
-// readAll reads to the end, which a faulty target may never reach. It returns an error if the body
-// is too long, or if all bodies that are being received take too much memory.
-func (c *conn) readAll(r io.Reader) ([]byte, error) {
-	var body bytes.Buffer
-	reserved := 0
-	defer func() { c.memory.release(reserved) }()
-	for {
-		if !c.memory.reserve(bodyChunkBytes) {
-			return nil, errNoMemory
-		}
-		reserved += bodyChunkBytes
-		n, err := io.CopyN(&body, r, bodyChunkBytes)
-		switch {
-		case err == io.EOF:
-			return body.Bytes(), nil
-		case err != nil:
-			return nil, err
-		case body.Len() > maxBodyBytes:
-			return nil, errTooLong
-		}
-		reserved -= bodyChunkBytes - int(n)
-		c.memory.release(bodyChunkBytes - int(n))
+		b, err = c.memory.ReadLength(c.reader, n, maxBodyBytes)
 	}
-}
-
-// readChunks reads a chunked body and its trailer.
-func (c *conn) readChunks() ([]byte, error) {
-	body, err := c.readAll(httputil.NewChunkedReader(c.reader))
 	if err != nil {
-		return nil, err
-	}
-	// The trailer ends with an empty line.
-	for range maxTrailerLines {
-		line, err := c.reader.ReadSlice('\n')
-		if err != nil {
-			return nil, errBodyEnded
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return body, nil
-		}
+		return nil, false, err
 	}
-	return nil, errTooLong
+	b.Release()
+	return b.Data, n != unstatedLength, nil
 }
 
-// maxTrailerLines bounds the trailer of a chunked body.
-const maxTrailerLines = 64
-
 // hopByHop has the headers that apply to a single connection or state the end of the body.
 var hopByHop = map[string]bool{
 	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
