Let VMs that start together find the assigner, and wait for its changes before they poll

Most VMs read the empty role within 50 ms and tried to take it over, and each polled both prefixes until the assigner relayed changes.

The new test failed without the wait (a poll at once).

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -49,6 +49,9 @@
 	// targetSettle is the same for the targets' entries. A leaving target must get no new
 	// requests after 2 s.
 	targetSettle = 500 * time.Millisecond
+	// firstReaderWait is how long a VM that starts waits for the assigner to relay changes before it
+	// polls the store. A configuration must be in force within 2 s.
+	firstReaderWait = 1500 * time.Millisecond
 	// longLeaseShare is the duration, as a share of hold_max, of the leases that are used
 	// while the store does not answer. A target would refuse a lease above its limit.
 	longLeaseShare = 0.95
@@ -135,7 +138,7 @@
 		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: roleNode}),
 	}
 	n.settings.Store(s)
-	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, FirstList: n.firstList, OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
+	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, FirstList: n.firstList, FirstReaderWait: firstReaderWait, OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
 	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
 	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -151,7 +154,7 @@
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
 		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed,
-		RelayAbove: s.Shard.RelayAbove, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
+		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
 	n.eligibility = eligibility.New(eligibility.Options{
 		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, Registerer: n.registry, Logger: logger,
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -54,6 +54,7 @@
 	LeaseDuration    time.Duration `ini:"hold" default:"3s" unit:"duration" range:"500ms..1m" doc:"Duration of a target's lease. A key range whose owner is lost gets a new owner only after the lease has ended."`
 	MaxLeaseDuration time.Duration `ini:"hold_max" default:"10s" unit:"duration" range:"500ms..1m" doc:"Longest lease that targets accept; leases of nearly this duration are used while the store does not answer."`
 	RoleLease        time.Duration `ini:"role_lease" default:"3s" unit:"duration" range:"500ms..1m" doc:"How long the assigner may act after the store last confirmed its role."`
+	StartSpread      time.Duration `ini:"start_spread" default:"50ms" unit:"duration" range:"1ms..10s" doc:"Period over which VMs that start together spread their search for the assigner. A longer one at the first start of many VMs saves calls to the store."`
 	RelayAbove       int           `ini:"relay_above" default:"24" unit:"VMs" range:"1..1000000" doc:"Number of VMs above which they receive changes of the store from the assigner instead of each polling the store."`
 }
 
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -56,6 +56,9 @@
 	RoleLease time.Duration
 	// ReportInterval is the interval between reports to the assigner. Default 250 ms.
 	ReportInterval time.Duration
+	// StartSpread is the period over which VMs that start together spread their first reads of the
+	// store. Default 50 ms. With many VMs, most then find that another one is the assigner already.
+	StartSpread time.Duration
 	// FirstTableDelay is how long no new target may have appeared before the first
 	// table of a service is created. Default 2.5 s.
 	FirstTableDelay time.Duration
@@ -68,6 +71,7 @@
 	o.RoleLease = cmp.Or(o.RoleLease, 3*time.Second)
 	o.ReportInterval = cmp.Or(o.ReportInterval, 250*time.Millisecond)
 	o.FirstTableDelay = cmp.Or(o.FirstTableDelay, 2500*time.Millisecond)
+	o.StartSpread = cmp.Or(o.StartSpread, 50*time.Millisecond)
 	o.Leases = o.Leases.withDefaults()
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
@@ -97,9 +101,6 @@
 	delayedCheckAfter = 15 * time.Second
 	// announceParallelism is the largest number of announcements sent at the same time.
 	announceParallelism = 16
-	// startSpread is the period over which VMs that start together spread their first
-	// reads of the store.
-	startSpread = 50 * time.Millisecond
 	// readTablesAfter is how long a VM that starts waits for tables from the assigner before it reads
 	// the records in the store, which are as long as there are targets.
 	readTablesAfter = 500 * time.Millisecond
@@ -199,7 +200,7 @@
 // Run follows the assigner, or acts as the assigner, until the context ends. If no assigner sends
 // tables soon, it reads them from the store. It returns nil.
 func (a *Agent) Run(ctx context.Context) error {
-	pause(ctx, mathrand.N(startSpread)+a.takeOverDelay())
+	pause(ctx, mathrand.N(a.opts.StartSpread)+a.takeOverDelay())
 	var reading sync.WaitGroup
 	defer reading.Wait()
 	reading.Go(func() {
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -61,6 +61,10 @@
 	// relies on readers lists the store, however often the reader changes. Default 1.6 s: a
 	// reader confirms each 300 ms, and its own knowledge is up to 500 ms old.
 	MaxStaleness time.Duration
+	// FirstReaderWait is how long a VM that has started and read its first list of a prefix waits for a
+	// reader before it polls the store. It should cover the time in which a VM finds the assigner and
+	// is sent the first changes. Zero does not wait.
+	FirstReaderWait time.Duration
 	// Now returns the time of a clock that goes on while the VM is suspended. Default
 	// boottime.Now.
 	Now func() time.Duration
@@ -84,6 +88,8 @@
 	// unusableSince is when readerUsable last became false. It is zero after BecomeReader, so
 	// that no poll waits for another reader.
 	unusableSince time.Time
+	// isReader is set once this VM has become the reader.
+	isReader bool
 	// changed is closed and replaced when batches arrive or readerUsable changes.
 	changed chan struct{}
 	// failing is true for a prefix whose last read of the store failed.
@@ -126,6 +132,8 @@
 	objects map[string]store.Object
 	// reliesOnReader is set once this VM has relied on a reader since the last list.
 	reliesOnReader bool
+	// awaitReaderUntil is until when a poll waits for a reader after the first list.
+	awaitReaderUntil time.Duration
 }
 
 // stream holds the batches of a prefix that the reader has sent and no poll has returned yet.
@@ -226,7 +234,11 @@
 	defer f.mu.Unlock()
 	l := f.logs[prefix]
 	if l == nil || at < l.at {
-		f.logs[prefix] = &changeLog{base: at, at: at, objects: indexByKey(objects)}
+		next := &changeLog{base: at, at: at, objects: indexByKey(objects)}
+		if l == nil && !f.isReader {
+			next.awaitReaderUntil = f.opts.Now() + f.opts.FirstReaderWait
+		}
+		f.logs[prefix] = next
 		return Batch{Prefix: prefix, After: at, At: at, Reset: true}
 	}
 	l.reliesOnReader = false
@@ -399,6 +411,8 @@
 	takeoverWait := min(f.opts.TakeoverTimeout-time.Since(f.unusableSince), staleIn)
 	switch {
 	case usable && s.coversLocked(after):
+	case l != nil && f.opts.Now() < l.awaitReaderUntil:
+		return Batch{}, relayPending, f.changed, l.awaitReaderUntil - f.opts.Now()
 	case !reliesOnReader:
 		return Batch{}, relayNotCovered, nil, 0
 	case (!usable || s == nil) && takeoverWait > 0:
@@ -630,8 +644,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams = map[string]*stream{}
-	f.readerUsable, f.confirmedAt, f.unusableSince = false, 0, time.Time{}
+	f.readerUsable, f.confirmedAt, f.unusableSince, f.isReader = false, 0, time.Time{}, true
 	for prefix, l := range f.logs {
+		l.awaitReaderUntil = 0
 		if l.reliesOnReader {
 			f.failing[prefix] = true
 		}
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -467,3 +467,51 @@
 		p.is.True(ago() >= second/4+700*time.Millisecond)
 	})
 }
+
+// A VM that has started waits for the reader before it polls the store, and polls if none comes or if it becomes the
+// reader itself. Its first list may be old: the changes since come with the first poll or from the reader.
+func TestVMThatStartsWaitsForTheReader(t *testing.T) {
+	tests := []struct {
+		name  string
+		then  func(p *feeds, f *relayfeed.Feed)
+		polls int64
+		took  time.Duration
+	}{
+		{"reader comes", func(p *feeds, f *relayfeed.Feed) {
+			for _, b := range p.reader.BatchesSince(f.KnownRevisions()) {
+				f.Receive(b)
+			}
+			f.SetReader(true, p.now())
+		}, 0, 200 * time.Millisecond},
+		{"becomes the reader", func(_ *feeds, f *relayfeed.Feed) { f.BecomeReader() }, 1, 200 * time.Millisecond},
+		{"no reader comes", func(*feeds, *relayfeed.Feed) {}, 1, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFeeds(t)
+				old, at, err := p.store.List(t.Context(), prefix)
+				p.is.NoErr(err)
+				p.put("a/1")
+				p.read()
+				lists := p.store.lists.Load()
+				started := relayfeed.New(relayfeed.Options{
+					Direct: p.store, Now: p.now, FirstReaderWait: time.Second,
+					FirstList: func(context.Context, string) ([]store.Object, store.Version, error) { return old, at, nil },
+				})
+				_, known, err := started.List(t.Context(), prefix)
+				p.is.NoErr(err)
+				p.is.Equal(known, at)
+				polls, began := p.store.polls.Load(), time.Now()
+				time.AfterFunc(200*time.Millisecond, func() { tt.then(p, started) })
+				events, _, err := started.Poll(t.Context(), prefix, known, 10*time.Second)
+				p.is.NoErr(err)
+				p.is.Equal(len(events), 1)
+				p.is.Equal(events[0].Key, "a/1")
+				p.is.Equal(time.Since(began), tt.took)
+				p.is.Equal(p.store.polls.Load()-polls, tt.polls)
+				p.is.Equal(p.store.lists.Load(), lists)
+			})
+		})
+	}
+}
