Send only the target states that matter, and larger changes of the store

Cause: the assigner sent the state of each target that had an answer, 809 of them each 0.6 s, to each of 295 VMs: 15 KB/s a VM, 35 Mbit/s in all.

Change: a state is sent if its service time has changed by 15 %, its failures by 3 points, or its load by 2 while the target is busy; else each 10 s. A VM that begins to follow gets all.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -116,6 +116,15 @@
 	return n.run(ctx)
 }
 
+// maxBatchBytes returns the size up to which changes of the store are relayed to all VMs over a
+// link of this bandwidth. Sent to 300 VMs, they fill it for less than a second.
+func maxBatchBytes(linkMbps float64) int {
+	if linkMbps < minAssignerLinkMbps {
+		return 8 << 10
+	}
+	return 32 << 10
+}
+
 // takeOverDelay returns how much longer than others a VM with this bandwidth and processor waits
 // before it takes over the assigner's role.
 func takeOverDelay(linkMbps, cpu float64) time.Duration {
@@ -142,7 +151,7 @@
 		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: roleNode}),
 	}
 	n.settings.Store(s)
-	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, FirstList: n.firstList, FirstReaderWait: firstReaderWait, OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
+	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, FirstList: n.firstList, FirstReaderWait: firstReaderWait, MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
 	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
 	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -124,6 +124,8 @@
 	reportSentAtMs uint64
 	// delaysTakeOver is set if it has a take-over delay, so that other VMs are preferred.
 	delaysTakeOver bool
+	// targetsSent is set once the states of all targets were sent to it.
+	targetsSent bool
 	// relaying is set once store changes are relayed to it.
 	relaying bool
 	// dropped is set once the queue is closed.
@@ -179,7 +181,7 @@
 			a.takeOverServices(ctx)
 			if now-lastUpdate >= updateInterval {
 				lastUpdate = now
-				a.broadcast(a.changedTargets(now))
+				a.broadcast(a.changedTargets(now), func() []*pb.TargetState { return a.targets.all(now) })
 			}
 		}
 		a.act(ctx, boottime.Now())
@@ -700,16 +702,25 @@
 	a.agent.setVMs(u.GetVms())
 }
 
-// broadcast sends all followers an update with the role and the changed target states.
-func (a *assigner) broadcast(targets []*pb.TargetState) {
+// broadcast sends all followers an update with the role and the changed target states. Followers to
+// which none were sent yet get all states.
+func (a *assigner) broadcast(targets []*pb.TargetState, all func() []*pb.TargetState) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.startRelayLocked()
 	common := a.updateLocked()
 	vms := a.takeChangedVMsLocked()
+	var allTargets []*pb.TargetState
 	for f := range a.followers {
 		u := proto.Clone(common).(*pb.ShardUpdate)
 		u.Targets, u.Vms = targets, vms
+		if !f.targetsSent {
+			f.targetsSent = true
+			if allTargets == nil {
+				allTargets = all()
+			}
+			u.Targets = allTargets
+		}
 		a.confirmFeedLocked(u, f)
 		a.enqueueLocked(f, u)
 	}
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -17,6 +17,16 @@
 	answerWeight = 0.08
 	// minAnswers is the number of answers from which a target's service time counts as known.
 	minAnswers = 3
+	// refreshInterval is the interval at which the state of a target is sent although it has changed
+	// too little to matter.
+	refreshInterval = 10 * time.Second
+	// A state is sent at once if its service time has changed by minServiceTimeChange, its share of
+	// failures by minFailureChange, or its load by minLoadChange while it is at least minBusyLoad:
+	// below that, requests hardly wait. Service times are compared as a share of the last one.
+	minServiceTimeChange = 0.15
+	minFailureChange     = 0.03
+	minLoadChange        = 2
+	minBusyLoad          = 4
 )
 
 // targetStates combines the reports of all VMs on the targets.
@@ -43,8 +53,20 @@
 	limitAt   time.Duration
 	// leavingBorn is the incarnation that has said that it leaves, or nil.
 	leavingBorn *int64
-	// changed is set if a report came since the last call of takeChanged.
+	// changed is set if a report came since the state was last sent to the VMs.
 	changed bool
+	// sent is the state as it was sent last, at sentAt.
+	sent   sentState
+	sentAt time.Duration
+}
+
+// sentState is what of a target's state decides whether it is sent again.
+type sentState struct {
+	serviceTime time.Duration
+	failures    float64
+	load        uint32
+	limitAt     time.Duration
+	leavingBorn int64
 }
 
 func newTargetStates() *targetStates { return &targetStates{states: map[string]*targetState{}} }
@@ -128,25 +150,65 @@
 	return sum / time.Duration(n)
 }
 
-// takeChanged returns the states of the targets that were reported on since the last call.
+// takeChanged returns the states of the targets that have changed so much since they were last sent
+// that it matters to the VMs, or that were not sent for refreshInterval.
 func (t *targetStates) takeChanged(now time.Duration) []*pb.TargetState {
 	var out []*pb.TargetState
 	for id, s := range t.states {
-		if !s.changed {
+		if !s.changed || !s.due(now) {
 			continue
 		}
-		s.changed = false
-		m := &pb.TargetState{Target: id, LeavingBorn: s.leavingBorn, FailurePermille: uint32(1000 * s.failures)}
-		if s.known() {
-			m.ServiceMicros = uint32(s.serviceTime.Microseconds())
-		}
-		if s.loadReportedAt > 0 {
-			m.Told, m.Load, m.AgeMs = true, s.load, uint32((now - s.loadReportedAt).Milliseconds())
-		}
-		if s.limitAt > 0 {
-			m.Limit = &pb.TargetLimit{Born: s.limitBorn, PerSecond: s.limit, AgeMs: uint32((now - s.limitAt).Milliseconds())}
-		}
-		out = append(out, m)
+		s.changed, s.sent, s.sentAt = false, s.current(), now
+		out = append(out, s.message(id, now))
+	}
+	return out
+}
+
+// all returns the states of all targets.
+func (t *targetStates) all(now time.Duration) []*pb.TargetState {
+	out := make([]*pb.TargetState, 0, len(t.states))
+	for id, s := range t.states {
+		out = append(out, s.message(id, now))
 	}
 	return out
 }
+
+func (s *targetState) current() sentState {
+	c := sentState{serviceTime: s.serviceTime, failures: s.failures, load: s.load, limitAt: s.limitAt}
+	if s.leavingBorn != nil {
+		c.leavingBorn = *s.leavingBorn
+	}
+	return c
+}
+
+// due reports whether a changed state is to be sent now.
+func (s *targetState) due(now time.Duration) bool {
+	c := s.current()
+	switch {
+	case s.sentAt == 0 || now-s.sentAt >= refreshInterval:
+		return true
+	case c.limitAt != s.sent.limitAt || c.leavingBorn != s.sent.leavingBorn:
+		return true
+	case math.Abs(float64(c.serviceTime-s.sent.serviceTime)) >= minServiceTimeChange*float64(s.sent.serviceTime):
+		return true
+	case math.Abs(c.failures-s.sent.failures) >= minFailureChange:
+		return true
+	}
+	low, high := min(c.load, s.sent.load), max(c.load, s.sent.load)
+	return high >= minBusyLoad && high-low >= minLoadChange
+}
+
+// message returns the state as it is sent to the VMs.
+func (s *targetState) message(id string, now time.Duration) *pb.TargetState {
+	m := &pb.TargetState{Target: id, LeavingBorn: s.leavingBorn, FailurePermille: uint32(1000 * s.failures)}
+	if s.known() {
+		m.ServiceMicros = uint32(s.serviceTime.Microseconds())
+	}
+	if s.loadReportedAt > 0 {
+		m.Told, m.Load, m.AgeMs = true, s.load, uint32((now - s.loadReportedAt).Milliseconds())
+	}
+	if s.limitAt > 0 {
+		m.Limit = &pb.TargetLimit{Born: s.limitBorn, PerSecond: s.limit, AgeMs: uint32((now - s.limitAt).Milliseconds())}
+	}
+	return m
+}
