Open no connection to a target that has just reset a new one

Cause: a target with a long queue accepts fewer connections and resets the others once the request has arrived. A VM sent each further request on yet another new connection.

Weighed: waiting on a new connection until a reset would have come (a round trip on each, 25 ms between regions; connections are rarely kept with 295 VMs); a smaller share of the limit (nothing says by how much a target lowers it).

Change: after a reset of a new connection, none is opened to that target for 300 ms. Requests use kept ones, wait, or are refused as not run. TestBrokenOffHeadIsNoAnswer shows that an answer whose head breaks off at any byte is no answer; it passed at once.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -42,10 +42,14 @@
 	idleMargin = time.Second
 	// sweepInterval is the interval at which connections that were idle too long are closed.
 	sweepInterval = time.Second
+	// resetPause is how long no connection is opened to a target that has reset a new one before it
+	// answered. A target does so while it has as many connections as it accepts, which are fewer
+	// while its queue is long.
+	resetPause = 300 * time.Millisecond
 )
 
-// ErrBusy reports that this VM has reached its limit of connections to the target and
-// that all of them are in use.
+// ErrBusy reports that all connections of this VM to the target are in use, and that it may open no
+// other now: it has reached its limit, or the target has just reset a new one.
 var ErrBusy = errors.New("all connections to the target are in use")
 
 // Client sends requests to targets over a pool of persistent connections per target.
@@ -66,6 +70,9 @@
 	idle []*conn
 	// open is the number of open connections, idle or in use.
 	open int
+	// noneBefore is the instant before which no connection is opened, because the target has reset a
+	// new one.
+	noneBefore time.Time
 	// waiters has a channel for each request that waits for a connection, in the order of
 	// arrival.
 	waiters []chan struct{}
@@ -122,10 +129,30 @@
 		}
 	}
 	a, keep, err := cn.exchange(ctx, &c.opts.Headers, r)
+	var f *Failure
+	if errors.As(err, &f) && f.Reset && cn.requests == 1 && ctx.Err() == nil {
+		c.pauseConnecting(address)
+	}
 	c.release(address, cn, keep)
 	return a, err
 }
 
+// pauseConnecting opens no connection to the address for resetPause. Requests that find no kept one
+// are refused as not run meanwhile, or wait, in place of being lost with another reset.
+func (c *Client) pauseConnecting(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	p.noneBefore = time.Now().Add(resetPause)
+	time.AfterFunc(resetPause, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for len(p.waiters) > 0 {
+			p.wakeNext()
+		}
+	})
+}
+
 // IdleAddresses returns the addresses that have an idle connection which was last used at
 // most maxIdle ago. A maxIdle of zero sets no limit.
 func (c *Client) IdleAddresses(maxIdle time.Duration) map[string]bool {
@@ -212,7 +239,7 @@
 		p.open--
 		cn.Close()
 	}
-	if int64(p.open) >= c.limit.Load() {
+	if int64(p.open) >= c.limit.Load() || time.Now().Before(p.noneBefore) {
 		var freed chan struct{}
 		if r.MaxWait > 0 {
 			freed = make(chan struct{})
@@ -335,7 +362,7 @@
 			kept = append(kept, cn)
 		}
 		p.idle = kept
-		if p.open == 0 && len(p.waiters) == 0 {
+		if p.open == 0 && len(p.waiters) == 0 && !time.Now().Before(p.noneBefore) {
 			delete(c.pools, address)
 		}
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -423,3 +423,73 @@
 	is.True(!a.NotRun)
 	is.Equal(len(tg.conns), 2)
 }
+
+// resetAtOnce is a script that resets the connection before it has read anything.
+func resetAtOnce(_ *testing.T, nc net.Conn, br *bufio.Reader) {
+	_, _ = br.Peek(1) // The request has arrived.
+	_ = nc.(*net.TCPConn).SetLinger(0)
+}
+
+// A target that accepts no further connections resets new ones. The next requests must not be sent on
+// yet another one, but wait or be refused as not sent.
+func TestNoConnectionIsOpenedAfterTheTargetHasResetOne(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, resetAtOnce, answerInTurn(validAnswer))
+	c := New(Options{Headers: testHeaders})
+	_, f := do(t, c, tg, request("1"))
+	is.True(f.Sent && f.Reset)
+	for _, id := range []string{"2", "3"} {
+		_, f = do(t, c, tg, request(id))
+		is.True(!f.Sent)
+		is.Equal(f.Cause, ErrBusy)
+	}
+	is.Equal(len(tg.conns), 1)
+	r := request("4")
+	r.MaxWait = 100 * time.Millisecond
+	_, f = do(t, c, tg, r)
+	is.True(!f.Sent)
+	r = request("5")
+	r.MaxWait = 2 * time.Second
+	began := time.Now()
+	a, f := do(t, c, tg, r)
+	is.Equal(f, nil)
+	is.Equal(string(a.Body), "ok")
+	is.True(time.Since(began) < time.Second) // It does not wait for longer than the pause.
+}
+
+// A head that is broken off at any byte, by the end of the connection or a reset, must never be taken
+// for an answer, whether the body has a length, chunks or neither, and after an earlier answer.
+func TestBrokenOffHeadIsNoAnswer(t *testing.T) {
+	heads := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: 1\r\nContent-Length: 12\r\n\r\n",
+		"chunked": "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"neither": "HTTP/1.1 200 OK\r\nX-Seal: 1\r\nX-Id: 2\r\n\r\n",
+		"empty":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Seal: 1\r\nX-Id: 2\r\n\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(head) {
+				for _, reset := range []bool{false, true} {
+					breakOff := func(t *testing.T, nc net.Conn, br *bufio.Reader) {
+						answerInTurn(validAnswer)(t, nc, br)
+						if _, err := http.ReadRequest(br); err != nil {
+							return
+						}
+						fmt.Fprint(nc, head[:n])
+						if reset {
+							_ = nc.(*net.TCPConn).SetLinger(0)
+						}
+					}
+					is := is.New(t)
+					tg := startTarget(t, breakOff)
+					c := New(Options{Headers: testHeaders})
+					_, f := do(t, c, tg, request("1"))
+					is.Equal(f, nil)
+					a, f := do(t, c, tg, request("2"))
+					is.Equal(a, nil)
+					is.True(f != nil && f.Sent)
+				}
+			}
+		})
+	}
+}
