Relay large changes of the store compressed in place of having each VM list it

Change: the events of a batch of 2 KB and more are sent compressed (FeedBatch.packed; a VM of an older build sees a gap, as before, and reads the store); an assigner with 100 Mbit/s relays up to 512 KiB. Malformed data is a gap, logged.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -117,12 +117,12 @@
 }
 
 // maxBatchBytes returns the size up to which changes of the store are relayed to all VMs over a
-// link of this bandwidth. Sent to 300 VMs, they fill it for less than a second.
+// link of this bandwidth. Compressed to a fraction and sent to 300 VMs, they fill it for about a second.
 func maxBatchBytes(linkMbps float64) int {
 	if linkMbps < minAssignerLinkMbps {
-		return 8 << 10
+		return 64 << 10
 	}
-	return 32 << 10
+	return 512 << 10
 }
 
 // takeOverDelay returns how much longer than others a VM with this bandwidth and processor waits
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -126,7 +126,11 @@
 		return
 	}
 	for _, m := range u.GetFeed() {
-		a.opts.Feed.Receive(batchFromProto(m))
+		b, err := batchFromProto(m)
+		if err != nil {
+			a.opts.Logger.Warn("malformed changes of the store; reading them from the store", "prefix", b.Prefix, "at", b.At, "error", err.Error())
+		}
+		a.opts.Feed.Receive(b)
 	}
 	confirmedAt := time.Duration(0)
 	if sentAt := u.GetReportSentAtMs(); sentAt > 0 {
--- a/shard/wire.go
+++ b/shard/wire.go
@@ -1,10 +1,16 @@
 package shard
 
 import (
+	"bytes"
 	"cmp"
+	"compress/flate"
+	"io"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/store"
 	"github.com/basiltally/basiltally/store/relayfeed"
@@ -90,23 +96,86 @@
 	return out
 }
 
+// packFromBytes is the size of a batch's values from which its events are sent compressed. Entries of
+// targets are alike, so that they shrink to a fraction.
+const packFromBytes = 2 << 10
+
+// maxUnpackedBytes bounds the size of the events that are unpacked.
+const maxUnpackedBytes = 8 << 20
+
 func batchToProto(b relayfeed.Batch) *pb.FeedBatch {
 	m := &pb.FeedBatch{Prefix: b.Prefix, After: uint64(b.After), At: uint64(b.At), Reset_: b.Reset}
+	size := 0
 	for _, e := range b.Events {
+		size += len(e.Value)
 		m.Events = append(m.Events, &pb.FeedEvent{Key: e.Key, Value: e.Value, Version: uint64(e.Version), Deleted: e.Deleted})
 	}
+	if size < packFromBytes {
+		return m
+	}
+	packed, err := packEvents(m.Events)
+	if err != nil {
+		return m // Sent as it is.
+	}
+	m.Packed, m.PackedAfter, m.After, m.Events = packed, m.After, m.At, nil
 	return m
 }
 
-func batchFromProto(m *pb.FeedBatch) relayfeed.Batch {
+// packEvents returns the compressed events.
+func packEvents(events []*pb.FeedEvent) ([]byte, error) {
+	data, err := proto.Marshal(&pb.FeedEvents{Events: events})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode changes of the store")
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress changes of the store")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress changes of the store")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress changes of the store")
+	}
+	return out.Bytes(), nil
+}
+
+// unpackEvents is the reverse of packEvents.
+func unpackEvents(packed []byte) ([]*pb.FeedEvent, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress changes of the store")
+	}
+	if len(data) > maxUnpackedBytes {
+		return nil, errors.New("changes of the store are too large")
+	}
+	var m pb.FeedEvents
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, errors.Wrap(err, "decode changes of the store")
+	}
+	return m.GetEvents(), nil
+}
+
+// batchFromProto returns the batch. With an error, the batch begins at its end, so that the VM reads
+// the changes from the store.
+func batchFromProto(m *pb.FeedBatch) (relayfeed.Batch, error) {
 	b := relayfeed.Batch{
 		Prefix: m.GetPrefix(), After: store.Version(m.GetAfter()), At: store.Version(m.GetAt()), Reset: m.GetReset_(),
 	}
-	for _, e := range m.GetEvents() {
+	events := m.GetEvents()
+	if len(m.GetPacked()) > 0 {
+		var err error
+		if events, err = unpackEvents(m.GetPacked()); err != nil {
+			return b, err
+		}
+		b.After = store.Version(m.GetPackedAfter())
+	}
+	for _, e := range events {
 		b.Events = append(b.Events, store.Event{
 			Object:  store.Object{Key: e.GetKey(), Value: e.GetValue(), Version: store.Version(e.GetVersion())},
 			Deleted: e.GetDeleted(),
 		})
 	}
-	return b
+	return b, nil
 }
--- a/shard/wire_test.go
+++ b/shard/wire_test.go
@@ -1,10 +1,16 @@
 package shard
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/relayfeed"
 )
 
 // randomTable returns a table that divides all keys at random among three owners.
@@ -44,3 +50,51 @@
 	_, ok = tableFromProto(m, nil)
 	is.True(!ok)
 }
+
+// Changes of many entries must take a fraction of their size on the wire. Whatever is malformed makes the VM read
+// the store and leaves no change out.
+func TestLargeBatchIsSentCompressed(t *testing.T) {
+	is := is.New(t)
+	b := relayfeed.Batch{Prefix: "servers/", After: 7, At: 900}
+	for i := range 809 {
+		value := fmt.Sprintf(`{"address":"10.%d.64.%d:8503","born":17000000%05d,"info":{"service":"mipu93a","version":"v1","zone":"llanelli","slots":6},`+
+			`"status":{"state":"ready","sequence":%d,"warmup_left":"0ms"}}`, i%9, i%250, i*7919%100000, i%13)
+		b.Events = append(b.Events, store.Event{Object: store.Object{Key: fmt.Sprintf("servers/i-%010x", i*2654435761%(1<<40)), Value: []byte(value), Version: store.Version(8 + i)}})
+	}
+	m := batchToProto(b)
+	plain, err := proto.Marshal(&pb.FeedBatch{Events: protoEvents(b)})
+	is.NoErr(err)
+	data, err := proto.Marshal(m)
+	is.NoErr(err)
+	t.Logf("%d bytes in place of %d", len(data), len(plain))
+	is.True(len(data) < len(plain)/4)
+	is.Equal(m.GetAfter(), m.GetAt()) // A VM that does not know the field reads the store.
+	got, err := batchFromProto(m)
+	is.NoErr(err)
+	is.Equal(got, b)
+
+	m.Packed = m.GetPacked()[:len(m.GetPacked())/2]
+	got, err = batchFromProto(m)
+	is.True(err != nil)
+	is.Equal(got.After, got.At)
+	is.Equal(len(got.Events), 0)
+}
+
+func protoEvents(b relayfeed.Batch) []*pb.FeedEvent {
+	var out []*pb.FeedEvent
+	for _, e := range b.Events {
+		out = append(out, &pb.FeedEvent{Key: e.Key, Value: e.Value, Version: uint64(e.Version)})
+	}
+	return out
+}
+
+func FuzzBatchFromProto(f *testing.F) {
+	f.Add([]byte{}, uint64(3))
+	f.Add([]byte{1, 2, 3}, uint64(9))
+	f.Fuzz(func(t *testing.T, packed []byte, at uint64) {
+		b, err := batchFromProto(&pb.FeedBatch{Prefix: "servers/", After: at, At: at, Packed: packed})
+		if err != nil && (b.After != b.At || len(b.Events) > 0) {
+			t.Error("a malformed batch has changes")
+		}
+	})
+}
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -48,7 +48,7 @@
 	// follow this one later. Default 1024.
 	MaxBatches int
 	// MaxCatchUpEvents bounds the changes that a VM is sent when it begins to follow this
-	// one. A VM that lacks more reads the store. Default 200.
+	// one. A VM that lacks more reads the store. Default 1000.
 	MaxCatchUpEvents int
 	// MaxBatchBytes is the maximum size of a batch that is relayed, in bytes of its values.
 	// All VMs read larger ones from the store, whose link has more bandwidth than a VM's.
@@ -150,7 +150,7 @@
 
 // New returns a Feed that reads the store itself until SetReaderUsable is called.
 func New(opts Options) *Feed {
-	opts.MaxBatches, opts.MaxCatchUpEvents = cmp.Or(opts.MaxBatches, 1024), cmp.Or(opts.MaxCatchUpEvents, 200)
+	opts.MaxBatches, opts.MaxCatchUpEvents = cmp.Or(opts.MaxBatches, 1024), cmp.Or(opts.MaxCatchUpEvents, 1000)
 	opts.MaxBatchBytes = cmp.Or(opts.MaxBatchBytes, 8<<10)
 	opts.TakeoverTimeout = cmp.Or(opts.TakeoverTimeout, 700*time.Millisecond)
 	opts.MaxStaleness = cmp.Or(opts.MaxStaleness, 1600*time.Millisecond)
