Refuse at once what the owner of a hot key cannot serve

Weighed: a home VM that forwards (the owner would get no more than now, and the home VM all refusals); permits (rounds of messages for 20 requests a second).

Change: the assigner states in its tables the share of the requests for a key beyond 1.2 times its owner's capacity that the owner can serve (RangeEntry.share_permille, ignored by older builds); the VMs refuse the others at once, as not run, to come back after 2 to 3 s. The key becomes a range of its own with the same owner.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,6 +180,9 @@
 	// tried holds the IDs of the targets that were chosen for the request, the latest last.
 	tried        []string
 	tableVersion shard.Version
+	// drawnForShare is set once it is decided whether the request belongs to the share of the
+	// requests for its key that are served.
+	drawnForShare bool
 }
 
 func (g *Gateway) newCall(ctx context.Context, r *ingress.Request) *call {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -314,3 +314,21 @@
 		is.True(strings.Contains(string(refusal.Header), "Attempt-Id: 1"))
 	}
 }
+
+// Of the requests for a hot key, the share that the owner can serve must be sent, and the others refused as not run.
+func TestShareOfRequestsForHotKeyIsSent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Server-Seal", "1") })
+	f.table.Entries[0].Share = 100
+	refused := 0
+	for range 400 {
+		r := uploadRequest("/safe/x", "1000")
+		r.Header.Set("Shard-Key", "7")
+		if resp := f.gateway.Serve(context.Background(), r); resp.Status == 503 {
+			refused++
+			is.True(strings.Contains(string(resp.Header), "Retry-After: "))
+		}
+	}
+	is.Equal(f.requestsReceived(), 400-refused)
+	is.True(refused > 320 && refused < 390) // 360 on average, with a standard deviation of 6.
+}
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -29,6 +29,12 @@
 			continue
 		}
 		t := g.ownerTarget(entry)
+		if !c.drawnForShare && !c.mayHaveRun {
+			c.drawnForShare = true
+			if entry.Share > 0 && rand.IntN(shard.WholeShare) >= entry.Share {
+				return nil, refusal(result.NoCapacity, hotKeyReturn, "the owner of the key, target %s, can serve %d of 1000 requests for it", t.ID, entry.Share)
+			}
+		}
 		if v := g.opts.Eligibility.Decide(t.Incarnation()); !v.OK() {
 			return nil, g.ineligible(c, t, v)
 		}
@@ -84,6 +90,10 @@
 	return refusal(result.TargetLeaving, leavingRetryAfter, "the owner of the key, target %s, has been leaving for up to %d ms", t.ID, v.Since.Milliseconds())
 }
 
+// hotKeyReturn is the Retry-After time, before the random part, of requests for a key of which the
+// owner can serve a share only. Keys are hot for some seconds.
+const hotKeyReturn = 2 * time.Second
+
 // pauseReturnSpread is the time over which callers return after the pause of a target.
 const pauseReturnSpread = 500 * time.Millisecond
 
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -422,6 +422,7 @@
 	if len(owned) == 0 && !a.targetsStable(s.name) {
 		return
 	}
+	s.leases.SetShares(HotKeyShares(owned, targets, s.load))
 	moves := Plan(owned, targets, s.load, a.agent.opts.Plan, now)
 	if r := s.leases.Propose(moves, now); r != nil {
 		for _, m := range moves {
--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -18,7 +18,7 @@
 
 const (
 	cells           = 16
-	cellSize        = (int(LastKey) + 1) / cells
+	blockSize       = 2 * (int(LastKey) + 1) / cells
 	simStep         = 10 * time.Millisecond
 	simRoleLease    = 2 * time.Second
 	simOrderTimeout = 400 * time.Millisecond
@@ -66,10 +66,26 @@
 	}
 }
 
-func cellRange(k KeyRange) (from, to int) { return int(k.From) / cellSize, int(k.To) / cellSize }
+// Two cells divide blockSize keys: all but the last key, and that key alone, which can become a hot key.
+func cellOf(k Key) int {
+	c := 2 * (int(k) / blockSize)
+	if int(k)%blockSize == blockSize-1 {
+		c++
+	}
+	return c
+}
+
+func cellRange(k KeyRange) (from, to int) { return cellOf(k.From), cellOf(k.To) }
 
 func cellKeys(from, to int) KeyRange {
-	return KeyRange{Key(from * cellSize), Key((to+1)*cellSize - 1)}
+	first, last := from/2*blockSize, to/2*blockSize+blockSize-2
+	if from%2 == 1 {
+		first += blockSize - 1
+	}
+	if to%2 == 1 {
+		last++
+	}
+	return KeyRange{Key(first), Key(last)}
 }
 
 // simEvent is an action that runs at an instant of the history.
@@ -207,6 +223,9 @@
 	if w.chance(0.03) {
 		w.proposeMoves(a)
 	}
+	if w.chance(0.03) {
+		w.setShares(a)
+	}
 	if w.now >= a.confirmed+simRoleLease {
 		return
 	}
@@ -215,6 +234,15 @@
 	}
 }
 
+// setShares makes random keys hot and all others not.
+func (w *simulation) setShares(a *simAssigner) {
+	shares := map[Key]int{}
+	for range w.rng.IntN(3) {
+		shares[cellKeys(2*w.rng.IntN(cells/2)+1, 0).From] = 1 + w.rng.IntN(WholeShare)
+	}
+	a.leases.SetShares(shares)
+}
+
 // proposeMoves proposes random moves, in place of those of a plan, and moves the cells
 // whose owner has restarted to its later incarnation.
 func (w *simulation) proposeMoves(a *simAssigner) {
--- /dev/null
+++ b/shard/hotkey.go
@@ -0,0 +1,36 @@
+package shard
+
+const (
+	// hotKeyOverload is the multiple of its owner's capacity from which the requests for a key are
+	// more than the owner can serve.
+	hotKeyOverload = 1.2
+	// hotKeyFill is the share of the owner's capacity that the requests for such a key may take.
+	hotKeyFill = 0.9
+)
+
+// WholeShare is a share in thousandths that includes all requests.
+const WholeShare = 1000
+
+// HotKeyShares returns the shares of the requests, in thousandths, that the owners of hot keys can
+// serve, for the keys with more requests than that. The load that it answers is one key that gets 40 %
+// of the requests of a service, of which its owner can serve a fraction. Without a share, each of
+// hundreds of VMs would send the owner its part of them, since none knows of the others.
+func HotKeyShares(owned []OwnedRange, targets []PlanTarget, load *Load) map[Key]int {
+	capacity := make(map[string]float64, len(targets))
+	for _, t := range targets {
+		capacity[t.Holder.ID] = t.Capacity
+	}
+	shares := map[Key]int{}
+	for _, o := range owned {
+		c := capacity[o.Owner.ID]
+		if c == 0 {
+			continue
+		}
+		keys, rate, ok := load.Narrowest(o.Keys, hotKeyOverload*c)
+		if !ok || keys.Size() != 1 {
+			continue
+		}
+		shares[keys.From] = max(int(WholeShare*hotKeyFill*c/rate), 1)
+	}
+	return shares
+}
--- /dev/null
+++ b/shard/hotkey_test.go
@@ -0,0 +1,49 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// One key gets 700 requests a second, of which its owner can serve 20. The VMs must learn which share that is, for this
+// key only, and that it has ended.
+func TestHotKeyIsSharedOutByWhatItsOwnerCanServe(t *testing.T) {
+	is := is.New(t)
+	owner, other := Holder{ID: "a", Address: "a:1"}, Holder{ID: "b", Address: "b:1"}
+	targets := []PlanTarget{{Holder: owner, Capacity: 20}, {Holder: other, Capacity: 20}}
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	lm.Propose([]Move{{KeyRange{0, 30000}, owner}, {KeyRange{30001, LastKey}, other}}, 0)
+	lm.FinishProposal(true)
+	answerOrders(lm, 0, "")
+	load := NewLoad(700 * time.Millisecond)
+	load.Add(map[Key]uint32{3377: 490, 100: 3, 40000: 10}, time.Second)
+	shares := HotKeyShares(lm.OwnedRanges(), targets, load)
+	is.Equal(shares, map[Key]int{3377: 25}) // 0.9 * 20 of 700.
+	lm.SetShares(shares)
+	table := lm.TakeTable(time.Second)
+	is.Equal(table.Find(3377).Share, 25)
+	is.Equal(table.Find(3377).Keys, KeyRange{3377, 3377})
+	is.True(table.Find(3377).Held)
+	for _, k := range []Key{0, 3376, 3378, 30000, 40000} {
+		is.Equal(table.Find(k).Share, 0)
+		is.True(table.Find(k).Held)
+	}
+	lm.SetShares(map[Key]int{3377: 27})
+	is.Equal(lm.TakeTable(time.Second), nil) // Too small a change.
+
+	// All parts are renewed, as one order each.
+	orders := lm.DueOrders(2 * time.Second)
+	is.Equal(len(orders), 4)
+	for _, o := range orders {
+		lm.HandleResult(Result{Order: o}, 2*time.Second)
+	}
+	lm.SetShares(nil)
+	table = lm.TakeTable(2 * time.Second)
+	is.Equal(table.Find(3377).Share, 0)
+	// The parts are joined again with the next move.
+	lm.Propose([]Move{{KeyRange{50000, 50000}, owner}}, 3*time.Second)
+	lm.FinishProposal(true)
+	is.Equal(lm.TakeTable(3*time.Second).Find(3377).Keys, KeyRange{0, 30000})
+}
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"errors"
 	"log/slog"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -99,6 +101,9 @@
 	lost bool
 	// since is the instant at which the owner was chosen.
 	since time.Duration
+	// share is the share of the requests for a hot key that the owner can serve, in thousandths;
+	// zero if all.
+	share int
 }
 
 type formerOwner struct {
@@ -368,7 +373,7 @@
 }
 
 func mergeable(a, b *rangeState) bool {
-	return a.keys.To+1 == b.keys.From && a.owner == b.owner && a.held && b.held &&
+	return a.keys.To+1 == b.keys.From && a.owner == b.owner && a.held && b.held && a.share == 0 && b.share == 0 &&
 		!a.lost && !b.lost && len(a.formerOwners) == 0 && len(b.formerOwners) == 0
 }
 
@@ -616,6 +621,50 @@
 	}
 }
 
+// SetShares sets the shares of the requests for hot keys that their owners can serve, in thousandths.
+// All other keys have none. A hot key becomes a range of its own, with the same owner.
+func (lm *LeaseManager) SetShares(shares map[Key]int) {
+	var out []*rangeState
+	for _, s := range lm.ranges {
+		out = append(out, lm.splitAtHotKeys(s, shares)...)
+	}
+	lm.ranges = out
+}
+
+// splitAtHotKeys returns the parts of the range, each hot key in one of its own.
+func (lm *LeaseManager) splitAtHotKeys(s *rangeState, shares map[Key]int) []*rangeState {
+	var out []*rangeState
+	rest := s
+	for _, k := range slices.Sorted(maps.Keys(shares)) {
+		if !rest.keys.Contains(KeyRange{k, k}) {
+			continue
+		}
+		if rest.keys.From < k {
+			out = append(out, rest.clone(KeyRange{rest.keys.From, k - 1}))
+		}
+		hot := rest.clone(KeyRange{k, k})
+		lm.setShare(hot, shares[k])
+		out = append(out, hot)
+		if k == rest.keys.To {
+			return out
+		}
+		rest = rest.clone(KeyRange{k + 1, rest.keys.To})
+	}
+	lm.setShare(rest, 0)
+	return append(out, rest)
+}
+
+// minShareChange is the change of a share, relative to it, from which a new table is published.
+const minShareChange = 0.2
+
+func (lm *LeaseManager) setShare(s *rangeState, share int) {
+	if change := math.Abs(float64(share - s.share)); share == s.share || s.share > 0 && share > 0 && change < minShareChange*float64(s.share) {
+		return
+	}
+	s.share = share
+	lm.tableOutdated = true
+}
+
 // TakeTable returns a new table if something changed since the last one. Otherwise it
 // returns nil.
 func (lm *LeaseManager) TakeTable(now time.Duration) *Table {
@@ -626,7 +675,7 @@
 	lm.seq++
 	t := &Table{Version: Version{lm.term, lm.seq}}
 	for _, s := range lm.ranges {
-		e := Entry{Keys: s.keys, Owner: s.owner, Held: s.held && !s.lost}
+		e := Entry{Keys: s.keys, Owner: s.owner, Held: s.held && !s.lost, Share: s.share}
 		if !e.Held {
 			e.Wait = lm.maxWait(s, now)
 		}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -151,6 +151,9 @@
 	// Wait is the longest time until another target may own the keys, if Held is false.
 	// It counts from the publication of the table and is zero if unknown.
 	Wait time.Duration
+	// Share is the share of the requests for the keys, in thousandths, that the owner can serve. The
+	// VMs refuse the others. Zero means all.
+	Share int
 }
 
 // Find returns the entry whose range contains the key, or nil if there is none.
--- a/shard/wire.go
+++ b/shard/wire.go
@@ -44,7 +44,7 @@
 	for i, e := range entries {
 		out[i] = &pb.RangeEntry{
 			From: uint32(e.Keys.From), To: uint32(e.Keys.To), Target: e.Owner.ID, Address: e.Owner.Address,
-			Born: e.Owner.Born, Held: e.Held, WaitMs: uint32(max(e.Wait, 0).Milliseconds()),
+			Born: e.Owner.Born, Held: e.Held, WaitMs: uint32(max(e.Wait, 0).Milliseconds()), SharePermille: uint32(e.Share),
 		}
 	}
 	return out
@@ -58,6 +58,7 @@
 			Owner: Holder{ID: e.GetTarget(), Address: e.GetAddress(), Born: e.GetBorn()},
 			Held:  e.GetHeld(),
 			Wait:  time.Duration(e.GetWaitMs()) * time.Millisecond,
+			Share: int(min(e.GetSharePermille(), WholeShare)),
 		}
 	}
 	return out
