End only the request or stream that meets an unexpected error

TestPanicEndsItsStreamOnly and TestPanicEndsItsRequestOnly crashed the test process first.

Change: telemetry.Recover, deferred in these three places, logs the panic with its id or VM and stack and counts it (basiltally_panics_total). The request is answered 500, which promises nothing; the VM follows the assigner anew.

--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -70,7 +70,7 @@
 		Store: p.objects, Targets: target.NewClient(target.ClientOptions{}), Peers: p.peers, Members: p.members, Hub: p.hub,
 		Logger: p.logger, Registerer: p.registry,
 	})
-	p.server, err = peer.Listen(peer.ServerOptions{Address: s.Peer.Listen, TLS: p.tls, Handler: p.serve})
+	p.server, err = peer.Listen(peer.ServerOptions{Address: s.Peer.Listen, TLS: p.tls, Handler: p.serve, Logger: p.logger})
 	return p, err
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -189,7 +189,7 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	g, work := errgroup.WithContext(work)
-	server, err := peer.Listen(peer.ServerOptions{Address: n.settings.Load().Peer.Listen, Handler: n.agent.Serve})
+	server, err := peer.Listen(peer.ServerOptions{Address: n.settings.Load().Peer.Listen, Handler: n.agent.Serve, Logger: n.logger})
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -204,9 +204,13 @@
 	return p
 }
 
-// Serve implements ingress.Handler. It always returns a response.
-func (g *Gateway) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
+// Serve implements ingress.Handler. It always returns a response. A panic ends only the request.
+func (g *Gateway) Serve(ctx context.Context, r *ingress.Request) (resp *ingress.Response) {
 	c := g.newCall(ctx, r)
+	defer telemetry.Recover(g.opts.Logger, "request", []any{"id", c.id}, func() {
+		// A target may have run the request.
+		resp = g.finish(c, nil, result.New(result.Internal, "an unexpected error ended the request"))
+	})
 	a, e := g.serve(c)
 	return g.finish(c, a, e)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,8 +29,16 @@
 // fixedTable implements gateway.Shards with a table that never changes.
 type fixedTable struct{ table *shard.Table }
 
-func (f fixedTable) Table(string) *shard.Table { return f.table }
-func (f fixedTable) Changed() <-chan struct{}  { return nil }
+// panicTerm is the term of a table that causes a panic.
+const panicTerm = 999
+
+func (f fixedTable) Table(string) *shard.Table {
+	if f.table.Version.Term == panicTerm {
+		panic("an error that the test plants")
+	}
+	return f.table
+}
+func (f fixedTable) Changed() <-chan struct{} { return nil }
 
 // fixture is a Gateway in front of scripted targets.
 type fixture struct {
@@ -332,3 +340,16 @@
 	is.Equal(f.requestsReceived(), 400-refused)
 	is.True(refused > 320 && refused < 390) // 360 on average, with a standard deviation of 6.
 }
+
+// An unexpected error must end its request only, with an answer that promises nothing.
+func TestPanicEndsItsRequestOnly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Server-Seal", "1") })
+	f.table.Version.Term = panicTerm
+	r := uploadRequest("/safe/x", "1000")
+	r.Header.Set("Shard-Key", "7")
+	is.Equal(f.gateway.Serve(context.Background(), r).Status, 500)
+	is.Equal(f.requestsReceived(), 0)
+	f.table.Version.Term = 1
+	is.Equal(f.gateway.Serve(context.Background(), r).Status, 200)
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -52,3 +52,33 @@
 	_, err = c.Call(ctx, address, probe)
 	is.NoErr(err) // a new session replaces the broken one
 }
+
+// A message that makes the handler panic must end its stream only: the process, the session and other streams stay.
+func TestPanicEndsItsStreamOnly(t *testing.T) {
+	is := is.New(t)
+	server, err := Listen(ServerOptions{Address: "127.0.0.1:0", Handler: func(_ context.Context, s *Stream) {
+		m, err := s.Recv()
+		if err != nil {
+			return
+		}
+		if m.GetProbeRequest().GetTarget() == "bad" {
+			panic("planted")
+		}
+		_ = s.Send(m) // The caller notices a failure.
+	}})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	c := NewClient(ClientOptions{VM: "vm1", Role: "test"})
+	defer c.Close()
+	probe := func(target string) error {
+		_, err := c.Call(ctx, server.Addr(), &pb.Envelope{Body: &pb.Envelope_ProbeRequest{ProbeRequest: &pb.ProbeRequest{Target: target}}})
+		return err
+	}
+	is.NoErr(probe("good"))
+	is.True(probe("bad") != nil)
+	is.NoErr(probe("good"))
+	cancel()
+	is.NoErr(<-done)
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basiltally/basiltally/pb"
+	"github.com/basiltally/basiltally/telemetry"
 )
 
 // Roles of processes, which a Client sends in its Hello.
@@ -51,8 +53,10 @@
 	// TLS is the configuration by which both sides authenticate each other, see
 	// LoadTLS; nil means plain TCP.
 	TLS *tls.Config
-	// Handler serves each stream.
+	// Handler serves each stream. If it panics, only its stream ends.
 	Handler Handler
+	// Logger logs panics of Handler. Nil logs nothing.
+	Logger *slog.Logger
 }
 
 // Server accepts sessions from other processes.
@@ -71,6 +75,9 @@
 	if o.TLS != nil {
 		l = tls.NewListener(l, o.TLS)
 	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Server{options: o, listener: l}, nil
 }
 
@@ -127,6 +134,7 @@
 		return
 	}
 	stream.RemoteHello = first.GetHello()
+	defer telemetry.Recover(s.options.Logger, "stream of a peer", []any{"vm", first.GetHello().GetVm(), "remote", conn.RemoteAddr().String()})
 	s.options.Handler(ctx, stream)
 }
 
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -10,12 +10,16 @@
 	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/telemetry"
 )
 
 // errUnconfirmed reports that the store has not confirmed the assigner's role for more
 // than half of the role lease, although it answers this VM.
 var errUnconfirmed = errors.New("shard: the store does not confirm the assigner")
 
+// errPanic reports that a message of the assigner could not be handled.
+var errPanic = errors.New("shard: an update of the assigner caused a panic")
+
 // follow reports to the assigner at the address and applies its updates until the
 // connection fails or no update arrives within assignerTimeout. A VM that is not the
 // assigner answers with the address of the one it follows, which is followed instead.
@@ -31,6 +35,7 @@
 // followOne follows the VM at the address. It returns the redirect of a VM that is not
 // the assigner, which may be empty, and the error that ended the stream.
 func (a *Agent) followOne(ctx context.Context, address string) (redirect string, err error) {
+	defer telemetry.Recover(a.opts.Logger, "updates of the assigner", []any{"address", address}, func() { err = errPanic })
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	open, cancelOpen := context.WithTimeout(ctx, assignerTimeout)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -37,7 +37,7 @@
 	})
 	build.Set(1)
 	reg.MustRegister(
-		build,
+		build, panics,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
