Apply a batch of changed entries at once; state shares of hot keys among hundreds of VMs only; bound the kept changes

A VM of 0.16 cores stands still for seconds. Change: Directory.Apply.

Change: shares are stated from 8 VMs for each request a second that the owner can serve.

Cause 3, from the code: up to 1,024 changes were kept for other VMs, of up to 512 KiB each now. Change: 1 MiB in all.

Each has a test.

--- a/daemon/node_consumers.go
+++ b/daemon/node_consumers.go
@@ -139,13 +139,15 @@
 
 // Change implements follow.Consumer.
 func (c *targetConsumer) Change(events []store.Event) {
+	changes := make([]fleet.Change, 0, len(events))
 	for _, e := range events {
-		if t := c.decode(e.Object); t != nil && !e.Deleted {
-			c.process.directory.Put(t)
-			continue
+		change := fleet.Change{ID: platform.TargetID(e.Key)}
+		if !e.Deleted {
+			change.Entry = c.decode(e.Object)
 		}
-		c.process.directory.Remove(platform.TargetID(e.Key))
+		changes = append(changes, change)
 	}
+	c.process.directory.Apply(changes)
 }
 
 // decode returns nil for an entry that is empty or cannot be decoded.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -170,6 +170,28 @@
 // Put adds or updates a target's entry. An entry of an earlier incarnation is ignored.
 func (d *Directory) Put(t *Target) { d.update(func() { d.put(t) }) }
 
+// Change is a change of a target's entry.
+type Change struct {
+	// ID is the target's ID.
+	ID string
+	// Entry is the new entry, or nil if it was removed.
+	Entry *Target
+}
+
+// Apply applies changes in their order, as Put and Remove do, and publishes one snapshot. Hundreds of
+// entries may change at once, for example when the targets end their warm-up.
+func (d *Directory) Apply(changes []Change) {
+	d.update(func() {
+		for _, c := range changes {
+			if c.Entry != nil {
+				d.put(c.Entry)
+			} else {
+				d.remove(c.ID)
+			}
+		}
+	})
+}
+
 // RecordLeaving records that an incarnation has said in an answer that it leaves. From then on it
 // counts as draining, whatever its entry says. It returns false if that was known.
 func (d *Directory) RecordLeaving(i Incarnation) bool {
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -134,3 +135,59 @@
 	d.Put(&later) // The entry is back.
 	is.True(leaving(3).IsZero())
 }
+
+// A batch of changes must cost one snapshot and one notification, not one for each of 809 entries, and
+// end like the same changes one by one.
+func TestApplyPublishesOnce(t *testing.T) {
+	is := is.New(t)
+	d, single := NewDirectory(DirectoryOptions{}), NewDirectory(DirectoryOptions{})
+	notified := 0
+	d.OnChange(func() { notified++ })
+	var changes []Change
+	for i := range 809 {
+		id := fmt.Sprintf("t%03d", i%700)
+		c := Change{ID: id, Entry: &Target{ID: id, Service: "s", Address: "a:1", Slots: 6, Born: int64(i)}}
+		if i%10 == 3 {
+			c.Entry = nil
+		}
+		changes = append(changes, c)
+	}
+	d.Apply(changes)
+	is.Equal(notified, 1)
+	for _, c := range changes {
+		if c.Entry != nil {
+			single.Put(c.Entry)
+		} else {
+			single.Remove(c.ID)
+		}
+	}
+	is.Equal(len(d.Snapshot().ByID), len(single.Snapshot().ByID))
+	for id, target := range single.Snapshot().ByID {
+		is.Equal(d.Snapshot().ByID[id].Born, target.Born)
+	}
+	d.Apply(nil)
+	is.Equal(notified, 1)
+}
+
+// BenchmarkApply measures a batch in which all of 809 entries change.
+func BenchmarkApply(b *testing.B) {
+	d := NewDirectory(DirectoryOptions{})
+	changes := make([]Change, 809)
+	for n := 0; b.Loop(); n++ {
+		for i := range changes {
+			id := fmt.Sprintf("t%03d", i)
+			changes[i] = Change{ID: id, Entry: &Target{ID: id, Service: "s", Address: "a:1", Slots: 6, Born: int64(n)}}
+		}
+		d.Apply(changes)
+	}
+}
+
+// BenchmarkPut measures the same changes one by one.
+func BenchmarkPut(b *testing.B) {
+	d := NewDirectory(DirectoryOptions{})
+	for n := 0; b.Loop(); n++ {
+		for i := range 809 {
+			d.Put(&Target{ID: fmt.Sprintf("t%03d", i), Service: "s", Address: "a:1", Slots: 6, Born: int64(n)})
+		}
+	}
+}
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -422,7 +422,7 @@
 	if len(owned) == 0 && !a.targetsStable(s.name) {
 		return
 	}
-	s.leases.SetShares(HotKeyShares(owned, targets, s.load))
+	s.leases.SetShares(HotKeyShares(owned, targets, s.load, a.vmCount()))
 	moves := Plan(owned, targets, s.load, a.agent.opts.Plan, now)
 	if r := s.leases.Propose(moves, now); r != nil {
 		for _, m := range moves {
@@ -438,6 +438,13 @@
 	}
 }
 
+// vmCount returns the number of VMs, this one included.
+func (a *assigner) vmCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.followers) + 1
+}
+
 // targetsStable reports whether no new target of the service has appeared for
 // FirstTableDelay.
 func (a *assigner) targetsStable(service string) bool {
--- a/shard/hotkey_test.go
+++ b/shard/hotkey_test.go
@@ -19,8 +19,10 @@
 	answerOrders(lm, 0, "")
 	load := NewLoad(700 * time.Millisecond)
 	load.Add(map[Key]uint32{3377: 490, 100: 3, 40000: 10}, time.Second)
-	shares := HotKeyShares(lm.OwnedRanges(), targets, load)
+	shares := HotKeyShares(lm.OwnedRanges(), targets, load, 295)
 	is.Equal(shares, map[Key]int{3377: 25}) // 0.9 * 20 of 700.
+	// Ten VMs see the load of the owner by themselves.
+	is.Equal(len(HotKeyShares(lm.OwnedRanges(), targets, load, 10)), 0)
 	lm.SetShares(shares)
 	table := lm.TakeTable(time.Second)
 	is.Equal(table.Find(3377).Share, 25)
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -47,6 +47,8 @@
 	// MaxBatches is the number of batches per prefix that are kept for VMs that begin to
 	// follow this one later. Default 1024.
 	MaxBatches int
+	// MaxLogBytes bounds the size of the values in the batches that are kept for a prefix. Default 1 MiB.
+	MaxLogBytes int
 	// MaxCatchUpEvents bounds the changes that a VM is sent when it begins to follow this
 	// one. A VM that lacks more reads the store. Default 1000.
 	MaxCatchUpEvents int
@@ -128,6 +130,8 @@
 	// which this VM knows the changes.
 	base, at store.Version
 	batches  []Batch
+	// bytes is the size of the values in batches.
+	bytes int
 	// objects holds the objects as of revision at.
 	objects map[string]store.Object
 	// reliesOnReader is set once this VM has relied on a reader since the last list.
@@ -152,6 +156,7 @@
 func New(opts Options) *Feed {
 	opts.MaxBatches, opts.MaxCatchUpEvents = cmp.Or(opts.MaxBatches, 1024), cmp.Or(opts.MaxCatchUpEvents, 1000)
 	opts.MaxBatchBytes = cmp.Or(opts.MaxBatchBytes, 8<<10)
+	opts.MaxLogBytes = cmp.Or(opts.MaxLogBytes, 1<<20)
 	opts.TakeoverTimeout = cmp.Or(opts.TakeoverTimeout, 700*time.Millisecond)
 	opts.MaxStaleness = cmp.Or(opts.MaxStaleness, 1600*time.Millisecond)
 	if opts.Now == nil {
@@ -548,14 +553,12 @@
 	}
 	switch {
 	case b.Reset || b.After > l.at:
-		l.base, l.at, l.batches = b.At, b.At, nil
+		l.base, l.at, l.batches, l.bytes = b.At, b.At, nil, 0
 	default:
 		l.at = max(l.at, b.At)
 		l.batches = append(l.batches, b)
-		if over := len(l.batches) - f.opts.MaxBatches; over > 0 {
-			l.base = l.batches[over-1].At
-			l.batches = slices.Delete(l.batches, 0, over)
-		}
+		l.bytes += valueBytes(b)
+		l.trim(f.opts.MaxBatches, f.opts.MaxLogBytes)
 	}
 	f.mu.Unlock()
 	if f.opts.OnBatch != nil {
@@ -563,6 +566,18 @@
 	}
 }
 
+// trim drops the oldest batches, so that at most the given number with values of at most the given
+// size are left.
+func (l *changeLog) trim(maxBatches, maxBytes int) {
+	n := 0
+	for n < len(l.batches) && (len(l.batches)-n > maxBatches || l.bytes > maxBytes) {
+		l.bytes -= valueBytes(l.batches[n])
+		l.base = l.batches[n].At
+		n++
+	}
+	l.batches = slices.Delete(l.batches, 0, n)
+}
+
 // apply applies the changes of the batch to the objects.
 func (l *changeLog) apply(b Batch) {
 	for _, e := range b.Events {
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -515,3 +516,29 @@
 		})
 	}
 }
+
+// The batches that are kept for VMs that follow later must not take memory without bound: 1,000 changes of 8 KiB each. A VM
+// that lacks more than is kept is told so.
+func TestKeptBatchesAreBoundedInSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		reader := relayfeed.New(relayfeed.Options{Direct: p.store, Now: p.now, MaxBatchBytes: 16 << 10, MaxLogBytes: 64 << 10})
+		_, start, err := reader.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		at, late := start, store.Version(0)
+		for i := range 1000 {
+			_, err := p.store.Put(t.Context(), fmt.Sprintf("a/big%d", i), make([]byte, 8<<10), 0)
+			p.is.NoErr(err)
+			if _, at, err = reader.Poll(t.Context(), prefix, at, time.Second); i == 995 {
+				late = at
+			}
+			p.is.NoErr(err)
+		}
+		catchUp := func(known store.Version) relayfeed.Batch {
+			return reader.BatchesSince(map[string]store.Version{prefix: known})[0]
+		}
+		p.is.Equal(len(catchUp(late).Events), 4)
+		p.is.Equal(len(catchUp(start).Events), 0)
+		p.is.Equal(catchUp(start).After, at) // The VM reads the store.
+	})
+}
