Play uploads in the soak: whole, slow, in chunks and broken off

One request in eight is an upload of 1 to 300 KB. A broken-off one must never run; the others must run once and be answered whole or truthfully, beside kills, stops and cuts, as all requests. No change of the product.

--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -35,6 +35,8 @@
 	node    *node
 	checker *checker
 	rng     *rand.Rand
+	// uploads decides which requests are uploads, and how these are sent.
+	uploads *rand.Rand
 	counts  *outcomeCounts
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -78,6 +80,10 @@
 		c.conn, c.reader = nc, bufio.NewReader(nc)
 	}
 	c.sent++
+	if c.uploads.IntN(uploadOneIn) == 0 {
+		c.upload(c.uploads)
+		return
+	}
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
 	method, path, body := http.MethodGet, "/keyed/"+id, ""
 	switch c.rng.IntN(3) {
@@ -96,15 +102,30 @@
 // exchange sends the request, reads the whole answer, and returns its status and body.
 // It reports answers to another request, and successes without a target's Server-Seal header.
 func (c *caller) exchange(id, method, path, body string) (int, string, error) {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nRequest-Deadline-Ms: %d\r\nShard-Key: %d\r\n",
-		method, path, host, id, callerTimeout.Milliseconds(), c.rng.IntN(1<<16))
+	framing := ""
 	if body != "" {
-		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+		framing = "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
+	return c.exchangeBody(id, method, path, framing, func(head string) error {
+		_, err := io.WriteString(c.conn, head+body)
+		return err
+	})
+}
+
+// head returns the header of a request up to the lines on its body.
+func (c *caller) head(id, method, path string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nRequest-Deadline-Ms: %d\r\nShard-Key: %d\r\n",
+		method, path, host, id, callerTimeout.Milliseconds(), c.rng.IntN(1<<16))
+}
+
+// exchangeBody is exchange with header lines that frame the body and a function that sends the header
+// and the body.
+func (c *caller) exchangeBody(id, method, path, framing string, send func(head string) error) (int, string, error) {
+	head := c.head(id, method, path) + framing + "\r\n"
 	if err := c.conn.SetDeadline(time.Now().Add(callerTimeout + connectTimeout)); err != nil {
 		return 0, "", err
 	}
-	if _, err := io.WriteString(c.conn, head+"\r\n"+body); err != nil {
+	if err := send(head); err != nil {
 		return 0, "", err
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -72,6 +72,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[id]++
+	if isBrokenOff(id) {
+		c.reportBrokenLocked("whole requests: %s ran at %s although its caller broke it off", id, target)
+	}
 	if isAtMostOnce(id) && c.runs[id] > 1 {
 		c.reportBrokenLocked("at most once: %s ran again at %s", id, target)
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -139,7 +139,7 @@
 		for k := range o.Callers {
 			c := &caller{
 				name: fmt.Sprintf("c%d.%d", i, k), node: n, checker: s.checker, counts: &s.counts,
-				rng: rand.New(rand.NewPCG(seed, uint64(100+i*o.Callers+k))),
+				rng: rand.New(rand.NewPCG(seed, uint64(100+i*o.Callers+k))), uploads: rand.New(rand.NewPCG(seed, uint64(1000+i*o.Callers+k))),
 			}
 			calling.Go(func() { c.run(callers) })
 		}
@@ -289,6 +289,7 @@
 		"version": s.version,
 		"routes": []any{
 			route("keyed", "/keyed/", "safe", keyed), route("free", "/free/", "safe", free), route("once", "/once/", "unsafe", free),
+			route("upload", "/upload/", "upload", free),
 			route("version", fmt.Sprintf("/version%d/", s.version), "safe", free),
 		},
 		"services": []any{
