Send tables less often to hundreds of VMs; keep the highest token when ranges are joined

From 24 s on the assigner, a VM of 0.8 cores, could not open connections to targets within 0.8 s, and 274 VMs lost it at 28.5 s after 1.5 s of silence. It sends a table to 295 VMs up to 25 times a second.

Change: the least time between two tables is 0.5 ms for each VM, 148 ms there; up to 80 VMs it stays 40 ms. Besides, from the code: ranges that are joined kept the token of the first, so that a late release of the other could have counted as newer than its grant; hot keys make joins more frequent.

TestTablesSentAreBounded; go test ./shard (lease, hot keys, agent): ok.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -28,9 +28,11 @@
 	// recordInterval is the least time between two records that only drop former
 	// owners.
 	recordInterval = 500 * time.Millisecond
-	// tableInterval is the least time between two tables, so that changes in quick
-	// succession share one.
-	tableInterval = 40 * time.Millisecond
+	// minTableInterval is the least time between two tables, so that changes in quick succession
+	// share one. With many VMs it is tableIntervalPerVM for each: sending a table to some hundred VMs
+	// 25 times a second takes the processor that the orders need.
+	minTableInterval   = 40 * time.Millisecond
+	tableIntervalPerVM = 500 * time.Microsecond
 	// targetsInterval is the least time between two updates with target states. These
 	// are the larger part of what the assigner sends.
 	targetsInterval = 600 * time.Millisecond
@@ -406,7 +408,7 @@
 			continue
 		}
 		if t := s.leases.TakeTable(now); t != nil {
-			s.nextTable = now + tableInterval
+			s.nextTable = now + tableInterval(a.vmCount())
 			a.agent.publish(s.name, t)
 			a.broadcastTable(s.name, t)
 		}
@@ -438,6 +440,11 @@
 	}
 }
 
+// tableInterval returns the least time between two tables that are sent to this number of VMs.
+func tableInterval(vms int) time.Duration {
+	return max(minTableInterval, time.Duration(vms)*tableIntervalPerVM)
+}
+
 // vmCount returns the number of VMs, this one included.
 func (a *assigner) vmCount() int {
 	a.mu.Lock()
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -362,6 +362,7 @@
 		if len(out) > 0 && mergeable(out[len(out)-1], s) {
 			last := out[len(out)-1]
 			last.keys.To = s.keys.To
+			last.fence = max(last.fence, s.fence)
 			last.bound.join(s.bound)
 			last.next = min(last.next, s.next)
 			last.since = max(last.since, s.since)
--- a/shard/wire_test.go
+++ b/shard/wire_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -98,3 +99,13 @@
 		}
 	})
 }
+
+// The tables that the assigner sends in a second must not grow with the number of VMs beyond what 80 of them get.
+func TestTablesSentAreBounded(t *testing.T) {
+	is := is.New(t)
+	for _, vms := range []int{1, 12, 79, 80, 295, 4000} {
+		sent := float64(vms) * float64(time.Second) / float64(tableInterval(vms))
+		is.True(sent <= 2000)
+		is.True(vms > 80 || tableInterval(vms) == minTableInterval)
+	}
+}
