Name the kind of uploads in the product's words in metrics and logs

Cause: the label of the kind was the platform's word, which only platform/ may use. Change: bulk-at-most-once, as bulk and at-most-once beside it; the platform's word stays in platform/config.go and in the glossary's left column. Measured: go test ./routing ./gateway ./docs ./platform: ok.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -28,7 +28,7 @@
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	return [...]string{"idempotent", "at-most-once", "bulk", "upload"}[k]
+	return [...]string{"idempotent", "at-most-once", "bulk", "bulk-at-most-once"}[k]
 }
 
 // MayRepeat reports whether a request of the kind may run more than once.
