--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -57,6 +57,7 @@
 func play(name string, r *record, trouble bool) int {
 	cases := map[string]func(*deployment, bool) (int, error){
 		"descriptors": playDescriptors,
+		"crashing":    playCrashing,
 	}
 	run := cases[name]
 	if run == nil {
