Send no order while an earlier assigner may act; a refused connection ends no role

Cause: two refused connections counted as the end of the assigner's process, and the next assigner counted its leases from then. A cut refuses as well, and the process behind it acted for up to 3 s more. Any overlap of two assigners also breaks the order of tokens at a target that restarts, whatever the bound of the leases. Change: package evidence says what a refusal, silence, a resignation and a testimony show. A LeaseManager has no order due while its predecessors may act; the role carries that time over several take-overs; the report of the predecessor's VM ends it early. Tests: TestRefusedConnectionsDoNotEndTheAssignersRole and TestNoOrderIsDueWhileThePredecessorActs fail before (the second does not compile before: LimitPredecessor is new; without the wait it finds an order). TestRandomHistoriesHaveOneHolderPerKey restarts targets within 50 ms in place of 2.6 s; its assigners now learn that they are superseded, as in the product, and it is 14 s long, so that its bound on the number of grants holds unchanged.

--- /dev/null
+++ b/evidence/call.go
@@ -0,0 +1,27 @@
+package evidence
+
+import (
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// Call is what the end of a call shows of it.
+type Call int
+
+const (
+	// Answered means that an answer was received.
+	Answered Call = iota
+	// NotSent means that no byte of the call has left this process: no connection could be opened, or
+	// the call ended before it was sent.
+	NotSent
+	// Unanswered means that a byte was sent and no complete answer was received.
+	Unanswered
+)
+
+// MayBeDone reports whether the call may have been carried out, or may yet be.
+func (c Call) MayBeDone() bool { return c != NotSent }
+
+// Refused reports whether the error of a dial means that the address refused the connection. It shows
+// neither that the process at the address has ended nor that it runs.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -10,13 +10,13 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/boottime"
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
@@ -104,9 +104,6 @@
 	// readTablesAfter is how long a VM that starts waits for tables from the assigner before it reads
 	// the records in the store, which are as long as there are targets.
 	readTablesAfter = 500 * time.Millisecond
-	// refusalRetryPause is the pause between two connection attempts to the assigner. If
-	// both are refused, its process has ended.
-	refusalRetryPause = 100 * time.Millisecond
 )
 
 // Agent keeps this VM's tables of owners up to date, and makes this VM the
@@ -127,6 +124,8 @@
 	following string
 	// lastConfirmation is the last role confirmation that an assigner has sent.
 	lastConfirmation roleConfirmation
+	// knownTerm is the highest term of an assigner that this VM has read, been told or had itself.
+	knownTerm uint64
 	// announcements receives the address of an assigner that has announced itself.
 	announcements chan string
 	// cancelFollow ends the stream to the assigner that this VM follows.
@@ -281,6 +280,7 @@
 	if version != s.seen || s.seenAt == 0 {
 		s.seen, s.seenAt = version, boottime.Now()
 	}
+	a.learnTerm(r.Term)
 	v := s.checkVacancy(ctx, r, version)
 	if v.reason == "" || a.resigned.Load() {
 		a.awaitNextSearch(ctx)
@@ -335,6 +335,8 @@
 type vacancy struct {
 	// reason is empty if the role may not be taken over.
 	reason string
+	// sign is what was observed of the previous assigner.
+	sign evidence.Sign
 	// actsUntil is the last instant at which the previous assigner may send orders.
 	actsUntil time.Duration
 	// role and version are set if the role was read a second time.
@@ -342,42 +344,45 @@
 	version store.Version
 }
 
+// vacant returns the vacancy of the role r, of whose holder the sign was observed.
+func (s *assignerSearch) vacant(reason string, r role, sign evidence.Sign) vacancy {
+	return vacancy{reason: reason, sign: sign, actsUntil: s.actsUntil(r, sign)}
+}
+
 // checkVacancy follows the assigner named by the role r, if there is one. When following
 // ends, it returns why this VM may take the role over. The reason is empty if it may not.
 func (s *assignerSearch) checkVacancy(ctx context.Context, r role, version store.Version) vacancy {
 	a := s.agent
 	if version == 0 || r.VM == "" {
-		return vacancy{reason: "no VM is the assigner", actsUntil: boottime.Now()}
+		return s.vacant("no VM is the assigner", r, evidence.Resignation)
 	}
 	if r.VM == a.opts.VM && r.Incarnation != a.incarnation {
 		if a.takeOverDelay() > 0 {
 			a.releaseEarlierRole(ctx, r, version)
 			return vacancy{}
 		}
-		return vacancy{reason: "the role is held by an earlier start of this VM", actsUntil: boottime.Now()}
+		return s.vacant("the role is held by an earlier start of this VM", r, evidence.Testimony)
 	}
 	err := a.follow(ctx, r.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		pause(ctx, refusalRetryPause)
-		if errors.Is(a.follow(ctx, r.Address), syscall.ECONNREFUSED) {
-			return vacancy{reason: "the assigner's process has ended", actsUntil: boottime.Now()}
-		}
-	}
 	if errors.Is(err, errUnconfirmed) {
 		// The store answers this VM but no longer the assigner: the role in the store
 		// still has the beat that the assigner last reported as confirmed.
 		now, nowVersion, err := readRole(ctx, a.opts.Store)
 		if err == nil && a.confirmedLast(now) {
-			return vacancy{
-				reason: "the store does not confirm the assigner", actsUntil: s.actsUntil(now), role: &now, version: nowVersion,
-			}
+			v := s.vacant("the store does not confirm the assigner", now, evidence.Silence)
+			v.role, v.version = &now, nowVersion
+			return v
 		}
 	}
-	if !s.awaitEndOfRole(ctx, r) {
+	sign := evidence.Silence
+	if evidence.Refused(err) {
+		sign = evidence.Refusal
+	}
+	if !s.awaitEndOfRole(ctx, r, sign) {
 		return vacancy{}
 	}
-	if s.actsUntil(r) <= boottime.Now() && s.unchanged(ctx) {
-		return vacancy{reason: "the assigner is silent", actsUntil: s.actsUntil(r)}
+	if s.actsUntil(r, sign) <= boottime.Now() && s.unchanged(ctx) {
+		return s.vacant("the assigner's role has run out", r, sign)
 	}
 	return vacancy{}
 }
@@ -385,8 +390,8 @@
 // awaitEndOfRole waits until the assigner that wrote the role r, which did not answer, may no longer
 // act, if that is soon: another search would take up to assignerTimeout. It returns false if
 // an assigner announces itself meanwhile.
-func (s *assignerSearch) awaitEndOfRole(ctx context.Context, r role) bool {
-	wait := s.actsUntil(r) - boottime.Now()
+func (s *assignerSearch) awaitEndOfRole(ctx context.Context, r role, sign evidence.Sign) bool {
+	wait := s.actsUntil(r, sign) - boottime.Now()
 	if wait <= 0 || wait > assignerTimeout {
 		return true
 	}
@@ -414,18 +419,18 @@
 // releaseEarlierRole gives up the role that an earlier start of this VM had, so that
 // other VMs can take it over.
 func (a *Agent) releaseEarlierRole(ctx context.Context, r role, version store.Version) {
-	if _, err := putRole(ctx, a.opts.Store, role{Term: r.Term}, version); err != nil {
+	if _, err := putRole(ctx, a.opts.Store, role{Term: r.Term, EarlierActsForMs: r.EarlierActsForMs}, version); err != nil {
 		a.opts.Logger.Info("could not give up the role of an earlier start", "term", r.Term, "error", err.Error())
 		return
 	}
 	a.opts.Logger.Info("gave up the role of an earlier start", "term", r.Term)
 }
 
-// actsUntil returns the last instant at which the assigner that wrote the role r may
-// act. The role lease counts from the start of that write. The write started before
-// this VM first read the role; if the assigner has reported the time of its
+// actsUntil returns the last instant at which the assigner that wrote the role r, of which the
+// sign was observed, may act. The role lease counts from the start of that write. The write started
+// before this VM first read the role; if the assigner has reported the time of its
 // confirmation, that gives an earlier and more precise bound.
-func (s *assignerSearch) actsUntil(r role) time.Duration {
+func (s *assignerSearch) actsUntil(r role, sign evidence.Sign) time.Duration {
 	a := s.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -433,7 +438,14 @@
 	if a.lastConfirmation.term == r.Term && a.lastConfirmation.beat == r.Beat {
 		confirmed = min(confirmed, a.lastConfirmation.confirmedAt)
 	}
-	return confirmed + a.opts.RoleLease
+	return evidence.ActsUntil(sign, confirmed, a.opts.RoleLease, boottime.Now())
+}
+
+// learnTerm records a term of an assigner.
+func (a *Agent) learnTerm(term uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.knownTerm = max(a.knownTerm, term)
 }
 
 // unchanged reports whether the role in the store still has the version that was last
@@ -447,18 +459,21 @@
 // it resigns or the context ends.
 func (a *Agent) takeOver(ctx context.Context, old role, version store.Version, v vacancy) {
 	start := boottime.Now()
+	p := newPredecessor(old, v.actsUntil, a.opts.Leases.OrderTimeout, start)
 	r := role{VM: a.opts.VM, Incarnation: a.incarnation, Address: a.opts.Address, Term: old.Term + 1}
+	r.setEarlier(p.until, start)
 	version, err := putRole(ctx, a.opts.Store, r, version)
 	if err != nil {
 		a.opts.Logger.Info("could not take over as assigner", "term", r.Term, "reason", v.reason, "error", err.Error())
 		pause(ctx, mathrand.N(searchInterval))
 		return
 	}
-	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "reason", v.reason)
-	// An order of the previous assigner is in flight for one timeout at most.
-	active := newAssigner(ctx, a, r.Term, start, v.actsUntil+a.opts.Leases.OrderTimeout)
+	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "reason", v.reason, "sign", v.sign.String(),
+		"orders_in_ms", max(p.until-boottime.Now(), 0).Milliseconds())
+	active := newAssigner(ctx, a, r.Term, start, p)
 	a.mu.Lock()
 	a.active, a.following = active, ""
+	a.knownTerm = max(a.knownTerm, r.Term)
 	a.mu.Unlock()
 	if a.resigned.Load() {
 		active.stop(errStopping)
--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/basiltally/basiltally/boottime"
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
@@ -26,9 +28,9 @@
 	now := boottime.Now()
 	a.lastConfirmation = roleConfirmation{term: 4, beat: 9, confirmedAt: now - 2*time.Second}
 	s := assignerSearch{agent: a, seenAt: now}
-	is.Equal(s.actsUntil(role{Term: 4, Beat: 9}), now+time.Second)
-	is.Equal(s.actsUntil(role{Term: 4, Beat: 10}), now+3*time.Second)
-	is.Equal(s.actsUntil(role{Term: 5, Beat: 9}), now+3*time.Second)
+	is.Equal(s.actsUntil(role{Term: 4, Beat: 9}, evidence.Silence), now+time.Second)
+	is.Equal(s.actsUntil(role{Term: 4, Beat: 10}, evidence.Silence), now+3*time.Second)
+	is.Equal(s.actsUntil(role{Term: 5, Beat: 9}, evidence.Silence), now+3*time.Second)
 }
 
 // takingStore is a store in which another VM takes the role over right before the read with the number takenBeforeRead.
@@ -106,3 +108,56 @@
 	cancel()
 	<-taken
 }
+
+// A cut that refused connections made a VM take over at once, while the assigner behind the cut went on sending orders.
+func TestRefusedConnectionsDoNotEndTheAssignersRole(t *testing.T) {
+	is := is.New(t)
+	const roleLease = 600 * time.Millisecond
+	stored := memstore.New(memstore.Options{})
+	_, err := putRole(t.Context(), stored, role{VM: "cut", Address: "127.0.0.1:1", Term: 1}, 0)
+	is.NoErr(err)
+	dial := func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	a := NewAgent(AgentOptions{
+		VM: "next", Address: "127.0.0.1:2", Store: stored, RoleLease: roleLease,
+		Directory: fleet.NewDirectory(fleet.DirectoryOptions{}), Peers: peer.NewClient(peer.ClientOptions{VM: "next", Role: "test", Dial: dial}),
+		Services: func() ([]string, bool) { return nil, false }, Report: func() *pb.ShardReport { return &pb.ShardReport{} },
+	})
+	s := assignerSearch{agent: a}
+	r, version, err := readRole(t.Context(), stored)
+	is.NoErr(err)
+	s.seen, s.seenAt = version, boottime.Now()
+	v := s.checkVacancy(t.Context(), r, version)
+	is.True(v.reason == "" || boottime.Now() >= s.seenAt+roleLease)
+	is.True(v.reason == "" || v.actsUntil >= s.seenAt+roleLease)
+}
+
+// The report of a VM shows that it no longer acts as the assigner, but only if it knows the term in which it acted: a
+// report may have waited in a queue since before that.
+func TestPredecessorTestifiesByItsReport(t *testing.T) {
+	is := is.New(t)
+	p := predecessor{vm: "a", term: 7}
+	is.True(p.testifies(&pb.ShardReport{Vm: "a", KnownTerm: 7}))
+	is.True(p.testifies(&pb.ShardReport{Vm: "a", KnownTerm: 8}))
+	is.True(!p.testifies(&pb.ShardReport{Vm: "a", KnownTerm: 6}))
+	is.True(!p.testifies(&pb.ShardReport{Vm: "b", KnownTerm: 8}))
+	is.True(!p.testifies(&pb.ShardReport{}))                // Of a VM with an earlier build.
+	is.True(!new(predecessor).testifies(&pb.ShardReport{})) // There is no predecessor.
+}
+
+// An assigner of one of the terms before the predecessor's may still act when the predecessor stops.
+func TestStopOfThePredecessorSaysNothingOfEarlierAssigners(t *testing.T) {
+	is := is.New(t)
+	const now, orderTimeout = 10 * time.Second, 800 * time.Millisecond
+	p := newPredecessor(role{VM: "b", Term: 2, EarlierActsForMs: 1500}, now+3*time.Second, orderTimeout, now)
+	is.Equal(p.until, now+3800*time.Millisecond)
+	is.True(p.stopped(now+100*time.Millisecond, orderTimeout))
+	is.Equal(p.until, now+1500*time.Millisecond)
+	is.True(!p.stopped(now+1200*time.Millisecond, orderTimeout))
+
+	// What it passes on is as long when it resigns.
+	given := role{Term: 3}
+	given.setEarlier(p.until, now+1200*time.Millisecond)
+	is.Equal(given.EarlierActsForMs, uint64(300))
+	p = newPredecessor(given, now+1200*time.Millisecond, 0, now+1200*time.Millisecond)
+	is.Equal(p.until, now+1500*time.Millisecond)
+}
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/basiltally/basiltally/boottime"
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
@@ -64,9 +65,10 @@
 	confirmedAt atomic.Int64
 	// beat is the number of that write.
 	beat atomic.Uint64
-	// predecessorUntil is the last instant at which orders of the previous assigner may
-	// be in flight.
-	predecessorUntil time.Duration
+	// predecessor is changed by run only.
+	predecessor predecessor
+	// predecessorUntil is predecessor.until in nanoseconds, for confirmRole.
+	predecessorUntil atomic.Int64
 	stop             context.CancelCauseFunc
 	ctx              context.Context
 	done             chan struct{}
@@ -134,15 +136,16 @@
 	dropped bool
 }
 
-func newAssigner(ctx context.Context, agent *Agent, term uint64, confirmedAt, predecessorUntil time.Duration) *assigner {
+func newAssigner(ctx context.Context, agent *Agent, term uint64, confirmedAt time.Duration, p predecessor) *assigner {
 	a := &assigner{
-		agent: agent, term: term, predecessorUntil: predecessorUntil, done: make(chan struct{}),
+		agent: agent, term: term, predecessor: p, done: make(chan struct{}),
 		results: make(chan serviceResult), saves: make(chan saveResult), reports: make(chan *pb.ShardReport, 64),
 		services: map[string]*serviceState{}, targets: newTargetStates(),
 		followers: map[*follower]struct{}{}, tables: map[string]*Table{},
 	}
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	a.confirmedAt.Store(int64(confirmedAt))
+	a.predecessorUntil.Store(int64(p.until))
 	return a
 }
 
@@ -258,6 +261,7 @@
 		}
 		start := boottime.Now()
 		r.Beat++
+		r.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
 		written, err := putRole(ctx, a.agent.opts.Store, r, version)
 		switch {
 		case err == nil:
@@ -284,7 +288,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	if _, err := putRole(ctx, a.agent.opts.Store, role{Term: a.term}, version); err != nil {
+	given := role{Term: a.term}
+	given.setEarlier(time.Duration(a.predecessorUntil.Load()), boottime.Now())
+	if _, err := putRole(ctx, a.agent.opts.Store, given, version); err != nil {
 		a.agent.opts.Logger.Info("could not give up the role", "error", err.Error())
 	}
 }
@@ -326,7 +332,7 @@
 		}
 	}
 	s.version = obj.Version
-	s.leases = NewLeaseManager(a.agent.opts.Leases, a.term, record, boottime.Now(), a.predecessorUntil)
+	s.leases = NewLeaseManager(a.agent.opts.Leases, a.term, record, boottime.Now(), a.predecessor.until)
 	a.save(ctx, s, s.leases.Record())
 	a.agent.opts.Logger.Info("took over the ranges of a service", "service", s.name, "ranges", len(s.leases.OwnedRanges()))
 	return nil
@@ -394,6 +400,9 @@
 			a.save(ctx, s, s.leases.Record())
 			continue
 		}
+		if s.leases.PredecessorActs(now) {
+			continue
+		}
 		if now >= s.nextPlan && !s.saving {
 			s.nextPlan = now + planInterval
 			a.plan(ctx, s, now)
@@ -534,6 +543,9 @@
 // leases of the targets that the VM could not reach.
 func (a *assigner) applyReport(r *pb.ShardReport) {
 	now := boottime.Now()
+	if a.predecessor.testifies(r) && a.predecessor.stopped(now, a.agent.opts.Leases.OrderTimeout) {
+		a.limitPredecessor(now)
+	}
 	for _, sl := range r.GetLoads() {
 		s := a.services[sl.GetService()]
 		if s == nil || len(sl.GetKeys()) != len(sl.GetCounts()) {
@@ -556,6 +568,16 @@
 	}
 }
 
+// limitPredecessor passes on that the predecessor has stopped.
+func (a *assigner) limitPredecessor(now time.Duration) {
+	a.agent.opts.Logger.Info("the previous assigner no longer acts", "vm", a.predecessor.vm, "its_term", a.predecessor.term, "term", a.term,
+		"sign", evidence.Testimony.String(), "orders_in_ms", (a.predecessor.until - now).Milliseconds())
+	a.predecessorUntil.Store(int64(a.predecessor.until))
+	for _, s := range a.services {
+		s.leases.LimitPredecessor(a.predecessor.until)
+	}
+}
+
 // serve handles a follower's stream. It registers the follower at its first report,
 // passes its reports to run and sends it updates, until the stream fails or no report
 // arrives within assignerTimeout.
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -163,6 +163,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.othersPreferred = u.GetWilling() > 0
+	a.knownTerm = max(a.knownTerm, u.GetTerm())
 	a.lastConfirmation = roleConfirmation{
 		term: u.GetTerm(), beat: u.GetBeat(),
 		confirmedAt: boottime.Now() - time.Duration(u.GetConfirmedMsAgo())*time.Millisecond,
@@ -221,6 +222,9 @@
 	r := a.opts.Report()
 	r.Address, r.Reluctant = a.opts.Address, a.opts.TakeOverDelay > 0
 	r.SentAtMs = uint64(boottime.Now().Milliseconds())
+	a.mu.Lock()
+	r.Vm, r.KnownTerm = a.opts.VM, a.knownTerm
+	a.mu.Unlock()
 	if a.opts.Feed != nil {
 		for prefix, at := range a.opts.Feed.KnownRevisions() {
 			r.Known = append(r.Known, &pb.FeedPosition{Prefix: prefix, At: uint64(at)})
--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -22,10 +22,10 @@
 	simStep         = 10 * time.Millisecond
 	simRoleLease    = 2 * time.Second
 	simOrderTimeout = 400 * time.Millisecond
-	// simMinDowntime is the least time that a target's restart takes. A target that is back
-	// while a superseded assigner still acts could accept a grant that was sent before its
-	// release; see "Not proved" in docs/FAULTS.md.
-	simMinDowntime = simRoleLease + 600*time.Millisecond
+	// simMinDowntime and simMaxDowntime bound the time that a target's restart takes. Short ones end
+	// while a superseded assigner still acts.
+	simMinDowntime = 50 * time.Millisecond
+	simMaxDowntime = 5 * time.Second
 )
 
 // simCell is a target's lease state of a cell of keys.
@@ -99,9 +99,10 @@
 	leases    *LeaseManager
 	confirmed time.Duration
 	// disconnected is set once the assigner no longer reaches the store. It acts until its
-	// role lease ends.
-	disconnected bool
-	version      int
+	// role lease ends, unless it is stopped.
+	disconnected, stopped bool
+	predecessor           predecessor
+	version               int
 }
 
 type simulation struct {
@@ -160,14 +161,32 @@
 
 // startAssigner starts a new assigner, which takes the record over from the store.
 func (w *simulation) startAssigner() {
+	old := role{VM: fmt.Sprint(w.term), Term: w.term}
+	if n := len(w.assigners); n > 0 {
+		old.setEarlier(w.assigners[n-1].predecessor.until, w.now)
+	}
+	p := newPredecessor(old, w.now+simRoleLease, simOrderTimeout, w.now)
 	w.term++
 	lm := NewLeaseManager(LeaseOptions{
 		LeaseDuration: 2 * time.Second, OrderTimeout: simOrderTimeout, ReleaseTimeout: 600 * time.Millisecond,
-	}, w.term, w.record, w.now, w.now+simRoleLease+simOrderTimeout)
+	}, w.term, w.record, w.now, p.until)
 	w.version++
 	w.record = lm.Record()
 	w.logf("term %d begins", w.term)
-	w.assigners = append(w.assigners, &simAssigner{leases: lm, confirmed: w.now, version: w.version})
+	a := &simAssigner{leases: lm, confirmed: w.now, version: w.version, predecessor: p}
+	w.assigners = append(w.assigners, a)
+	if n := len(w.assigners); n > 1 && w.chance(0.8) {
+		w.after(w.between(10*time.Millisecond, simRoleLease/4), func() { w.stopPredecessor(a, w.assigners[n-2]) })
+	}
+}
+
+// stopPredecessor makes an assigner learn that it is superseded, and its successor that it has stopped.
+func (w *simulation) stopPredecessor(a, old *simAssigner) {
+	old.stopped = true
+	if a.predecessor.stopped(w.now, simOrderTimeout) {
+		w.logf("term %d: the predecessor has stopped", a.leases.term)
+		a.leases.LimitPredecessor(a.predecessor.until)
+	}
 }
 
 func (w *simulation) run(length time.Duration) {
@@ -209,7 +228,7 @@
 		t.down = true
 		w.logf("%v is down", t.holder)
 		t.cells = [cells]simCell{}
-		w.after(w.between(simMinDowntime, 2*simMinDowntime), func() {
+		w.after(w.between(simMinDowntime, simMaxDowntime), func() {
 			t.down = false
 			t.holder.Born++
 		})
@@ -226,7 +245,7 @@
 	if w.chance(0.03) {
 		w.setShares(a)
 	}
-	if w.now >= a.confirmed+simRoleLease {
+	if a.stopped || w.now >= a.confirmed+simRoleLease {
 		return
 	}
 	for _, o := range a.leases.DueOrders(w.now) {
@@ -390,7 +409,7 @@
 					t.Logf("seed %d", seed)
 				}
 			}()
-			w.run(12 * time.Second)
+			w.run(14 * time.Second)
 		}()
 		grants += w.grants
 	}
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -147,6 +147,8 @@
 	recordOutdated bool
 	// storeOutage is set while the store does not confirm the assigner's role.
 	storeOutage bool
+	// predecessorUntil is the last instant at which orders of the previous assigner may arrive.
+	predecessorUntil time.Duration
 }
 
 // fenceReserve is the number of fencing tokens that one write of the record reserves.
@@ -155,13 +157,15 @@
 
 // NewLeaseManager returns a LeaseManager that takes over the record at the instant now.
 // A nil record holds no ranges. The previous assigner may send orders until the instant
-// predecessorUntil. Before the first order, the record that Record returns must be
-// written to the store, because it reserves the fencing tokens.
+// predecessorUntil. Until then no order is due: a target that restarts would accept an order of the
+// previous assigner, whose tokens are lower, after one of this LeaseManager. Before the first order,
+// the record that Record returns must be written to the store, because it reserves the fencing tokens.
 func NewLeaseManager(opts LeaseOptions, term uint64, r *Record, now, predecessorUntil time.Duration) *LeaseManager {
 	lm := &LeaseManager{opts: opts.withDefaults(), term: term, nextFence: 1, tableOutdated: true}
 	if r != nil {
 		lm.nextFence = r.NextFence
-		predecessorBound := max(predecessorUntil, now) + lm.maxLease(lm.opts.LongLeaseDuration)
+		lm.predecessorUntil = max(predecessorUntil, now)
+		predecessorBound := lm.predecessorBound()
 		for _, rr := range r.Ranges {
 			s := &rangeState{keys: rr.Keys, owner: rr.Owner, bound: leaseBound{predecessor: predecessorBound}, since: now}
 			for _, h := range rr.FormerOwners {
@@ -174,6 +178,32 @@
 	return lm
 }
 
+// predecessorBound returns the last instant at which a target may hold a range by an order of the
+// previous assigner.
+func (lm *LeaseManager) predecessorBound() time.Duration {
+	return lm.predecessorUntil + lm.maxLease(lm.opts.LongLeaseDuration)
+}
+
+// LimitPredecessor records that the previous assigner sends no order that arrives after the instant.
+func (lm *LeaseManager) LimitPredecessor(until time.Duration) {
+	if until >= lm.predecessorUntil {
+		return
+	}
+	lm.predecessorUntil = until
+	bound := lm.predecessorBound()
+	for _, ranges := range [][]*rangeState{lm.ranges, lm.proposed} {
+		for _, s := range ranges {
+			s.bound.predecessor = min(s.bound.predecessor, bound)
+			for _, f := range s.formerOwners {
+				f.bound.predecessor = min(f.bound.predecessor, bound)
+			}
+		}
+	}
+}
+
+// PredecessorActs reports whether orders of the previous assigner may still arrive.
+func (lm *LeaseManager) PredecessorActs(now time.Duration) bool { return now < lm.predecessorUntil }
+
 // maxLease returns the longest time that a lease of the given duration lasts after its
 // order has ended, on the LeaseManager's clock.
 func (lm *LeaseManager) maxLease(lease time.Duration) time.Duration {
@@ -379,8 +409,11 @@
 }
 
 // DueOrders returns the orders that are due and marks them as in flight. The result of
-// each must be passed to HandleResult.
+// each must be passed to HandleResult. None is due while the previous assigner may act.
 func (lm *LeaseManager) DueOrders(now time.Duration) []Order {
+	if lm.PredecessorActs(now) {
+		return nil
+	}
 	var orders []Order
 	for _, s := range lm.ranges {
 		orders = append(orders, lm.releases(s, now)...)
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -69,3 +69,19 @@
 	lm.HandleResult(Result{Order: long[0]}, 1300*time.Millisecond)
 	is.Equal(len(lm.DueOrders(1300*time.Millisecond)), 0)
 }
+
+// A superseded assigner renewed a lease at a target that had restarted, with a token below that of its successor.
+func TestNoOrderIsDueWhileThePredecessorActs(t *testing.T) {
+	is := is.New(t)
+	holder := Holder{ID: "t", Address: "a", Born: 1}
+	record := &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{{Keys: KeyRange{0, LastKey}, Owner: holder}}}
+	lm := NewLeaseManager(LeaseOptions{}, 2, record, time.Second, 4*time.Second)
+	is.Equal(len(lm.DueOrders(4*time.Second-1)), 0)
+	lm.LimitPredecessor(5 * time.Second) // Not earlier, so it has no effect.
+	is.Equal(len(lm.DueOrders(4*time.Second-1)), 0)
+	before := lm.ranges[0].bound.until()
+	lm.LimitPredecessor(2 * time.Second)
+	is.Equal(before-lm.ranges[0].bound.until(), 2*time.Second)
+	is.Equal(len(lm.DueOrders(2*time.Second-1)), 0)
+	is.Equal(len(lm.DueOrders(2*time.Second)), 1)
+}
--- /dev/null
+++ b/shard/predecessor.go
@@ -0,0 +1,43 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/basiltally/basiltally/pb"
+)
+
+// predecessor is the previous assigner, as far as it and those before it may still act. The next
+// assigner sends no order meanwhile: a target that restarts knows nothing of earlier tokens, and
+// would accept an order of either.
+type predecessor struct {
+	vm   string
+	term uint64
+	// until is the last instant at which orders of any earlier assigner may be in flight.
+	until time.Duration
+	// earlierUntil is the same for the assigners before the predecessor.
+	earlierUntil time.Duration
+}
+
+// newPredecessor returns the predecessor that wrote the role r. It may act until the instant, and an
+// order is in flight for orderTimeout at most.
+func newPredecessor(r role, actsUntil, orderTimeout, now time.Duration) predecessor {
+	earlier := now + time.Duration(r.EarlierActsForMs)*time.Millisecond
+	return predecessor{vm: r.VM, term: r.Term, until: max(actsUntil+orderTimeout, earlier), earlierUntil: earlier}
+}
+
+// testifies reports whether the report shows that the predecessor no longer acts: its VM reports to
+// another assigner, and knows of the term in which it acted.
+func (p *predecessor) testifies(r *pb.ShardReport) bool {
+	return p.vm != "" && r.GetVm() == p.vm && r.GetKnownTerm() >= p.term
+}
+
+// stopped records that the predecessor has stopped at the instant now. It reports whether orders may be
+// sent earlier because of it.
+func (p *predecessor) stopped(now, orderTimeout time.Duration) bool {
+	until := max(now+orderTimeout, p.earlierUntil)
+	if until >= p.until {
+		return false
+	}
+	p.until = until
+	return true
+}
--- a/shard/role.go
+++ b/shard/role.go
@@ -28,6 +28,15 @@
 	Address string `json:"address"`
 	Term    uint64 `json:"term"`
 	Beat    uint64 `json:"beat"`
+	// EarlierActsForMs is how long after this write orders of assigners of earlier terms may be in
+	// flight, in milliseconds.
+	EarlierActsForMs uint64 `json:"earlier_acts_for_ms,omitempty"`
+}
+
+// setEarlier sets EarlierActsForMs for a write at the instant now, if orders of earlier assigners may
+// be in flight until the other one.
+func (r *role) setEarlier(until, now time.Duration) {
+	r.EarlierActsForMs = uint64(max((until - now + time.Millisecond - 1).Milliseconds(), 0))
 }
 
 const (
