Check polls while they wait, so that a poll that the store has lost is noticed

Cause: a poll sent while the store is silent is never answered, on a connection that stays open, and was waited for until its own end. Nothing else showed that it was lost: up to 24 VMs each poll for themselves and make no other calls. The reader that relays to more VMs counted a waiting poll as proof that it has read all changes. Ruled out: TCP keep-alives (answered); shorter polls (ten times the price for each, and still believed until their end); doubt after other calls only (there are none). Change: package checked; a check each second asks for the same changes at a tenth of the price. A reader whose poll cannot be checked does not confirm. Polls have connections of their own, closed when they are given up. objectapi.Client.Watch has the same fault and uses the same code. A dial for a request that waits in fasthttp's pool gets a time-out. Tests: TestChangeAfterALostPollIsKnownWithinTheNextCheck and TestReadAgeGrowsWhileAPollCannotBeChecked fail with Check left out. The stand-in store can lose calls (Swallow); the soak uses it.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -151,7 +151,7 @@
 		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: roleNode}),
 	}
 	n.settings.Store(s)
-	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, FirstList: n.firstList, FirstReaderWait: firstReaderWait, MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
+	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, Check: n.objects.Check, Logger: logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
 	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
 	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/evidence/call.go
+++ b/evidence/call.go
@@ -25,3 +25,10 @@
 // Refused reports whether the error of a dial means that the address refused the connection. It shows
 // neither that the process at the address has ended nor that it runs.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// LosesWaitingCalls reports whether the error of a call to a server means that the call had no answer
+// in its time. The server may then have lost all calls that wait at it, on connections that stay open.
+func LosesWaitingCalls(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -51,6 +51,9 @@
 	Unavailable
 	// Hang does not answer. When the fault changes, it breaks the connection.
 	Hang
+	// Swallow does not answer the calls that arrive or wait while it is in force, also later, and leaves their
+	// connections open.
+	Swallow
 	// Reset breaks the connection and does not carry out the call.
 	Reset
 	// LoseAnswers carries out writes, but breaks the connection instead of answering them.
@@ -209,6 +212,9 @@
 		case <-r.Context().Done():
 		}
 		panic(http.ErrAbortHandler)
+	case Swallow:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	}
 	return true
 }
@@ -262,6 +268,9 @@
 			}
 		}
 		s.mu.Unlock()
+		if fault == Swallow {
+			<-r.Context().Done()
+		}
 		if fault != NoFault && fault != LoseAnswers {
 			panic(http.ErrAbortHandler)
 		}
--- a/standin/soak/disturb.go
+++ b/standin/soak/disturb.go
@@ -172,6 +172,9 @@
 
 func (s *soak) applyStoreFault(p *disturbanceParams) {
 	fault := []platform.Fault{platform.Unavailable, platform.Hang, platform.LoseAnswers}[p.kind%3]
+	if p.kind/3%4 == 3 {
+		fault = platform.Swallow
+	}
 	s.noteStoreDisturbed()
 	s.store.SetFault(fault)
 	time.Sleep(p.length)
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -5,8 +5,11 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +42,9 @@
 	MaxConnections int
 	// MaxAnswerBytes bounds the body of an answer. Default 256 MiB.
 	MaxAnswerBytes int
+	// AbortOnCancel makes the end of a call's context close all connections of the Client. It is meant for a
+	// client that makes one long call at a time, which would otherwise go on until its timeout.
+	AbortOnCancel bool
 	// ResetOnClose makes the close of a connection discard data that the network has not
 	// delivered yet, so that a call that timed out does not arrive later.
 	ResetOnClose bool
@@ -48,19 +54,91 @@
 type Client struct {
 	opts Options
 	http *fasthttp.HostClient
+
+	mu sync.Mutex
+	// open holds the open connections if AbortOnCancel is set.
+	open map[*trackedConn]struct{}
 }
 
 // New returns a Client that has no connections yet.
 func New(opts Options) *Client {
-	return &Client{opts: opts, http: &fasthttp.HostClient{
+	c := &Client{opts: opts, open: map[*trackedConn]struct{}{}}
+	c.http = &fasthttp.HostClient{
 		Addr:                      opts.Address,
-		DialTimeout:               opts.dial,
+		DialTimeout:               c.dial,
 		MaxConns:                  opts.MaxConnections,
 		MaxConnWaitTimeout:        opts.Timeout,
 		MaxResponseBodySize:       cmp.Or(opts.MaxAnswerBytes, defaultMaxAnswerBytes),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
-	}}
+	}
+	return c
+}
+
+// trackedConn is a connection that its Client can close.
+type trackedConn struct {
+	net.Conn
+	client *Client
+}
+
+// Close implements net.Conn.
+func (t *trackedConn) Close() error {
+	t.client.mu.Lock()
+	delete(t.client.open, t)
+	t.client.mu.Unlock()
+	return t.Conn.Close()
+}
+
+func (c *Client) dial(addr string, timeout time.Duration) (net.Conn, error) {
+	conn, err := c.opts.dial(addr, timeout)
+	if err != nil || !c.opts.AbortOnCancel {
+		return conn, err
+	}
+	t := &trackedConn{Conn: conn, client: c}
+	c.mu.Lock()
+	c.open[t] = struct{}{}
+	c.mu.Unlock()
+	return t, nil
+}
+
+// abort closes all connections.
+func (c *Client) abort() {
+	c.mu.Lock()
+	open := slices.Collect(maps.Keys(c.open))
+	c.mu.Unlock()
+	for _, t := range open {
+		t.Close()
+	}
+}
+
+// Pollers holds a Client for the long polls of each prefix. A poll is given up by closing its connection, and a
+// poll that a server has lost takes no connection of other calls.
+type Pollers struct {
+	opts Options
+
+	mu       sync.Mutex
+	byPrefix map[string]*Client
+}
+
+// maxPollConnections allows a new poll of a prefix while the one that it replaces is being closed.
+const maxPollConnections = 2
+
+// NewPollers returns Pollers for the address of opts. Its Timeout bounds a poll without a time limit of its own.
+func NewPollers(opts Options) *Pollers {
+	opts.MaxConnections, opts.AbortOnCancel = maxPollConnections, true
+	return &Pollers{opts: opts, byPrefix: map[string]*Client{}}
+}
+
+// For returns the Client for the polls of a prefix.
+func (p *Pollers) For(prefix string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.byPrefix[prefix]
+	if c == nil {
+		c = New(p.opts)
+		p.byPrefix[prefix] = c
+	}
+	return c
 }
 
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
@@ -72,6 +150,10 @@
 func (e *dialError) Unwrap() error { return e.cause }
 
 func (o Options) dial(addr string, timeout time.Duration) (net.Conn, error) {
+	// A connection that is dialled for a request that waits in the pool of fasthttp has no timeout.
+	if timeout <= 0 {
+		timeout = dialTimeout
+	}
 	d := net.Dialer{Timeout: min(timeout, dialTimeout), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
@@ -171,7 +253,7 @@
 }
 
 // do makes the call. If the context ends first, do returns at once, and the exchange
-// continues in the background until its own timeout.
+// continues in the background until its own timeout, unless AbortOnCancel is set.
 func (c *Client) do(ctx context.Context, cl Call) (*Answer, error) {
 	timeout := c.timeout(ctx, cl)
 	if ctx.Err() != nil || timeout <= 0 {
@@ -193,6 +275,9 @@
 	case out := <-done:
 		return out.ans, out.err
 	case <-ctx.Done():
+		if c.opts.AbortOnCancel {
+			c.abort()
+		}
 		return nil, ctx.Err()
 	}
 }
--- a/store/objectapi/client.go
+++ b/store/objectapi/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/checked"
 	"github.com/basiltally/basiltally/store/httpcall"
 )
 
@@ -23,6 +24,8 @@
 const (
 	// watchGrace is how long the answer to a watch may take after the watch has timed out.
 	watchGrace = time.Second
+	// checkWait is the wait of a check of a poll, the shortest one.
+	checkWait = time.Millisecond
 	// watchRetryDelay is the pause between watch polls that return without events.
 	watchRetryDelay = 10 * time.Millisecond
 )
@@ -35,14 +38,16 @@
 	Timeout time.Duration
 	// WatchPoll bounds one poll of a watch, after which the client polls again. Default 10 s.
 	WatchPoll time.Duration
-	// MaxConnections bounds the open connections, including those of watches. Default 8.
+	// MaxConnections bounds the open connections besides those of watches, of which each prefix has two at
+	// most. Default 8.
 	MaxConnections int
 }
 
 // Client calls the object API. It never repeats a write.
 type Client struct {
-	opts Options
-	http *httpcall.Client
+	opts    Options
+	http    *httpcall.Client
+	pollers *httpcall.Pollers
 }
 
 var (
@@ -61,9 +66,13 @@
 	if opts.MaxConnections <= 0 {
 		opts.MaxConnections = DefaultMaxConnections
 	}
-	return &Client{opts: opts, http: httpcall.New(httpcall.Options{
-		Address: opts.Address, Timeout: opts.Timeout, MaxConnections: opts.MaxConnections,
-	})}
+	return &Client{
+		opts: opts,
+		http: httpcall.New(httpcall.Options{
+			Address: opts.Address, Timeout: opts.Timeout, MaxConnections: opts.MaxConnections,
+		}),
+		pollers: httpcall.NewPollers(httpcall.Options{Address: opts.Address, Timeout: opts.WatchPoll + watchGrace}),
+	}
 }
 
 // Get implements store.Store.
@@ -79,7 +88,7 @@
 func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
 	var body ListBody
 	list := httpcall.Call{Method: http.MethodGet, Path: ListPath, Args: [][2]string{{ArgPrefix, prefix}}}
-	if err := c.readJSON(ctx, list, &body); err != nil {
+	if err := readJSON(ctx, c.http, list, &body); err != nil {
 		return nil, 0, errors.WithMessage(err, prefix)
 	}
 	objects := make([]store.Object, len(body.Objects))
@@ -108,10 +117,10 @@
 	return errors.WithMessage(err, key)
 }
 
-// Watch implements store.Store with long polls.
+// Watch implements store.Store with long polls, which are checked while they wait.
 func (c *Client) Watch(ctx context.Context, prefix string, after store.Version) ([]store.Event, error) {
 	for {
-		events, err := c.pollWatch(ctx, prefix, after)
+		events, err := c.checkedWatch(ctx, prefix, after)
 		if len(events) > 0 {
 			return events, nil
 		}
@@ -128,9 +137,21 @@
 	}
 }
 
+// checkedWatch makes one poll, and notices if the object API has lost it. It returns no events if the poll
+// times out.
+func (c *Client) checkedWatch(ctx context.Context, prefix string, after store.Version) ([]store.Event, error) {
+	call := func(client *httpcall.Client, poll time.Duration) checked.Call {
+		return func(ctx context.Context) ([]store.Event, store.Version, error) {
+			events, err := pollWatch(ctx, client, prefix, after, poll)
+			return events, after, err
+		}
+	}
+	r := checked.Poll(ctx, call(c.pollers.For(prefix), c.opts.WatchPoll), call(c.http, checkWait), checked.Options{Prefix: prefix})
+	return r.Events, r.Err
+}
+
 // pollWatch makes one poll, which returns no events if it times out.
-func (c *Client) pollWatch(ctx context.Context, prefix string, after store.Version) ([]store.Event, error) {
-	poll := c.opts.WatchPoll
+func pollWatch(ctx context.Context, client *httpcall.Client, prefix string, after store.Version, poll time.Duration) ([]store.Event, error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		poll = min(poll, time.Until(deadline))
 	}
@@ -145,7 +166,7 @@
 		Timeout: poll + watchGrace,
 	}
 	var body WatchBody
-	if err := c.readJSON(ctx, watch, &body); err != nil {
+	if err := readJSON(ctx, client, watch, &body); err != nil {
 		return nil, err
 	}
 	events := make([]store.Event, len(body.Events))
@@ -161,19 +182,19 @@
 // ListVMs implements store.VMLister.
 func (c *Client) ListVMs(ctx context.Context) ([]store.VM, error) {
 	var body VMsBody
-	err := c.readJSON(ctx, httpcall.Call{Method: http.MethodGet, Path: VMsPath}, &body)
+	err := readJSON(ctx, c.http, httpcall.Call{Method: http.MethodGet, Path: VMsPath}, &body)
 	return body.VMs, errors.WithMessage(err, "VM list")
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdle() }
 
-func (c *Client) readJSON(ctx context.Context, cl httpcall.Call, into any) error {
-	ans, err := c.read(ctx, cl)
+func readJSON(ctx context.Context, client *httpcall.Client, cl httpcall.Call, into any) error {
+	ans, err := client.Read(ctx, cl)
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(ans.body, into); err != nil {
+	if err := json.Unmarshal(ans.Body, into); err != nil {
 		return httpcall.WithCause(store.ErrUnavailable, errors.Wrap(err, "decode answer"))
 	}
 	return nil
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -24,6 +25,7 @@
 
 	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/checked"
 )
 
 // Batch holds the changes under a prefix that are later than revision After, up to and
@@ -44,6 +46,11 @@
 	// returns all changes since its revision. Later lists replace what was known, so that they must not
 	// be older. Default Direct.List.
 	FirstList func(ctx context.Context, prefix string) ([]store.Object, store.Version, error)
+	// Check returns the changes after a revision like Direct.Poll, at once. It is called at intervals while
+	// a poll waits at the store, which may have lost the poll. If it is nil, polls are not checked.
+	Check func(ctx context.Context, prefix string, after store.Version) ([]store.Event, store.Version, error)
+	// Logger gets a line for each poll that the store has lost. Without it nothing is logged.
+	Logger *slog.Logger
 	// MaxBatches is the number of batches per prefix that are kept for VMs that begin to
 	// follow this one later. Default 1024.
 	MaxBatches int
@@ -108,6 +115,8 @@
 	polling int
 	// completeAt is the instant up to which all changes were read and relayed.
 	completeAt time.Duration
+	// checkedAt is the instant of the last check that found no changes, or of the start of the poll.
+	checkedAt time.Duration
 }
 
 // changeBounds bounds when the changes under a prefix were made.
@@ -121,6 +130,10 @@
 	undeliveredAfter time.Duration
 }
 
+// maxCheckAge is the age of the last check of a waiting poll from which the poll no longer shows that there are
+// no changes. It covers the pause between two checks and the time that one may take.
+const maxCheckAge = 2500 * time.Millisecond
+
 // maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
 const maxPollDelay = 200 * time.Millisecond
 
@@ -314,6 +327,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.addPolling(prefix, 1)
+	f.setChecked(prefix)
 	start, waiting := f.opts.Now(), true
 	endWait := func() {
 		if waiting {
@@ -322,11 +336,8 @@
 		}
 	}
 	defer endWait()
-	answered := make(chan pollResult, 1)
-	go func() {
-		events, at, err := f.opts.Direct.Poll(ctx, prefix, after, wait)
-		answered <- pollResult{events, at, err}
-	}()
+	answered := make(chan checked.Result, 1)
+	go func() { answered <- f.pollDirect(ctx, prefix, after, wait) }()
 	for {
 		covers, changed := f.covers(prefix, after)
 		if covers {
@@ -337,12 +348,12 @@
 			// Until the changes are relayed, this VM does not count as up to date.
 			endWait()
 			answeredAt := f.opts.Now()
-			if !errors.Is(a.err, store.ErrCompacted) {
-				f.recordReadResult(prefix, a.err)
+			if !errors.Is(a.Err, store.ErrCompacted) {
+				f.recordReadResult(prefix, a.Err)
 			}
-			if a.err == nil {
-				f.record(Batch{Prefix: prefix, After: after, At: max(a.at, after), Events: a.events})
-				if answeredAt-start > maxPollDelay {
+			if a.Err == nil {
+				f.record(Batch{Prefix: prefix, After: after, At: max(a.At, after), Events: a.Events})
+				if answeredAt-start > maxPollDelay && !a.Lost {
 					// A change before the poll would have ended it at once.
 					f.boundChanges(prefix, answeredAt-maxPollDelay)
 				} else {
@@ -350,17 +361,27 @@
 				}
 				f.setReadComplete(prefix, answeredAt)
 			}
-			return a.events, a.at, a.err
+			return a.Events, a.At, a.Err
 		case <-changed:
 		}
 	}
 }
 
-// pollResult is the result of a poll of the store.
-type pollResult struct {
-	events []store.Event
-	at     store.Version
-	err    error
+// pollDirect polls the store, and checks meanwhile that the store has not lost the poll.
+func (f *Feed) pollDirect(ctx context.Context, prefix string, after store.Version, wait time.Duration) checked.Result {
+	poll := func(ctx context.Context) ([]store.Event, store.Version, error) {
+		return f.opts.Direct.Poll(ctx, prefix, after, wait)
+	}
+	if f.opts.Check == nil {
+		events, at, err := poll(ctx)
+		return checked.Result{Events: events, At: at, Err: err}
+	}
+	check := func(ctx context.Context) ([]store.Event, store.Version, error) {
+		return f.opts.Check(ctx, prefix, after)
+	}
+	return checked.Poll(ctx, poll, check, checked.Options{
+		Prefix: prefix, Logger: f.opts.Logger, OnChecked: func() { f.setChecked(prefix) },
+	})
 }
 
 // errReaderCovers reports that the reader covers a poll of the store, so that the poll is
@@ -454,6 +475,13 @@
 	f.readsLocked(prefix).polling += n
 }
 
+// setChecked records that a poll of the prefix has just begun, or that a check found that it has missed nothing.
+func (f *Feed) setChecked(prefix string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readsLocked(prefix).checkedAt = f.opts.Now()
+}
+
 // setReadComplete records that all changes up to the instant were read and relayed.
 func (f *Feed) setReadComplete(prefix string, at time.Duration) {
 	f.mu.Lock()
@@ -511,7 +539,9 @@
 	now, age := f.opts.Now(), time.Duration(0)
 	for _, r := range f.reads {
 		switch {
+		case r.polling > 0 && (f.opts.Check == nil || now-r.checkedAt <= maxCheckAge):
 		case r.polling > 0:
+			age = max(age, now-r.checkedAt)
 		case r.completeAt == 0:
 			return 0, false
 		default:
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -542,3 +542,72 @@
 		p.is.Equal(catchUp(start).After, at) // The VM reads the store.
 	})
 }
+
+// losingStore loses the polls that begin while losing is set: they have no answer, and their connection stays open.
+type losingStore struct {
+	*countingStore
+	losing, refusing atomic.Bool
+}
+
+func (s *losingStore) Poll(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
+	if s.losing.Load() {
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(wait + time.Second):
+			return nil, 0, context.DeadlineExceeded
+		}
+	}
+	return s.countingStore.Poll(ctx, prefix, after, wait)
+}
+
+func (s *losingStore) check(ctx context.Context, prefix string, after store.Version) ([]store.Event, store.Version, error) {
+	if s.refusing.Load() {
+		return nil, 0, store.ErrUnavailable
+	}
+	return s.countingStore.Poll(ctx, prefix, after, 0)
+}
+
+// All VMs kept an old configuration for 26 s, because the store had lost their polls in a moment of silence.
+func TestChangeAfterALostPollIsKnownWithinTheNextCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		lossy := &losingStore{countingStore: p.store}
+		feed := relayfeed.New(relayfeed.Options{Direct: lossy, Check: lossy.check, Now: p.now})
+		_, at, err := feed.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		lossy.losing.Store(true)
+		changedAt := time.Now().Add(4300 * time.Millisecond)
+		time.AfterFunc(4300*time.Millisecond, func() { p.put("a/1") })
+		events, _, err := feed.Poll(t.Context(), prefix, at, 25*time.Second)
+		p.is.NoErr(err)
+		p.is.Equal(len(events), 1)
+		p.is.True(time.Since(changedAt) <= 1200*time.Millisecond)
+		ago, ok := feed.ChangedAgo(prefix)
+		p.is.True(ok)
+		p.is.True(ago >= time.Since(changedAt)) // The poll does not show that there was no change before.
+	})
+}
+
+// A reader that cannot check its poll does not know whether it has read all changes.
+func TestReadAgeGrowsWhileAPollCannotBeChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		lossy := &losingStore{countingStore: p.store}
+		feed := relayfeed.New(relayfeed.Options{Direct: lossy, Check: lossy.check, Now: p.now})
+		_, at, err := feed.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		var polls sync.WaitGroup
+		polls.Go(func() { _, _, _ = feed.Poll(ctx, prefix, at, time.Minute) })
+		time.Sleep(10*time.Second + time.Millisecond)
+		age, _ := feed.ReadAge()
+		p.is.Equal(age, time.Duration(0))
+		lossy.refusing.Store(true)
+		time.Sleep(5 * time.Second)
+		age, _ = feed.ReadAge()
+		p.is.Equal(age, 5*time.Second+time.Millisecond)
+		cancel()
+		polls.Wait()
+	})
+}
