Go on accepting through a lack of descriptors, and exit when a part of a process ends

Cause: the accept loops of fasthttp and of peer.Server end at EMFILE, and their error ended the followers, the agent and the readiness endpoint, while the ingress went on, on a context of its own. Ruled out: a higher limit (the platform sets it); exit alone (a VM that is the last one left would drop its callers again and again); retries alone (callers hold the descriptors until they leave, and any other end of a part stays unnoticed). Change: package listen waits such errors out; daemon/components stops the process when a part ends; callers may take three quarters of the descriptors and idle connections make room; a lack of our own is no sign of an unreachable target. Tests: TestServeGoesOnAfterAShortageOfDescriptors fails before (5 s without an answer).

--- a/daemon/assign.go
+++ b/daemon/assign.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/assign"
 	"github.com/basiltally/basiltally/assigner"
@@ -91,24 +90,24 @@
 func (p *assignProcess) run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	g, work := errgroup.WithContext(work)
-	g.Go(func() error { return p.server.Run(work) })
-	p.processBase.run(work, g)
-	g.Go(func() error { return p.assigner.Run(work) })
-	g.Go(func() error { return p.tree.Run(work) })
-	g.Go(func() error { return p.tree.RunWhileRoot(work, p.assigner.FollowRecords) })
-	g.Go(func() error { return p.tree.RunWhileRoot(work, p.syncBundles) })
-	g.Go(func() error { return p.bundles.Run(work) })
-	g.Go(func() error { return watchBundles(work, p.bundles, p.applyBundle) })
-	g.Go(func() error { return telemetry.Serve(work, p.telemetryOptions()) })
+	parts := newComponents(work, p.logger)
+	parts.run("peers", p.server.Run)
+	p.processBase.run(parts)
+	parts.run("assigner", p.assigner.Run)
+	parts.run("relay tree", p.tree.Run)
+	parts.run("records", func(ctx context.Context) error { return p.tree.RunWhileRoot(ctx, p.assigner.FollowRecords) })
+	parts.run("bundle takeover", func(ctx context.Context) error { return p.tree.RunWhileRoot(ctx, p.syncBundles) })
+	parts.run("bundles", p.bundles.Run)
+	parts.run("bundle updates", func(ctx context.Context) error { return watchBundles(ctx, p.bundles, p.applyBundle) })
+	parts.run("telemetry", func(ctx context.Context) error { return telemetry.Serve(ctx, p.telemetryOptions()) })
 	p.logger.Info("started", "peer_address", p.server.Addr())
 	select {
 	case <-ctx.Done():
-	case <-work.Done():
+	case <-parts.ctx.Done():
 	}
 	p.drain()
 	stopWork()
-	return g.Wait()
+	return parts.wait()
 }
 
 func (p *assignProcess) drain() {
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -1,13 +1,11 @@
 package daemon
 
 import (
-	"context"
 	"crypto/tls"
 	"log/slog"
 	"os"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/claim"
 	"github.com/basiltally/basiltally/membership"
@@ -71,9 +69,9 @@
 	return b, err
 }
 
-// run starts the common components as goroutines of g.
-func (b *processBase) run(ctx context.Context, g *errgroup.Group) {
-	g.Go(func() error { return b.members.Run(ctx) })
-	g.Go(func() error { return b.claims.Run(ctx) })
-	g.Go(func() error { return b.quarantine.Run(ctx) })
+// run starts the common components.
+func (b *processBase) run(parts *components) {
+	parts.run("members", b.members.Run)
+	parts.run("claims", b.claims.Run)
+	parts.run("quarantine", b.quarantine.Run)
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/assigner"
 	"github.com/basiltally/basiltally/balance"
@@ -92,7 +91,7 @@
 	}
 	p.frontend = frontend.New(frontend.Options{
 		Address: s.Entry.Listen, Handler: p.handler(), HeaderBytes: s.Entry.MaxHeader,
-		HeaderTimeout: s.Entry.HeaderTimeout, StopTimeout: s.Entry.DrainLimit,
+		HeaderTimeout: s.Entry.HeaderTimeout, StopTimeout: s.Entry.DrainLimit, MaxConnections: callerConnections(p.logger),
 	})
 	return p, nil
 }
@@ -116,22 +115,24 @@
 func (p *entryProcess) run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	g, work := errgroup.WithContext(work)
-	g.Go(func() error { return p.follower().Run(work) })
-	g.Go(func() error { return p.applyUpdates(work) })
-	g.Go(func() error { return p.dispatcher.Run(work) })
-	g.Go(func() error { return p.bundles.Run(work) })
-	p.processBase.run(work, g)
-	g.Go(func() error { return p.claimer.Run(work) })
-	g.Go(func() error { return p.reportKeys(work) })
-	g.Go(func() error {
-		return telemetry.Serve(work, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready})
+	parts := newComponents(work, p.logger)
+	parts.run("views", p.follower().Run)
+	parts.run("view updates", p.applyUpdates)
+	parts.run("dispatcher", p.dispatcher.Run)
+	parts.run("bundles", p.bundles.Run)
+	p.processBase.run(parts)
+	parts.run("claimer", p.claimer.Run)
+	parts.run("key reports", p.reportKeys)
+	parts.run("telemetry", func(ctx context.Context) error {
+		return telemetry.Serve(ctx, telemetry.Options{Settings: p.settings.Telemetry, Gatherer: p.registry, Ready: p.ready, Logger: p.logger})
 	})
 	p.logger.Info("started", "address", p.settings.Entry.Listen)
-	err := p.frontend.Run(ctx)
+	serving, stopServing := parts.whileAllRun(ctx)
+	defer stopServing()
+	err := p.frontend.Run(serving)
 	p.logger.Info("stopped")
 	stopWork()
-	return firstError(err, g.Wait())
+	return firstError(err, parts.wait())
 }
 
 // follower returns the client that receives views and bundles from the assign process of
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/budget"
@@ -179,7 +178,7 @@
 	})
 	n.ingress = ingress.New(ingress.Options{
 		Address: s.Gateway.Listen, Handler: n.gateway, Limits: n.limits,
-		LameDuck: s.Gateway.LameDuck, StopLimit: s.Gateway.StopLimit - stopMargin, Memory: memory, Logger: logger,
+		LameDuck: s.Gateway.LameDuck, StopLimit: s.Gateway.StopLimit - stopMargin, MaxConnections: callerConnections(logger), Memory: memory, Logger: logger,
 	})
 	n.directory.OnChange(n.targetsChanged)
 	return n
@@ -188,31 +187,33 @@
 func (n *nodeProcess) run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	g, work := errgroup.WithContext(work)
 	server, err := peer.Listen(peer.ServerOptions{Address: n.settings.Load().Peer.Listen, Handler: n.agent.Serve, Logger: n.logger})
 	if err != nil {
 		return err
 	}
-	g.Go(func() error { return server.Run(work) })
-	g.Go(func() error { return n.follower(platform.ConfigPrefix, newConfigConsumer(n), configSettle).Run(work) })
-	g.Go(func() error { return n.follower(platform.TargetPrefix, newTargetConsumer(n), targetSettle).Run(work) })
-	g.Go(func() error { return n.agent.Run(work) })
-	g.Go(func() error { return n.upstream.Run(work) })
-	g.Go(func() error { return n.expire(work) })
-	g.Go(func() error { return n.serveReady(work) })
-	g.Go(func() error {
-		return telemetry.Serve(work, telemetry.Options{Settings: n.settings.Load().Telemetry, Gatherer: n.registry, Ready: n.ready})
+	parts := newComponents(work, n.logger)
+	parts.run("peers", server.Run)
+	parts.run("configuration", n.follower(platform.ConfigPrefix, newConfigConsumer(n), configSettle).Run)
+	parts.run("targets", n.follower(platform.TargetPrefix, newTargetConsumer(n), targetSettle).Run)
+	parts.run("agent", n.agent.Run)
+	parts.run("upstream", n.upstream.Run)
+	parts.run("expiry", n.expire)
+	parts.run("readiness", n.serveReady)
+	parts.run("telemetry", func(ctx context.Context) error {
+		return telemetry.Serve(ctx, telemetry.Options{Settings: n.settings.Load().Telemetry, Gatherer: n.registry, Ready: n.ready, Logger: n.logger})
 	})
 	n.logger.Info("started", "vm", n.settings.Load().Process.VM, "address", n.settings.Load().Gateway.Listen,
 		"data_centre", n.settings.Load().Process.DataCentre, "version", telemetry.Version())
+	serving, stopServing := parts.whileAllRun(ctx)
+	defer stopServing()
 	go func() {
-		<-ctx.Done()
+		<-serving.Done()
 		n.agent.Resign()
 	}()
-	err = n.ingress.Run(ctx)
+	err = n.ingress.Run(serving)
 	n.logger.Info("stopped")
 	stopWork()
-	return firstError(err, g.Wait())
+	return firstError(err, parts.wait())
 }
 
 func (n *nodeProcess) follower(prefix string, c follow.Consumer, settle time.Duration) *follow.Follower {
@@ -222,7 +223,7 @@
 // serveReady serves the readiness requests of the load balancer, until the context ends.
 func (n *nodeProcess) serveReady(ctx context.Context) error {
 	return telemetry.Serve(ctx, telemetry.Options{
-		Settings: telemetry.Settings{Listen: n.settings.Load().Gateway.ReadyListen},
+		Settings: telemetry.Settings{Listen: n.settings.Load().Gateway.ReadyListen}, Logger: n.logger,
 		Handlers: map[string]fasthttp.RequestHandler{platform.ReadyPath: func(c *fasthttp.RequestCtx) {
 			if err := n.ready(); err != nil {
 				c.Error(err.Error()+"\n", fasthttp.StatusServiceUnavailable)
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -43,3 +43,14 @@
 	is.True(Unanswered.MayBeDone())
 	is.True(Answered.MayBeDone())
 }
+
+func TestOwnShortageSaysNothingOfTheOtherSide(t *testing.T) {
+	is := is.New(t)
+	is.True(OwnShortage(&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}))
+	is.True(!OwnShortage(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}))
+	is.True(AcceptMayGoOn(os.NewSyscallError("accept4", syscall.EMFILE)))
+	is.True(AcceptMayGoOn(os.NewSyscallError("accept4", syscall.ECONNABORTED)))
+	is.True(!AcceptMayGoOn(os.NewSyscallError("accept4", syscall.EBADF)))
+	is.True(!AcceptMayGoOn(net.ErrClosed))
+	is.True(!AcceptMayGoOn(os.ErrDeadlineExceeded))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/basiltally/basiltally/admission"
 	"github.com/basiltally/basiltally/budget"
 	"github.com/basiltally/basiltally/eligibility"
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/placing"
@@ -508,7 +509,7 @@
 		if errors.As(f.Cause, new(eligibility.Verdict)) {
 			return placing.Outcome{}, stepIneligible
 		}
-		return placing.Outcome{Unreachable: c.ctx.Err() == nil}, stepUnreachable
+		return placing.Outcome{Unreachable: c.ctx.Err() == nil && !evidence.OwnShortage(f)}, stepUnreachable
 	}
 	c.attempts++
 	c.mayHaveRun = true
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -179,6 +179,15 @@
 	}
 }
 
+// idleSince returns since when the connection has been idle. It returns false if it is not, is being closed, or has
+// been idle for less than minIdleBeforeStop.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.pending == 0 && !c.receiving && !c.closing && !c.finalRead && time.Since(c.lastActive) >= minIdleBeforeStop
+	return c.lastActive, idle
+}
+
 // closeForStop is called repeatedly during a stop. It begins to close an idle connection.
 // On a connection with pending requests no further ones are accepted, so the caller has to
 // send again what it sent after them.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -11,8 +11,10 @@
 	"bufio"
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/bodies"
+	"github.com/basiltally/basiltally/listen"
 	"github.com/basiltally/basiltally/routing"
 )
 
@@ -83,6 +86,10 @@
 	// StopLimit bounds the duration of a stop. Connections still open then are closed,
 	// and their requests in flight are aborted.
 	StopLimit time.Duration
+	// MaxConnections bounds the open connections of callers, so that descriptors are left for the process
+	// itself. To accept another one, the Server closes those that were idle for longest. Zero is no
+	// bound.
+	MaxConnections int
 	// Memory bounds the memory that bodies take. Requests whose bodies find no room are refused.
 	// Default: up to 256 MiB, of this Server alone.
 	Memory *bodies.Memory
@@ -97,8 +104,7 @@
 	// lingerTimeout bounds the wait for the caller to close the connection after the last
 	// answer. Without the wait, a reset could reach the caller before the answer does.
 	lingerTimeout = 500 * time.Millisecond
-	// stopPoll is the interval between checks for open connections during a stop, and the
-	// pause after a failed accept.
+	// stopPoll is the interval between checks for open connections during a stop.
 	stopPoll = 20 * time.Millisecond
 	// minIdleBeforeStop is how long a connection must have been idle before a stop closes it.
 	minIdleBeforeStop = 150 * time.Millisecond
@@ -120,6 +126,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// roomMadeAt is when idle connections were last closed to make room.
+	roomMadeAt time.Time
 }
 
 // New returns a Server that is not listening yet.
@@ -215,21 +223,67 @@
 // accept serves the connections of the listener until the listener is closed or its deadline
 // has passed. It then returns nil.
 func (s *Server) accept(ln net.Listener) error {
+	ln = listen.New(ln, listen.Options{Name: "callers", OnShortage: s.makeRoom, Logger: s.opts.Logger})
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil
 			}
-			// A shortage of file descriptors, for example, may be temporary.
-			s.opts.Logger.Warn("cannot accept a connection", "error", err.Error())
-			time.Sleep(stopPoll)
-			continue
+			return errors.Wrap(err, "accept callers' connections")
+		}
+		if s.opts.MaxConnections > 0 {
+			switch open := s.openConnections(); {
+			case open >= s.opts.MaxConnections+roomPerPause:
+				// No connection is idle. The caller sends the request again on another one.
+				nc.Close()
+				continue
+			case open >= s.opts.MaxConnections:
+				s.makeRoom()
+			}
 		}
 		go s.serveConn(nc)
 	}
 }
 
+const (
+	// roomPause is the least time between two closings of idle connections, which take finalReadTimeout,
+	// and roomPerPause the number of connections that are closed each time.
+	roomPause    = 2 * finalReadTimeout
+	roomPerPause = 64
+)
+
+// makeRoom closes the connections that were idle for longest, at most roomPerPause of them.
+func (s *Server) makeRoom() {
+	now := time.Now()
+	s.mu.Lock()
+	if now.Sub(s.roomMadeAt) < roomPause {
+		s.mu.Unlock()
+		return
+	}
+	s.roomMadeAt = now
+	open := len(s.conns)
+	s.mu.Unlock()
+	idle := map[*conn]time.Time{}
+	s.forEachConn(func(c *conn) {
+		if since, ok := c.idleSince(); ok {
+			idle[c] = since
+		}
+	})
+	closing := oldest(idle, roomPerPause)
+	for _, c := range closing {
+		c.closeForStop()
+	}
+	s.opts.Logger.Warn("callers take all the connections that they may", "connections", open, "limit", s.opts.MaxConnections,
+		"idle", len(idle), "closing", len(closing))
+}
+
+// oldest returns the n keys with the earliest instants, or all if there are fewer.
+func oldest[K comparable](since map[K]time.Time, n int) []K {
+	keys := slices.SortedFunc(maps.Keys(since), func(a, b K) int { return since[a].Compare(since[b]) })
+	return keys[:min(n, len(keys))]
+}
+
 // serveConn serves a connection until it is closed.
 func (s *Server) serveConn(nc net.Conn) {
 	limits := s.opts.Limits()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -52,6 +52,12 @@
 }
 
 func start(t *testing.T, h handler, limits routing.Limits) *testServer {
+	t.Helper()
+	return startBounded(t, h, limits, 0)
+}
+
+// startBounded starts a server with a bound of its connections.
+func startBounded(t *testing.T, h handler, limits routing.Limits, maxConnections int) *testServer {
 	t.Helper()
 	limits.HeaderBytes = max(limits.HeaderBytes, 4096)
 	limits.BodyBytes = max(limits.BodyBytes, 1<<20)
@@ -68,7 +74,7 @@
 	}
 	s := New(Options{
 		Handler: h, Limits: func() routing.Limits { return limits },
-		LameDuck: 300 * time.Millisecond, StopLimit: 3 * time.Second, Memory: memory,
+		LameDuck: 300 * time.Millisecond, StopLimit: 3 * time.Second, MaxConnections: maxConnections, Memory: memory,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ts := &testServer{s, ln.Addr().String(), cancel, make(chan error, 1)}
@@ -323,6 +329,41 @@
 
 // FuzzHeader looks for headers that pass the check, but are interpreted differently by
 // another parser: net/http must find the same length and encoding of the body.
+// Callers that all came to one VM took its descriptors, so that it could neither say that it is ready nor reach the
+// store. The connections that were idle for longest make room for new ones.
+func TestCallersDoNotTakeAllDescriptors(t *testing.T) {
+	is := is.New(t)
+	s := startBounded(t, echo, routing.Limits{}, 50)
+	ask := func(nc net.Conn, br *bufio.Reader) error {
+		if _, err := io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return err
+		}
+		_, err := http.ReadResponse(br, nil)
+		return err
+	}
+	for range 50 {
+		is.NoErr(ask(s.dial(t)))
+	}
+	time.Sleep(minIdleBeforeStop + 50*time.Millisecond)
+	var late []net.Conn
+	for range 100 {
+		nc, br := s.dial(t)
+		if ask(nc, br) == nil {
+			late = append(late, nc)
+		}
+		is.True(s.server.openConnections() <= 50+roomPerPause)
+	}
+	is.True(len(late) >= 50) // The connections that were idle have made room.
+}
+
+func TestOldestIdleConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	since := map[string]time.Time{"c": at(3), "a": at(1), "d": at(4), "b": at(2)}
+	is.Equal(oldest(since, 2), []string{"a", "b"})
+	is.Equal(len(oldest(since, 9)), 4)
+}
+
 func FuzzHeader(f *testing.F) {
 	for _, seed := range []string{
 		"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,3 +85,39 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// shortListener fails its first accepts for want of descriptors.
+type shortListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// The server of peers ended at the first lack of descriptors, and with it the agent of the VM.
+func TestServerGoesOnAfterAShortageOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := newServer(&shortListener{Listener: l, failures: 3}, ServerOptions{Handler: func(_ context.Context, s *Stream) {
+		if m, err := s.Recv(); err == nil {
+			_ = s.Send(m)
+		}
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	c := NewClient(ClientOptions{VM: "vm1", Role: "test"})
+	defer c.Close()
+	_, err = c.Call(ctx, l.Addr().String(), &pb.Envelope{Body: &pb.Envelope_ProbeRequest{ProbeRequest: &pb.ProbeRequest{Target: "t1"}}})
+	is.NoErr(err)
+	cancel()
+	is.NoErr(<-done)
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
+	"github.com/basiltally/basiltally/listen"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/telemetry"
 )
@@ -72,19 +73,26 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	if o.TLS != nil {
-		l = tls.NewListener(l, o.TLS)
-	}
+	return newServer(l, o), nil
+}
+
+// newServer returns a Server that accepts from the listener.
+func newServer(l net.Listener, o ServerOptions) *Server {
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Server{options: o, listener: l}, nil
+	l = listen.New(l, listen.Options{Name: "peers", Logger: o.Logger})
+	if o.TLS != nil {
+		l = tls.NewListener(l, o.TLS)
+	}
+	return &Server{options: o, listener: l}
 }
 
 // Addr returns the listener's address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Run serves sessions until the context ends, then closes them all and returns nil.
+// Run serves sessions until the context ends, then closes them all and returns nil. It goes on through a lack
+// of descriptors.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
 	defer stop()
--- a/telemetry/serve.go
+++ b/telemetry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"time"
 
@@ -11,6 +12,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"github.com/valyala/fasthttp/pprofhandler"
+
+	"github.com/basiltally/basiltally/listen"
 )
 
 // Settings is the [telemetry] section of a process's settings.
@@ -44,9 +47,11 @@
 	Ready func() error
 	// Handlers maps additional paths, which must match exactly, to their handlers.
 	Handlers map[string]fasthttp.RequestHandler
+	// Logger logs connections that cannot be accepted. Default slog.Default().
+	Logger *slog.Logger
 }
 
-// Serve runs the operators' HTTP server until ctx ends. It serves /healthz (the
+// Serve runs the operators' HTTP server until ctx ends, also through a lack of descriptors. It serves /healthz (the
 // process runs), /readyz (the process may serve callers), /metrics, the paths of
 // o.Handlers and, if o.Settings.Pprof is set, profiles.
 func Serve(ctx context.Context, o Options) error {
@@ -68,7 +73,9 @@
 		DisablePreParseMultipartForm: true,
 	}
 	done := make(chan error, 1)
-	go func() { done <- srv.Serve(ln) }()
+	go func() {
+		done <- srv.Serve(listen.New(ln, listen.Options{Name: "operators and readiness", Logger: o.Logger}))
+	}()
 	select {
 	case err := <-done:
 		return errors.Wrap(err, "operators' HTTP server")
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -50,6 +52,36 @@
 	is.NoErr(<-done)
 }
 
+// shortListener fails its first accepts for want of descriptors.
+type shortListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// The readiness endpoint ended at the first lack of descriptors, and never came back.
+func TestServeGoesOnAfterAShortageOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	ln := fasthttputil.NewInmemoryListener()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, Options{Listener: &shortListener{Listener: ln, failures: 3}}) }()
+	client := &fasthttp.Client{Dial: func(string) (net.Conn, error) { return ln.Dial() }}
+	code, _, err := client.GetTimeout(nil, "http://operators/readyz", 5*time.Second)
+	is.NoErr(err)
+	is.Equal(code, 200)
+	client.CloseIdleConnections()
+	cancel()
+	is.NoErr(<-done)
+}
+
 func TestClassHistogramBoundsSeries(t *testing.T) {
 	is := is.New(t)
 	reg := prometheus.NewRegistry()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,13 +8,13 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/basiltally/basiltally/bodies"
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/idleconn"
 )
 
@@ -120,7 +120,7 @@
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
 	cn, err := c.acquire(ctx, address, r)
 	if err != nil {
-		return nil, &Failure{Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
+		return nil, &Failure{Refused: evidence.Refused(err), Cause: err}
 	}
 	if r.Permit != nil {
 		if err := r.Permit(); err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -102,7 +102,7 @@
 	// Sent is set if a byte of the request may have reached the target, so that the target
 	// may have run the request.
 	Sent bool
-	// Refused is set if nothing listens at the target's address.
+	// Refused is set if the target's address refused the connection, which does not show that its process has ended.
 	Refused bool
 	// Reset is set if the connection ended without an answer.
 	Reset bool
