Refuse a request on all VMs after three targets crashed while they ran it

Cause: basiltally-node did not relate crashes to requests. Ruled out: a refused connection as proof (a cut refuses too, so three cases are asked for); the store as the way to share (another object to poll for each VM); two crashes (two targets lost at once would do). Change: gateway.CrashWatch, the quarantine shared through the assigner and kept in the store by it, and the refusal (1401, not run). Settings quarantine_crashes and quarantine_time. Tests: TestRequestThatCrashesTargetsIsRefusedAsNotRun fails without the CrashWatch; the others are new with their code.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -23,6 +23,7 @@
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/placing"
 	"github.com/basiltally/basiltally/platform"
+	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
 	"github.com/basiltally/basiltally/store"
@@ -87,6 +88,7 @@
 	upstream      *upstream.Client
 	peers         *peer.Client
 	agent         *shard.Agent
+	crashes       *gateway.CrashWatch
 	gateway       *gateway.Gateway
 	ingress       *ingress.Server
 	vmCount       vmCount
@@ -162,10 +164,14 @@
 	leases := shard.LeaseOptions{
 		LeaseDuration: min(s.Shard.LeaseDuration, s.Shard.MaxLeaseDuration), LongLeaseDuration: time.Duration(longLeaseShare * float64(s.Shard.MaxLeaseDuration)),
 	}
+	suspects := quarantine.New(quarantine.Options{
+		MinCrashes: s.Gateway.QuarantineCrashes, Duration: s.Gateway.QuarantineTime, AmbiguousDuration: s.Gateway.QuarantineTime, Registerer: n.registry, Logger: logger,
+	})
+	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{Tracker: suspects, Connected: n.upstream.Connected, Logger: logger})
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
-		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed,
+		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
 		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
 	n.eligibility = eligibility.New(eligibility.Options{
@@ -173,7 +179,7 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: n.eligibility, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter,
+		Directory: n.directory, Eligibility: n.eligibility, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes,
 		Registerer: n.registry, Logger: logger,
 	})
 	n.ingress = ingress.New(ingress.Options{
@@ -334,7 +340,9 @@
 }
 
 func (n *nodeProcess) targetsChanged() {
-	known := n.directory.Snapshot().ByID
+	snapshot := n.directory.Snapshot()
+	n.crashes.Observe(snapshot)
+	known := snapshot.ByID
 	n.balancer.Retain(func(id string) bool { return known[id] != nil })
 	n.eligibility.Retain(func(i fleet.Incarnation) bool { return known[i.ID] != nil && known[i.ID].Born == i.Born })
 }
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -11,15 +11,17 @@
 
 // GatewaySettings configures the callers' side of basiltally-node.
 type GatewaySettings struct {
-	Listen      string        `ini:"listen" required:"true" unit:"host:port" doc:"Address on which callers connect."`
-	ReadyListen string        `ini:"ready_listen" required:"true" unit:"host:port" doc:"Address of the readiness endpoint that the balancer requests."`
-	Regions     []string      `ini:"regions" required:"true" unit:"data_centre=region" doc:"The region of each data centre."`
-	LameDuck    time.Duration `ini:"lame_duck" default:"2200ms" unit:"duration" range:"0s..1m" doc:"How long new connections are still accepted after a stop has begun, so that the balancer can notice the stop."`
-	StopLimit   time.Duration `ini:"stop_limit" default:"6s" unit:"duration" range:"1s..24h" doc:"Time after which the platform ends a stopping process; requests still running shortly before it are cut off."`
-	DrainTime   time.Duration `ini:"drain_time" default:"2s" unit:"duration" range:"500ms..1m" doc:"How long a target takes requests after the store has its entry as draining. Shortly before its end the owner of a key gets no more of them."`
-	LinkMbps    float64       `ini:"link" default:"1000" unit:"Mbit/s" range:"0.1..1000000" doc:"Bandwidth of the VM; a VM with low bandwidth leaves the assigner's role to others."`
-	CPU         float64       `ini:"cpu" default:"1" unit:"cores" range:"0.01..1024" doc:"Processor of the VM; a VM with a small share of a core leaves the assigner's role to others."`
-	MemoryMB    int           `ini:"memory" default:"256" unit:"MB" range:"32..1048576" doc:"Memory of the VM; the garbage collector works harder as the process comes near it."`
+	Listen            string        `ini:"listen" required:"true" unit:"host:port" doc:"Address on which callers connect."`
+	ReadyListen       string        `ini:"ready_listen" required:"true" unit:"host:port" doc:"Address of the readiness endpoint that the balancer requests."`
+	Regions           []string      `ini:"regions" required:"true" unit:"data_centre=region" doc:"The region of each data centre."`
+	LameDuck          time.Duration `ini:"lame_duck" default:"2200ms" unit:"duration" range:"0s..1m" doc:"How long new connections are still accepted after a stop has begun, so that the balancer can notice the stop."`
+	StopLimit         time.Duration `ini:"stop_limit" default:"6s" unit:"duration" range:"1s..24h" doc:"Time after which the platform ends a stopping process; requests still running shortly before it are cut off."`
+	DrainTime         time.Duration `ini:"drain_time" default:"2s" unit:"duration" range:"500ms..1m" doc:"How long a target takes requests after the store has its entry as draining. Shortly before its end the owner of a key gets no more of them."`
+	LinkMbps          float64       `ini:"link" default:"1000" unit:"Mbit/s" range:"0.1..1000000" doc:"Bandwidth of the VM; a VM with low bandwidth leaves the assigner's role to others."`
+	CPU               float64       `ini:"cpu" default:"1" unit:"cores" range:"0.01..1024" doc:"Processor of the VM; a VM with a small share of a core leaves the assigner's role to others."`
+	QuarantineCrashes int           `ini:"quarantine_crashes" default:"3" unit:"crashes" range:"2..4" doc:"Number of targets' crashes while they ran the same request, from which all VMs refuse it."`
+	QuarantineTime    time.Duration `ini:"quarantine_time" default:"10m" unit:"duration" range:"1s..24h" doc:"How long such a request is refused after the latest crash."`
+	MemoryMB          int           `ini:"memory" default:"256" unit:"MB" range:"32..1048576" doc:"Memory of the VM; the garbage collector works harder as the process comes near it."`
 }
 
 // Validate returns an error if a value of regions is not of the form data_centre=region.
--- a/evidence/call.go
+++ b/evidence/call.go
@@ -32,3 +32,8 @@
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
 }
+
+// MayHaveCrashed reports whether a process that broke a connection off, or left a call unanswered, may have
+// crashed: its address refuses connections, or a later start of it is known. A cut that refuses
+// connections looks the same, so that nothing should rest on a single case.
+func MayHaveCrashed(refused, laterStart bool) bool { return refused || laterStart }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/placing"
+	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/result"
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
@@ -65,8 +66,10 @@
 	Upstream    *upstream.Client
 	Budget      *budget.Budget
 	KeyCounter  *KeyCounter
-	Registerer  prometheus.Registerer
-	Logger      *slog.Logger
+	// Crashes relates requests to crashes of targets. Nil does not.
+	Crashes    *CrashWatch
+	Registerer prometheus.Registerer
+	Logger     *slog.Logger
 }
 
 const (
@@ -184,6 +187,8 @@
 	// drawnForShare is set once it is decided whether the request belongs to the share of the
 	// requests for its key that are served.
 	drawnForShare bool
+	// content identifies what the request asks for, if Options.Crashes is set.
+	content quarantine.Fingerprint
 }
 
 func (g *Gateway) newCall(ctx context.Context, r *ingress.Request) *call {
@@ -227,6 +232,9 @@
 	if c.service = t.Service(name); c.service == nil {
 		return nil, configRefusal("service %q is not configured", name)
 	}
+	if e := g.refuseQuarantined(c); e != nil {
+		return nil, e
+	}
 	c.forwardedHeader = g.forwardHeader(c.req.Header)
 	g.opts.Budget.CountRequest(c.service.Name)
 	if !c.service.Keyed {
@@ -241,6 +249,21 @@
 	return g.serveKeyed(c)
 }
 
+// refuseQuarantined returns an error if the request has crashed targets, and else nil.
+func (g *Gateway) refuseQuarantined(c *call) *result.Error {
+	if g.opts.Crashes == nil {
+		return nil
+	}
+	c.content = c.fingerprint(g.opts.Headers.Key)
+	blocked, until := g.opts.Crashes.opts.Tracker.Quarantined(c.content)
+	if !blocked {
+		return nil
+	}
+	e := result.New(result.Quarantined, "several targets crashed while they ran this request")
+	e.RetryAfter = time.Until(until)
+	return e
+}
+
 // findRoute sets the call's route and deadline. It returns an error if no route serves the request.
 func (g *Gateway) findRoute(c *call) (*routing.Table, *result.Error) {
 	t := g.opts.Routes()
@@ -420,7 +443,14 @@
 	candidate := newCandidate(t)
 	number := g.opts.Balancer.Begin(&candidate)
 	c.tried = append(c.tried, t.ID)
+	if g.opts.Crashes != nil {
+		g.opts.Crashes.begin(t, c.content)
+	}
 	a, err := g.opts.Upstream.Do(ctx, t.Address, r)
+	if g.opts.Crashes != nil {
+		f, _ := err.(*upstream.Failure)
+		g.opts.Crashes.end(t, c.content, a, f, ctx.Err() != nil)
+	}
 	if err == nil && a.Statements != nil {
 		g.observe(c, t, a.Statements)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/placing"
+	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
@@ -90,6 +91,9 @@
 		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
+		Crashes: gateway.NewCrashWatch(gateway.CrashWatchOptions{
+			Tracker: quarantine.New(quarantine.Options{MinCrashes: 3}), Connected: f.upstream.Connected,
+		}),
 	})
 	return f
 }
@@ -171,6 +175,38 @@
 	w.WriteHeader(http.StatusInternalServerError)
 }
 
+// crashOn answers requests, and ends the target's process at one for the path.
+func crashOn(path string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != path {
+			answerOK(w, r)
+			return
+		}
+		server := r.Context().Value(http.ServerContextKey).(*http.Server)
+		server.Close()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// A request that crashes targets reached one after the other, and ended what others ran there.
+func TestRequestThatCrashesTargetsIsRefusedAsNotRun(t *testing.T) {
+	for _, path := range []string{"/unsafe/crash", "/safe/crash"} {
+		is := is.New(t)
+		f := newFixture(t, false, crashOn(path), crashOn(path), crashOn(path), crashOn(path), crashOn(path), crashOn(path))
+		var r *ingress.Response
+		for range 8 {
+			r = f.send(path, "")
+			is.True(r.Status == 502 || r.Status == 503)
+			time.Sleep(50 * time.Millisecond) // The addresses are looked at in the background.
+		}
+		is.Equal(r.Status, 503)
+		is.True(strings.Contains(string(r.Header), "1401"))
+		is.True(strings.Contains(string(r.Header), "Retry-After"))
+		is.True(f.requestsReceived() <= 4)
+		is.Equal(f.send("/safe/other", "").Status, 200)
+	}
+}
+
 func TestIdempotentRequestIsSentToAnotherTarget(t *testing.T) {
 	for name, h := range map[string]http.HandlerFunc{"lost answer": dropConnection, "failure": answerError, "target has no room": answerFull} {
 		t.Run(name, func(t *testing.T) {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -52,6 +52,9 @@
 type suspect struct {
 	crashes   []crash
 	clearedMS int64
+	// listed is set once the request was quarantined, so that a clearing is passed on as well. It is not
+	// part of the record.
+	listed bool
 }
 
 func (s *suspect) add(c crash) (changed bool) {
@@ -121,8 +124,17 @@
 
 // record returns the set as a message, in the order of fingerprints.
 func (set *suspectSet) record() *pb.Quarantine {
+	return set.recordOf(func(Fingerprint, *suspect) bool { return true })
+}
+
+// recordOf returns the suspects for which the function returns true as a message, in the order of
+// fingerprints.
+func (set *suspectSet) recordOf(which func(Fingerprint, *suspect) bool) *pb.Quarantine {
 	out := new(pb.Quarantine)
 	for fp, s := range set.byFingerprint {
+		if !which(fp, s) {
+			continue
+		}
 		m := &pb.QuarantineSuspect{Fingerprint: fp[:], ClearedMs: s.clearedMS}
 		for _, c := range s.crashes {
 			m.Crashes = append(m.Crashes, &pb.TargetCrash{Target: c.target, Incarnation: c.incarnation, AtMs: c.atMS})
@@ -172,13 +184,15 @@
 }
 
 // quarantined returns the requests that are quarantined at the time nowMS, in the order of
-// fingerprints. A suspect is quarantined for the duration certain or ambiguous after its latest crash.
-func (set *suspectSet) quarantined(nowMS int64, certain, ambiguous time.Duration) []ListedRequest {
+// fingerprints. A suspect of at least minCrashes is quarantined for the duration certain or ambiguous after its
+// latest crash.
+func (set *suspectSet) quarantined(nowMS int64, minCrashes int, certain, ambiguous time.Duration) []ListedRequest {
 	var list []ListedRequest
 	for fp, s := range set.byFingerprint {
-		if len(s.crashes) < 2 {
+		if len(s.crashes) < minCrashes {
 			continue
 		}
+		s.listed = true
 		e := ListedRequest{Fingerprint: fp, Crashes: len(s.crashes)}
 		e.Ambiguous = e.Crashes < certainCrashes && set.hasCoSuspect(fp, s)
 		duration := certain
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
+	"encoding/hex"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -13,6 +15,7 @@
 	"github.com/zeebo/xxh3"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/store"
@@ -29,6 +32,7 @@
 	DefaultWriteInterval     = time.Second
 	DefaultCallTimeout       = 2 * time.Second
 	DefaultWatchTimeout      = 30 * time.Second
+	DefaultMinCrashes        = 2
 )
 
 // Options configures a Tracker. Zero fields take their defaults.
@@ -42,6 +46,8 @@
 	// AmbiguousDuration replaces Duration for a request with fewer than three crashes,
 	// if another request ran during all of them. Default 1 min.
 	AmbiguousDuration time.Duration
+	// MinCrashes is the number of crashes from which a request is quarantined. Default 2, and 4 at most.
+	MinCrashes int
 	// Window is how long crashes are kept; it is raised to Duration if it is less.
 	// Default 30 min.
 	Window time.Duration
@@ -73,6 +79,7 @@
 		}
 	}
 	o.Window = max(o.Window, o.Duration)
+	o.MinCrashes = min(cmp.Or(o.MinCrashes, DefaultMinCrashes), maxCrashes)
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
@@ -80,20 +87,23 @@
 }
 
 // Evidence is what was observed after the connection to a target broke without an
-// answer. The target crashed if at least one field is set; a broken connection alone
-// does not show a crash.
+// answer. The target may have crashed if at least one field is set (evidence.MayHaveCrashed); a broken
+// connection alone shows nothing.
 type Evidence struct {
-	// Incarnation identifies the process of the target that has ended, if an answer of
-	// the next process showed that; zero if that is unknown.
+	// Incarnation identifies the process of the target that may have ended; zero if that is unknown.
 	Incarnation uint64
 	// CrashCounterRose is set if the target reports more crashes than before.
 	CrashCounterRose bool
 	// ConnectionRefused is set if the target's address refuses connections.
 	ConnectionRefused bool
+	// LaterStart is set if a later start of the target is known, or its entry has gone without notice.
+	LaterStart bool
+	// At is when the connection broke. Zero means now.
+	At time.Time
 }
 
 func (e Evidence) showsCrash() bool {
-	return e.Incarnation != 0 || e.CrashCounterRose || e.ConnectionRefused
+	return e.Incarnation != 0 || evidence.MayHaveCrashed(e.ConnectionRefused, e.CrashCounterRose || e.LaterStart)
 }
 
 // Tracker keeps track of the requests of this VM at their targets and of the
@@ -108,9 +118,14 @@
 	// running counts the requests in flight by target and fingerprint.
 	running  map[ownership.TargetID]map[Fingerprint]int
 	suspects *suspectSet
-	wake     chan struct{}
+	// changed has the suspects that this VM has changed since TakeChanges.
+	changed map[Fingerprint]struct{}
+	// listedVersion rises with each change of what Listed returns.
+	listedVersion uint64
+	wake          chan struct{}
 	// quarantinedUntil is replaced at each change, so that Quarantined takes no lock.
 	quarantinedUntil atomic.Pointer[map[Fingerprint]time.Time]
+	suspectCount     atomic.Int64
 }
 
 // New returns a Tracker and registers its metrics.
@@ -133,6 +148,7 @@
 		}),
 		running:  make(map[ownership.TargetID]map[Fingerprint]int),
 		suspects: newSuspectSet(),
+		changed:  make(map[Fingerprint]struct{}),
 		wake:     make(chan struct{}, 1),
 	}
 	t.quarantinedUntil.Store(new(map[Fingerprint]time.Time))
@@ -176,22 +192,30 @@
 
 func (t *Tracker) clear(fp Fingerprint) {
 	if t.suspects.getOrAdd(fp).clear(time.Now().UnixMilli()) {
+		t.changed[fp] = struct{}{}
 		t.refreshAndShare()
 	}
 }
 
 // Crashed makes all requests that are in flight at the target suspects, if the evidence
 // shows a crash. It may be called for each of them.
-func (t *Tracker) Crashed(target ownership.TargetID, evidence Evidence) {
-	if !evidence.showsCrash() {
+func (t *Tracker) Crashed(target ownership.TargetID, observed Evidence) {
+	if !observed.showsCrash() {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := crash{xxh3.HashString(string(target)), evidence.Incarnation, time.Now().UnixMilli()}
+	at := time.Now()
+	if !observed.At.IsZero() {
+		at = observed.At
+	}
+	c := crash{xxh3.HashString(string(target)), observed.Incarnation, at.UnixMilli()}
 	changed := false
 	for fp := range t.running[target] {
-		changed = t.suspects.getOrAdd(fp).add(c) || changed
+		if t.suspects.getOrAdd(fp).add(c) {
+			changed = true
+			t.changed[fp] = struct{}{}
+		}
 	}
 	if changed {
 		t.crashes.Inc()
@@ -216,7 +240,7 @@
 }
 
 func (t *Tracker) listQuarantined() []ListedRequest {
-	return t.suspects.quarantined(time.Now().UnixMilli(), t.opts.Duration, t.opts.AmbiguousDuration)
+	return t.suspects.quarantined(time.Now().UnixMilli(), t.opts.MinCrashes, t.opts.Duration, t.opts.AmbiguousDuration)
 }
 
 // Release ends the quarantine of the request on all VMs and clears its crashes. It
@@ -243,6 +267,53 @@
 	return t.suspects.record()
 }
 
+// TakeChanges returns the suspects that this VM itself has changed since the last call, for Merge on another
+// VM. It returns nil if there are none.
+func (t *Tracker) TakeChanges() *pb.Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.changed) == 0 {
+		return nil
+	}
+	r := t.suspects.recordOf(func(fp Fingerprint, _ *suspect) bool {
+		_, ok := t.changed[fp]
+		return ok
+	})
+	clear(t.changed)
+	return r
+}
+
+// RepeatChanges makes TakeChanges return all suspects of the last age, and all that Listed returns, once more,
+// for a VM that may not have them.
+func (t *Tracker) RepeatChanges(age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for fp, s := range t.suspects.byFingerprint {
+		if s.listed || s.lastMS() >= time.Now().Add(-age).UnixMilli() {
+			t.changed[fp] = struct{}{}
+		}
+	}
+}
+
+// Listed returns the record of the requests that are quarantined or were so lately, and a version that rises
+// with each change of it.
+func (t *Tracker) Listed() (*pb.Quarantine, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.recordOf(func(_ Fingerprint, s *suspect) bool { return s.listed }), t.listedVersion
+}
+
+// ListedVersion returns the version of what Listed returns. It is zero before the first request is
+// quarantined.
+func (t *Tracker) ListedVersion() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listedVersion
+}
+
+// HasSuspects reports whether any request is suspected.
+func (t *Tracker) HasSuspects() bool { return t.suspectCount.Load() > 0 }
+
 // refreshAndShare calls refresh and makes Run share the record. The caller must hold t.mu.
 func (t *Tracker) refreshAndShare() {
 	t.refresh()
@@ -260,9 +331,13 @@
 	for _, e := range t.listQuarantined() {
 		quarantined[e.Fingerprint] = e.Until
 		if _, known := earlier[e.Fingerprint]; !known {
-			t.opts.Logger.Warn("request quarantined", "crashes", e.Crashes, "ambiguous", e.Ambiguous, "until", e.Until)
+			t.opts.Logger.Warn("request quarantined", "fingerprint", hex.EncodeToString(e.Fingerprint[:]), "crashes", e.Crashes, "ambiguous", e.Ambiguous, "until", e.Until)
 		}
 	}
+	if len(quarantined) > 0 || len(earlier) > 0 {
+		t.listedVersion++
+	}
+	t.suspectCount.Store(int64(len(t.suspects.byFingerprint)))
 	t.quarantinedUntil.Store(&quarantined)
 	t.quarantinedGauge.Set(float64(len(quarantined)))
 }
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -20,6 +20,7 @@
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/peer"
+	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/store"
 	"github.com/basiltally/basiltally/store/relayfeed"
 )
@@ -39,6 +40,9 @@
 	Services func() ([]string, bool)
 	// Report returns the loads and target states that this VM reports to the assigner.
 	Report func() *pb.ShardReport
+	// Suspects holds the requests that crash targets, which the VMs share through the assigner. If it is nil,
+	// none are shared.
+	Suspects *quarantine.Tracker
 	// OnVMs is called with the addresses of the serving VMs when their list is updated.
 	OnVMs func([]string)
 	// OnTargets is called with changed target states, which combine the reports of all VMs.
@@ -99,6 +103,9 @@
 	// delayedCheckAfter is the time without a confirmation from which VMs with a
 	// take-over delay check as well.
 	delayedCheckAfter = 15 * time.Second
+	// suspectAge is the age up to which a VM reports suspected requests again to an assigner that it begins
+	// to follow. It covers the loss of the assigner that has them.
+	suspectAge = time.Minute
 	// announceParallelism is the largest number of announcements sent at the same time.
 	announceParallelism = 16
 	// readTablesAfter is how long a VM that starts waits for tables from the assigner before it reads
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -87,6 +87,8 @@
 	// tables and vms are the tables and the list of VMs last sent to the followers.
 	tables map[string]*Table
 	vms    []string
+	// suspectsSent is the version of the requests that crash targets that was last sent to the followers.
+	suspectsSent uint64
 }
 
 // serviceState is the assigner's state of one keyed service.
@@ -156,6 +158,10 @@
 	defer close(a.done)
 	defer a.stop(nil)
 	go a.confirmRole(ctx, r, version)
+	if suspects := a.agent.opts.Suspects; suspects != nil {
+		keeper := suspectsKeeper{agent: a.agent, tracker: suspects}
+		go keeper.run(ctx)
+	}
 	tick := time.NewTicker(assignerTick)
 	defer tick.Stop()
 	lastReport, lastUpdate := boottime.Now(), boottime.Now()
@@ -546,6 +552,7 @@
 	if a.predecessor.testifies(r) && a.predecessor.stopped(now, a.agent.opts.Leases.OrderTimeout) {
 		a.limitPredecessor(now)
 	}
+	a.agent.mergeSuspects(r.GetSuspects())
 	for _, sl := range r.GetLoads() {
 		s := a.services[sl.GetService()]
 		if s == nil || len(sl.GetKeys()) != len(sl.GetCounts()) {
@@ -624,6 +631,9 @@
 	a.followers[f] = struct{}{}
 	u := a.updateLocked()
 	u.Vms = a.vmsLocked()
+	if suspects := a.agent.opts.Suspects; suspects != nil && suspects.ListedVersion() > 0 {
+		u.Suspects, _ = suspects.Listed()
+	}
 	for service, t := range a.tables {
 		u.Tables = append(u.Tables, tableToProto(service, t))
 	}
@@ -747,6 +757,7 @@
 	a.startRelayLocked()
 	common := a.updateLocked()
 	vms := a.takeChangedVMsLocked()
+	common.Suspects = a.takeChangedSuspectsLocked()
 	var allTargets []*pb.TargetState
 	for f := range a.followers {
 		u := proto.Clone(common).(*pb.ShardUpdate)
@@ -777,6 +788,18 @@
 	}
 }
 
+// takeChangedSuspectsLocked returns the requests that crash targets if they changed since the last call, else
+// nil. The caller holds mu.
+func (a *assigner) takeChangedSuspectsLocked() *pb.Quarantine {
+	suspects := a.agent.opts.Suspects
+	if suspects == nil || suspects.ListedVersion() == a.suspectsSent {
+		return nil
+	}
+	r, version := suspects.Listed()
+	a.suspectsSent = version
+	return r
+}
+
 // takeChangedVMsLocked returns the list of VMs if it changed since the last call, else nil.
 // The caller holds mu.
 func (a *assigner) takeChangedVMsLocked() []string {
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -53,6 +53,9 @@
 	a.cancelFollow = cancel
 	a.mu.Unlock()
 	a.readStoreDirectly()
+	if a.opts.Suspects != nil {
+		a.opts.Suspects.RepeatChanges(suspectAge)
+	}
 	go a.sendReports(ctx, s)
 	defer func() {
 		a.setFollowing("")
@@ -181,10 +184,18 @@
 		a.publish(m.GetService(), t)
 	}
 	a.setVMs(u.GetVms())
+	a.mergeSuspects(u.GetSuspects())
 	a.notifyTargets(u.GetTargets())
 	return true
 }
 
+// mergeSuspects adds the requests of another VM that crash targets.
+func (a *Agent) mergeSuspects(r *pb.Quarantine) {
+	if a.opts.Suspects != nil && r != nil {
+		a.opts.Suspects.Merge(r)
+	}
+}
+
 func (a *Agent) notifyTargets(targets []*pb.TargetState) {
 	if a.opts.OnTargets != nil && len(targets) > 0 {
 		a.opts.OnTargets(targets)
@@ -225,6 +236,9 @@
 	a.mu.Lock()
 	r.Vm, r.KnownTerm = a.opts.VM, a.knownTerm
 	a.mu.Unlock()
+	if a.opts.Suspects != nil {
+		r.Suspects = a.opts.Suspects.TakeChanges()
+	}
 	if a.opts.Feed != nil {
 		for prefix, at := range a.opts.Feed.KnownRevisions() {
 			r.Known = append(r.Known, &pb.FeedPosition{Prefix: prefix, At: uint64(at)})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -170,6 +170,14 @@
 	return addresses
 }
 
+// Connected reports whether an idle connection to the address is open.
+func (c *Client) Connected(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	return p != nil && slices.ContainsFunc(p.idle, func(cn *conn) bool { return c.usable(cn, 0) })
+}
+
 // acquire returns an idle connection or opens one. While all are in use, it waits for up
 // to r.MaxWait and then returns ErrBusy.
 func (c *Client) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
