--- a/bodies/bodies.go
+++ b/bodies/bodies.go
@@ -27,6 +27,9 @@
 	pieceBytes = 64 << 10
 	// maxTrailerLines bounds the trailer of a chunked body.
 	maxTrailerLines = 64
+	// knownShare is the share of a Memory that bodies without a stated length may not take beyond their first
+	// pieceBytes. Some bodies of a faulty sender that have no end then leave room for the others.
+	knownShare = 0.25
 )
 
 // Memory counts the bytes that bodies take. It is safe for concurrent use.
@@ -41,9 +44,9 @@
 // Used returns the number of bytes that bodies take at present.
 func (m *Memory) Used() int64 { return m.used.Load() }
 
-// reserve adds n bytes. It returns false, and adds nothing, if that would exceed the bound.
-func (m *Memory) reserve(n int) bool {
-	if m.used.Add(int64(n)) > m.max {
+// reserve adds n bytes. It returns false, and adds nothing, if more than bound would then be used.
+func (m *Memory) reserve(n int, bound int64) bool {
+	if m.used.Add(int64(n)) > bound {
 		m.used.Add(int64(-n))
 		return false
 	}
@@ -78,7 +81,7 @@
 	if n > max {
 		return nil, ErrTooLong
 	}
-	if !m.reserve(n) {
+	if !m.reserve(n, m.max) {
 		return nil, ErrNoMemory
 	}
 	b := &Body{Data: make([]byte, n), memory: m, reserved: n}
@@ -97,8 +100,8 @@
 func (m *Memory) ReadAll(r io.Reader, max int) (*Body, error) {
 	var data bytes.Buffer
 	b := &Body{memory: m}
-	for {
-		if !m.reserve(pieceBytes) {
+	for bound := m.max; ; bound = m.max - int64(knownShare*float64(m.max)) {
+		if !m.reserve(pieceBytes, bound) {
 			b.Release()
 			return nil, ErrNoMemory
 		}
