Give the role up after the last orders, and pause after a refused first record

Cause: confirmRole gave the role up while stepDown still sent renewals, and grants of the usual kind were in flight; act sent the record again with each tick. Ruled out: a longer bound at the successor (the role says that the holder has stopped, evidence.Resignation). Change: confirmRole waits for run, which waits for the grants in flight; a refused record is repeated after 250 to 750 ms.

--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -161,3 +164,107 @@
 	p = newPredecessor(given, now+1200*time.Millisecond, 0, now+1200*time.Millisecond)
 	is.Equal(p.until, now+1500*time.Millisecond)
 }
+
+// slowOrders takes a while for each order.
+type slowOrders struct{ inFlight, sent atomic.Int64 }
+
+func (o *slowOrders) send() {
+	o.sent.Add(1)
+	o.inFlight.Add(1)
+	time.Sleep(100 * time.Millisecond)
+	o.inFlight.Add(-1)
+}
+
+func (o *slowOrders) Grant(context.Context, Holder, Grant, time.Duration) error {
+	o.send()
+	return nil
+}
+
+func (o *slowOrders) Release(context.Context, Holder, KeyRange, uint64, time.Duration) (string, error) {
+	o.send()
+	return "", nil
+}
+
+func (o *slowOrders) CloseIdle(string) {}
+
+// resignationStore records how many orders were in flight when the role was given up.
+type resignationStore struct {
+	store.Store
+	orders   *slowOrders
+	inFlight chan int64
+}
+
+func (s *resignationStore) Put(ctx context.Context, key string, value []byte, v store.Version) (store.Version, error) {
+	var r role
+	if key == RoleKey && json.Unmarshal(value, &r) == nil && r.VM == "" {
+		s.inFlight <- s.orders.inFlight.Load()
+	}
+	return s.Store.Put(ctx, key, value, v)
+}
+
+// The last renewals of an assigner that stops were sent for up to a second after it had given the role up, and a
+// successor that took it over counted them too short.
+func TestRoleIsGivenUpAfterTheLastOrders(t *testing.T) {
+	is := is.New(t)
+	orders := &slowOrders{}
+	stored := &resignationStore{Store: memstore.New(memstore.Options{}), orders: orders, inFlight: make(chan int64, 1)}
+	record := &Record{Term: 1, NextFence: 1, Ranges: []RangeRecord{{Keys: KeyRange{0, LastKey}, Owner: Holder{ID: "t", Address: "a", Born: 1}}}}
+	data, err := record.Encode()
+	is.NoErr(err)
+	_, err = stored.Store.Put(t.Context(), RangePrefix+"s", data, 0)
+	is.NoErr(err)
+	a := NewAgent(AgentOptions{
+		VM: "vm", Address: "127.0.0.1:2", Store: stored, Orders: orders, RoleLease: 900 * time.Millisecond,
+		Leases:    LeaseOptions{OrderTimeout: 150 * time.Millisecond},
+		Directory: fleet.NewDirectory(fleet.DirectoryOptions{}), Peers: peer.NewClient(peer.ClientOptions{VM: "vm", Role: "test"}),
+		Services: func() ([]string, bool) { return []string{"s"}, true }, Report: func() *pb.ShardReport { return &pb.ShardReport{} },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = a.Run(ctx) // Returns nil.
+	}()
+	for end := time.Now().Add(10 * time.Second); orders.sent.Load() < 2; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	a.Resign()
+	select {
+	case n := <-stored.inFlight:
+		is.Equal(n, int64(0))
+	case <-time.After(5 * time.Second):
+		t.Fatal("the role was not given up")
+	}
+	cancel()
+	<-done
+}
+
+// refusingStore refuses to write records of ranges.
+type refusingStore struct {
+	store.Store
+	refused atomic.Int64
+}
+
+func (s *refusingStore) Put(ctx context.Context, key string, value []byte, v store.Version) (store.Version, error) {
+	if strings.HasPrefix(key, RangePrefix) {
+		s.refused.Add(1)
+		return 0, store.ErrUnavailable
+	}
+	return s.Store.Put(ctx, key, value, v)
+}
+
+// The first record of a term was sent again with each tick, 40 times a second, while the store refused it.
+func TestRefusedFirstRecordIsRepeatedWithAPause(t *testing.T) {
+	is := is.New(t)
+	stored := &refusingStore{Store: memstore.New(memstore.Options{})}
+	a := NewAgent(AgentOptions{
+		VM: "vm", Address: "127.0.0.1:2", Store: stored, Orders: &slowOrders{},
+		Directory: fleet.NewDirectory(fleet.DirectoryOptions{}), Peers: peer.NewClient(peer.ClientOptions{VM: "vm", Role: "test"}),
+		Services: func() ([]string, bool) { return []string{"s"}, true }, Report: func() *pb.ShardReport { return &pb.ShardReport{} },
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	is.NoErr(a.Run(ctx))
+	is.True(stored.refused.Load() >= 2)
+	is.True(stored.refused.Load() <= int64(2*time.Second/(planRetryPause/2))+1)
+}
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	mathrand "math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,7 @@
 	assignerTick = 25 * time.Millisecond
 	// planInterval is the interval between two plans.
 	planInterval = 200 * time.Millisecond
-	// planRetryPause is the pause after a record that could not be written to the store.
+	// planRetryPause is the mean pause after a record that could not be written to the store.
 	planRetryPause = 500 * time.Millisecond
 	// recordInterval is the least time between two records that only drop former
 	// owners.
@@ -73,6 +74,8 @@
 	ctx              context.Context
 	done             chan struct{}
 
+	// grants counts the grants in flight.
+	grants  sync.WaitGroup
 	results chan serviceResult
 	saves   chan saveResult
 	reports chan *pb.ShardReport
@@ -170,6 +173,7 @@
 		case <-ctx.Done():
 			if context.Cause(ctx) == errStopping {
 				a.stepDown(context.WithoutCancel(ctx))
+				a.grants.Wait()
 			}
 			return context.Cause(ctx)
 		case r := <-a.results:
@@ -256,12 +260,14 @@
 }
 
 // confirmRole renews the role in the store at intervals until the context ends or
-// another VM supersedes this one. When the context ends, it gives the role up.
+// another VM supersedes this one. When run has ended, it gives the role up.
 func (a *assigner) confirmRole(ctx context.Context, r role, version store.Version) {
 	interval := a.agent.opts.RoleLease / 3
 	for {
 		pause(ctx, interval)
 		if ctx.Err() != nil {
+			// A successor acts at once when the role is given up, so the last orders come first.
+			<-a.done
 			a.releaseRole(ctx, version)
 			return
 		}
@@ -387,7 +393,7 @@
 	case errors.Is(r.err, store.ErrConflict):
 		a.stop(errSuperseded)
 	default:
-		s.nextPlan = boottime.Now() + planRetryPause
+		s.nextPlan = boottime.Now() + planRetryPause/2 + mathrand.N(planRetryPause)
 		s.leases.recordOutdated = true
 		a.agent.opts.Logger.Warn("could not write record of ranges", "service", r.service, "error", r.err.Error())
 	}
@@ -403,7 +409,9 @@
 			continue
 		}
 		if !s.written {
-			a.save(ctx, s, s.leases.Record())
+			if now >= s.nextPlan {
+				a.save(ctx, s, s.leases.Record())
+			}
 			continue
 		}
 		if s.leases.PredecessorActs(now) {
@@ -416,6 +424,9 @@
 		s.leases.SetStoreOutage(outage, now)
 		if a.maySendOrders(now) {
 			for _, o := range s.leases.DueOrders(now) {
+				if !o.Release {
+					a.grants.Add(1)
+				}
 				go a.sendAndReport(ctx, s.name, o)
 			}
 		}
@@ -508,6 +519,9 @@
 // sendAndReport sends an order and passes its result to run.
 func (a *assigner) sendAndReport(ctx context.Context, service string, o Order) {
 	r := a.sendOrder(ctx, o)
+	if !o.Release {
+		a.grants.Done()
+	}
 	a.logOrder(service, r)
 	select {
 	case a.results <- serviceResult{service, r}:
