Reserve further fencing tokens before half of them are used

Could happen: an assigner without a move for 2^20 renewals, 7.7 h at 38 ranges, sends no order any more (read by the review). Cause: only a record with a move reserved further tokens. Ruled out: a larger block (later, but the same). Change: Propose writes a record without moves when half of the block is used. Tests: TestRenewalsNeverRunOutOfFencingTokens fails before: 4 of 38 renewals are due after 7h39m54s. With the race detector and -short only its part with 38 ranges runs.

--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -151,8 +151,8 @@
 	predecessorUntil time.Duration
 }
 
-// fenceReserve is the number of fencing tokens that one write of the record reserves.
-// It is large enough for the renewals during any outage of the store.
+// fenceReserve is the number of fencing tokens that one write of the record reserves. When half of them are
+// used, the next write is due; the other half is enough for the renewals during any outage of the store.
 const fenceReserve = 1 << 20
 
 // NewLeaseManager returns a LeaseManager that takes over the record at the instant now.
@@ -249,10 +249,11 @@
 }
 
 // Propose returns a record in which the moves are made, to be written to the store. The
-// moves take effect when FinishProposal(true) is called. Propose returns nil if there
-// are no moves, or while another proposal is being written.
+// moves take effect when FinishProposal(true) is called. The record reserves further fencing tokens; if
+// many are used, there may be no moves. Propose returns nil if there is nothing to propose, or while
+// another proposal is being written.
 func (lm *LeaseManager) Propose(moves []Move, now time.Duration) *Record {
-	if lm.proposed != nil || len(moves) == 0 {
+	if lm.proposed != nil || len(moves) == 0 && lm.FencesLeft() > fenceReserve/2 {
 		return nil
 	}
 	lm.proposedReserved = lm.nextFence + fenceReserve
@@ -475,6 +476,9 @@
 	return lm.nextFence - 1
 }
 
+// FencesLeft returns the number of reserved fencing tokens that are not used yet.
+func (lm *LeaseManager) FencesLeft() uint64 { return lm.reserved - min(lm.nextFence, lm.reserved) }
+
 // fencesExhausted reports whether all reserved fencing tokens are used. No order can be
 // sent then until the next record is written.
 func (lm *LeaseManager) fencesExhausted() bool { return lm.nextFence >= lm.reserved }
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -85,3 +85,44 @@
 	is.Equal(len(lm.DueOrders(2*time.Second-1)), 0)
 	is.Equal(len(lm.DueOrders(2*time.Second)), 1)
 }
+
+// An assigner without moves used up its fencing tokens after 2^20 renewals, and sent no order any more: all leases
+// ended until the next move.
+func TestRenewalsNeverRunOutOfFencingTokens(t *testing.T) {
+	for _, tt := range []struct {
+		ranges int
+		length time.Duration
+	}{{38, 8 * time.Hour}, {1000, 18 * time.Minute}} {
+		if testing.Short() && tt.ranges > 38 {
+			continue
+		}
+		record := &Record{Term: 1, NextFence: 1}
+		size := (int(LastKey) + 1) / tt.ranges
+		for i := range tt.ranges {
+			keys := KeyRange{Key(i * size), Key((i+1)*size - 1)}
+			// Neighbours have other owners, so that they are not merged.
+			record.Ranges = append(record.Ranges, RangeRecord{Keys: keys, Owner: Holder{ID: string(rune('a' + i%2)), Address: "x"}})
+		}
+		lm := NewLeaseManager(LeaseOptions{}, 2, record, 0, 0)
+		highest := uint64(0)
+		for now := time.Duration(0); now < tt.length; now += time.Second {
+			orders := lm.DueOrders(now)
+			if len(orders) != tt.ranges {
+				t.Fatalf("%d of %d renewals are due after %v", len(orders), tt.ranges, now)
+			}
+			for _, o := range orders {
+				if o.Fence <= highest {
+					t.Fatalf("token %d was used after %d", o.Fence, highest)
+				}
+				highest = o.Fence
+				lm.HandleResult(Result{Order: o}, now)
+			}
+			if r := lm.Propose(nil, now); r != nil {
+				if r.NextFence <= highest {
+					t.Fatalf("the record reserves tokens up to %d, and %d is used", r.NextFence, highest)
+				}
+				lm.FinishProposal(true)
+			}
+		}
+	}
+}
