Hold a SIGHUP that comes before its handler is set

Could happen: a SIGHUP during the start ended the process (read by the review). Ruled out: setting the handler first in RunNode (the settings are read before).

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -44,6 +44,7 @@
 // MainReloading is like Main, for a process that applies changed settings while it runs.
 // The function that run receives reads and checks the settings file again.
 func MainReloading[S any](name string, s *S, run func(context.Context, *S, func() (*S, error)) error) {
+	holdHangups()
 	var cli commandLine
 	k := kong.Parse(&cli, kong.Name(name), kong.Description(description), kong.Vars{"version": telemetry.Version()})
 	if cli.PrintDefaults {
@@ -71,6 +72,10 @@
 	}
 }
 
+// holdHangups keeps a SIGHUP from ending the process, which is the default, before its handler is set. The settings
+// are read after that, and a process that reloads them also does so without a signal.
+func holdHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 // signalContext returns a context that ends at the first SIGTERM or SIGINT. A later SIGINT
 // ends the process at once. A later SIGTERM is ignored, since whoever stops the process may
 // send it more than once.
