Ask evidence on all paths that conclude from a failed call

Cause: httpcall, upstream, gateway and follow each decided for themselves what an error shows of a call; evidence.Call was defined and not asked. Change: they ask evidence. closeForStop is closeWhenIdle now, since a lack of room calls it as well; an unused accessor of the quarantine is gone.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -92,7 +92,7 @@
 
 // end records how the exchange ended. abandoned is set if this VM ended it.
 func (w *CrashWatch) end(t *fleet.Target, fp quarantine.Fingerprint, a *upstream.Answer, f *upstream.Failure, abandoned bool) {
-	if f == nil || !f.Sent || abandoned {
+	if f == nil || !f.Call().MayBeDone() || abandoned {
 		w.opts.Tracker.Finished(trackerID(t.Incarnation()), fp, f == nil && !a.NotRun)
 		return
 	}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -130,7 +130,7 @@
 				time.Sleep(doubtTime + time.Second)
 				c.watch.Observe(&fleet.Snapshot{}) // Too late to have to do with it.
 				is.True(!c.refused(crashing))
-				is.True(!c.tracker.HasSuspects())
+				is.Equal(len(c.tracker.Snapshot().Suspects), 0)
 			})
 		})
 	}
@@ -162,7 +162,7 @@
 		}
 		synctest.Wait()
 		is.Equal(c.dials, 0)
-		is.True(!c.tracker.HasSuspects())
+		is.Equal(len(c.tracker.Snapshot().Suspects), 0)
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -532,7 +532,7 @@
 }
 
 func (g *Gateway) classifyFailure(c *call, t *fleet.Target, f *upstream.Failure) (placing.Outcome, step) {
-	if !f.Sent {
+	if !f.Call().MayBeDone() {
 		if f.Cause == upstream.ErrBusy {
 			return placing.Outcome{Refused: true}, stepFull
 		}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -188,10 +188,10 @@
 	return c.lastActive, idle
 }
 
-// closeForStop is called repeatedly during a stop. It begins to close an idle connection.
-// On a connection with pending requests no further ones are accepted, so the caller has to
+// closeWhenIdle begins to close the connection if it is idle. A stop calls it repeatedly, and makeRoom once. On
+// a connection with pending requests no further ones are accepted, so the caller has to
 // send again what it sent after them.
-func (c *conn) closeForStop() {
+func (c *conn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending > 0 && !c.receiving && !c.closing {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -179,7 +179,7 @@
 	s.closeListener(ln)
 	time.AfterFunc(lateRequestAfter, func() { s.refusing.Store(true) })
 	for s.openConnections() > 0 && time.Since(started) < s.opts.StopLimit {
-		s.forEachConn((*conn).closeForStop)
+		s.forEachConn((*conn).closeWhenIdle)
 		time.Sleep(stopPoll)
 	}
 	if n := s.openConnections(); n > 0 {
@@ -272,7 +272,7 @@
 	})
 	closing := oldest(idle, roomPerPause)
 	for _, c := range closing {
-		c.closeForStop()
+		c.closeWhenIdle()
 	}
 	s.opts.Logger.Warn("callers take all the connections that they may", "connections", open, "limit", s.opts.MaxConnections,
 		"idle", len(idle), "closing", len(closing))
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -125,7 +125,6 @@
 	wake          chan struct{}
 	// quarantinedUntil is replaced at each change, so that Quarantined takes no lock.
 	quarantinedUntil atomic.Pointer[map[Fingerprint]time.Time]
-	suspectCount     atomic.Int64
 }
 
 // New returns a Tracker and registers its metrics.
@@ -311,9 +310,6 @@
 	return t.listedVersion
 }
 
-// HasSuspects reports whether any request is suspected.
-func (t *Tracker) HasSuspects() bool { return t.suspectCount.Load() > 0 }
-
 // refreshAndShare calls refresh and makes Run share the record. The caller must hold t.mu.
 func (t *Tracker) refreshAndShare() {
 	t.refresh()
@@ -337,7 +333,6 @@
 	if len(quarantined) > 0 || len(earlier) > 0 {
 		t.listedVersion++
 	}
-	t.suspectCount.Store(int64(len(t.suspects.byFingerprint)))
 	t.quarantinedUntil.Store(&quarantined)
 	t.quarantinedGauge.Set(float64(len(quarantined)))
 }
--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/store"
 )
 
@@ -125,7 +126,7 @@
 // any time.
 func (f *Follower) recordFailure(err error) time.Duration {
 	f.failures++
-	if isTimeout(err) {
+	if evidence.LosesWaitingCalls(err) {
 		// The store did not answer during the whole call, and entries may have expired
 		// meanwhile.
 		f.failures = max(f.failures, failuresUntilLost)
@@ -140,11 +141,6 @@
 	return wait/2 + rand.N(wait/2+1)
 }
 
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
 // recordSuccess resets the count of failures and calls StoreRestored if the store was lost.
 func (f *Follower) recordSuccess() {
 	f.failures = 0
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/evidence"
 	"github.com/basiltally/basiltally/store"
 )
 
@@ -215,17 +216,21 @@
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
-// writeErrorKind returns store.ErrUnavailable for a transport error that occurred before
-// the write was sent, and store.ErrUnknown for any other.
+// writeErrorKind returns the error of package store for a write that ended with a transport error.
 func writeErrorKind(err error) error {
-	var notSent *dialError
-	if errors.As(err, &notSent) {
-		return store.ErrUnavailable
+	if callOf(err).MayBeDone() {
+		return store.ErrUnknown
 	}
-	if errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, errNotSent) {
-		return store.ErrUnavailable
+	return store.ErrUnavailable
+}
+
+// callOf returns what a transport error shows of the call.
+func callOf(err error) evidence.Call {
+	var notSent *dialError
+	if errors.As(err, &notSent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, errNotSent) {
+		return evidence.NotSent
 	}
-	return store.ErrUnknown
+	return evidence.Unanswered
 }
 
 // errNotSent reports that a call ended before it was sent.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/bodies"
+	"github.com/basiltally/basiltally/evidence"
 )
 
 // Headers are the names of the headers between the router and the targets.
@@ -114,6 +115,14 @@
 	Cause error
 }
 
+// Call returns what the failure shows of the request.
+func (f *Failure) Call() evidence.Call {
+	if f.Sent {
+		return evidence.Unanswered
+	}
+	return evidence.NotSent
+}
+
 // Error implements error.
 func (f *Failure) Error() string {
 	switch {
