--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -213,6 +214,8 @@
 		}
 		panic(http.ErrAbortHandler)
 	case Swallow:
+		// The end of the connection is noticed only once the body has been read. An error means that it has ended.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
