Send orders at once after a predecessor that has settled

Cause: the successor waited one order's time-out (0.8 s) also after a predecessor of which no order is in flight: one whose process has started again, or that has stopped and says so. Change: an assigner waits for its grants in flight whenever it stops, before it gives the role up or reports to another; the role says that it has settled.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -426,7 +426,7 @@
 // releaseEarlierRole gives up the role that an earlier start of this VM had, so that
 // other VMs can take it over.
 func (a *Agent) releaseEarlierRole(ctx context.Context, r role, version store.Version) {
-	if _, err := putRole(ctx, a.opts.Store, role{Term: r.Term, EarlierActsForMs: r.EarlierActsForMs}, version); err != nil {
+	if _, err := putRole(ctx, a.opts.Store, role{Term: r.Term, EarlierActsForMs: r.EarlierActsForMs, Settled: true}, version); err != nil {
 		a.opts.Logger.Info("could not give up the role of an earlier start", "term", r.Term, "error", err.Error())
 		return
 	}
@@ -466,7 +466,9 @@
 // it resigns or the context ends.
 func (a *Agent) takeOver(ctx context.Context, old role, version store.Version, v vacancy) {
 	start := boottime.Now()
-	p := newPredecessor(old, v.actsUntil, a.opts.Leases.OrderTimeout, start)
+	// A later start of a process finds none of its orders in flight: their connections were reset with its end.
+	settled := v.sign == evidence.Testimony || v.sign == evidence.Resignation && old.Settled
+	p := newPredecessor(old, v.actsUntil, a.opts.Leases.OrderTimeout, settled, start)
 	r := role{VM: a.opts.VM, Incarnation: a.incarnation, Address: a.opts.Address, Term: old.Term + 1}
 	r.setEarlier(p.until, start)
 	version, err := putRole(ctx, a.opts.Store, r, version)
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -173,8 +173,9 @@
 		case <-ctx.Done():
 			if context.Cause(ctx) == errStopping {
 				a.stepDown(context.WithoutCancel(ctx))
-				a.grants.Wait()
 			}
+			// A successor acts as soon as this VM gives the role up, or reports to it.
+			a.grants.Wait()
 			return context.Cause(ctx)
 		case r := <-a.results:
 			if s := a.services[r.service]; s != nil {
@@ -266,7 +267,6 @@
 	for {
 		pause(ctx, interval)
 		if ctx.Err() != nil {
-			// A successor acts at once when the role is given up, so the last orders come first.
 			<-a.done
 			a.releaseRole(ctx, version)
 			return
@@ -300,7 +300,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	given := role{Term: a.term}
+	given := role{Term: a.term, Settled: true}
 	given.setEarlier(time.Duration(a.predecessorUntil.Load()), boottime.Now())
 	if _, err := putRole(ctx, a.agent.opts.Store, given, version); err != nil {
 		a.agent.opts.Logger.Info("could not give up the role", "error", err.Error())
@@ -563,7 +563,7 @@
 // leases of the targets that the VM could not reach.
 func (a *assigner) applyReport(r *pb.ShardReport) {
 	now := boottime.Now()
-	if a.predecessor.testifies(r) && a.predecessor.stopped(now, a.agent.opts.Leases.OrderTimeout) {
+	if a.predecessor.testifies(r) && a.predecessor.stopped(now) {
 		a.limitPredecessor(now)
 	}
 	a.agent.mergeSuspects(r.GetSuspects())
--- a/shard/predecessor.go
+++ b/shard/predecessor.go
@@ -18,9 +18,12 @@
 	earlierUntil time.Duration
 }
 
-// newPredecessor returns the predecessor that wrote the role r. It may act until the instant, and an
-// order is in flight for orderTimeout at most.
-func newPredecessor(r role, actsUntil, orderTimeout, now time.Duration) predecessor {
+// newPredecessor returns the predecessor that wrote the role r. It may act until the instant. Unless it has
+// settled, an order is in flight for orderTimeout at most.
+func newPredecessor(r role, actsUntil, orderTimeout time.Duration, settled bool, now time.Duration) predecessor {
+	if settled {
+		orderTimeout = 0
+	}
 	earlier := now + time.Duration(r.EarlierActsForMs)*time.Millisecond
 	return predecessor{vm: r.VM, term: r.Term, until: max(actsUntil+orderTimeout, earlier), earlierUntil: earlier}
 }
@@ -31,10 +34,10 @@
 	return p.vm != "" && r.GetVm() == p.vm && r.GetKnownTerm() >= p.term
 }
 
-// stopped records that the predecessor has stopped at the instant now. It reports whether orders may be
-// sent earlier because of it.
-func (p *predecessor) stopped(now, orderTimeout time.Duration) bool {
-	until := max(now+orderTimeout, p.earlierUntil)
+// stopped records that the predecessor has stopped by the instant, with no order in flight. It reports whether
+// orders may be sent earlier because of it.
+func (p *predecessor) stopped(by time.Duration) bool {
+	until := max(by, p.earlierUntil)
 	if until >= p.until {
 		return false
 	}
--- a/shard/role.go
+++ b/shard/role.go
@@ -31,6 +31,8 @@
 	// EarlierActsForMs is how long after this write orders of assigners of earlier terms may be in
 	// flight, in milliseconds.
 	EarlierActsForMs uint64 `json:"earlier_acts_for_ms,omitempty"`
+	// Settled is set if the assigner has stepped down and no order of it is in flight.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // setEarlier sets EarlierActsForMs for a write at the instant now, if orders of earlier assigners may
