Check polls only where no reader relays changes, and take the other duties of a refused assigner over at once

Change: a VM that has followed a reader does not check its polls; the reader does. A VM that the assigner refuses takes the role over at once again, and sends no order while that one may act. Tests: TestFollowersDoNotCheckTheirPolls; TestRefusedConnectionsDoNotEndTheAssignersRole now asks that no order is due before the end of the refused assigner's lease, in place of asking that the role is not taken (it is allowed to be taken: the rule is on orders).

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -103,6 +103,9 @@
 	// delayedCheckAfter is the time without a confirmation from which VMs with a
 	// take-over delay check as well.
 	delayedCheckAfter = 15 * time.Second
+	// refusalRetryPause is the pause between two connection attempts to the assigner. If
+	// both are refused, another VM takes the role over.
+	refusalRetryPause = 100 * time.Millisecond
 	// suspectAge is the age up to which a VM reports suspected requests again to an assigner that it begins
 	// to follow. It covers the loss of the assigner that has them.
 	suspectAge = time.Minute
@@ -371,6 +374,14 @@
 		return s.vacant("the role is held by an earlier start of this VM", r, evidence.Testimony)
 	}
 	err := a.follow(ctx, r.Address)
+	if evidence.Refused(err) {
+		// The assigner's process has probably ended. This VM takes its other duties over at once, and sends
+		// orders once it can no longer act.
+		pause(ctx, refusalRetryPause)
+		if evidence.Refused(a.follow(ctx, r.Address)) {
+			return s.vacant("the assigner refuses connections", r, evidence.Refusal)
+		}
+	}
 	if errors.Is(err, errUnconfirmed) {
 		// The store answers this VM but no longer the assigner: the role in the store
 		// still has the beat that the assigner last reported as confirmed.
@@ -381,15 +392,11 @@
 			return v
 		}
 	}
-	sign := evidence.Silence
-	if evidence.Refused(err) {
-		sign = evidence.Refusal
-	}
-	if !s.awaitEndOfRole(ctx, r, sign) {
+	if !s.awaitEndOfRole(ctx, r) {
 		return vacancy{}
 	}
-	if s.actsUntil(r, sign) <= boottime.Now() && s.unchanged(ctx) {
-		return s.vacant("the assigner's role has run out", r, sign)
+	if s.actsUntil(r, evidence.Silence) <= boottime.Now() && s.unchanged(ctx) {
+		return s.vacant("the assigner is silent", r, evidence.Silence)
 	}
 	return vacancy{}
 }
@@ -397,8 +404,8 @@
 // awaitEndOfRole waits until the assigner that wrote the role r, which did not answer, may no longer
 // act, if that is soon: another search would take up to assignerTimeout. It returns false if
 // an assigner announces itself meanwhile.
-func (s *assignerSearch) awaitEndOfRole(ctx context.Context, r role, sign evidence.Sign) bool {
-	wait := s.actsUntil(r, sign) - boottime.Now()
+func (s *assignerSearch) awaitEndOfRole(ctx context.Context, r role) bool {
+	wait := s.actsUntil(r, evidence.Silence) - boottime.Now()
 	if wait <= 0 || wait > assignerTimeout {
 		return true
 	}
--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -112,7 +112,8 @@
 	<-taken
 }
 
-// A cut that refused connections made a VM take over at once, while the assigner behind the cut went on sending orders.
+// A cut that refused connections made a VM take over and send orders at once, while the assigner behind the cut went on
+// sending its own.
 func TestRefusedConnectionsDoNotEndTheAssignersRole(t *testing.T) {
 	is := is.New(t)
 	const roleLease = 600 * time.Millisecond
@@ -130,8 +131,12 @@
 	is.NoErr(err)
 	s.seen, s.seenAt = version, boottime.Now()
 	v := s.checkVacancy(t.Context(), r, version)
-	is.True(v.reason == "" || boottime.Now() >= s.seenAt+roleLease)
-	is.True(v.reason == "" || v.actsUntil >= s.seenAt+roleLease)
+	is.True(v.reason != "")
+	is.Equal(v.actsUntil, s.seenAt+roleLease)
+	is.True(!v.sign.EndsLease())
+	p := newPredecessor(r, v.actsUntil, time.Millisecond, v.sign.EndsLease(), boottime.Now())
+	lm := NewLeaseManager(LeaseOptions{}, 2, &Record{Term: 1, Ranges: []RangeRecord{{Keys: KeyRange{0, LastKey}}}}, boottime.Now(), p.until)
+	is.Equal(len(lm.DueOrders(s.seenAt+roleLease)), 0)
 }
 
 // The report of a VM shows that it no longer acts as the assigner, but only if it knows the term in which it acted: a
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -99,6 +99,8 @@
 	unusableSince time.Time
 	// isReader is set once this VM has become the reader.
 	isReader bool
+	// relayed is set once a reader has stated that its batches can be relied on.
+	relayed bool
 	// changed is closed and replaced when batches arrive or readerUsable changes.
 	changed chan struct{}
 	// failing is true for a prefix whose last read of the store failed.
@@ -372,7 +374,7 @@
 	poll := func(ctx context.Context) ([]store.Event, store.Version, error) {
 		return f.opts.Direct.Poll(ctx, prefix, after, wait)
 	}
-	if f.opts.Check == nil {
+	if f.opts.Check == nil || !f.checksPolls() {
 		events, at, err := poll(ctx)
 		return checked.Result{Events: events, At: at, Err: err}
 	}
@@ -475,6 +477,14 @@
 	f.readsLocked(prefix).polling += n
 }
 
+// checksPolls reports whether this VM checks its polls. A VM that follows a reader polls only until the next reader
+// covers it, and its checks, like those of some hundred others, would be calls that the store cannot bear.
+func (f *Feed) checksPolls() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isReader || !f.relayed
+}
+
 // setChecked records that a poll of the prefix has just begun, or that a check found that it has missed nothing.
 func (f *Feed) setChecked(prefix string) {
 	f.mu.Lock()
@@ -740,6 +750,8 @@
 	defer f.mu.Unlock()
 	before := f.usableLocked()
 	f.setReaderLocked(usable, confirmedAt)
+	f.isReader = false
+	f.relayed = f.relayed || usable
 	if f.usableLocked() != before {
 		f.wakeLocked()
 	}
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -611,3 +611,33 @@
 		polls.Wait()
 	})
 }
+
+// On a deployment of 295 VMs, all of which lost their reader in an outage of the store, checks of their own polls
+// were calls that the store could not bear.
+func TestFollowersDoNotCheckTheirPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		lossy, checks := &losingStore{countingStore: p.store}, 0
+		check := func(ctx context.Context, prefix string, after store.Version) ([]store.Event, store.Version, error) {
+			checks++
+			return lossy.check(ctx, prefix, after)
+		}
+		feed := relayfeed.New(relayfeed.Options{Direct: lossy, Check: check, Now: p.now})
+		poll := func() {
+			_, at, err := feed.List(t.Context(), prefix)
+			p.is.NoErr(err)
+			_, _, err = feed.Poll(t.Context(), prefix, at, 9500*time.Millisecond)
+			p.is.NoErr(err)
+		}
+		poll()
+		p.is.Equal(checks, 9) // No reader has relayed changes yet.
+		feed.SetReader(true, p.now())
+		feed.ForgetReader()
+		checks = 0
+		poll()
+		p.is.Equal(checks, 0)
+		feed.BecomeReader()
+		poll()
+		p.is.Equal(checks, 9) // The others rely on this VM.
+	})
+}
