--- a/shard/agent.go
+++ b/shard/agent.go
@@ -375,8 +375,8 @@
 	}
 	err := a.follow(ctx, r.Address)
 	if evidence.Refused(err) {
-		// The assigner's process has probably ended. This VM takes its other duties over at once, and sends
-		// orders once it can no longer act.
+		// The process may have ended, or the path to it may be cut. This VM takes the role and the relay over at
+		// once; orders wait until the assigner may no longer act.
 		pause(ctx, refusalRetryPause)
 		if evidence.Refused(a.follow(ctx, r.Address)) {
 			return s.vacant("the assigner refuses connections", r, evidence.Refusal)
