Log what becomes of each target in doubt, and why a suspect is cleared

The log had a line for a target that may have crashed only, so that the hypotheses of the postmortem look the same in it: a doubt that ended as 'alive' or without a proof, and a suspect that an answer cleared, left no trace. Each doubt now ends with one line (verdict, reason, age, fingerprints) and a counter; each suspicion and each clearing has a line; an attempt that failed names the fingerprint.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -167,7 +167,7 @@
 	suspects := quarantine.New(quarantine.Options{
 		MinCrashes: s.Gateway.QuarantineCrashes, Duration: s.Gateway.QuarantineTime, AmbiguousDuration: s.Gateway.QuarantineTime, Registerer: n.registry, Logger: logger,
 	})
-	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{Tracker: suspects, Connected: n.upstream.Connected, Logger: logger})
+	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{Tracker: suspects, Connected: n.upstream.Connected, Registerer: n.registry, Logger: logger})
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,12 +3,15 @@
 import (
 	"cmp"
 	"context"
+	"encoding/hex"
 	"log/slog"
 	"net"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/zeebo/xxh3"
 
 	"github.com/basiltally/basiltally/evidence"
@@ -27,8 +30,9 @@
 	Connected func(address string) bool
 	// Dial opens a connection, to see whether the address refuses it. Default: a TCP dial with a timeout
 	// of 400 ms.
-	Dial   func(ctx context.Context, address string) (net.Conn, error)
-	Logger *slog.Logger
+	Dial       func(ctx context.Context, address string) (net.Conn, error)
+	Registerer prometheus.Registerer
+	Logger     *slog.Logger
 }
 
 const (
@@ -43,7 +47,8 @@
 // CrashWatch finds out whether targets crashed while they ran requests, and reports that to the quarantine.
 // Several crashes during one request make all VMs refuse it.
 type CrashWatch struct {
-	opts CrashWatchOptions
+	opts    CrashWatchOptions
+	settled *prometheus.CounterVec
 
 	mu     sync.Mutex
 	doubts map[fleet.Incarnation]*doubt
@@ -65,7 +70,13 @@
 		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
 	opts.Logger = cmp.Or(opts.Logger, slog.New(slog.DiscardHandler))
-	return &CrashWatch{opts: opts, doubts: map[fleet.Incarnation]*doubt{}}
+	return &CrashWatch{
+		opts: opts, doubts: map[fleet.Incarnation]*doubt{},
+		settled: promauto.With(opts.Registerer).NewCounterVec(prometheus.CounterOpts{
+			Name: "basiltally_crash_doubts_total",
+			Help: "Targets that left requests without an answer, by what was found of them: crashed, alive or unproved.",
+		}, []string{"verdict"}),
+	}
 }
 
 // fingerprint identifies what the request asks for. A caller that sends it again changes its ID and the
@@ -103,7 +114,7 @@
 	if d == nil {
 		d = &doubt{address: t.Address, since: time.Now()}
 		w.doubts[i] = d
-		time.AfterFunc(doubtTime, func() { w.dispel(i, d) })
+		time.AfterFunc(doubtTime, func() { w.dispel(i, d, "unproved", "its entry did not change") })
 	}
 	if len(d.requests) >= maxDoubts {
 		w.opts.Tracker.Finished(trackerID(i), fp, false)
@@ -124,7 +135,7 @@
 	switch {
 	case err == nil:
 		nc.Close()
-		w.dispel(i, d)
+		w.dispel(i, d, "alive", "its address accepts connections")
 	case evidence.MayHaveCrashed(evidence.Refused(err), false):
 		w.crashed(i, d, quarantine.Evidence{ConnectionRefused: true})
 	default:
@@ -155,12 +166,15 @@
 func (w *CrashWatch) crashed(i fleet.Incarnation, d *doubt, e quarantine.Evidence) {
 	e.Incarnation, e.At = uint64(i.Born), d.since
 	w.opts.Tracker.Crashed(trackerID(i), e)
-	w.opts.Logger.Info("target may have crashed while it ran requests", "target", i.ID, "born", i.Born, "requests", w.dispel(i, d),
-		"refused", e.ConnectionRefused, "later_start", e.LaterStart)
+	reason := "its entry is gone, or that of a later start"
+	if e.ConnectionRefused {
+		reason = "its address refuses connections"
+	}
+	w.dispel(i, d, "crashed", reason)
 }
 
-// dispel ends the doubt and returns the number of its requests.
-func (w *CrashWatch) dispel(i fleet.Incarnation, d *doubt) int {
+// dispel ends the doubt with a verdict: crashed, alive or unproved.
+func (w *CrashWatch) dispel(i fleet.Incarnation, d *doubt, verdict, reason string) {
 	w.mu.Lock()
 	if w.doubts[i] == d {
 		delete(w.doubts, i)
@@ -168,8 +182,15 @@
 	requests := d.requests
 	d.requests = nil
 	w.mu.Unlock()
-	for _, fp := range requests {
+	if len(requests) == 0 {
+		return // It has ended before.
+	}
+	w.settled.WithLabelValues(verdict).Inc()
+	fingerprints := make([]string, len(requests))
+	for n, fp := range requests {
+		fingerprints[n] = hex.EncodeToString(fp[:])
 		w.opts.Tracker.Finished(trackerID(i), fp, false)
 	}
-	return len(requests)
+	w.opts.Logger.Info("target in doubt", "verdict", verdict, "reason", reason, "target", i.ID, "born", i.Born, "address", d.address,
+		"age_ms", time.Since(d.since).Milliseconds(), "requests", fingerprints)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -492,7 +493,7 @@
 	}
 	attrs := []any{"id", c.id, "target", t.ID, "outcome", stepNames[s], "attempt", len(c.tried), "left_ms", c.timeLeft().Milliseconds()}
 	if err != nil {
-		attrs = append(attrs, "error", err.Error())
+		attrs = append(attrs, "error", err.Error(), "fingerprint", hex.EncodeToString(c.content[:]))
 	} else {
 		attrs = append(attrs, "status", a.Status, "not_run", a.NotRun)
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -174,7 +174,7 @@
 	defer t.mu.Unlock()
 	t.remove(target, fp)
 	if s := t.suspects.byFingerprint[fp]; complete && s != nil && len(s.crashes) > 0 {
-		t.clear(fp)
+		t.clear(fp, "answered in full")
 	}
 }
 
@@ -189,9 +189,11 @@
 	}
 }
 
-func (t *Tracker) clear(fp Fingerprint) {
+func (t *Tracker) clear(fp Fingerprint, reason string) {
+	crashes := len(t.suspects.getOrAdd(fp).crashes)
 	if t.suspects.getOrAdd(fp).clear(time.Now().UnixMilli()) {
 		t.changed[fp] = struct{}{}
+		t.opts.Logger.Info("suspected request cleared", "fingerprint", hex.EncodeToString(fp[:]), "crashes", crashes, "reason", reason)
 		t.refreshAndShare()
 	}
 }
@@ -214,6 +216,7 @@
 		if t.suspects.getOrAdd(fp).add(c) {
 			changed = true
 			t.changed[fp] = struct{}{}
+			t.opts.Logger.Info("request suspected of a crash", "fingerprint", hex.EncodeToString(fp[:]), "target", string(target), "crashes", len(t.suspects.byFingerprint[fp].crashes))
 		}
 	}
 	if changed {
@@ -247,7 +250,7 @@
 func (t *Tracker) Release(fp Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(fp)
+	t.clear(fp, "released by an operator")
 }
 
 // Merge adds the crashes and clearings of another VM's record.
