--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -114,10 +114,15 @@
 
 // nextPort is the next port to try. It is below the ports that the kernel gives to outgoing
 // connections: such a connection could take a port between its choice and the call of listen.
-var nextPort = 21000
+var (
+	nextPortMu sync.Mutex
+	nextPort   = 21000
+)
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	nextPortMu.Lock()
+	defer nextPortMu.Unlock()
 	for ; nextPort < 32000; nextPort++ {
 		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
 		if ln, err := net.Listen("tcp", address); err == nil {
@@ -147,6 +152,7 @@
 		Gateway: GatewaySettings{
 			Listen: freeAddress(b.t), ReadyListen: freeAddress(b.t), Regions: []string{"dc1=r1"},
 			LameDuck: 100 * time.Millisecond, StopLimit: 5 * time.Second, MemoryMB: 256,
+			QuarantineCrashes: 3, QuarantineTime: 10 * time.Minute,
 		},
 		Retry: RetrySettings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Shard: ShardSettings{LeaseDuration: 1500 * time.Millisecond, MaxLeaseDuration: 5 * time.Second, RoleLease: 1500 * time.Millisecond, RelayAbove: b.relayAbove},
