Weigh whole answers against crashes, in place of forgetting the crashes at each of them

What callers saw: targets went on crashing under a request that had crashed three, and what ran beside it there was lost.

Cause: one whole answer cleared a suspect on all VMs. The fingerprint is method, host, path, key and body, and others send the same read, harmlessly.

Ruled out: not to count whole answers at all. What most callers send runs at many targets and would be refused when several are lost at once. Change: 30 whole answers outweigh a crash, counted by VM, beginning with those of the last seconds; a request that ran whole is not refused if each of its crashes has a likelier suspect.

Before: TestWholeAnswersToOthersDoNotHideARequestThatCrashesTargets failed on (not true: isQuarantined). After: it passes, with the earlier tests of cleared and ambiguous requests unchanged; the record stays below its bound (TestRecordIsBounded, now with full counts).

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -138,6 +138,70 @@
 	})
 }
 
+// The request of one caller crashed targets, and whole answers to others who sent the same forgot each crash.
+func TestWholeAnswersToOthersDoNotHideARequestThatCrashesTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr := New(Options{MinCrashes: 3})
+		for i, target := range []string{"a", "b", "c"} {
+			is.True(!isQuarantined(tr, crasher))
+			for range 10 {
+				tr.Started("z", crasher)
+				tr.Finished("z", crasher, true)
+				time.Sleep(300 * time.Millisecond)
+			}
+			crashTarget(tr, target, 1, crasher, Fingerprint{100 + byte(i)})
+		}
+		is.True(isQuarantined(tr, crasher))
+	})
+}
+
+// Many targets are lost at once, for another reason, while all run the request that most callers send.
+func TestPopularRequestIsNotRefusedForTheLossOfManyTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var vms []*Tracker
+		for i := range 12 {
+			vms = append(vms, New(Options{MinCrashes: 3, VM: fmt.Sprint("vm", i)}))
+		}
+		for range 500 { // 40 a second.
+			for _, vm := range vms {
+				vm.Started("z", harmless)
+				vm.Finished("z", harmless, true)
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		for i, target := range []string{"a", "b", "c", "d"} {
+			crashTarget(vms[i], target, 1, harmless)
+			crashTarget(vms[i+4], target, 1, crasher)
+		}
+		for _, from := range vms {
+			for _, to := range vms {
+				to.Merge(from.Snapshot())
+			}
+		}
+		for _, vm := range vms {
+			is.True(!isQuarantined(vm, harmless))
+			is.True(isQuarantined(vm, crasher))
+		}
+	})
+}
+
+// A request that was sent to a target after its crash did not crash it.
+func TestRequestThatWasStartedAfterTheCrashIsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr := New(Options{})
+		tr.Started("a", crasher)
+		at := time.Now()
+		time.Sleep(time.Millisecond)
+		tr.Started("a", harmless)
+		tr.Crashed("a", Evidence{Incarnation: 1, At: at}, Fingerprint{3})
+		is.Equal(len(tr.Snapshot().Suspects), 2)
+		is.True(tr.suspects.byFingerprint[harmless] == nil)
+	})
+}
+
 func TestBrokenConnectionAloneIsNoCrash(t *testing.T) {
 	is := is.New(t)
 	tr := New(Options{})
@@ -181,6 +245,10 @@
 			if rapid.Bool().Draw(t, "clear") {
 				set.getOrAdd(Fingerprint{0}).clear(int64(i) * 500)
 			}
+			for range rapid.IntRange(0, 12).Draw(t, "counts") {
+				vm, n := rapid.Uint64Range(1, 2*maxCountingVMs).Draw(t, "vm"), rapid.Uint32Range(1, 2*maxWholeRuns).Draw(t, "n")
+				set.getOrAdd(Fingerprint{1}).countWholeRuns(vm, n)
+			}
 			records = append(records, set.record())
 		}
 		forward, backward := newSuspectSet(), newSuspectSet()
@@ -204,6 +272,7 @@
 		copy(fp[:], fmt.Sprint(i))
 		for n := range 10 {
 			set.getOrAdd(fp).add(crash{uint64(n), uint64(i), int64(1_000_000 + i)})
+			set.getOrAdd(fp).countWholeRuns(uint64(1)<<60+uint64(n), maxWholeRuns-uint32(n))
 		}
 	}
 	set.expire(1_000_000, time.Hour)
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -1,9 +1,9 @@
 // Package quarantine detects requests that crash the targets which run them, and
 // lists them on all VMs, so that they are refused for a time.
 //
-// A request is identified by its fingerprint. When a target crashes, all requests
-// that were running there become suspects. A suspect of two crashes is quarantined;
-// one that a target answers in full afterwards is cleared. See docs/design/quarantine.md.
+// A request is identified by its fingerprint. When a target crashes, all requests that were running there become
+// suspects. A suspect of several crashes is quarantined, unless whole answers to it outweigh them or other suspects
+// explain them. See docs/design/quarantine.md.
 package quarantine
 
 import (
@@ -28,6 +28,13 @@
 	// certainCrashes is the number of crashes from which a suspect is no longer ambiguous, even if
 	// another request ran during all of them.
 	certainCrashes = 3
+	// wholeRunsPerCrash is the number of whole answers that outweigh a crash: about as many requests run and wait at
+	// a target, and are lost with it.
+	wholeRunsPerCrash = 30
+	// maxWholeRuns bounds what is counted of a suspect on one VM. It outweighs as many crashes as are kept.
+	maxWholeRuns = wholeRunsPerCrash * maxCrashes
+	// maxCountingVMs bounds the VMs whose counts of one suspect are kept.
+	maxCountingVMs = 8
 )
 
 // crash is one crash of a target, at a time in Unix milliseconds.
@@ -52,6 +59,8 @@
 type suspect struct {
 	crashes   []crash
 	clearedMS int64
+	// wholeRuns is how often each VM has got a whole answer to the request, at most maxWholeRuns.
+	wholeRuns map[uint64]uint32
 	// listed is set once the request was quarantined, so that a clearing is passed on as well. It is not
 	// part of the record.
 	listed bool
@@ -78,6 +87,38 @@
 	return true
 }
 
+// countWholeRuns raises the count of a VM to n, and reports whether that changed it.
+func (s *suspect) countWholeRuns(vm uint64, n uint32) (changed bool) {
+	if n = min(n, maxWholeRuns); n <= s.wholeRuns[vm] {
+		return false
+	}
+	if s.wholeRuns == nil {
+		s.wholeRuns = map[uint64]uint32{}
+	}
+	s.wholeRuns[vm] = n
+	if len(s.wholeRuns) <= maxCountingVMs {
+		return true
+	}
+	// The lowest count goes; of equal ones the one of the lowest VM, so that the order of merges is of no matter.
+	lowest := vm
+	for other, count := range s.wholeRuns {
+		if low := s.wholeRuns[lowest]; count < low || count == low && other < lowest {
+			lowest = other
+		}
+	}
+	delete(s.wholeRuns, lowest)
+	return lowest != vm
+}
+
+// allWholeRuns returns the number of whole answers to the request that are known.
+func (s *suspect) allWholeRuns() int {
+	total := 0
+	for _, n := range s.wholeRuns {
+		total += int(n)
+	}
+	return total
+}
+
 // lastMS returns the time of the latest crash or clearing, in Unix milliseconds.
 func (s *suspect) lastMS() int64 {
 	if n := len(s.crashes); n > 0 {
@@ -118,6 +159,11 @@
 				changed = true
 			}
 		}
+		for _, r := range m.WholeRuns {
+			if s.countWholeRuns(r.Vm, r.Count) {
+				changed = true
+			}
+		}
 	}
 	return changed
 }
@@ -139,6 +185,10 @@
 		for _, c := range s.crashes {
 			m.Crashes = append(m.Crashes, &pb.TargetCrash{Target: c.target, Incarnation: c.incarnation, AtMs: c.atMS})
 		}
+		for vm, n := range s.wholeRuns {
+			m.WholeRuns = append(m.WholeRuns, &pb.WholeRuns{Vm: vm, Count: n})
+		}
+		slices.SortFunc(m.WholeRuns, func(a, b *pb.WholeRuns) int { return cmp.Compare(a.Vm, b.Vm) })
 		out.Suspects = append(out.Suspects, m)
 	}
 	slices.SortFunc(out.Suspects, func(a, b *pb.QuarantineSuspect) int {
@@ -147,8 +197,8 @@
 	return out
 }
 
-// expire removes crashes and clearings older than the window, and the oldest suspects if there are
-// more than maxSuspects.
+// expire removes crashes and clearings older than the window. If there are more than maxSuspects, it removes those of
+// the fewest crashes, the oldest first: many targets that are lost at once have many suspects.
 func (set *suspectSet) expire(nowMS int64, window time.Duration) {
 	for fp, s := range set.byFingerprint {
 		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.atMS < nowMS-window.Milliseconds() })
@@ -165,7 +215,7 @@
 		byAge = append(byAge, fp)
 	}
 	slices.SortFunc(byAge, func(a, b Fingerprint) int {
-		return cmp.Or(cmp.Compare(set.byFingerprint[a].lastMS(), set.byFingerprint[b].lastMS()), slices.Compare(a[:], b[:]))
+		return cmp.Or(cmp.Compare(len(set.byFingerprint[a].crashes), len(set.byFingerprint[b].crashes)), cmp.Compare(set.byFingerprint[a].lastMS(), set.byFingerprint[b].lastMS()), slices.Compare(a[:], b[:]))
 	})
 	for _, fp := range byAge[:excess] {
 		delete(set.byFingerprint, fp)
@@ -185,11 +235,11 @@
 
 // quarantined returns the requests that are quarantined at the time nowMS, in the order of
 // fingerprints. A suspect of at least minCrashes is quarantined for the duration certain or ambiguous after its
-// latest crash.
+// latest crash, unless whole answers outweigh the crashes or other suspects explain them.
 func (set *suspectSet) quarantined(nowMS int64, minCrashes int, certain, ambiguous time.Duration) []ListedRequest {
 	var list []ListedRequest
 	for fp, s := range set.byFingerprint {
-		if len(s.crashes) < minCrashes {
+		if len(s.crashes) < minCrashes || s.allWholeRuns() >= wholeRunsPerCrash*len(s.crashes) || set.explained(fp, s, minCrashes) {
 			continue
 		}
 		s.listed = true
@@ -208,6 +258,25 @@
 	return list
 }
 
+// explained reports whether s ran whole, and each of its crashes has a suspect that is more likely to have caused
+// it: one of at least minCrashes, with fewer whole answers for each of them.
+func (set *suspectSet) explained(fp Fingerprint, s *suspect, minCrashes int) bool {
+	runs := s.allWholeRuns()
+	if runs == 0 {
+		return false
+	}
+	likelier := make([]*suspect, 0, 4)
+	for other, o := range set.byFingerprint {
+		if other != fp && len(o.crashes) >= minCrashes && o.allWholeRuns()*len(s.crashes) < runs*len(o.crashes) {
+			likelier = append(likelier, o)
+		}
+	}
+	unexplained := func(c crash) bool {
+		return !slices.ContainsFunc(likelier, func(o *suspect) bool { return slices.ContainsFunc(o.crashes, c.same) })
+	}
+	return !slices.ContainsFunc(s.crashes, unexplained)
+}
+
 // hasCoSuspect reports whether another suspect ran during all crashes of s.
 func (set *suspectSet) hasCoSuspect(fp Fingerprint, s *suspect) bool {
 	for other, o := range set.byFingerprint {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"math/bits"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +39,8 @@
 
 // Options configures a Tracker. Zero fields take their defaults.
 type Options struct {
+	// VM is the name of this VM, which tells its counts from those of others. Default: a random one.
+	VM string
 	// Store is the platform's object API. If it is nil, only Broadcast shares the record.
 	Store store.Store
 	// Broadcast sends a changed record to other VMs, which call Merge. It may be nil.
@@ -79,6 +83,9 @@
 		}
 	}
 	o.Window = max(o.Window, o.Duration)
+	if o.VM == "" {
+		o.VM = rand.Text()
+	}
 	o.MinCrashes = min(cmp.Or(o.MinCrashes, DefaultMinCrashes), maxCrashes)
 	if o.Logger == nil {
 		o.Logger = slog.Default()
@@ -98,7 +105,7 @@
 	ConnectionRefused bool
 	// LaterStart is set if a later start of the target is known, or its entry has gone without notice.
 	LaterStart bool
-	// At is when the connection broke. Zero means now.
+	// At is when the connection broke. Zero means now. Requests that were started later did not run then.
 	At time.Time
 }
 
@@ -115,11 +122,17 @@
 	quarantinedGauge prometheus.Gauge
 
 	mu sync.Mutex
-	// running counts the requests in flight by target and fingerprint.
-	running  map[ownership.TargetID]map[Fingerprint]int
+	// vm is the hash of this VM's name.
+	vm uint64
+	// running has the requests in flight by target and fingerprint.
+	running  map[ownership.TargetID]map[Fingerprint]inFlight
 	suspects *suspectSet
+	// lately counts the whole answers of the last seconds, of which a suspect may have had many.
+	lately recentRuns
 	// changed has the suspects that this VM has changed since TakeChanges.
 	changed map[Fingerprint]struct{}
+	// ownVersion rises with each change that this VM itself has made.
+	ownVersion uint64
 	// listedVersion rises with each change of what Listed returns.
 	listedVersion uint64
 	wake          chan struct{}
@@ -127,6 +140,12 @@
 	quarantinedUntil atomic.Pointer[map[Fingerprint]time.Time]
 }
 
+// inFlight is how many requests of a fingerprint run at a target, and since when the first of them does.
+type inFlight struct {
+	count int
+	since time.Time
+}
+
 // New returns a Tracker and registers its metrics.
 func New(opts Options) *Tracker {
 	opts = opts.withDefaults()
@@ -145,7 +164,8 @@
 			Name: "basiltally_quarantine_requests",
 			Help: "Requests that are quarantined.",
 		}),
-		running:  make(map[ownership.TargetID]map[Fingerprint]int),
+		vm:       xxh3.HashString(opts.VM),
+		running:  make(map[ownership.TargetID]map[Fingerprint]inFlight),
 		suspects: newSuspectSet(),
 		changed:  make(map[Fingerprint]struct{}),
 		wake:     make(chan struct{}, 1),
@@ -156,32 +176,70 @@
 
 // Started records that the request is about to be sent to the target.
 func (t *Tracker) Started(target ownership.TargetID, fp Fingerprint) {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.running[target]
 	if m == nil {
-		m = make(map[Fingerprint]int)
+		m = make(map[Fingerprint]inFlight)
 		t.running[target] = m
 	}
-	m[fp]++
+	r, ok := m[fp]
+	if !ok {
+		r.since = now
+	}
+	r.count++
+	m[fp] = r
 }
 
-// Finished records that the request has ended at the target. If complete is set, the
-// target answered it in full, which clears it of earlier crashes. After a broken
-// connection, Finished must only be called after Crashed, or once a crash is ruled out.
+// Finished records that the request has ended at the target. If complete is set, the target answered it in full,
+// which weighs against crashes during other runs of it. After a broken connection, Finished must only be called after
+// Crashed, or once a crash is ruled out, unless the request is named to Crashed.
 func (t *Tracker) Finished(target ownership.TargetID, fp Fingerprint, complete bool) {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remove(target, fp)
-	if s := t.suspects.byFingerprint[fp]; complete && s != nil && len(s.crashes) > 0 {
-		t.clear(fp, "answered in full")
+	if !complete {
+		return
+	}
+	t.lately.add(fp, now)
+	if s := t.suspects.byFingerprint[fp]; s != nil && len(s.crashes) > 0 {
+		t.countWholeRun(fp, s)
+	}
+}
+
+// countWholeRun counts a whole answer to a suspect. It is shared each time that the count has doubled, which bounds
+// what popular requests cost.
+func (t *Tracker) countWholeRun(fp Fingerprint, s *suspect) {
+	n := s.wholeRuns[t.vm] + 1
+	if !s.countWholeRuns(t.vm, n) {
+		return
+	}
+	if bits.OnesCount32(n) == 1 || n == maxWholeRuns {
+		t.changed[fp] = struct{}{}
+		t.ownVersion++
+		t.refreshAndShare()
+	}
+}
+
+// countEarlierRuns counts the whole answers that this VM got lately to a request that has just become a suspect.
+func (t *Tracker) countEarlierRuns(fp Fingerprint, s *suspect) {
+	if _, counted := s.wholeRuns[t.vm]; counted {
+		return
+	}
+	if n := t.lately.count(fp, time.Now()); n > 0 && s.countWholeRuns(t.vm, n) {
+		t.changed[fp] = struct{}{}
+		t.ownVersion++
 	}
 }
 
 func (t *Tracker) remove(target ownership.TargetID, fp Fingerprint) {
 	m := t.running[target]
-	m[fp]--
-	if m[fp] <= 0 {
+	if r := m[fp]; r.count > 1 {
+		r.count--
+		m[fp] = r
+	} else {
 		delete(m, fp)
 	}
 	if len(m) == 0 {
@@ -189,18 +247,19 @@
 	}
 }
 
-func (t *Tracker) clear(fp Fingerprint, reason string) {
+func (t *Tracker) clear(fp Fingerprint) {
 	crashes := len(t.suspects.getOrAdd(fp).crashes)
 	if t.suspects.getOrAdd(fp).clear(time.Now().UnixMilli()) {
 		t.changed[fp] = struct{}{}
-		t.opts.Logger.Info("suspected request cleared", "fingerprint", hex.EncodeToString(fp[:]), "crashes", crashes, "reason", reason)
+		t.ownVersion++
+		t.opts.Logger.Info("suspected request cleared", "fingerprint", hex.EncodeToString(fp[:]), "crashes", crashes, "reason", "released by an operator")
 		t.refreshAndShare()
 	}
 }
 
-// Crashed makes all requests that are in flight at the target suspects, if the evidence
-// shows a crash. It may be called for each of them.
-func (t *Tracker) Crashed(target ownership.TargetID, observed Evidence) {
+// Crashed makes the requests that are in flight at the target suspects, and those named that ran there, if the
+// evidence shows a crash. It may be called for each of them.
+func (t *Tracker) Crashed(target ownership.TargetID, observed Evidence, ended ...Fingerprint) {
 	if !observed.showsCrash() {
 		return
 	}
@@ -212,19 +271,34 @@
 	}
 	c := crash{xxh3.HashString(string(target)), observed.Incarnation, at.UnixMilli()}
 	changed := false
-	for fp := range t.running[target] {
-		if t.suspects.getOrAdd(fp).add(c) {
-			changed = true
-			t.changed[fp] = struct{}{}
-			t.opts.Logger.Info("request suspected of a crash", "fingerprint", hex.EncodeToString(fp[:]), "target", string(target), "crashes", len(t.suspects.byFingerprint[fp].crashes))
+	for fp, r := range t.running[target] {
+		if !r.since.After(at) {
+			changed = t.suspect(fp, c, target) || changed
 		}
 	}
+	for _, fp := range ended {
+		changed = t.suspect(fp, c, target) || changed
+	}
 	if changed {
 		t.crashes.Inc()
+		t.ownVersion++
 		t.refreshAndShare()
 	}
 }
 
+// suspect adds the crash to the request, and reports whether that is new.
+func (t *Tracker) suspect(fp Fingerprint, c crash, target ownership.TargetID) bool {
+	s := t.suspects.getOrAdd(fp)
+	if !s.add(c) {
+		return false
+	}
+	t.changed[fp] = struct{}{}
+	t.countEarlierRuns(fp, s)
+	t.opts.Logger.Info("request suspected of a crash", "fingerprint", hex.EncodeToString(fp[:]), "target", string(target),
+		"crashes", len(s.crashes), "whole_runs", s.allWholeRuns())
+	return true
+}
+
 // Quarantined reports whether the request is quarantined, and until when. It does not allocate memory.
 func (t *Tracker) Quarantined(fp Fingerprint) (bool, time.Time) {
 	until, ok := (*t.quarantinedUntil.Load())[fp]
@@ -250,16 +324,23 @@
 func (t *Tracker) Release(fp Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(fp, "released by an operator")
+	t.clear(fp)
 }
 
 // Merge adds the crashes and clearings of another VM's record.
 func (t *Tracker) Merge(record *pb.Quarantine) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.suspects.merge(record) {
-		t.refresh()
+	if !t.suspects.merge(record) {
+		return
+	}
+	for _, m := range record.GetSuspects() {
+		if len(m.Fingerprint) == len(Fingerprint{}) {
+			fp := Fingerprint(m.Fingerprint)
+			t.countEarlierRuns(fp, t.suspects.byFingerprint[fp])
+		}
 	}
+	t.refresh()
 }
 
 // Snapshot returns the record of all suspects, for Merge on another VM.
@@ -285,6 +366,21 @@
 	return r
 }
 
+// OwnVersion returns a number that rises with each change that this VM itself has made.
+func (t *Tracker) OwnVersion() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ownVersion
+}
+
+// Recent returns the suspects with a crash within the age, for Merge on another VM.
+func (t *Tracker) Recent(age time.Duration) *pb.Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since := time.Now().Add(-age).UnixMilli()
+	return t.suspects.recordOf(func(_ Fingerprint, s *suspect) bool { return s.lastMS() >= since })
+}
+
 // RepeatChanges makes TakeChanges return all suspects of the last age, and all that Listed returns, once more,
 // for a VM that may not have them.
 func (t *Tracker) RepeatChanges(age time.Duration) {
@@ -330,7 +426,7 @@
 	for _, e := range t.listQuarantined() {
 		quarantined[e.Fingerprint] = e.Until
 		if _, known := earlier[e.Fingerprint]; !known {
-			t.opts.Logger.Warn("request quarantined", "fingerprint", hex.EncodeToString(e.Fingerprint[:]), "crashes", e.Crashes, "ambiguous", e.Ambiguous, "until", e.Until)
+			t.opts.Logger.Warn("request quarantined", "fingerprint", hex.EncodeToString(e.Fingerprint[:]), "crashes", e.Crashes, "whole_runs", t.suspects.byFingerprint[e.Fingerprint].allWholeRuns(), "ambiguous", e.Ambiguous, "until", e.Until)
 		}
 	}
 	if len(quarantined) > 0 || len(earlier) > 0 {
