Doubt a target until its entry shows whether it has crashed

Change: the entry decides, within three check-ins and 3.5 s (new setting check_in), for as long as the store is away. The probe only speeds it up: at once and after 100 ms, and only a connection that was opened before the failure shows that the target runs. An answer of another target at the address shows its end. Targets that have announced that they leave have not crashed; requests that were started after a crash are no suspects.

Ruled out: asking the target for its id (priced, waits for a slot, and shows nothing of an earlier life under the same id).

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -165,9 +165,11 @@
 		LeaseDuration: min(s.Shard.LeaseDuration, s.Shard.MaxLeaseDuration), LongLeaseDuration: time.Duration(longLeaseShare * float64(s.Shard.MaxLeaseDuration)),
 	}
 	suspects := quarantine.New(quarantine.Options{
-		MinCrashes: s.Gateway.QuarantineCrashes, Duration: s.Gateway.QuarantineTime, AmbiguousDuration: s.Gateway.QuarantineTime, Registerer: n.registry, Logger: logger,
+		VM: s.Process.VM, MinCrashes: s.Gateway.QuarantineCrashes, Duration: s.Gateway.QuarantineTime, AmbiguousDuration: s.Gateway.QuarantineTime, Registerer: n.registry, Logger: logger,
+	})
+	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{
+		Tracker: suspects, Directory: n.directory, Connected: n.upstream.Connected, EntryDelay: gateway.EntryDelay(s.Gateway.CheckIn), Registerer: n.registry, Logger: logger,
 	})
-	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{Tracker: suspects, Connected: n.upstream.Connected, Registerer: n.registry, Logger: logger})
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
@@ -341,7 +343,6 @@
 
 func (n *nodeProcess) targetsChanged() {
 	snapshot := n.directory.Snapshot()
-	n.crashes.Observe(snapshot)
 	known := snapshot.ByID
 	n.balancer.Retain(func(id string) bool { return known[id] != nil })
 	n.eligibility.Retain(func(i fleet.Incarnation) bool { return known[i.ID] != nil && known[i.ID].Born == i.Born })
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -21,6 +21,7 @@
 	CPU               float64       `ini:"cpu" default:"1" unit:"cores" range:"0.01..1024" doc:"Processor of the VM; a VM with a small share of a core leaves the assigner's role to others."`
 	QuarantineCrashes int           `ini:"quarantine_crashes" default:"3" unit:"crashes" range:"2..4" doc:"Number of targets' crashes while they ran the same request, from which all VMs refuse it."`
 	QuarantineTime    time.Duration `ini:"quarantine_time" default:"10m" unit:"duration" range:"1s..24h" doc:"How long such a request is refused after the latest crash."`
+	CheckIn           time.Duration `ini:"check_in" default:"1500ms" unit:"duration" range:"100ms..1m" doc:"Interval at which targets renew their entries. The entry of a target that has crashed is removed after three of them."`
 	MemoryMB          int           `ini:"memory" default:"256" unit:"MB" range:"32..1048576" doc:"Memory of the VM; the garbage collector works harder as the process comes near it."`
 }
 
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -152,7 +152,7 @@
 		Gateway: GatewaySettings{
 			Listen: freeAddress(b.t), ReadyListen: freeAddress(b.t), Regions: []string{"dc1=r1"},
 			LameDuck: 100 * time.Millisecond, StopLimit: 5 * time.Second, MemoryMB: 256,
-			QuarantineCrashes: 3, QuarantineTime: 10 * time.Minute,
+			QuarantineCrashes: 3, QuarantineTime: 10 * time.Minute, CheckIn: 1500 * time.Millisecond,
 		},
 		Retry: RetrySettings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Shard: ShardSettings{LeaseDuration: 1500 * time.Millisecond, MaxLeaseDuration: 5 * time.Second, RoleLease: 1500 * time.Millisecond, RelayAbove: b.relayAbove},
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -67,6 +67,15 @@
 	// departed maps the incarnations that are no longer listed to instants after which they have
 	// said that they leave.
 	departed map[Incarnation]time.Time
+	// left has the incarnations that are no longer listed and had announced that they leave.
+	left map[Incarnation]time.Time
+}
+
+// Left reports whether the incarnation is no longer listed and had announced that it leaves, so that it has ended
+// as it should.
+func (s *Snapshot) Left(i Incarnation) bool {
+	_, ok := s.left[i]
+	return ok
 }
 
 // LeavingSince returns an instant after which the incarnation has begun to leave: it is draining,
@@ -111,6 +120,8 @@
 	// instants at which the targets are dropped.
 	missing  map[string]time.Time
 	departed map[Incarnation]time.Time
+	// left maps those of them that had announced that they leave to when they were dropped.
+	left map[Incarnation]time.Time
 	// stated maps the incarnations that have said in an answer that they leave to when they did.
 	stated map[Incarnation]time.Time
 	// graceUntil is the end of the grace period after the last outage of the store.
@@ -135,7 +146,7 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	d := &Directory{opts: o, targets: map[string]*Target{}, missing: map[string]time.Time{}, departed: map[Incarnation]time.Time{}, stated: map[Incarnation]time.Time{}}
+	d := &Directory{opts: o, targets: map[string]*Target{}, missing: map[string]time.Time{}, departed: map[Incarnation]time.Time{}, left: map[Incarnation]time.Time{}, stated: map[Incarnation]time.Time{}}
 	d.current.Store(&Snapshot{ByID: map[string]*Target{}})
 	return d
 }
@@ -242,6 +253,14 @@
 	d.graceUntil = d.opts.Now().Add(d.opts.RestoreGrace)
 }
 
+// EntriesMayReturn reports whether the store does not answer, or answers again for less than the grace period. Entries
+// may then be older than usual.
+func (d *Directory) EntriesMayReturn() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.outage || d.opts.Now().Before(d.graceUntil)
+}
+
 // Expire drops the targets whose entries did not return within the grace period.
 func (d *Directory) Expire() {
 	d.mu.Lock()
@@ -362,11 +381,14 @@
 		since = d.opts.ChangedAfter()
 	}
 	d.departed[t.Incarnation()] = since
+	if t.State == Draining {
+		d.left[t.Incarnation()] = d.opts.Now()
+	}
 }
 
 func (d *Directory) publish() {
 	forgetBefore := d.opts.Now().Add(-departedRetention)
-	for _, m := range []map[Incarnation]time.Time{d.departed, d.stated} {
+	for _, m := range []map[Incarnation]time.Time{d.departed, d.left, d.stated} {
 		maps.DeleteFunc(m, func(_ Incarnation, since time.Time) bool { return since.Before(forgetBefore) })
 	}
 	s := &Snapshot{
@@ -374,6 +396,7 @@
 		ByID:     make(map[string]*Target, len(d.targets)),
 		services: map[string][]*Target{},
 		departed: maps.Clone(d.departed),
+		left:     maps.Clone(d.left),
 	}
 	for i, since := range d.stated {
 		if known, ok := s.departed[i]; !ok || since.Before(known) {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -25,9 +25,14 @@
 type CrashWatchOptions struct {
 	// Tracker relates the crashes to the requests.
 	Tracker *quarantine.Tracker
-	// Connected reports whether a connection of this VM to the address is open and idle. A process that
-	// ends closes all of them.
-	Connected func(address string) bool
+	// Directory has the entries of the targets.
+	Directory *fleet.Directory
+	// Connected reports whether a connection of this VM to the address that was opened before the given instant
+	// is open and idle. A process that ends closes all of them.
+	Connected func(address string, openedBefore time.Time) bool
+	// EntryDelay is the longest time from a crash until the entry of the target shows it. Default
+	// DefaultEntryDelay.
+	EntryDelay time.Duration
 	// Dial opens a connection, to see whether the address refuses it. Default: a TCP dial with a timeout
 	// of 400 ms.
 	Dial       func(ctx context.Context, address string) (net.Conn, error)
@@ -35,48 +40,83 @@
 	Logger     *slog.Logger
 }
 
+// DefaultEntryDelay is the default of CrashWatchOptions.EntryDelay, for targets that check in each 1.5 s.
+const DefaultEntryDelay = 8 * time.Second
+
+// EntryDelay returns the longest time from a crash until the entry of the target shows it, if targets check in at
+// the interval: the platform removes entries after three check-ins without one.
+func EntryDelay(checkIn time.Duration) time.Duration { return 3*checkIn + relayDelay }
+
+// relayDelay bounds the time that the store and the relay of its changes take.
+const relayDelay = 3500 * time.Millisecond
+
 const (
+	// probeDelay is the time from a broken connection to the second probe. The other connections of a process that
+	// has ended, and its address, may be closed a moment later than the first one.
+	probeDelay   = 100 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
-	// doubtTime is how long requests that a target left without an answer are kept, until its entry shows
-	// whether it has crashed. Entries of targets that are gone expire after three check-in intervals.
-	doubtTime = 5 * time.Second
-	// maxDoubts bounds the requests that are kept for one target.
-	maxDoubts = 64
+	// probeInterval is the least time between two probes of a target.
+	probeInterval = time.Second
+	// maxDoubtful bounds the requests that are kept for one target. The latest are kept.
+	maxDoubtful = 64
 )
 
 // CrashWatch finds out whether targets crashed while they ran requests, and reports that to the quarantine.
 // Several crashes during one request make all VMs refuse it.
+//
+// A target that left a request without an answer is in doubt. It has crashed if its address refuses connections, if
+// another target answers there, or if within EntryDelay its entry goes without notice or becomes that of a later start. That
+// the address accepts connections shows nothing: another process may have taken its place.
 type CrashWatch struct {
-	opts    CrashWatchOptions
-	settled *prometheus.CounterVec
+	opts     CrashWatchOptions
+	verdicts *prometheus.CounterVec
 
 	mu     sync.Mutex
 	doubts map[fleet.Incarnation]*doubt
 }
 
-// doubt holds the requests that an incarnation left without an answer.
+// verdict is what was found of a target in doubt.
+type verdict string
+
+// Values of the log key and metric label "verdict".
+const (
+	crashed verdict = "crashed"
+	// left means that the target had announced that it leaves.
+	left  verdict = "left"
+	alive verdict = "alive"
+)
+
+// doubt holds the requests that an incarnation has left without an answer.
 type doubt struct {
 	address string
-	// since is when the first of them failed.
-	since    time.Time
-	requests []quarantine.Fingerprint
-	probing  bool
+	// requests are in the order in which they failed.
+	requests []doubtfulRequest
+	// probed is when a request last led to a probe.
+	probed time.Time
+}
+
+type doubtfulRequest struct {
+	fingerprint quarantine.Fingerprint
+	failedAt    time.Time
 }
 
-// NewCrashWatch returns a CrashWatch.
+// NewCrashWatch returns a CrashWatch and registers its metrics.
 func NewCrashWatch(opts CrashWatchOptions) *CrashWatch {
 	if opts.Dial == nil {
 		var d net.Dialer
 		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
+	opts.EntryDelay = cmp.Or(opts.EntryDelay, DefaultEntryDelay)
 	opts.Logger = cmp.Or(opts.Logger, slog.New(slog.DiscardHandler))
-	return &CrashWatch{
+	w := &CrashWatch{
 		opts: opts, doubts: map[fleet.Incarnation]*doubt{},
-		settled: promauto.With(opts.Registerer).NewCounterVec(prometheus.CounterOpts{
+		verdicts: promauto.With(opts.Registerer).NewCounterVec(prometheus.CounterOpts{
 			Name: "basiltally_crash_doubts_total",
-			Help: "Targets that left requests without an answer, by what was found of them: crashed, alive or unproved.",
+			Help: "Targets that left requests without an answer, by what was found of them: crashed, left or alive.",
 		}, []string{"verdict"}),
 	}
+	opts.Directory.OnChange(w.observe)
+	return w
 }
 
 // fingerprint identifies what the request asks for. A caller that sends it again changes its ID and the
@@ -103,94 +143,158 @@
 
 // end records how the exchange ended. abandoned is set if this VM ended it.
 func (w *CrashWatch) end(t *fleet.Target, fp quarantine.Fingerprint, a *upstream.Answer, f *upstream.Failure, abandoned bool) {
-	if f == nil || !f.Call().MayBeDone() || abandoned {
-		w.opts.Tracker.Finished(trackerID(t.Incarnation()), fp, f == nil && !a.NotRun)
+	i := t.Incarnation()
+	w.opts.Tracker.Finished(trackerID(i), fp, f == nil && !a.NotRun)
+	if f == nil && a.OtherTarget {
+		w.observeReplaced(t)
+	}
+	if f == nil || !f.Call().MayBeDone() {
 		return
 	}
+	now := time.Now()
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := t.Incarnation()
 	d := w.doubts[i]
 	if d == nil {
-		d = &doubt{address: t.Address, since: time.Now()}
+		d = &doubt{address: t.Address}
 		w.doubts[i] = d
-		time.AfterFunc(doubtTime, func() { w.dispel(i, d, "unproved", "its entry did not change") })
+		time.AfterFunc(w.opts.EntryDelay, func() { w.expire(i, d) })
+	}
+	if len(d.requests) >= maxDoubtful {
+		d.requests = d.requests[1:]
+	}
+	d.requests = append(d.requests, doubtfulRequest{fp, now})
+	probe := !f.TimedOut && !abandoned && now.Sub(d.probed) >= probeInterval
+	if probe {
+		d.probed = now
+		go w.probe(i, d, now)
 	}
-	if len(d.requests) >= maxDoubts {
-		w.opts.Tracker.Finished(trackerID(i), fp, false)
+	w.mu.Unlock()
+	// The entry may have changed while the request was on its way.
+	w.observeOne(i, d, w.opts.Directory.Snapshot())
+}
+
+// probe looks at the target, one of whose connections broke off at the given instant, at once and after probeDelay.
+func (w *CrashWatch) probe(i fleet.Incarnation, d *doubt, broken time.Time) {
+	if !w.opts.Connected(d.address, broken) && w.probeRefused(i, d, broken) {
 		return
 	}
-	d.requests = append(d.requests, fp)
-	if !f.TimedOut && !d.probing && !w.opts.Connected(t.Address) {
-		d.probing = true
-		go w.probe(i, d)
+	time.Sleep(probeDelay)
+	if w.opts.Connected(d.address, broken) {
+		w.settle(i, d, alive, "another connection to it is open", time.Now())
+		return
 	}
+	w.probeRefused(i, d, broken)
 }
 
-// probe dials the target whose connections have broken off.
-func (w *CrashWatch) probe(i fleet.Incarnation, d *doubt) {
+// probeRefused dials the target, and reports whether its address refuses connections.
+func (w *CrashWatch) probeRefused(i fleet.Incarnation, d *doubt, broken time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	nc, err := w.opts.Dial(ctx, d.address)
-	switch {
-	case err == nil:
+	if err == nil {
 		nc.Close()
-		w.dispel(i, d, "alive", "its address accepts connections")
-	case evidence.MayHaveCrashed(evidence.Refused(err), false):
-		w.crashed(i, d, quarantine.Evidence{ConnectionRefused: true})
-	default:
-		// The entry of the target may show later what has happened.
-		w.mu.Lock()
-		d.probing = false
-		w.mu.Unlock()
+		return false
+	}
+	if !evidence.MayHaveCrashed(evidence.Refused(err), false) {
+		return false
 	}
+	w.settleCrash(i, d, quarantine.Evidence{ConnectionRefused: true, At: broken}, "its address refuses connections")
+	return true
 }
 
-// Observe looks for targets in doubt whose entries show that a later start has taken their place, or that are gone
-// without notice.
-func (w *CrashWatch) Observe(s *fleet.Snapshot) {
+// observe looks for targets in doubt whose entries show that a later start has taken their place, or that are gone.
+func (w *CrashWatch) observe() {
 	w.mu.Lock()
-	gone := map[fleet.Incarnation]*doubt{}
+	all := make(map[fleet.Incarnation]*doubt, len(w.doubts))
 	for i, d := range w.doubts {
-		if t := s.ByID[i.ID]; t == nil || t.Born != i.Born {
-			gone[i] = d
-		}
+		all[i] = d
+	}
+	w.mu.Unlock()
+	s := w.opts.Directory.Snapshot()
+	for i, d := range all {
+		w.observeOne(i, d, s)
+	}
+}
+
+func (w *CrashWatch) observeOne(i fleet.Incarnation, d *doubt, s *fleet.Snapshot) {
+	if t := s.ByID[i.ID]; t != nil && t.Born == i.Born {
+		return
 	}
+	w.settleEnded(i, d, s.Left(i), "its entry is gone, or that of a later start")
+}
+
+// observeReplaced notes that another target answers at the address of t.
+func (w *CrashWatch) observeReplaced(t *fleet.Target) {
+	i := t.Incarnation()
+	w.mu.Lock()
+	d := w.doubts[i]
 	w.mu.Unlock()
-	for i, d := range gone {
-		w.crashed(i, d, quarantine.Evidence{LaterStart: true})
+	if d == nil {
+		return
 	}
+	s := w.opts.Directory.Snapshot()
+	known := s.ByID[i.ID]
+	leaves := s.Left(i) || known != nil && known.Born == i.Born && known.State == fleet.Draining
+	w.settleEnded(i, d, leaves, "another target answers at its address")
 }
 
-// crashed reports that the incarnation may have crashed.
-func (w *CrashWatch) crashed(i fleet.Incarnation, d *doubt, e quarantine.Evidence) {
-	e.Incarnation, e.At = uint64(i.Born), d.since
-	w.opts.Tracker.Crashed(trackerID(i), e)
-	reason := "its entry is gone, or that of a later start"
-	if e.ConnectionRefused {
-		reason = "its address refuses connections"
+// settleEnded settles the doubt about an incarnation that has ended, as announced or in a crash.
+func (w *CrashWatch) settleEnded(i fleet.Incarnation, d *doubt, announced bool, reason string) {
+	if announced {
+		w.settle(i, d, left, reason, time.Now())
+		return
+	}
+	w.mu.Lock()
+	at := time.Now()
+	if n := len(d.requests); n > 0 {
+		at = d.requests[n-1].failedAt
 	}
-	w.dispel(i, d, "crashed", reason)
+	w.mu.Unlock()
+	w.settleCrash(i, d, quarantine.Evidence{LaterStart: true, At: at}, reason)
+}
+
+// settleCrash reports that the incarnation may have crashed while it ran the requests.
+func (w *CrashWatch) settleCrash(i fleet.Incarnation, d *doubt, e quarantine.Evidence, reason string) {
+	e.Incarnation = uint64(i.Born)
+	w.opts.Tracker.Crashed(trackerID(i), e, w.settle(i, d, crashed, reason, time.Now())...)
 }
 
-// dispel ends the doubt with a verdict: crashed, alive or unproved.
-func (w *CrashWatch) dispel(i fleet.Incarnation, d *doubt, verdict, reason string) {
+// expire ends the doubt about requests whose target would show a crash by now, and looks again at the others later.
+func (w *CrashWatch) expire(i fleet.Incarnation, d *doubt) {
+	if w.opts.Directory.EntriesMayReturn() {
+		// What the entries show now may be older than the doubt.
+		time.AfterFunc(w.opts.EntryDelay, func() { w.expire(i, d) })
+		return
+	}
+	w.settle(i, d, alive, "its entry has not changed", time.Now().Add(-w.opts.EntryDelay))
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.doubts[i] == d {
+		time.AfterFunc(time.Until(d.requests[0].failedAt.Add(w.opts.EntryDelay)), func() { w.expire(i, d) })
+	}
+}
+
+// settle ends the doubt about the requests that failed until the given instant, with a verdict, and returns them.
+func (w *CrashWatch) settle(i fleet.Incarnation, d *doubt, v verdict, reason string, until time.Time) []quarantine.Fingerprint {
+	w.mu.Lock()
+	var settled []quarantine.Fingerprint
+	var names []string
+	first := time.Now()
+	for len(d.requests) > 0 && !d.requests[0].failedAt.After(until) {
+		r := d.requests[0]
+		d.requests = d.requests[1:]
+		settled, names = append(settled, r.fingerprint), append(names, hex.EncodeToString(r.fingerprint[:]))
+		first = earlier(first, r.failedAt)
+	}
+	if len(d.requests) == 0 && w.doubts[i] == d {
 		delete(w.doubts, i)
 	}
-	requests := d.requests
-	d.requests = nil
 	w.mu.Unlock()
-	if len(requests) == 0 {
-		return // It has ended before.
-	}
-	w.settled.WithLabelValues(verdict).Inc()
-	fingerprints := make([]string, len(requests))
-	for n, fp := range requests {
-		fingerprints[n] = hex.EncodeToString(fp[:])
-		w.opts.Tracker.Finished(trackerID(i), fp, false)
+	if len(settled) == 0 {
+		return nil // Another path has settled it.
 	}
-	w.opts.Logger.Info("target in doubt", "verdict", verdict, "reason", reason, "target", i.ID, "born", i.Born, "address", d.address,
-		"age_ms", time.Since(d.since).Milliseconds(), "requests", fingerprints)
+	w.verdicts.WithLabelValues(string(v)).Inc()
+	w.opts.Logger.Info("target in doubt", "verdict", string(v), "reason", reason, "target", i.ID, "born", i.Born, "address", d.address,
+		"age_ms", time.Since(first).Milliseconds(), "requests", names)
+	return settled
 }
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -18,8 +18,9 @@
 
 // crashTest plays targets that crash while they run requests.
 type crashTest struct {
-	tracker *quarantine.Tracker
-	watch   *CrashWatch
+	tracker   *quarantine.Tracker
+	directory *fleet.Directory
+	watch     *CrashWatch
 	// connected and dialErr are what a probe of any target finds.
 	connected bool
 	dialErr   error
@@ -27,9 +28,12 @@
 }
 
 func newCrashTest() *crashTest {
-	c := &crashTest{tracker: quarantine.New(quarantine.Options{MinCrashes: 3}), dialErr: syscall.ECONNREFUSED}
+	c := &crashTest{
+		tracker: quarantine.New(quarantine.Options{MinCrashes: 3}), directory: fleet.NewDirectory(fleet.DirectoryOptions{}),
+		dialErr: syscall.ECONNREFUSED,
+	}
 	c.watch = NewCrashWatch(CrashWatchOptions{
-		Tracker: c.tracker, Connected: func(string) bool { return c.connected },
+		Tracker: c.tracker, Directory: c.directory, Connected: func(string, time.Time) bool { return c.connected },
 		Dial: func(context.Context, string) (net.Conn, error) {
 			c.dials++
 			if c.dialErr != nil {
@@ -58,10 +62,16 @@
 	return &fleet.Target{ID: id, Address: id, Born: born}
 }
 
-// run plays one exchange and what follows from it.
+// run plays one exchange with a target that is listed, and the probe that may follow.
 func (c *crashTest) run(t *fleet.Target, fp quarantine.Fingerprint, a *upstream.Answer, f *upstream.Failure) {
+	c.directory.Put(t)
 	c.watch.begin(t, fp)
 	c.watch.end(t, fp, a, f, false)
+	c.awaitProbe()
+}
+
+func (c *crashTest) awaitProbe() {
+	time.Sleep(2 * probeDelay)
 	synctest.Wait()
 }
 
@@ -100,13 +110,13 @@
 				c.dialErr = context.DeadlineExceeded
 				for i, id := range []string{"a", "b", "c"} {
 					c.run(startOf(id, 1), crashing, nil, f)
-					c.watch.Observe(&fleet.Snapshot{ByID: map[string]*fleet.Target{id: startOf(id, 1)}})
 					is.True(!c.refused(crashing))
-					next := &fleet.Snapshot{ByID: map[string]*fleet.Target{id: startOf(id, 2)}}
-					if i == 1 { // Its entry is gone.
-						next = &fleet.Snapshot{}
+					time.Sleep(DefaultEntryDelay - 2*probeDelay - time.Millisecond)
+					if i == 1 {
+						c.directory.Remove(id)
+					} else {
+						c.directory.Put(startOf(id, 2))
 					}
-					c.watch.Observe(next)
 				}
 				is.True(c.refused(crashing))
 			})
@@ -127,8 +137,8 @@
 				for _, id := range []string{"a", "b", "c", "d"} {
 					c.run(startOf(id, 1), crashing, nil, brokenOff)
 				}
-				time.Sleep(doubtTime + time.Second)
-				c.watch.Observe(&fleet.Snapshot{}) // Too late to have to do with it.
+				time.Sleep(DefaultEntryDelay)
+				c.directory.Replace(nil) // Too late to have to do with it.
 				is.True(!c.refused(crashing))
 				is.Equal(len(c.tracker.Snapshot().Suspects), 0)
 			})
@@ -157,9 +167,11 @@
 		is, c := is.New(t), newCrashTest()
 		for _, id := range []string{"a", "b", "c", "d"} {
 			c.run(startOf(id, 1), crashing, nil, notSent)
+			c.directory.Put(startOf(id, 1))
 			c.watch.begin(startOf(id, 1), crashing)
 			c.watch.end(startOf(id, 1), crashing, nil, brokenOff, true) // The caller has left.
 		}
+		time.Sleep(2 * DefaultEntryDelay)
 		synctest.Wait()
 		is.Equal(c.dials, 0)
 		is.Equal(len(c.tracker.Snapshot().Suspects), 0)
@@ -176,9 +188,107 @@
 			c.watch.begin(target, bystander)
 			c.run(target, crashing, nil, brokenOff)
 			c.watch.end(target, bystander, nil, brokenOff, false)
-			synctest.Wait()
+			c.awaitProbe()
 			is.True(!c.refused(bystander))
 		}
 		is.True(c.refused(crashing))
 	})
 }
+
+// The caller left, or its time was over, before the target fell silent for good.
+func TestCrashShowsAfterThisVMEndedTheExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newCrashTest()
+		for _, id := range []string{"a", "b", "c"} {
+			c.directory.Put(startOf(id, 1))
+			c.watch.begin(startOf(id, 1), crashing)
+			c.watch.end(startOf(id, 1), crashing, nil, noAnswer, true)
+			time.Sleep(DefaultEntryDelay - time.Millisecond)
+			is.True(!c.refused(crashing))
+			c.directory.Remove(id)
+		}
+		is.True(c.refused(crashing))
+		is.Equal(c.dials, 0)
+	})
+}
+
+// A new process accepted connections at the address of a crashed target, which cleared it.
+func TestProcessAtTheSameAddressDoesNotHideACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newCrashTest()
+		c.dialErr = nil
+		for _, id := range []string{"a", "b", "c"} {
+			c.run(startOf(id, 1), crashing, nil, brokenOff)
+			is.True(!c.refused(crashing))
+			c.directory.Put(startOf(id, 2))
+		}
+		is.True(c.refused(crashing))
+	})
+}
+
+// The address of a crashed target is another's at once, while the entry is still there.
+func TestAnotherTargetAtTheAddressShowsACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newCrashTest()
+		c.dialErr = nil
+		for _, id := range []string{"a", "b", "c"} {
+			c.run(startOf(id, 1), crashing, nil, brokenOff)
+			is.True(!c.refused(crashing))
+			c.run(startOf(id, 1), other, &upstream.Answer{Status: 421, NotRun: true, OtherTarget: true}, nil)
+		}
+		is.True(c.refused(crashing))
+		is.True(!c.refused(other))
+	})
+}
+
+// An idle connection that had not noticed the crash yet stopped the probe.
+func TestConnectionsThatCloseLaterDoNotHideACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newCrashTest()
+		for _, id := range []string{"a", "b", "c"} {
+			c.connected = true
+			c.directory.Put(startOf(id, 1))
+			c.watch.begin(startOf(id, 1), crashing)
+			c.watch.end(startOf(id, 1), crashing, nil, brokenOff, false)
+			time.Sleep(probeDelay / 2)
+			c.connected = false
+			c.awaitProbe()
+		}
+		is.True(c.refused(crashing))
+	})
+}
+
+// A target that leaves as announced ends its connections and its entry too.
+func TestTargetThatLeavesHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newCrashTest()
+		c.dialErr = context.DeadlineExceeded
+		for _, id := range []string{"a", "b", "c", "d"} {
+			c.run(startOf(id, 1), other, nil, brokenOff)
+			leaving := startOf(id, 1)
+			leaving.State = fleet.Draining
+			c.directory.Put(leaving)
+			c.directory.Remove(id)
+			c.run(leaving, other, nil, notSent)
+			c.watch.end(startOf(id, 1), other, nil, brokenOff, false) // It is no longer listed.
+			c.awaitProbe()
+		}
+		is.Equal(len(c.tracker.Snapshot().Suspects), 0)
+	})
+}
+
+// The store is away for longer than an entry takes to show a crash.
+func TestDoubtOutlastsAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newCrashTest()
+		c.dialErr = context.DeadlineExceeded
+		for _, id := range []string{"a", "b", "c"} {
+			c.run(startOf(id, 1), crashing, nil, brokenOff)
+			c.directory.StoreLost()
+			time.Sleep(2 * DefaultEntryDelay)
+			c.directory.StoreRestored()
+			c.directory.Put(startOf(id, 2))
+		}
+		is.True(c.refused(crashing))
+	})
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -170,12 +170,12 @@
 	return addresses
 }
 
-// Connected reports whether an idle connection to the address is open.
-func (c *Client) Connected(address string) bool {
+// Connected reports whether an idle connection to the address is open that was opened before the instant.
+func (c *Client) Connected(address string, openedBefore time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
-	return p != nil && slices.ContainsFunc(p.idle, func(cn *conn) bool { return c.usable(cn, 0) })
+	return p != nil && slices.ContainsFunc(p.idle, func(cn *conn) bool { return cn.opened.Before(openedBefore) && c.usable(cn, 0) })
 }
 
 // acquire returns an idle connection or opens one. While all are in use, it waits for up
@@ -276,7 +276,7 @@
 		return nil, err
 	}
 	c.opened.Inc()
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), memory: c.opts.Memory, idleSince: time.Now()}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), memory: c.opts.Memory, opened: time.Now(), idleSince: time.Now()}, nil
 }
 
 // usable reports whether an idle connection is within the idle limits and has nothing to
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,6 +26,8 @@
 	// ExpectedTarget carries the ID of the target that the request is for. Any other target
 	// refuses the request.
 	ExpectedTarget string
+	// Target carries the ID of the target that answers, if it is not the expected one.
+	Target string
 	// Seal is present in an answer that the target itself produced.
 	Seal string
 	// NotRun is present in an answer of a target that did not run the request.
@@ -77,6 +79,8 @@
 	Load *Load
 	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
+	// OtherTarget is set if another target than the expected one answers at the address.
+	OtherTarget bool
 	// Sealed is set if the target itself produced the answer.
 	Sealed bool
 	// Statements is what the target states of itself, or nil if the answer may be that of another
@@ -168,8 +172,8 @@
 	net.Conn
 	reader *bufio.Reader
 	// memory bounds what the bodies take, of which this is one while it is received.
-	memory    *bodies.Memory
-	idleSince time.Time
+	memory            *bodies.Memory
+	opened, idleSince time.Time
 	// idleLimit is the idle timeout that the target stated, or zero if it stated none.
 	idleLimit time.Duration
 	// requests is the number of requests that were sent on the connection.
@@ -280,6 +284,7 @@
 				return nil, false, &Failure{Sent: true, InvalidAnswer: true, Cause: err}
 			}
 			c.recordIdleLimit(head)
+			a.OtherTarget = h.namesOtherTarget(head, r)
 			if a.NotRun {
 				c.refused = append(c.refused, r.ID)
 				reusable = reusable && len(c.refused) < maxRefused
@@ -287,7 +292,7 @@
 			return a, reusable && endStated && !head.ConnectionClose() && c.reader.Buffered() == 0, nil
 		}
 		if refusedWithoutRequestID(h, head) && c.requests == 1 {
-			return &Answer{Status: head.StatusCode(), NotRun: true}, false, nil
+			return &Answer{Status: head.StatusCode(), NotRun: true, OtherTarget: h.namesOtherTarget(head, r)}, false, nil
 		}
 		if !endStated {
 			return nil, false, &Failure{Sent: true, InvalidAnswer: true, Cause: errOtherRequest}
@@ -297,6 +302,12 @@
 	return nil, false, &Failure{Sent: true, InvalidAnswer: true, Cause: errOtherRequest}
 }
 
+// namesOtherTarget reports whether the answer says that the request was for another target than the one at the address.
+func (h *Headers) namesOtherTarget(head *fasthttp.ResponseHeader, r *Request) bool {
+	id := head.Peek(h.Target)
+	return h.Target != "" && head.StatusCode() == fasthttp.StatusMisdirectedRequest && len(id) > 0 && string(id) != r.TargetID
+}
+
 // refusedWithoutRequestID reports whether an answer without a request ID refuses a
 // request, as a target does if it is not the expected one. Only on a new connection is it
 // certain which request that is: an earlier refusal may be written once more.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -493,3 +493,37 @@
 		})
 	}
 }
+
+// An address is another target's after a crash, which its answers say.
+func TestAnswerOfAnotherTargetAtTheAddressIsNoticed(t *testing.T) {
+	headers := testHeaders
+	headers.Target = "X-Target"
+	for answer, other := range map[string]bool{
+		"421 Misdirected\r\nX-Target: t2":                          true,
+		"421 Misdirected\r\nX-Target: t2\r\nX-Id: %s":              true,
+		"421 Misdirected\r\nX-Target: t1\r\nX-Id: %s":              false,
+		"421 Misdirected\r\nX-Id: %s":                              false,
+		"503 Full\r\nX-Not-Run: 1\r\nX-Target: t2\r\nX-Id: %s":     false,
+		"200 OK\r\nX-Seal: 1\r\nX-Target: t2\r\nX-Id: %s":          false,
+		"421 Misdirected\r\nX-Seal: 1\r\nX-Target: t1\r\nX-Id: %s": false,
+	} {
+		is := is.New(t)
+		tg := startTarget(t, answerInTurn("HTTP/1.1 "+answer+"\r\nContent-Length: 0\r\n\r\n"))
+		a, f := do(t, New(Options{Headers: headers}), tg, request("1"))
+		is.Equal(f, nil)
+		is.Equal(a.OtherTarget, other)
+	}
+}
+
+// A connection to the process that has taken a crashed target's place showed that the target runs.
+func TestOnlyConnectionsFromBeforeShowThatATargetRuns(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, answerInTurn(validAnswer, validAnswer))
+	c := New(Options{Headers: testHeaders})
+	before := time.Now()
+	_, f := do(t, c, tg, request("1"))
+	is.Equal(f, nil)
+	is.True(!c.Connected(tg.address, before))
+	is.True(c.Connected(tg.address, time.Now()))
+	is.True(!c.Connected("127.0.0.1:1", time.Now()))
+}
