Ask the quarantine before each send, and end the retries of a request whose exchanges break off

What callers saw: with more than two attempts on a route, one request crashed one target after the other before any VM could suspect it; and one that waited for the owner of its key, or was sent again, was not looked up in the list once more.

Cause: the list was asked when a request came, only. Change: it is asked before each send; two exchanges that broke off before the deadline end the retries. One that has run already is answered as failed, not as refused.

TestRequestWhoseExchangesBreakOffIsNotSentToEachTarget: 6 targets of 6 before, 2 after.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,9 @@
 	maxIdleAtMostOnce = 2 * time.Second
 	// minAttemptTime is the time until the deadline that a retry needs at least.
 	minAttemptTime = 5 * time.Millisecond
+	// maxBrokenOff is the number of exchanges without an answer after which a request is not sent again: it may be
+	// what ends them.
+	maxBrokenOff = 2
 	// noTargetRetryAfter is the Retry-After time while no target of a service is known.
 	// unreachableRetryAfter is the Retry-After time while no target can be reached.
 	noTargetRetryAfter    = 500 * time.Millisecond
@@ -177,6 +180,8 @@
 	key shard.Key
 	// attempts counts the exchanges of which a byte may have reached a target.
 	attempts int
+	// brokenOff counts the exchanges that ended without an answer after a byte was sent, before the deadline.
+	brokenOff int
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	// failedAnswer is the last answer of a target with a status of 500 or more. The caller
@@ -233,8 +238,8 @@
 	if c.service = t.Service(name); c.service == nil {
 		return nil, configRefusal("service %q is not configured", name)
 	}
-	if e := g.refuseQuarantined(c); e != nil {
-		return nil, e
+	if g.opts.Crashes != nil {
+		c.content = c.fingerprint(g.opts.Headers.Key)
 	}
 	c.forwardedHeader = g.forwardHeader(c.req.Header)
 	g.opts.Budget.CountRequest(c.service.Name)
@@ -250,19 +255,19 @@
 	return g.serveKeyed(c)
 }
 
-// refuseQuarantined returns an error if the request has crashed targets, and else nil.
-func (g *Gateway) refuseQuarantined(c *call) *result.Error {
+// quarantined reports whether the request has crashed several targets and must not be sent, again or at all. The
+// error is what the caller is answered; it is nil if a failed answer of a target is to be passed on.
+func (g *Gateway) quarantined(c *call) (bool, *result.Error) {
 	if g.opts.Crashes == nil {
-		return nil
+		return false, nil
 	}
-	c.content = c.fingerprint(g.opts.Headers.Key)
 	blocked, until := g.opts.Crashes.opts.Tracker.Quarantined(c.content)
-	if !blocked {
-		return nil
+	if !blocked || c.mayHaveRun {
+		return blocked, g.failure(c)
 	}
 	e := result.New(result.Quarantined, "several targets crashed while they ran this request")
 	e.RetryAfter = time.Until(until)
-	return e
+	return true, e
 }
 
 // findRoute sets the call's route and deadline. It returns an error if no route serves the request.
@@ -392,9 +397,9 @@
 }
 
 // mayRetry reports whether the request may be sent to a target once more: it must be
-// idempotent or not have run, and have attempts and time left.
+// idempotent or not have run, and have attempts and time left, and too few targets may have crashed while they ran it.
 func (c *call) mayRetry() bool {
-	return (c.idempotent() || !c.mayHaveRun) && c.attempts < max(c.entry.MaxAttempts, 1) &&
+	return c.brokenOff < maxBrokenOff && (c.idempotent() || !c.mayHaveRun) && c.attempts < max(c.entry.MaxAttempts, 1) &&
 		c.timeLeft() > minAttemptTime && c.ctx.Err() == nil
 }
 
@@ -547,6 +552,7 @@
 	if c.ctx.Err() != nil || c.timeLeft() <= 0 {
 		return placing.Outcome{}, stepNoAnswer
 	}
+	c.brokenOff++
 	if f.Reset {
 		// The target's other idle connections may have been closed as well.
 		g.opts.Upstream.CloseIdle(t.Address)
@@ -563,6 +569,9 @@
 	var candidates []placing.Candidate
 	full := false
 	for {
+		if blocked, e := g.quarantined(c); blocked {
+			return nil, e
+		}
 		// Targets may have left while the last exchange ran.
 		snapshot := g.opts.Directory.Snapshot()
 		var ineligible *ineligibleTarget
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -77,11 +77,13 @@
 		})
 	}
 	f.table = table
+	sixAttempts := f.route("/six/", routing.Idempotent)
+	sixAttempts.MaxAttempts = 6
 	routes := routing.NewTable(&routing.Config{
 		Version:  1,
 		Services: []routing.Service{{Name: "s", Keyed: keyed}},
 		Routes: []routing.Route{
-			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload),
+			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts,
 		},
 	})
 	f.gateway = gateway.New(gateway.Options{
@@ -207,6 +209,15 @@
 	}
 }
 
+// A request with many attempts left crashed one target after the other before it could be suspected.
+func TestRequestWhoseExchangesBreakOffIsNotSentToEachTarget(t *testing.T) {
+	is := is.New(t)
+	drop := http.HandlerFunc(dropConnection)
+	f := newFixture(t, false, drop, drop, drop, drop, drop, drop)
+	is.Equal(f.send("/six/x", "").Status, http.StatusBadGateway)
+	is.Equal(f.requestsReceived(), 2)
+}
+
 func TestIdempotentRequestIsSentToAnotherTarget(t *testing.T) {
 	for name, h := range map[string]http.HandlerFunc{"lost answer": dropConnection, "failure": answerError, "target has no room": answerFull} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -17,6 +17,9 @@
 func (g *Gateway) serveKeyed(c *call) (*upstream.Answer, *result.Error) {
 	waitUntil := time.Now().Add(time.Duration(float64(c.timeLeft()) * ownerWaitShare))
 	for ownerRetries := 0; ; {
+		if blocked, e := g.quarantined(c); blocked {
+			return nil, e
+		}
 		changed := g.opts.Shards.Changed()
 		entry, e := g.ownerEntry(c, waitUntil)
 		if e != nil {
