Send the requests that crash targets to other VMs while there is no assigner

What callers saw: with the assigner lost and none in its place, a request went on crashing targets, through each VM as often as if it were alone.

Its first form had no assigner only because the VMs did not know each other yet; it now stops the assigner while the store refuses all VMs.

Change: without an assigner a VM sends its new suspects to up to 24 VMs at once, and after 5 s without one those of the last minute, which the lost one knew. When to do so is suspectsSender, tested without a network. Weighed: the store (what keeps an assigner away mostly keeps the store away), all VMs (at 295 VMs too many connections in the moment of a loss).

A probe's connection is kept for the next request, since new connections are priced. TestVMsWithoutAnAssignerShareTheRequestsThatCrashTargets and TestSuspectsAreSentOnlyWhileNoAssignerPassesThemOn are new; the first fails without the sending (not seen within 10 s: all VMs refuse the request).

--- a/daemon/crashing_test.go
+++ b/daemon/crashing_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +33,7 @@
 	others bool
 	// patience is how long the caller of the crashing request waits. Zero: until its time is over.
 	patience time.Duration
-	// withoutAssigner refuses all VMs at the store, so that none stays the assigner.
+	// withoutAssigner stops the assigner while the store refuses all VMs, so that no other takes its role.
 	withoutAssigner bool
 }
 
@@ -108,22 +110,42 @@
 		is.NoErr(err)
 		t.Cleanup(i.Close)
 	}
+	if c.withoutAssigner {
+		b.startReadyNode("assigner")
+		b.eventually("the first VM is the assigner", func() bool { return b.log.count("took over as assigner") == 1 })
+	}
 	nodes := []*testNode{b.startReadyNode("vm1"), b.startReadyNode("vm2"), b.startReadyNode("vm3")}
 	b.eventually("all keys are served through all VMs", func() bool {
 		return b.allKeysServed(nodes[0]) && b.allKeysServed(nodes[1]) && b.allKeysServed(nodes[2])
 	})
+	b.eventually("all VMs know each other", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *testNode) bool { vms := n.process.vms.Load(); return vms == nil || len(*vms) != len(b.nodes) })
+	})
 	if c.withoutAssigner {
-		for _, n := range nodes {
+		for _, n := range b.nodes {
 			n.refusedByStore.Store(true)
 		}
-		time.Sleep(2 * nodes[0].settings.Shard.RoleLease)
+		b.nodes[0].stop()
+		is.NoErr(<-b.nodes[0].done)
+		b.nodes = b.nodes[1:]
+		b.eventually("no VM has an assigner", func() bool { return b.log.count("assigner lost") == len(nodes) })
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var others sync.WaitGroup
+	var refusedOthers atomic.Int64
+	others.Go(func() { // The service is in use.
+		for n := 0; ctx.Err() == nil; n++ {
+			status := sendAs(ctx, nodes[n%len(nodes)], fmt.Sprint("other-", n), fmt.Sprint("/safe/", n), n*7919%65536)
+			if strings.Contains(status, "1401") {
+				refusedOthers.Add(1)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
 	if c.others {
 		others.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				_ = sendAs(ctx, nodes[n%len(nodes)], fmt.Sprint("harmless-", n)) // The targets' crashes may end it.
+				_ = sendAs(ctx, nodes[n%len(nodes)], fmt.Sprint("harmless-", n), "/safe/same", 7) // The targets' crashes may end it.
 				time.Sleep(400 * time.Millisecond)
 			}
 		})
@@ -135,7 +157,7 @@
 		}
 		attempt, cancelAttempt := context.WithTimeout(ctx, patience)
 		begun := time.Now()
-		t.Logf("attempt %d: %s", n, sendAs(attempt, nodes[n%len(nodes)], fmt.Sprint("crashing-", n)))
+		t.Logf("attempt %d: %s", n, sendAs(attempt, nodes[n%len(nodes)], fmt.Sprint("crashing-", n), "/safe/same", 7))
 		cancelAttempt()
 		time.Sleep(time.Until(begun.Add(pause)))
 	}
@@ -146,18 +168,19 @@
 	t.Logf("%d crashes, %d later than %s after the third", count.crashes, count.late, contact)
 	is.True(count.crashes >= crashesBeforeRule)
 	is.True(count.late <= retriesAllowed)
+	is.Equal(refusedOthers.Load(), int64(0))
 }
 
-// sendAs sends the same read through the VM under the given id, and returns what came of it.
-func sendAs(ctx context.Context, n *testNode, id string) string {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.settings.Gateway.Listen+"/safe/same", http.NoBody)
+// sendAs sends a read through the VM under the given id, and returns what came of it.
+func sendAs(ctx context.Context, n *testNode, id, path string, key int) string {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.settings.Gateway.Listen+path, http.NoBody)
 	if err != nil {
 		return err.Error()
 	}
 	req.Host = "h"
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Request-Deadline-Ms", "1000")
-	req.Header.Set("Shard-Key", "7")
+	req.Header.Set("Shard-Key", fmt.Sprint(key))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err.Error()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -168,7 +168,7 @@
 		VM: s.Process.VM, MinCrashes: s.Gateway.QuarantineCrashes, Duration: s.Gateway.QuarantineTime, AmbiguousDuration: s.Gateway.QuarantineTime, Registerer: n.registry, Logger: logger,
 	})
 	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{
-		Tracker: suspects, Directory: n.directory, Connected: n.upstream.Connected, EntryDelay: gateway.EntryDelay(s.Gateway.CheckIn), Registerer: n.registry, Logger: logger,
+		Tracker: suspects, Directory: n.directory, Connected: n.upstream.Connected, Probe: n.upstream.Probe, EntryDelay: gateway.EntryDelay(s.Gateway.CheckIn), Registerer: n.registry, Logger: logger,
 	})
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -60,6 +60,13 @@
 	return l.text.Write(p)
 }
 
+// count returns how many lines have the text.
+func (l *testLog) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Count(l.text.Bytes(), []byte(text))
+}
+
 func (l *testLog) printIfFailed(t *testing.T) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/hex"
 	"log/slog"
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -33,9 +32,8 @@
 	// EntryDelay is the longest time from a crash until the entry of the target shows it. Default
 	// DefaultEntryDelay.
 	EntryDelay time.Duration
-	// Dial opens a connection, to see whether the address refuses it. Default: a TCP dial with a timeout
-	// of 400 ms.
-	Dial       func(ctx context.Context, address string) (net.Conn, error)
+	// Probe opens a connection, unless one is open, to see whether the address refuses it.
+	Probe      func(ctx context.Context, address string) error
 	Registerer prometheus.Registerer
 	Logger     *slog.Logger
 }
@@ -102,10 +100,6 @@
 
 // NewCrashWatch returns a CrashWatch and registers its metrics.
 func NewCrashWatch(opts CrashWatchOptions) *CrashWatch {
-	if opts.Dial == nil {
-		var d net.Dialer
-		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
-	}
 	opts.EntryDelay = cmp.Or(opts.EntryDelay, DefaultEntryDelay)
 	opts.Logger = cmp.Or(opts.Logger, slog.New(slog.DiscardHandler))
 	w := &CrashWatch{
@@ -186,16 +180,11 @@
 	w.probeRefused(i, d, broken)
 }
 
-// probeRefused dials the target, and reports whether its address refuses connections.
+// probeRefused opens a connection to the target, and reports whether its address refuses it.
 func (w *CrashWatch) probeRefused(i fleet.Incarnation, d *doubt, broken time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	nc, err := w.opts.Dial(ctx, d.address)
-	if err == nil {
-		nc.Close()
-		return false
-	}
-	if !evidence.MayHaveCrashed(evidence.Refused(err), false) {
+	if err := w.opts.Probe(ctx, d.address); !evidence.MayHaveCrashed(evidence.Refused(err), false) {
 		return false
 	}
 	w.settleCrash(i, d, quarantine.Evidence{ConnectionRefused: true, At: broken}, "its address refuses connections")
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -34,14 +33,9 @@
 	}
 	c.watch = NewCrashWatch(CrashWatchOptions{
 		Tracker: c.tracker, Directory: c.directory, Connected: func(string, time.Time) bool { return c.connected },
-		Dial: func(context.Context, string) (net.Conn, error) {
+		Probe: func(context.Context, string) error {
 			c.dials++
-			if c.dialErr != nil {
-				return nil, c.dialErr
-			}
-			near, far := net.Pipe()
-			far.Close()
-			return near, nil
+			return c.dialErr
 		},
 	})
 	return c
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -94,7 +94,7 @@
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
 		Crashes: gateway.NewCrashWatch(gateway.CrashWatchOptions{
-			Tracker: quarantine.New(quarantine.Options{MinCrashes: 3}), Directory: f.directory, Connected: f.upstream.Connected,
+			Tracker: quarantine.New(quarantine.Options{MinCrashes: 3}), Directory: f.directory, Connected: f.upstream.Connected, Probe: f.upstream.Probe,
 		}),
 	})
 	return f
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -210,9 +210,12 @@
 // tables soon, it reads them from the store. It returns nil.
 func (a *Agent) Run(ctx context.Context) error {
 	pause(ctx, a.startDelay())
-	var reading sync.WaitGroup
-	defer reading.Wait()
-	reading.Go(func() {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	if a.opts.Suspects != nil {
+		parts.Go(func() { a.sendSuspects(ctx) })
+	}
+	parts.Go(func() {
 		pause(ctx, readTablesAfter)
 		if len(*a.tables.Load()) == 0 && ctx.Err() == nil {
 			a.readTables(ctx)
@@ -508,19 +511,26 @@
 // announce notifies the other VMs that this VM is the assigner. VMs that the store refuses,
 // and an assigner that has been superseded, would not find this out from the store.
 func (a *Agent) announce(ctx context.Context, term uint64) {
+	a.tell(ctx, a.otherVMs(), &pb.ShardUpdate{Term: term, Assigner: a.opts.Address})
+}
+
+// otherVMs returns the addresses of the other VMs that this VM knows, seeds included.
+func (a *Agent) otherVMs() []string {
 	a.mu.Lock()
-	peers := append(slices.Clone(a.peers), a.opts.Seeds...)
+	others := append(slices.Clone(a.peers), a.opts.Seeds...)
 	a.mu.Unlock()
-	slices.Sort(peers)
+	slices.Sort(others)
+	return slices.DeleteFunc(slices.Compact(others), func(address string) bool { return address == a.opts.Address })
+}
+
+// tell sends an update to VMs that do not follow this one. Those that cannot be reached are passed over.
+func (a *Agent) tell(ctx context.Context, addresses []string, u *pb.ShardUpdate) {
 	var g errgroup.Group
 	g.SetLimit(announceParallelism)
-	for _, address := range slices.Compact(peers) {
-		if address == a.opts.Address {
-			continue
-		}
+	for _, address := range addresses {
 		g.Go(func() error {
-			if err := a.announceTo(ctx, address, term); err != nil {
-				a.opts.Logger.Debug("could not announce the take-over", "address", address, "term", term, "error", err.Error())
+			if err := a.tellOne(ctx, address, u); err != nil {
+				a.opts.Logger.Debug("could not tell a VM", "address", address, "term", u.GetTerm(), "suspects", len(u.GetSuspects().GetSuspects()), "error", err.Error())
 			}
 			return nil
 		})
@@ -529,7 +539,7 @@
 	_ = g.Wait()
 }
 
-func (a *Agent) announceTo(ctx context.Context, address string, term uint64) error {
+func (a *Agent) tellOne(ctx context.Context, address string, u *pb.ShardUpdate) error {
 	ctx, cancel := context.WithTimeout(ctx, assignerTimeout)
 	defer cancel()
 	defer a.opts.Peers.CloseSession(address)
@@ -538,9 +548,7 @@
 		return err
 	}
 	defer s.Close()
-	if err := s.Send(&pb.Envelope{Body: &pb.Envelope_ShardUpdate{ShardUpdate: &pb.ShardUpdate{
-		Term: term, Assigner: a.opts.Address,
-	}}}); err != nil {
+	if err := s.Send(&pb.Envelope{Body: &pb.Envelope_ShardUpdate{ShardUpdate: u}}); err != nil {
 		return err
 	}
 	if err := s.SetReadDeadline(time.Now().Add(assignerTimeout)); err != nil {
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -249,7 +249,8 @@
 
 // Serve handles a peer's stream. If this VM is the assigner, it registers the peer as a
 // follower. Otherwise it answers with the address of the assigner that this VM follows.
-// A peer may also announce itself as the assigner. Serve is a peer.Handler.
+// A peer may also announce itself as the assigner, or send the requests that crash targets while there is none. Serve
+// is a peer.Handler.
 func (a *Agent) Serve(ctx context.Context, s *peer.Stream) {
 	if err := s.SetReadDeadline(time.Now().Add(assignerTimeout)); err != nil {
 		return
@@ -259,6 +260,7 @@
 		return
 	}
 	if u := first.GetShardUpdate(); u != nil {
+		a.mergeSuspects(u.GetSuspects())
 		a.handleAnnouncement(u.GetTerm(), u.GetAssigner())
 		return
 	}
--- a/shard/suspects_test.go
+++ b/shard/suspects_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +25,26 @@
 	stop    func()
 }
 
+// unavailableStore refuses all calls while refuse is set.
+type unavailableStore struct {
+	store.Store
+	refuse atomic.Bool
+}
+
+func (s *unavailableStore) Get(ctx context.Context, key string) (store.Object, error) {
+	if s.refuse.Load() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *unavailableStore) Put(ctx context.Context, key string, value []byte, v store.Version) (store.Version, error) {
+	if s.refuse.Load() {
+		return 0, store.ErrUnavailable
+	}
+	return s.Store.Put(ctx, key, value, v)
+}
+
 func startSuspectsVM(t *testing.T, name string, s store.Store) *suspectsVM {
 	t.Helper()
 	vm := &suspectsVM{tracker: quarantine.New(quarantine.Options{MinCrashes: 3})}
@@ -110,3 +132,62 @@
 	alone := startSuspectsVM(t, "e", s)
 	await("the VM that is left refuses the request", func() bool { return alone.refuses(crashing) })
 }
+
+// VMs without an assigner knew only the crashes that they had seen themselves.
+func TestVMsWithoutAnAssignerShareTheRequestsThatCrashTargets(t *testing.T) {
+	s := &unavailableStore{Store: memstore.New(memstore.Options{})}
+	vms := []*suspectsVM{startSuspectsVM(t, "a", s), startSuspectsVM(t, "b", s), startSuspectsVM(t, "c", s), startSuspectsVM(t, "d", s)}
+	await := func(what string, ok func(*suspectsVM) bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); slices.ContainsFunc(vms, func(vm *suspectsVM) bool { return !ok(vm) }); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("not seen within 10 s: %s", what)
+			}
+		}
+	}
+	await("all VMs know each other", func(vm *suspectsVM) bool {
+		vm.agent.mu.Lock()
+		defer vm.agent.mu.Unlock()
+		return len(vm.agent.peers) == len(vms)
+	})
+	s.refuse.Store(true)
+	assigner := slices.IndexFunc(vms, func(vm *suspectsVM) bool {
+		vm.agent.mu.Lock()
+		defer vm.agent.mu.Unlock()
+		return vm.agent.active != nil
+	})
+	vms[assigner].stop()
+	vms = slices.Delete(vms, assigner, assigner+1)
+	await("no assigner", func(vm *suspectsVM) bool {
+		vm.agent.mu.Lock()
+		defer vm.agent.mu.Unlock()
+		return vm.agent.active == nil && vm.agent.following == ""
+	})
+	crashing := quarantine.Fingerprint{1}
+	for i, vm := range vms {
+		vm.crash(string(rune('x'+i)), crashing)
+	}
+	await("all VMs refuse the request", func(vm *suspectsVM) bool { return vm.refuses(crashing) })
+}
+
+func TestSuspectsAreSentOnlyWhileNoAssignerPassesThemOn(t *testing.T) {
+	is := is.New(t)
+	var s suspectsSender
+	now := time.Minute
+	step := func(after time.Duration, version uint64, assigner bool) time.Duration {
+		now += after
+		return s.step(now, version, assigner)
+	}
+	is.Equal(step(0, 0, false), time.Duration(0)) // Nothing to send.
+	is.Equal(step(0, 1, true), time.Duration(0))
+	is.Equal(step(5*time.Second, 1, true), time.Duration(0))
+	is.Equal(step(0, 1, false), time.Duration(0)) // The assigner had passed it on.
+	is.Equal(step(time.Second, 2, false), newSuspectsAge)
+	is.Equal(step(time.Second, 2, false), time.Duration(0))
+	is.Equal(step(10*time.Second, 2, false), suspectAge) // There is none for long.
+	is.Equal(step(10*time.Second, 2, false), time.Duration(0))
+	is.Equal(step(time.Second, 2, true), time.Duration(0))
+	is.Equal(step(5*time.Second, 2, true), time.Duration(0))
+	is.Equal(step(time.Second, 3, true), time.Duration(0))
+	is.Equal(step(assignerTimeout, 3, false), newSuspectsAge) // It may have been lost before.
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -178,6 +178,33 @@
 	return p != nil && slices.ContainsFunc(p.idle, func(cn *conn) bool { return cn.opened.Before(openedBefore) && c.usable(cn, 0) })
 }
 
+// Probe opens a connection to the address and keeps it for later requests. It does nothing if there is one already or
+// none may be opened now.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	c.mu.Lock()
+	p := c.pools[address]
+	if p == nil {
+		p = &pool{}
+		c.pools[address] = p
+	}
+	if len(p.idle) > 0 || int64(p.open) >= c.limit.Load() {
+		c.mu.Unlock()
+		return nil
+	}
+	p.open++
+	c.mu.Unlock()
+	cn, err := c.dial(ctx, address, time.Now().Add(c.opts.DialTimeout))
+	if err == nil {
+		c.putBack(address, cn)
+		return nil
+	}
+	c.mu.Lock()
+	p.open--
+	p.wakeNext()
+	c.mu.Unlock()
+	return err
+}
+
 // acquire returns an idle connection or opens one. While all are in use, it waits for up
 // to r.MaxWait and then returns ErrBusy.
 func (c *Client) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/evidence"
 )
 
 var testHeaders = Headers{
@@ -527,3 +529,15 @@
 	is.True(c.Connected(tg.address, time.Now()))
 	is.True(!c.Connected("127.0.0.1:1", time.Now()))
 }
+
+func TestConnectionOfAProbeServesTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, answerInTurn(validAnswer, validAnswer))
+	c := New(Options{Headers: testHeaders})
+	is.NoErr(c.Probe(t.Context(), tg.address))
+	is.NoErr(c.Probe(t.Context(), tg.address))
+	_, f := do(t, c, tg, request("1"))
+	is.Equal(f, nil)
+	is.Equal(len(tg.conns), 1)
+	is.True(evidence.Refused(c.Probe(t.Context(), "127.0.0.1:1")))
+}
