--- a/standin/soak/disturb.go
+++ b/standin/soak/disturb.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -86,6 +87,13 @@
 		busy[i] = &sync.Mutex{}
 	}
 	running.Go(func() { s.runStatements(ctx, s.seed, busy) })
+	if s.seed%2 == 0 {
+		crashing := &crashingRequest{soak: s, busy: busy, rng: rand.New(rand.NewPCG(s.seed, 3))}
+		s.crashing.Store(crashing)
+		sending, stopSending := context.WithCancel(ctx)
+		running.Go(func() { crashing.run(sending) })
+		defer stopSending()
+	}
 	for end := time.Now().Add(s.opts.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(time.Duration(s.rng.ExpFloat64() * float64(meanDisturbanceGap)))
 		d := disturbances[s.rng.IntN(len(disturbances))]
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -15,6 +15,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -103,6 +104,8 @@
 	configWrittenAt, storeDisturbedAt time.Time
 	// stated is what targets state in their answers, by their ids.
 	stated map[string]*statements
+	// crashing is set while a request comes that crashes targets.
+	crashing atomic.Pointer[crashingRequest]
 }
 
 // target is a stand-in target behind a proxy.
@@ -233,6 +236,9 @@
 // once drainBound has passed.
 func (s *soak) Ran(target, id string, key uint16) {
 	s.checker.Ran(target, id, key)
+	if c := s.crashing.Load(); c != nil && strings.HasPrefix(id, crashingPrefix) {
+		c.ran(target, id)
+	}
 	if at, ok := s.checker.leavingSince(target); ok && time.Since(at) > drainBound && s.storeUndisturbed(at) {
 		if n := s.nodeOf(id); n != nil && n.undisturbedSince(at.Add(-settleTime)) {
 			s.checker.reportBroken("leaving targets: %s ran %s sent to %s, %v after its leaving notice was stored", target, id, n.name, time.Since(at))
@@ -372,6 +378,11 @@
 
 // probe sends one of the soak's own requests to the node and returns the status.
 func (s *soak) probe(n *node, path string, key int) (int, error) {
+	return s.send(n, fmt.Sprintf("own-%d", s.checker.nextProbe()), path, key)
+}
+
+// send sends a read with the id to the node and returns the status.
+func (s *soak) send(n *node, id, path string, key int) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.callerAddress+path, nil)
@@ -379,7 +390,7 @@
 		return 0, err
 	}
 	req.Host, req.Close = host, true
-	req.Header.Set("Attempt-Id", fmt.Sprintf("own-%d", s.checker.nextProbe()))
+	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Request-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	req.Header.Set("Shard-Key", fmt.Sprint(key))
 	resp, err := http.DefaultClient.Do(req)
