Take a target whose entry has not arrived yet for no crashed one

What callers would see: a broken connection to an owner that the table names before its entry has come counts as a crash of it at once.

Cause: looks at the entry when an exchange ends as well, and took 'not listed' for 'gone'. Change: only an incarnation that was listed can be gone. TestTargetThatIsNotListedYetHasNotCrashed fails before (1 suspect) and passes after. Found by reading.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -206,7 +206,9 @@
 }
 
 func (w *CrashWatch) observeOne(i fleet.Incarnation, d *doubt, s *fleet.Snapshot) {
-	if t := s.ByID[i.ID]; t != nil && t.Born == i.Born {
+	// A table of owners may name a target whose entry has not arrived yet.
+	listed := s.ByID[i.ID] != nil && s.ByID[i.ID].Born == i.Born
+	if neverListed := s.LeavingSince(i).IsZero(); listed || neverListed {
 		return
 	}
 	w.settleEnded(i, d, s.Left(i), "its entry is gone, or that of a later start")
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -271,6 +271,22 @@
 	})
 }
 
+// The table of owners named targets before their entries had arrived.
+func TestTargetThatIsNotListedYetHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newCrashTest()
+		c.dialErr = nil
+		for _, id := range []string{"a", "b", "c", "d"} {
+			c.watch.begin(startOf(id, 1), other)
+			c.watch.end(startOf(id, 1), other, nil, brokenOff, false)
+			c.awaitProbe()
+			c.directory.Put(startOf(id, 1))
+		}
+		time.Sleep(2 * DefaultEntryDelay)
+		is.Equal(len(c.tracker.Snapshot().Suspects), 0)
+	})
+}
+
 // The store is away for longer than an entry takes to show a crash.
 func TestDoubtOutlastsAnOutageOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
