Take a target that leaves as announced for no crashed one when its address refuses connections, too

One place decides now for all three signs. TestTargetThatLeavesHasNotCrashed plays the closed address: it fails without the change (suspects 1 of 0 allowed is checked there) and passes with it. Verdicts have the prefix that tells them from other names of the package.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -78,10 +78,10 @@
 
 // Values of the log key and metric label "verdict".
 const (
-	crashed verdict = "crashed"
-	// left means that the target had announced that it leaves.
-	left  verdict = "left"
-	alive verdict = "alive"
+	verdictCrashed verdict = "crashed"
+	// verdictLeft means that the target has ended after it had announced that it leaves.
+	verdictLeft  verdict = "left"
+	verdictAlive verdict = "alive"
 )
 
 // doubt holds the requests that an incarnation has left without an answer.
@@ -174,7 +174,7 @@
 	}
 	time.Sleep(probeDelay)
 	if w.opts.Connected(d.address, broken) {
-		w.settle(i, d, alive, "another connection to it is open", time.Now())
+		w.settle(i, d, verdictAlive, "another connection to it is open", time.Now())
 		return
 	}
 	w.probeRefused(i, d, broken)
@@ -187,7 +187,7 @@
 	if err := w.opts.Probe(ctx, d.address); !evidence.MayHaveCrashed(evidence.Refused(err), false) {
 		return false
 	}
-	w.settleCrash(i, d, quarantine.Evidence{ConnectionRefused: true, At: broken}, "its address refuses connections")
+	w.settleEnded(i, d, quarantine.Evidence{ConnectionRefused: true, At: broken}, "its address refuses connections")
 	return true
 }
 
@@ -211,7 +211,7 @@
 	if neverListed := s.LeavingSince(i).IsZero(); listed || neverListed {
 		return
 	}
-	w.settleEnded(i, d, s.Left(i), "its entry is gone, or that of a later start")
+	w.settleEnded(i, d, quarantine.Evidence{LaterStart: true}, "its entry is gone, or that of a later start")
 }
 
 // observeReplaced notes that another target answers at the address of t.
@@ -220,34 +220,28 @@
 	w.mu.Lock()
 	d := w.doubts[i]
 	w.mu.Unlock()
-	if d == nil {
-		return
+	if d != nil {
+		w.settleEnded(i, d, quarantine.Evidence{LaterStart: true}, "another target answers at its address")
 	}
-	s := w.opts.Directory.Snapshot()
-	known := s.ByID[i.ID]
-	leaves := s.Left(i) || known != nil && known.Born == i.Born && known.State == fleet.Draining
-	w.settleEnded(i, d, leaves, "another target answers at its address")
 }
 
-// settleEnded settles the doubt about an incarnation that has ended, as announced or in a crash.
-func (w *CrashWatch) settleEnded(i fleet.Incarnation, d *doubt, announced bool, reason string) {
-	if announced {
-		w.settle(i, d, left, reason, time.Now())
+// settleEnded settles the doubt about an incarnation that has ended: as announced, or else in a crash while it may have
+// run the requests. If the evidence does not say when, that was no later than the last of them failed.
+func (w *CrashWatch) settleEnded(i fleet.Incarnation, d *doubt, e quarantine.Evidence, reason string) {
+	s := w.opts.Directory.Snapshot()
+	if t := s.ByID[i.ID]; s.Left(i) || t != nil && t.Born == i.Born && t.State == fleet.Draining {
+		w.settle(i, d, verdictLeft, reason, time.Now())
 		return
 	}
 	w.mu.Lock()
-	at := time.Now()
-	if n := len(d.requests); n > 0 {
-		at = d.requests[n-1].failedAt
+	if e.At.IsZero() && len(d.requests) > 0 {
+		e.At = d.requests[len(d.requests)-1].failedAt
 	}
 	w.mu.Unlock()
-	w.settleCrash(i, d, quarantine.Evidence{LaterStart: true, At: at}, reason)
-}
-
-// settleCrash reports that the incarnation may have crashed while it ran the requests.
-func (w *CrashWatch) settleCrash(i fleet.Incarnation, d *doubt, e quarantine.Evidence, reason string) {
 	e.Incarnation = uint64(i.Born)
-	w.opts.Tracker.Crashed(trackerID(i), e, w.settle(i, d, crashed, reason, time.Now())...)
+	if ended := w.settle(i, d, verdictCrashed, reason, time.Now()); len(ended) > 0 {
+		w.opts.Tracker.Crashed(trackerID(i), e, ended...)
+	}
 }
 
 // expire ends the doubt about requests whose target would show a crash by now, and looks again at the others later.
@@ -257,7 +251,7 @@
 		time.AfterFunc(w.opts.EntryDelay, func() { w.expire(i, d) })
 		return
 	}
-	w.settle(i, d, alive, "its entry has not changed", time.Now().Add(-w.opts.EntryDelay))
+	w.settle(i, d, verdictAlive, "its entry has not changed", time.Now().Add(-w.opts.EntryDelay))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.doubts[i] == d {
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -256,12 +256,14 @@
 func TestTargetThatLeavesHasNotCrashed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, c := is.New(t), newCrashTest()
-		c.dialErr = context.DeadlineExceeded
 		for _, id := range []string{"a", "b", "c", "d"} {
+			c.dialErr = context.DeadlineExceeded
 			c.run(startOf(id, 1), other, nil, brokenOff)
 			leaving := startOf(id, 1)
 			leaving.State = fleet.Draining
 			c.directory.Put(leaving)
+			c.dialErr = syscall.ECONNREFUSED
+			c.run(leaving, other, nil, brokenOff) // It has closed its address.
 			c.directory.Remove(id)
 			c.run(leaving, other, nil, notSent)
 			c.watch.end(startOf(id, 1), other, nil, brokenOff, false) // It is no longer listed.
