Test the look before each send, and which suspects go first

TestRequestIsNotSentAgainOnceItIsQuarantined and TestSuspectOfTwoCrashesOutlastsAFloodOfOthers are new. No product code.

--- a/daemon/crashing_test.go
+++ b/daemon/crashing_test.go
@@ -45,7 +45,8 @@
 	late    int
 }
 
-func (c *crashCount) crashes3(r *http.Request) bool {
+// crashTarget reports whether the request crashes the target that begins to run it, and counts it.
+func (c *crashCount) crashTarget(r *http.Request) bool {
 	if !strings.HasPrefix(r.Header.Get("Attempt-Id"), "crashing-") {
 		return false
 	}
@@ -100,7 +101,7 @@
 	b.servers = nil
 	for n := range instances {
 		o := c.instance
-		o.Store, o.DataCentre, o.Crashes = b.store, "dc1", count.crashes3
+		o.Store, o.DataCentre, o.Crashes = b.store, "dc1", count.crashTarget
 		o.Target = standin.TargetOptions{ID: fmt.Sprintf("t%d", n), Service: c.service, Keyed: c.service == "keyed", Slots: 6, Queue: 24, Work: 5 * time.Millisecond}
 		if o.RestartAfter == 0 {
 			o.RestartAfter = time.Second
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
+	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/placing"
 	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/quarantine"
@@ -48,6 +49,7 @@
 	balancer  *placing.Balancer
 	directory *fleet.Directory
 	upstream  *upstream.Client
+	suspects  *quarantine.Tracker
 	// entryAge is how long ago the directory takes its changes to have been made.
 	entryAge time.Duration
 	// later is added to the time by which it is decided what targets may get.
@@ -62,7 +64,10 @@
 
 // newFixture returns a fixture with a target for each handler: t0, t1, ...
 func newFixture(t *testing.T, keyed bool, handlers ...http.HandlerFunc) *fixture {
-	f := &fixture{t: t, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()})}
+	f := &fixture{
+		t: t, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
+		suspects: quarantine.New(quarantine.Options{MinCrashes: 3}),
+	}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
 	table := &shard.Table{Version: shard.Version{Term: 1, Seq: 1}}
 	for i, h := range handlers {
@@ -94,7 +99,7 @@
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
 		Crashes: gateway.NewCrashWatch(gateway.CrashWatchOptions{
-			Tracker: quarantine.New(quarantine.Options{MinCrashes: 3}), Directory: f.directory, Connected: f.upstream.Connected, Probe: f.upstream.Probe,
+			Tracker: f.suspects, Directory: f.directory, Connected: f.upstream.Connected, Probe: f.upstream.Probe,
 		}),
 	})
 	return f
@@ -136,6 +141,19 @@
 }
 
 // requestsReceived returns the number of requests that targets received.
+// onlyReady leaves only the targets with the IDs in the directory.
+func (f *fixture) onlyReady(ids ...string) {
+	var listed []*fleet.Target
+	for _, id := range ids {
+		for _, e := range f.table.Entries {
+			if e.Owner.ID == id {
+				listed = append(listed, &fleet.Target{ID: id, Service: "s", Address: e.Owner.Address, Slots: 6})
+			}
+		}
+	}
+	f.directory.Replace(listed)
+}
+
 func (f *fixture) requestsReceived() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -209,6 +227,28 @@
 	}
 }
 
+// A request that other VMs had come to suspect while it ran here was sent on to the next target.
+func TestRequestIsNotSentAgainOnceItIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	var f *fixture
+	failing := func(w http.ResponseWriter, r *http.Request) {
+		record := f.suspects.Snapshot()
+		for target := range uint64(3) {
+			crash := &pb.TargetCrash{Target: target, Incarnation: 1, AtMs: time.Now().UnixMilli()}
+			record.Suspects[0].Crashes = append(record.Suspects[0].Crashes, crash)
+		}
+		f.suspects.Merge(record)
+		answerError(w, r)
+	}
+	f = newFixture(t, false, crashOn("/six/x"), failing, failing, failing)
+	f.onlyReady("t0")
+	is.Equal(f.send("/six/x", "").Status, http.StatusBadGateway)
+	time.Sleep(50 * time.Millisecond) // The address is looked at in the background.
+	f.onlyReady("t1", "t2", "t3")
+	is.Equal(f.send("/six/x", "").Status, http.StatusInternalServerError) // The target's own answer.
+	is.Equal(f.requestsReceived(), 2)
+}
+
 // A request with many attempts left crashed one target after the other before it could be suspected.
 func TestRequestWhoseExchangesBreakOffIsNotSentToEachTarget(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -187,6 +187,22 @@
 	})
 }
 
+// The many suspects of targets that were lost at once pushed an older one of two crashes out of the record.
+func TestSuspectOfTwoCrashesOutlastsAFloodOfOthers(t *testing.T) {
+	is := is.New(t)
+	set := newSuspectSet()
+	set.getOrAdd(crasher).add(crash{1, 1, 1_000_000})
+	set.getOrAdd(crasher).add(crash{2, 1, 1_000_001})
+	for i := range 2 * maxSuspects {
+		var fp Fingerprint
+		copy(fp[:], fmt.Sprint("flood ", i))
+		set.getOrAdd(fp).add(crash{3, 1, 1_000_002})
+	}
+	set.expire(1_000_002, time.Hour)
+	is.Equal(len(set.byFingerprint), maxSuspects)
+	is.True(set.byFingerprint[crasher] != nil)
+}
+
 // A request that was sent to a target after its crash did not crash it.
 func TestRequestThatWasStartedAfterTheCrashIsNoSuspect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
