--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -21,7 +22,7 @@
 	directory *fleet.Directory
 	watch     *CrashWatch
 	// connected and dialErr are what a probe of any target finds.
-	connected bool
+	connected atomic.Bool
 	dialErr   error
 	dials     int
 }
@@ -32,7 +33,7 @@
 		dialErr: syscall.ECONNREFUSED,
 	}
 	c.watch = NewCrashWatch(CrashWatchOptions{
-		Tracker: c.tracker, Directory: c.directory, Connected: func(string, time.Time) bool { return c.connected },
+		Tracker: c.tracker, Directory: c.directory, Connected: func(string, time.Time) bool { return c.connected.Load() },
 		Probe: func(context.Context, string) error {
 			c.dials++
 			return c.dialErr
@@ -121,7 +122,7 @@
 func TestTargetThatRunsHasNotCrashed(t *testing.T) {
 	for name, change := range map[string]func(*crashTest){
 		"it accepts connections":         func(c *crashTest) { c.dialErr = nil },
-		"another connection stays open":  func(c *crashTest) { c.connected = true },
+		"another connection stays open":  func(c *crashTest) { c.connected.Store(true) },
 		"it is out of reach, and stays ": func(c *crashTest) { c.dialErr = context.DeadlineExceeded },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -240,12 +241,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is, c := is.New(t), newCrashTest()
 		for _, id := range []string{"a", "b", "c"} {
-			c.connected = true
+			c.connected.Store(true)
 			c.directory.Put(startOf(id, 1))
 			c.watch.begin(startOf(id, 1), crashing)
 			c.watch.end(startOf(id, 1), crashing, nil, brokenOff, false)
 			time.Sleep(probeDelay / 2)
-			c.connected = false
+			c.connected.Store(false)
 			c.awaitProbe()
 		}
 		is.True(c.refused(crashing))
