Make no error for requests that are not quarantined

Cause: read in the diff once more: Gateway.quarantined made the error of a failed request, which formats a text, before each send, also for requests that are not listed, and dropped it. Ruled out: an effect on answers, since the callers of the function look at the error only if it is blocked. Change: the two cases are apart. Measured: go test -race -short ./gateway passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -262,8 +262,11 @@
 		return false, nil
 	}
 	blocked, until := g.opts.Crashes.opts.Tracker.Quarantined(c.content)
-	if !blocked || c.mayHaveRun {
-		return blocked, g.failure(c)
+	if !blocked {
+		return false, nil
+	}
+	if c.mayHaveRun {
+		return true, g.failure(c)
 	}
 	e := result.New(result.Quarantined, "several targets crashed while they ran this request")
 	e.RetryAfter = time.Until(until)
