Give polls that follow an aborted one a new pool of connections

Cause: the end of a poll's context closes all connections of the client. If the answer comes at that moment, fasthttp puts the closed connection back among the idle ones, and sends the next poll on it. A connection being dialled then stayed open.

Change: a call takes its pool before it is sent; the end of its context closes that pool, also for dials in flight, and later calls get a new one.

--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -43,7 +43,7 @@
 	MaxConnections int
 	// MaxAnswerBytes bounds the body of an answer. Default 256 MiB.
 	MaxAnswerBytes int
-	// AbortOnCancel makes the end of a call's context close all connections of the Client. It is meant for a
+	// AbortOnCancel makes the end of a call's context close the connections of the Client. It is meant for a
 	// client that makes one long call at a time, which would otherwise go on until its timeout.
 	AbortOnCancel bool
 	// ResetOnClose makes the close of a connection discard data that the network has not
@@ -54,59 +54,98 @@
 // Client makes HTTP calls to one address.
 type Client struct {
 	opts Options
+
+	mu    sync.Mutex
+	conns *connPool
+}
+
+// New returns a Client that has no connections yet.
+func New(opts Options) *Client {
+	return &Client{opts: opts, conns: newConnPool(opts)}
+}
+
+// pool returns the connections for the next call.
+func (c *Client) pool() *connPool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conns
+}
+
+// abort closes all connections of a pool, and replaces it for later calls: fasthttp keeps a closed connection that
+// a call has just given back, and would send the next request on it.
+func (c *Client) abort(pool *connPool) {
+	c.mu.Lock()
+	if c.conns == pool {
+		c.conns = newConnPool(c.opts)
+	}
+	c.mu.Unlock()
+	pool.close()
+}
+
+// connPool holds the connections of a Client.
+type connPool struct {
+	opts Options
 	http *fasthttp.HostClient
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	closed bool
 	// open holds the open connections if AbortOnCancel is set.
 	open map[*trackedConn]struct{}
 }
 
-// New returns a Client that has no connections yet.
-func New(opts Options) *Client {
-	c := &Client{opts: opts, open: map[*trackedConn]struct{}{}}
-	c.http = &fasthttp.HostClient{
+func newConnPool(opts Options) *connPool {
+	p := &connPool{opts: opts, open: map[*trackedConn]struct{}{}}
+	p.http = &fasthttp.HostClient{
 		Addr:                      opts.Address,
-		DialTimeout:               c.dial,
+		DialTimeout:               p.dial,
 		MaxConns:                  opts.MaxConnections,
 		MaxConnWaitTimeout:        opts.Timeout,
 		MaxResponseBodySize:       cmp.Or(opts.MaxAnswerBytes, defaultMaxAnswerBytes),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 	}
-	return c
+	return p
 }
 
-// trackedConn is a connection that its Client can close.
+// trackedConn is a connection that its connPool can close.
 type trackedConn struct {
 	net.Conn
-	client *Client
+	pool *connPool
 }
 
 // Close implements net.Conn.
 func (t *trackedConn) Close() error {
-	t.client.mu.Lock()
-	delete(t.client.open, t)
-	t.client.mu.Unlock()
+	t.pool.mu.Lock()
+	delete(t.pool.open, t)
+	t.pool.mu.Unlock()
 	return t.Conn.Close()
 }
 
-func (c *Client) dial(addr string, timeout time.Duration) (net.Conn, error) {
-	conn, err := c.opts.dial(addr, timeout)
-	if err != nil || !c.opts.AbortOnCancel {
+func (p *connPool) dial(addr string, timeout time.Duration) (net.Conn, error) {
+	conn, err := p.opts.dial(addr, timeout)
+	if err != nil || !p.opts.AbortOnCancel {
 		return conn, err
 	}
-	t := &trackedConn{Conn: conn, client: c}
-	c.mu.Lock()
-	c.open[t] = struct{}{}
-	c.mu.Unlock()
+	t := &trackedConn{Conn: conn, pool: p}
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		p.open[t] = struct{}{}
+	}
+	p.mu.Unlock()
+	if closed {
+		conn.Close()
+		return nil, &dialError{cause: net.ErrClosed}
+	}
 	return t, nil
 }
 
-// abort closes all connections.
-func (c *Client) abort() {
-	c.mu.Lock()
-	open := slices.Collect(maps.Keys(c.open))
-	c.mu.Unlock()
+// close closes all connections, also one that is being dialled.
+func (p *connPool) close() {
+	p.mu.Lock()
+	p.closed = true
+	open := slices.Collect(maps.Keys(p.open))
+	p.mu.Unlock()
 	for _, t := range open {
 		t.Close()
 	}
@@ -214,7 +253,7 @@
 }
 
 // CloseIdle closes the idle connections.
-func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+func (c *Client) CloseIdle() { c.pool().http.CloseIdleConnections() }
 
 // writeErrorKind returns the error of package store for a write that ended with a transport error.
 func writeErrorKind(err error) error {
@@ -264,8 +303,9 @@
 	if ctx.Err() != nil || timeout <= 0 {
 		return nil, errors.WithMessage(errNotSent, "context ended")
 	}
+	pool := c.pool()
 	if ctx.Done() == nil {
-		return c.exchange(cl, timeout)
+		return pool.exchange(cl, timeout)
 	}
 	type outcome struct {
 		ans *Answer
@@ -273,7 +313,7 @@
 	}
 	done := make(chan outcome, 1)
 	go func() {
-		ans, err := c.exchange(cl, timeout)
+		ans, err := pool.exchange(cl, timeout)
 		done <- outcome{ans, err}
 	}()
 	select {
@@ -281,7 +321,7 @@
 		return out.ans, out.err
 	case <-ctx.Done():
 		if c.opts.AbortOnCancel {
-			c.abort()
+			c.abort(pool)
 		}
 		return nil, ctx.Err()
 	}
@@ -300,12 +340,12 @@
 }
 
 // exchange sends the request and reads its answer, without retries.
-func (c *Client) exchange(cl Call, timeout time.Duration) (*Answer, error) {
+func (p *connPool) exchange(cl Call, timeout time.Duration) (*Answer, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(cl.Method)
-	req.SetRequestURI("http://" + c.opts.Address + cl.Path)
+	req.SetRequestURI("http://" + p.opts.Address + cl.Path)
 	for _, arg := range cl.Args {
 		req.URI().QueryArgs().Add(arg[0], arg[1])
 	}
@@ -315,7 +355,7 @@
 	if cl.Body != nil {
 		req.SetBodyRaw(cl.Body)
 	}
-	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+	if err := p.http.DoTimeout(req, resp, timeout); err != nil {
 		return nil, err
 	}
 	ans := &Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
