--- a/target/client.go
+++ b/target/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -109,7 +110,7 @@
 	if host == nil {
 		host = &fasthttp.HostClient{
 			Addr:                      address,
-			DialTimeout:               fasthttp.DialTimeout,
+			DialTimeout:               c.dial,
 			MaxConns:                  c.opts.MaxConnections,
 			MaxConnWaitTimeout:        c.opts.Timeout,
 			MaxIdleConnDuration:       c.opts.IdleTimeout,
@@ -122,6 +123,14 @@
 	return host
 }
 
+// dial opens a connection. fasthttp gives no timeout for a call that waited until another connection was closed.
+func (c *Client) dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = c.opts.Timeout
+	}
+	return fasthttp.DialTimeout(address, timeout)
+}
+
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
 // call sends a request and decodes the reply into the value that into points to. It
