--- a/capacity/fanout.go
+++ b/capacity/fanout.go
@@ -19,6 +19,9 @@
 // SweepSubscribers names the sweep over the subscribers of a relay on loopback.
 const SweepSubscribers = "subscribers"
 
+// dialTimeout bounds the opening of one subscriber's connection.
+const dialTimeout = time.Second
+
 // Series of SweepSubscribers, and the parameters of its measurement.
 const (
 	UpdateCPU      = "CPU per update, all ends"
@@ -70,7 +73,7 @@
 }
 
 func (f *fanOut) dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/demo/failover.go
+++ b/demo/failover.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -190,6 +191,14 @@
 	})
 }
 
+// newReadClient returns a client that keeps a connection for each of the keys that are read.
+func newReadClient() *http.Client {
+	dialer := net.Dialer{Timeout: time.Second}
+	return &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: failoverKeys,
+	}}
+}
+
 // readKeys reads all keys through the entries of all VMs but the assigner's until
 // stop is closed. The returned function waits for the readers and returns the longest
 // time without an answer for each key, and the number of reads that failed.
@@ -198,7 +207,7 @@
 	gaps := make([]time.Duration, failoverKeys)
 	failures := make([]int, failoverKeys)
 	codes := &c.codes
-	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: failoverKeys}}
+	client := newReadClient()
 	for i := range failoverKeys {
 		vm := i % c.opts.VMs
 		if vm == assigner {
--- a/demo/rolling.go
+++ b/demo/rolling.go
@@ -72,7 +72,7 @@
 	var wg sync.WaitGroup
 	var reads, failed atomic.Int64
 	gaps := make([]time.Duration, failoverKeys)
-	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: failoverKeys}}
+	client := newReadClient()
 	for i := range failoverKeys {
 		wg.Go(func() {
 			last := time.Now()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -48,6 +48,21 @@
 	})
 }
 
+func TestSilentDialEndsAtDialTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		silent := func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		opts := Options{Dial: silent}.withDefaults()
+		started := time.Now()
+		_, err := newPool("t1:1", &opts).get(context.Background(), time.Second, true)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.Equal(time.Since(started), 500*time.Millisecond)
+	})
+}
+
 // TestDialRateIsLimited opens connections without a pause.
 func TestDialRateIsLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/experiment/loopback.go
+++ b/experiment/loopback.go
@@ -33,7 +33,10 @@
 	"github.com/basiltally/basiltally/views"
 )
 
-const mebibyte = 1 << 20
+const (
+	mebibyte    = 1 << 20
+	dialTimeout = time.Second
+)
 
 // OverheadOptions configures Overhead.
 type OverheadOptions struct {
@@ -212,7 +215,7 @@
 }
 
 func sendReadsOn(address string, count int) ([]time.Duration, error) {
-	nc, err := net.Dial("tcp", address)
+	nc, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -338,7 +341,7 @@
 
 // readBody reads a body in pieces of 4 MiB with pauses of 100 ms and returns its size.
 func readBody(address string) (int64, error) {
-	nc, err := net.Dial("tcp", address)
+	nc, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return 0, err
 	}
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -68,7 +68,7 @@
 		if err != nil {
 			return // The proxy was closed.
 		}
-		server, err := net.Dial("tcp", p.server)
+		server, err := net.DialTimeout("tcp", p.server, connectTimeout)
 		if err != nil {
 			client.Close()
 			continue
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -92,6 +93,24 @@
 	return nil, f
 }
 
+func TestSilentDialEndsAtDialTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		silent := func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c := New(Options{Dial: silent})
+		started := time.Now()
+		is.True(errors.Is(c.Probe(t.Context(), "t1:1"), context.DeadlineExceeded))
+		is.Equal(time.Since(started), 400*time.Millisecond)
+		started = time.Now()
+		_, err := c.acquire(t.Context(), "t1:1", &Request{Deadline: started.Add(time.Minute)})
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.Equal(time.Since(started), 400*time.Millisecond)
+	})
+}
+
 func TestCompleteAnswerIsReturnedAndConnectionReused(t *testing.T) {
 	is := is.New(t)
 	tg := startTarget(t, answerInTurn(validAnswer, validAnswer))
