--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -295,3 +295,35 @@
 	is.Equal(len(set.byFingerprint), maxSuspects)
 	is.True(proto.Size(set.record()) < store.MaxValueBytes/4)
 }
+
+// FuzzMerge merges the records of two other VMs, which may be malformed.
+func FuzzMerge(f *testing.F) {
+	record := func(suspects ...*pb.QuarantineSuspect) []byte {
+		data, err := proto.Marshal(&pb.Quarantine{Suspects: suspects})
+		is.New(f).NoErr(err)
+		return data
+	}
+	crashes := []*pb.TargetCrash{{Target: 1, Incarnation: 1, AtMs: 5}, {Target: 2, AtMs: -1 << 63}, {Target: 2, AtMs: 1<<63 - 1}, {Target: 3, AtMs: 9}, {Target: 4, AtMs: 9}}
+	f.Add(record(&pb.QuarantineSuspect{Fingerprint: crasher[:], ClearedMs: 7, Crashes: crashes}), record(&pb.QuarantineSuspect{Fingerprint: []byte{1}}))
+	f.Add(record(&pb.QuarantineSuspect{Fingerprint: crasher[:], WholeRuns: []*pb.WholeRuns{{Vm: 1, Count: 1<<32 - 1}, {}}}), record(&pb.QuarantineSuspect{Fingerprint: crasher[:]}))
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		set := newSuspectSet()
+		for _, data := range [][]byte{a, b} {
+			var m pb.Quarantine
+			if proto.Unmarshal(data, &m) != nil {
+				return
+			}
+			set.merge(&m)
+		}
+		for fp, s := range set.byFingerprint {
+			if len(s.crashes) > maxCrashes || len(s.wholeRuns) > maxCountingVMs || s.allWholeRuns() > maxWholeRuns*maxCountingVMs {
+				t.Errorf("the suspect %x is over its bounds: %d crashes, %d whole runs", fp, len(s.crashes), s.allWholeRuns())
+			}
+		}
+		if set.merge(set.record()) {
+			t.Error("a set that is merged with itself changes")
+		}
+		set.quarantined(0, 1, time.Hour, time.Minute)
+		set.expire(0, time.Hour)
+	})
+}
