--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/httphead"
 	"github.com/basiltally/basiltally/pipeline"
 	"github.com/basiltally/basiltally/result"
 	"github.com/basiltally/basiltally/target"
@@ -247,7 +248,7 @@
 	x.conn.SetReadDeadline(x.progressDeadline(x.firstByteTimeout()))
 	h := &x.req.Answer.Header
 	for {
-		if err := h.Read(x.conn.reader); err != nil {
+		if err := httphead.ReadAnswer(x.conn.reader, h); err != nil {
 			return err
 		}
 		if h.StatusCode() >= fasthttp.StatusOK {
@@ -427,6 +428,8 @@
 		return result.Wrap(result.CallerGone, err, "reading the request body from the caller failed")
 	case x.req.Context.Err() != nil || isTimeout(err):
 		return result.Wrap(result.TargetTimeout, err, "target %s did not answer in time", targetID)
+	case errors.Is(err, httphead.ErrInvalid):
+		return result.Wrap(result.AnswerMismatch, err, "target %s gave no valid answer", targetID)
 	case errors.Is(err, errTruncated):
 		return result.Wrap(result.ShortBody, err, "the answer of target %s ended early", targetID)
 	default:
--- a/operator/client.go
+++ b/operator/client.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/bundle"
+	"github.com/basiltally/basiltally/httphead"
 	"github.com/basiltally/basiltally/ownership"
 	"github.com/basiltally/basiltally/result"
 )
@@ -73,7 +74,7 @@
 		if err != nil {
 			return nil, dialError{err}
 		}
-		return conn, nil
+		return httphead.NewConn(conn), nil
 	}
 	return &Client{opts: o, http: &fasthttp.Client{
 		Dial:                      dial,
--- a/pipeline/faults_test.go
+++ b/pipeline/faults_test.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// answerWithHead returns a behaviour that runs the request and answers with the status and the header lines.
+func answerWithHead(status, lines string) behaviour {
+	return func(f *fakeTarget, nc net.Conn, r *http.Request) {
+		f.countRun(r)
+		fmt.Fprintf(nc, "HTTP/1.1 %s\r\n%s: %s\r\n%sContent-Length: 6\r\n\r\nanswer", status, target.HeaderRequestID, r.Header.Get(target.HeaderRequestID), lines)
+	}
+}
+
 // TestReportedOutcomeMatchesRuns causes each fault once for a read and once for a
 // filing, and compares the outcome reported to the caller with what the target ran.
 func TestReportedOutcomeMatchesRuns(t *testing.T) {
@@ -107,6 +115,9 @@
 		{"silent after run", silentAfterRun, "0", "2001"},
 		{"silent in body", silentInBody, "0", "2001"},
 		{"late", answerLate, "0", "2001"},
+		{"status 000", answerWithHead("000 Trouble", ""), "0", "2004"},
+		{"status 099", answerWithHead("099 Early", ""), "0", "2004"},
+		{"status 101", answerWithHead("101 Switching Protocols", ""), "0", "2004"},
 		{"answer to another request", answerOtherRequest, "0", "2004"},
 		{"second answer", answerTwice, "0", "0"},
 		{"not owner", refuseWith(target.RefusedNotOwner), "0", "0"},
--- a/result/result.go
+++ b/result/result.go
@@ -140,7 +140,7 @@
 	{TargetTimeout, "target-timeout", Unknown, http.StatusGatewayTimeout, "The target did not answer before the deadline."},
 	{TargetLost, "target-lost", Unknown, http.StatusBadGateway, "The connection to the target broke after the request may have been sent."},
 	{ShortBody, "short-body", Unknown, http.StatusBadGateway, "The target's answer ended before its stated length."},
-	{AnswerMismatch, "answer-mismatch", Unknown, http.StatusBadGateway, "The answer carried another request's correlation id."},
+	{AnswerMismatch, "answer-mismatch", Unknown, http.StatusBadGateway, "The answer is invalid or carried another request's correlation id."},
 	{ClaimInDoubt, "claim-in-doubt", Unknown, http.StatusConflict, "The idempotency key was claimed earlier and its outcome was not recorded."},
 	{ClaimInProgress, "claim-in-progress", Unknown, http.StatusConflict, "A request with this idempotency key is being executed."},
 	{AnswerDiscarded, "answer-discarded", Unknown, http.StatusBadGateway, "The answer came from a superseded owner and was dropped."},
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/evidence"
+	"github.com/basiltally/basiltally/httphead"
 	"github.com/basiltally/basiltally/store"
 )
 
@@ -207,7 +208,7 @@
 			return nil, &dialError{cause: err}
 		}
 	}
-	return conn, nil
+	return httphead.NewConn(conn), nil
 }
 
 // Call is one HTTP exchange.
--- a/target/client.go
+++ b/target/client.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/basiltally/basiltally/httphead"
 )
 
 // Defaults of ClientOptions.
@@ -128,7 +130,11 @@
 	if timeout <= 0 {
 		timeout = c.opts.Timeout
 	}
-	return fasthttp.DialTimeout(address, timeout)
+	conn, err := fasthttp.DialTimeout(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return httphead.NewConn(conn), nil
 }
 
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,6 +15,7 @@
 
 	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/evidence"
+	"github.com/basiltally/basiltally/httphead"
 )
 
 // Headers are the names of the headers between the router and the targets.
@@ -327,7 +328,7 @@
 			// No byte of an answer was received.
 			return nil, &Failure{Sent: true, TimedOut: isTimeout(err), Reset: !isTimeout(err), Cause: err}
 		}
-		if err := head.Read(c.reader); err != nil {
+		if err := httphead.ReadAnswer(c.reader, head); err != nil {
 			return nil, receiveFailure(err)
 		}
 		if head.StatusCode() >= fasthttp.StatusOK {
