--- a/store/httpcall/broken_answer_test.go
+++ b/store/httpcall/broken_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -34,3 +35,10 @@
 		})
 	}
 }
+
+// fasthttp reads no answer to a request that it could not write whole, so that only a reset after the write is seen here.
+func TestEarlyAnswerThatIsResetIsNoAnswer(t *testing.T) {
+	checkBroken(t, rawanswer.Options{
+		Answer: "HTTP/1.1 200 OK\r\n\r\n{", Early: true, End: func(nc *net.TCPConn) { _ = nc.SetLinger(0) },
+	})
+}
--- a/upstream/broken_answer_test.go
+++ b/upstream/broken_answer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -57,3 +58,81 @@
 		})
 	}
 }
+
+// startEarly starts a target that answers an upload before it reads the body, and then ends the connection.
+func startEarly(t *testing.T, status, lines string, end func(nc *net.TCPConn)) *target {
+	t.Helper()
+	return startTarget(t, func(_ *testing.T, nc net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		if _, err := io.WriteString(nc, "HTTP/1.1 "+status+"\r\nX-Id: 1\r\nX-Seal: 1\r\n"+lines+"\r\nbegun"); err != nil {
+			return
+		}
+		end(nc.(*net.TCPConn))
+	})
+}
+
+func upload() *Request {
+	r := request("1")
+	methods["upload"](r)
+	return r
+}
+
+// The write of an upload took the error of the reset, and the read of the answer saw an end as if the target had closed: callers got the
+// part as a whole answer.
+func TestEarlyAnswerWithoutLengthThatIsResetIsAFailure(t *testing.T) {
+	// reads is how much of the body the target reads before the reset.
+	for name, reads := range map[string]int64{"at once": 0, "after 1 MiB": 1 << 20, "after 8 MiB": 8 << 20} {
+		for _, status := range []string{"200 OK", "404 Not Found", "500 Internal Server Error"} {
+			t.Run(name+"/"+status, func(t *testing.T) {
+				is := is.New(t)
+				tg := startEarly(t, status, "", func(nc *net.TCPConn) {
+					_, _ = io.CopyN(io.Discard, nc, reads)
+					_ = nc.SetLinger(0)
+				})
+				c := New(Options{Headers: testHeaders})
+				for range 5 {
+					a, f := do(t, c, tg, upload())
+					is.Equal(a, nil)
+					is.True(f.Sent && !f.TimedOut)
+				}
+			})
+		}
+	}
+}
+
+// An end of the data that is no reset ends a body without a length, whether the target reads on or not.
+func TestEarlyAnswerWithoutLengthThatEndsCleanlyIsWhole(t *testing.T) {
+	for name, after := range map[string]func(nc *net.TCPConn){
+		"reads on":          func(nc *net.TCPConn) { _, _ = io.Copy(io.Discard, nc) },
+		"reads no more":     func(*net.TCPConn) { time.Sleep(100 * time.Millisecond) },
+		"resets afterwards": func(nc *net.TCPConn) { _ = nc.SetLinger(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tg := startEarly(t, "200 OK", "", func(nc *net.TCPConn) {
+				_ = nc.CloseWrite()
+				after(nc)
+			})
+			c := New(Options{Headers: testHeaders})
+			for range 5 {
+				a, f := do(t, c, tg, upload())
+				is.Equal(f, nil)
+				is.Equal(string(a.Body), "begun")
+			}
+		})
+	}
+}
+
+// A body with a length is whole once it was read, whatever comes after it.
+func TestEarlyAnswerWithLengthIsWholeThoughTheConnectionIsReset(t *testing.T) {
+	is := is.New(t)
+	tg := startEarly(t, "200 OK", "Content-Length: 5\r\n", func(nc *net.TCPConn) { _ = nc.SetLinger(0) })
+	c := New(Options{Headers: testHeaders})
+	for range 5 {
+		a, f := do(t, c, tg, upload())
+		is.Equal(f, nil)
+		is.Equal(string(a.Body), "begun")
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,8 +6,10 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -182,6 +184,8 @@
 	// refused has the IDs of the requests that the target refused on the connection. A faulty
 	// target may write a refusal once more, as the answer to the same request sent again.
 	refused []string
+	// sent receives the result of writing the request, once.
+	sent chan error
 }
 
 // maxRefused is the number of refusals after which a connection is not reused.
@@ -199,8 +203,8 @@
 	})
 	defer stop()
 	c.requests++
-	sent := make(chan error, 1)
-	if err := c.send(h, r, sent); err != nil {
+	c.sent = make(chan error, 1)
+	if err := c.send(h, r); err != nil {
 		return nil, false, &Failure{Sent: true, Reset: !isTimeout(err), Cause: err}
 	}
 	a, reusable, err := c.receive(h, r)
@@ -208,7 +212,7 @@
 		return nil, false, err
 	}
 	select {
-	case sendErr := <-sent:
+	case sendErr := <-c.sent:
 		keep = reusable && sendErr == nil
 	default:
 		// The target answered before it had received the whole body. The connection is
@@ -218,18 +222,18 @@
 	return a, keep && stop(), nil
 }
 
-// send writes the request. A long body is written in the background, and the result of
-// that write is sent on the channel.
-func (c *conn) send(h *Headers, r *Request, sent chan<- error) error {
+// send writes the request. A long body is written in the background.
+func (c *conn) send(h *Headers, r *Request) error {
 	head := appendHead(make([]byte, 0, 512+len(r.Header)+min(len(r.Body), asyncBodyBytes)), h, r)
 	if len(r.Body) < asyncBodyBytes {
 		_, err := c.Write(append(head, r.Body...))
-		sent <- err
+		c.sent <- err
 		return err
 	}
 	if _, err := c.Write(head); err != nil {
 		return err
 	}
+	sent := c.sent
 	go func() {
 		_, err := c.Write(r.Body)
 		sent <- err
@@ -363,17 +367,35 @@
 	case chunkedLength:
 		b, err = c.memory.ReadChunked(c.reader, maxBodyBytes)
 	case unstatedLength:
-		b, err = c.memory.ReadAll(c.reader, maxBodyBytes)
+		if b, err = c.memory.ReadAll(c.reader, maxBodyBytes); err == nil {
+			err = c.resetBeforeEnd()
+		}
 	default:
 		b, err = c.memory.ReadLength(c.reader, n, maxBodyBytes)
 	}
 	if err != nil {
+		b.Release()
 		return nil, false, err
 	}
 	b.Release()
 	return b.Data, n != unstatedLength, nil
 }
 
+// resetBeforeEnd returns the error of a connection that was reset while the request was being written, or nil if the target has
+// ended the data that was read. The system reports a reset only once: if that was to the write, a read sees the end of the data
+// instead. It reports a reset after the target's end of the data as EPIPE.
+func (c *conn) resetBeforeEnd() error {
+	// The target takes no other request on this connection, so that the rest of the body need not be written.
+	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	err := <-c.sent
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return errors.Wrap(err, "write of the request")
+}
+
 // hopByHop has the headers that apply to a single connection or state the end of the body.
 var hopByHop = map[string]bool{
 	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
