--- a/httphead/httphead.go
+++ b/httphead/httphead.go
@@ -58,6 +58,8 @@
 type answerCheck struct {
 	// status is the status code, or zero before the status line.
 	status int
+	// mayBeChunked is set if the version of the answer has chunks.
+	mayBeChunked bool
 	// field is set after a header line, which the next line may continue.
 	field bool
 	// ended is set after the empty line that ends the head.
@@ -102,6 +104,10 @@
 	if len(name) == len(line) || !ValidName(name) || !ValidValue(value) {
 		return invalid("header line", line)
 	}
+	// The parser would pass over the header, and take the chunks with their sizes for the body (RFC 9112, section 6.1).
+	if !c.mayBeChunked && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+		return invalid("header line in an answer that is not of HTTP/1.1:", line)
+	}
 	c.field = true
 	return nil
 }
@@ -116,9 +122,14 @@
 }
 
 // statusLine checks the status line. RFC 9110, section 15, makes codes outside of 100 to 599 invalid. No request asks for another
-// protocol, so that 101 cannot answer one (section 7.8).
+// protocol, so that 101 cannot answer one (section 7.8). How an answer of another major version is written is not known.
 func (c *answerCheck) statusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	minor, isMajor1 := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !isMajor1 || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' {
+		return invalid("version", version)
+	}
+	c.mayBeChunked = minor[0] == '1'
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status := 0
 	for _, digit := range code {
--- a/httphead/httphead_test.go
+++ b/httphead/httphead_test.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// fasthttp passes over Transfer-Encoding in versions other than HTTP/1.1, so that sizes of chunks were a part of the body.
+func TestOtherVersionsAreRefused(t *testing.T) {
+	for _, version := range []string{"HTTP/9.7", "HTTP/2.0", "HTTP/0.9", "HTTP/1.10", "HTTP/1.x", "HTTP/1.", "http/1.1", "ICY", "garbage", ""} {
+		refused(t, version+" 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+	}
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2"} {
+		refused(t, version+" 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+	}
+}
+
 // fasthttp passes on names with blanks, and removes a blank before the colon.
 func TestInvalidHeaderLineIsRefused(t *testing.T) {
 	for _, line := range []string{
@@ -112,13 +122,14 @@
 
 func TestWholeAnswersPass(t *testing.T) {
 	for text, want := range map[string]string{
-		wholeAnswer:                                   "200 whole",
-		"\r\n" + wholeAnswer:                          "200 whole",
-		"HTTP/1.1 200 OK\r\n\r\nuntil the end":        "200 until the end",
-		"HTTP/1.1 200\r\nX-Empty:\r\n\r\n":            "200 ",
-		"HTTP/1.0 404 Not Found\r\n\r\nnone":          "404 none",
-		"HTTP/1.1 599 Odd\r\n\r\nodd":                 "599 odd",
-		"HTTP/1.1 100 Continue\r\n\r\n" + wholeAnswer: "200 whole",
+		wholeAnswer:                                           "200 whole",
+		"\r\n" + wholeAnswer:                                  "200 whole",
+		"HTTP/1.1 200 OK\r\n\r\nuntil the end":                "200 until the end",
+		"HTTP/1.1 200\r\nX-Empty:\r\n\r\n":                    "200 ",
+		"HTTP/1.0 404 Not Found\r\n\r\nnone":                  "404 none",
+		"HTTP/1.2 200 Fine\r\nContent-Length: 5\r\n\r\nwhole": "200 whole",
+		"HTTP/1.1 599 Odd\r\n\r\nodd":                         "599 odd",
+		"HTTP/1.1 100 Continue\r\n\r\n" + wholeAnswer:         "200 whole",
 		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + wholeAnswer: "200 whole",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n":              "200 whole",
 	} {
--- a/upstream/broken_answer_test.go
+++ b/upstream/broken_answer_test.go
@@ -70,6 +70,17 @@
 	}
 }
 
+func TestAnswerOfAnotherVersionIsAFailure(t *testing.T) {
+	checkBroken(t, "HTTP/9.7 200 OK\r\nX-Id: %s\r\nX-Seal: 1\r\nContent-Length: 5\r\n\r\nwhole")
+}
+
+// The sizes of the chunks of an HTTP/1.0 answer reached callers as a part of its body.
+func TestChunkedAnswerOfAnotherVersionIsAFailure(t *testing.T) {
+	tg := startTarget(t, answerInTurn("HTTP/1.0 200 OK\r\nX-Id: %s\r\nX-Seal: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"))
+	_, f := do(t, New(Options{Headers: testHeaders}), tg, request("1"))
+	is.New(t).True(f != nil && f.InvalidAnswer)
+}
+
 // A trailer is not passed on, so that its names say nothing of the answer. Chunks count, not a length beside them.
 func TestChunkedAnswerIsWholeWithAnyTrailerOrLength(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: 1\r\nTransfer-Encoding: chunked\r\n"
