--- a/httphead/httphead.go
+++ b/httphead/httphead.go
@@ -130,7 +130,10 @@
 		return invalid("version", version)
 	}
 	c.mayBeChunked = minor[0] == '1'
-	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if !ValidValue(reason) {
+		return invalid("reason phrase", reason)
+	}
 	status := 0
 	for _, digit := range code {
 		if digit < '0' || digit > '9' {
--- a/httphead/httphead_test.go
+++ b/httphead/httphead_test.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// The reason phrase is passed on by the entries.
+func TestInvalidReasonPhraseIsRefused(t *testing.T) {
+	for _, reason := range []string{"O\x00K", "OK\rX-Odd: 1", "\x7f"} {
+		refused(t, "HTTP/1.1 200 "+reason+"\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
 // fasthttp passes on names with blanks, and removes a blank before the colon.
 func TestInvalidHeaderLineIsRefused(t *testing.T) {
 	for _, line := range []string{
--- a/pipeline/faults_test.go
+++ b/pipeline/faults_test.go
@@ -118,6 +118,7 @@
 		{"status 000", answerWithHead("000 Trouble", ""), "0", "2004"},
 		{"status 099", answerWithHead("099 Early", ""), "0", "2004"},
 		{"status 101", answerWithHead("101 Switching Protocols", ""), "0", "2004"},
+		{"control byte in the reason", answerWithHead("200 O\x00K", ""), "0", "2004"},
 		{"name with a blank", answerWithHead("200 OK", "X Odd: 1\r\n"), "0", "2004"},
 		{"name with a control byte", answerWithHead("200 OK", "X\x00Odd: 1\r\n"), "0", "2004"},
 		{"blank before the colon", answerWithHead("200 OK", "X-Odd : 1\r\n"), "0", "2004"},
