--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -99,6 +99,10 @@
 }
 
 func (b *testPlatform) putConfig(version int, safeService string) {
+	b.putConfigWithBodies(version, safeService, 1<<20)
+}
+
+func (b *testPlatform) putConfigWithBodies(version int, safeService string, maxBodyBytes int) {
 	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": "h", "path_prefix": prefix, "route_type": kind, "service": service,
@@ -109,7 +113,7 @@
 		"version":  version,
 		"routes":   []any{route("safe", "/safe/", "safe", safeService), route("unsafe", "/unsafe/", "unsafe", "free")},
 		"services": []any{map[string]any{"name": "keyed", "max_conns": 100, "sharded": true}, map[string]any{"name": "free", "max_conns": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3s", "idle_timeout": "15s"},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout": "3s", "idle_timeout": "15s"},
 	})
 }
 
--- a/standin/rawanswer/rawanswer.go
+++ b/standin/rawanswer/rawanswer.go
@@ -6,13 +6,16 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
 // Options configures a server.
 type Options struct {
-	// Answer is sent as it is in answer to each request.
+	// Answer is sent as it is in answer to each request. In it, %s stands for the ID of the request.
 	Answer string
+	// RequestID is the name of the header with the ID of a request.
+	RequestID string
 	// Early makes the server answer before it reads the body of the request.
 	Early bool
 	// End is called after an answer, and the connection is then closed. If it is nil, further requests are answered on the connection.
@@ -52,7 +55,7 @@
 				return
 			}
 		}
-		if _, err := io.WriteString(nc, o.Answer); err != nil {
+		if _, err := io.WriteString(nc, strings.ReplaceAll(o.Answer, "%s", req.Header.Get(o.RequestID))); err != nil {
 			return
 		}
 		if o.End != nil {
