Shorten the comment of a test of early answers

Ruled out: to name the two goroutines in the test's name, which says what callers saw.

Change: one line in place of two; no code.

--- a/upstream/broken_answer_test.go
+++ b/upstream/broken_answer_test.go
@@ -118,8 +118,7 @@
 	return r
 }
 
-// The write of an upload took the error of the reset, and the read of the answer saw an end as if the target had closed: callers got the
-// part as a whole answer.
+// The write of an upload took the error of a reset, so that the read of the answer saw its end and callers got the part as whole.
 func TestEarlyAnswerWithoutLengthThatIsResetIsAFailure(t *testing.T) {
 	// reads is how much of the body the target reads before the reset.
 	for name, reads := range map[string]int64{"at once": 0, "after 1 MiB": 1 << 20, "after 8 MiB": 8 << 20} {
