Parse loads with a fourth figure

Cause: targets that share machines with others add to the header with their load how long work takes there now. A header with four figures counted as malformed, so that VMs knew no load of such targets at all. Load.WorkPercent holds the figure; nothing uses it yet.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -69,8 +69,13 @@
 	Permit func() error
 }
 
-// Load is the load that a target reports: its running and waiting requests, and its slots.
-type Load struct{ Running, Waiting, Slots int }
+// Load is the number of requests that the target reported as running and as waiting, and its number of slots.
+type Load struct {
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the target's machine at the moment of the answer, in percent of the usual time.
+	// Zero if the target does not state it.
+	WorkPercent int
+}
 
 // Answer is a complete answer of a target.
 type Answer struct {
@@ -489,21 +494,22 @@
 	return n, err == nil
 }
 
-// parseLoad parses "RUNNING,WAITING,SLOTS". It returns nil if the text is malformed.
+// parseLoad parses "RUNNING,WAITING,SLOTS", or "RUNNING,WAITING,SLOTS,WORK" of targets that share machines with others. It returns
+// nil if the text is malformed.
 func parseLoad(text string) *Load {
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if len(parts) != 3 && len(parts) != 4 {
 		return nil
 	}
-	var n [3]int
+	var n [4]int
 	for i, p := range parts {
 		v, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || i == 3 && v == 0 {
 			return nil
 		}
 		n[i] = v
 	}
-	return &Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &Load{Running: n[0], Waiting: n[1], Slots: n[2], WorkPercent: n[3]}
 }
 
 // recordIdleLimit stores the idle timeout that the target states in its Keep-Alive header.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -119,7 +119,7 @@
 		a, f := do(t, c, tg, request(id))
 		is.Equal(f, nil)
 		is.Equal(string(a.Body), "ok")
-		is.Equal(*a.Load, Load{3, 1, 6})
+		is.Equal(*a.Load, Load{Running: 3, Waiting: 1, Slots: 6})
 		is.True(a.Sealed)
 		is.True(!strings.Contains(string(a.Header), "X-Load"))
 	}
