--- /dev/null
+++ b/routing/regions.go
@@ -0,0 +1,27 @@
+package routing
+
+import "github.com/basiltally/basiltally/residency"
+
+// AllowedRegions returns the regions that are allowed by all routes of the service that have a list of
+// allowed regions. It returns false if none has. Routes that send the service no requests do not count.
+func (t *Table) AllowedRegions(service string) ([]string, bool) {
+	var lists [][]string
+	for _, entries := range t.hosts {
+		for _, e := range entries {
+			if e.Unserved == "" && e.leadsTo(service) {
+				lists = append(lists, e.AllowedRegions)
+			}
+		}
+	}
+	return residency.Intersect(lists...)
+}
+
+// leadsTo reports whether the route sends requests to the service.
+func (e *Entry) leadsTo(service string) bool {
+	for _, s := range e.Services {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -63,6 +63,9 @@
 	Services []WeightedService
 	// MaxAttempts bounds how often one request is sent to a target.
 	MaxAttempts int
+	// AllowedRegions lists the regions of the targets that the requests may be sent to. If it is
+	// empty, all are allowed.
+	AllowedRegions []string
 	// Unserved says why the requests of the route are refused; it is empty if they are served. The
 	// route still takes the requests that match it from routes with shorter prefixes, which may lead to
 	// other services.
