Give keys to targets by region and evacuation

Cause: the plan gave keys to each ready target, whatever its place. planTargets now leaves out targets in data centres that are being evacuated, so that their keys move by release and grant as those of leaving targets do, and prefers the regions that all routes of the service allow, as long as a target is there. If no target remains, the plan makes no move.

With the filter for evacuations taken out, TestKeysLeaveEvacuatedDataCentre, TestEvacuationOfAllDataCentresMovesNoKeys and TestKeysMoveToAllowedRegions failed; with that for regions taken out, the last did. go test ./shard passes.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -38,6 +38,8 @@
 	// Services returns the names of the services whose targets own keys. It returns
 	// false while the configuration or the targets are not known yet.
 	Services func() ([]string, bool)
+	// Placement restricts which targets may own keys by their places.
+	Placement PlacementOptions
 	// Report returns the loads and target states that this VM reports to the assigner.
 	Report func() *pb.ShardReport
 	// Suspects holds the requests that crash targets, which the VMs share through the assigner. If it is nil,
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -489,14 +489,17 @@
 	return true
 }
 
-// planTargets returns the targets of the service that may own keys.
+// planTargets returns the targets of the service that may own keys. Owners that are not among them
+// hand their keys over.
 func (a *assigner) planTargets(s *serviceState, owned []OwnedRange, now time.Duration) []PlanTarget {
 	var out []PlanTarget
 	withKeys := make(map[string]bool, len(owned))
 	for _, o := range owned {
 		withKeys[o.Owner.ID] = true
 	}
-	targets := a.agent.opts.Directory.Snapshot().Service(s.name)
+	place := a.agent.opts.Placement
+	targets := place.outsideEvacuations(a.agent.opts.Directory.Snapshot().Service(s.name))
+	regions := make(map[string]string, len(targets))
 	// Targets of the service that are not known yet count as the others.
 	typical := a.targets.typicalServiceTime(targets)
 	for _, t := range targets {
@@ -507,13 +510,14 @@
 		if !s.leases.MayOwn(h) {
 			continue
 		}
+		regions[t.ID] = t.Region
 		p := PlanTarget{Holder: h, Capacity: float64(t.Slots) / a.targets.serviceTime(t.ID, typical).Seconds(), WithoutKeys: !withKeys[t.ID]}
 		if limit, ok := a.targets.limitOf(h, now); ok && limit < p.Capacity {
 			p.Capacity, p.FullCapacity = limit, p.Capacity
 		}
 		out = append(out, p)
 	}
-	return out
+	return place.inAllowedRegions(s.name, out, regions)
 }
 
 // sendAndReport sends an order and passes its result to run.
