Keep requests out of forbidden regions and evacuated data centres

Cause: candidates and owners were chosen without regard to their places. eligibility decides by the target's place (reasons evacuated and region). gateway asks when it chooses candidates, before it sends to the owner of a key, in Precheck, and in Permit right before the first byte, with the configuration that is in force then. A request that no target may get is refused at once as not run, with the new codes 1206 and 1207.

Each of ten planted faults (no check in Permit, in candidates, for the owner, in Precheck, of the newer configuration, of the first list, for the owner's time, its margin, unknown data centres, leaving targets) failed at least one of the new tests. go test -count=3 ./gateway ./eligibility passes.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -32,17 +32,24 @@
 	Limited
 	// Paused means that the target has asked this VM to pause.
 	Paused
+	// Evacuated means that the target is in a data centre that is being evacuated.
+	Evacuated
+	// RegionNotAllowed means that the target is not in a region that is allowed for the request.
+	RegionNotAllowed
 )
 
 // String returns the name of the reason.
-func (r Reason) String() string { return [...]string{"none", "leaving", "limited", "paused"}[r] }
+func (r Reason) String() string {
+	return [...]string{"none", "leaving", "limited", "paused", "evacuated", "region"}[r]
+}
 
 // Verdict states whether a request may be sent to a target.
 type Verdict struct {
 	Reason Reason
 	// RetryIn is the time after which a request may be sent again; zero if that is unknown.
 	RetryIn time.Duration
-	// Since is how long a target leaves at most, if that is the reason.
+	// Since is how long a target leaves, or its data centre is being evacuated, at most, if that is the
+	// reason.
 	Since time.Duration
 }
 
@@ -61,6 +68,8 @@
 	// DrainTime is how long a target takes requests after it has said that it leaves. Default
 	// 2 s.
 	DrainTime time.Duration
+	// Evacuation says which data centres are being evacuated. By default none is.
+	Evacuation EvacuationOptions
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
 	// Registerer is where the metrics are registered. Nil registers none.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,12 +41,7 @@
 	r := &upstream.Request{
 		ID: c.id, Method: c.method, URI: string(c.req.Header.RequestURI()), Header: c.forwardedHeader, Body: c.req.Body,
 		TargetID: t.ID, Deadline: c.deadline,
-		Permit: func() error {
-			if v := g.opts.Eligibility.Take(t.Incarnation()); !v.OK() {
-				return v
-			}
-			return nil
-		},
+		Permit: func() error { return g.permit(c, t) },
 	}
 	r.MaxIdle = c.maxIdle()
 	if c.service.Keyed {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/basiltally/basiltally/admission"
 	"github.com/basiltally/basiltally/budget"
 	"github.com/basiltally/basiltally/eligibility"
+	"github.com/basiltally/basiltally/evacuation"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/placing"
@@ -56,6 +56,9 @@
 	Directory *fleet.Directory
 	// Eligibility decides whether a request may be sent to a target.
 	Eligibility *eligibility.Tracker
+	// Evacuations has the data centres that are being evacuated. Until it is listed, no request is
+	// served. Nil needs no list.
+	Evacuations *evacuation.Set
 	Shards      Shards
 	Balancer    *placing.Balancer
 	Upstream    *upstream.Client
@@ -204,11 +207,10 @@
 	if !c.service.Keyed {
 		return g.serveUnkeyed(c)
 	}
-	key, err := strconv.ParseUint(string(c.req.Header.Peek(g.opts.Headers.Key)), 10, 16)
-	if err != nil {
+	var err error
+	if c.key, err = g.requestKey(c.req); err != nil {
 		return nil, result.New(result.BadRequest, "the key is missing or not a number from 0 to %d", shard.LastKey)
 	}
-	c.key = shard.Key(key)
 	g.opts.KeyCounter.Count(c.service.Name, c.key)
 	return g.serveKeyed(c)
 }
@@ -237,6 +239,9 @@
 	if t == nil {
 		return nil, configRefusal("no configuration is known yet")
 	}
+	if !g.opts.Evacuations.Listed() {
+		return nil, configRefusal("the data centres that are being evacuated are not known yet")
+	}
 	c.configVersion = t.Config.Version
 	if c.entry = t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); c.entry == nil {
 		return nil, result.New(result.UnknownClass, "no route matches the host and path")
@@ -248,43 +253,6 @@
 	return t, nil
 }
 
-// Precheck implements ingress.Handler. It refuses requests without a route, without time left or
-// without any target.
-func (g *Gateway) Precheck(r *ingress.Request) (*ingress.Response, time.Time) {
-	c := g.newCall(context.Background(), r)
-	_, e := g.findRoute(c)
-	switch {
-	case e != nil:
-	case c.timeLeft() <= minAttemptTime:
-		e = result.New(result.QueueDeadline, "the caller waits for %d ms more", c.timeLeft().Milliseconds())
-	case !g.anyTarget(c.entry):
-		e = refusal(result.NoTarget, noTargetRetryAfter, "no target of the route's services is known")
-	default:
-		return nil, c.deadline
-	}
-	return g.finish(c, nil, e), time.Time{}
-}
-
-// anyTarget reports whether a target of any of the route's services is known.
-func (g *Gateway) anyTarget(e *routing.Entry) bool {
-	s := g.opts.Directory.Snapshot()
-	return slices.ContainsFunc(e.Services, func(w routing.WeightedService) bool { return len(s.Service(w.Service)) > 0 })
-}
-
-// Refuse implements ingress.Handler.
-func (g *Gateway) Refuse(r *ingress.Request, cause ingress.RefusalCause) *ingress.Response {
-	c := g.newCall(context.Background(), r)
-	e := refusal(result.QueueFull, noMemoryRetryAfter, "the bodies of other requests and answers take the memory of this VM")
-	if cause == ingress.Stopping {
-		e = result.New(result.EntryDraining, "this VM is stopping")
-		e.RetryAfter = stoppingRetryAfter
-	}
-	if _, routeError := g.findRoute(c); routeError != nil {
-		e = routeError
-	}
-	return g.finish(c, nil, e)
-}
-
 // configRefusal returns the error for a request that no configuration allows to serve at present.
 func configRefusal(format string, args ...any) *result.Error {
 	e := result.New(result.ConfigStale, format, args...)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/basiltally/basiltally/budget"
 	"github.com/basiltally/basiltally/eligibility"
+	"github.com/basiltally/basiltally/evacuation"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
@@ -28,6 +30,9 @@
 	"github.com/basiltally/basiltally/upstream"
 )
 
+// evacuate is the time after which no request may reach a data centre that is being evacuated.
+const evacuate = 5 * time.Second
+
 // fixedTable implements gateway.Shards with a table that never changes.
 type fixedTable struct{ table *shard.Table }
 
@@ -55,6 +60,9 @@
 	// later is added to the time by which it is decided what targets may get.
 	later time.Duration
 	table *shard.Table
+	// routes is the configuration in force.
+	routes      atomic.Pointer[routing.Table]
+	evacuations *evacuation.Set
 
 	mu sync.Mutex
 	// servedBy holds the IDs of the targets that received a request, in order.
@@ -64,8 +72,15 @@
 
 // newFixture returns a fixture with a target for each handler: t0, t1, ...
 func newFixture(t *testing.T, keyed bool, handlers ...http.HandlerFunc) *fixture {
+	evacuations := evacuation.New()
+	evacuations.Replace(nil, time.Now(), time.Now())
+	return newFixtureWith(t, evacuations, keyed, handlers...)
+}
+
+// newFixtureWith returns a fixture like newFixture, with the data centres that are being evacuated.
+func newFixtureWith(t *testing.T, evacuations *evacuation.Set, keyed bool, handlers ...http.HandlerFunc) *fixture {
 	f := &fixture{
-		t: t, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
+		t: t, evacuations: evacuations, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
 		suspects: quarantine.New(quarantine.Options{MinCrashes: 3}),
 	}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
@@ -84,17 +99,18 @@
 	f.table = table
 	sixAttempts := f.route("/six/", routing.Idempotent)
 	sixAttempts.MaxAttempts = 6
-	routes := routing.NewTable(&routing.Config{
+	f.routes.Store(routing.NewTable(&routing.Config{
 		Version:  1,
 		Services: []routing.Service{{Name: "s", Keyed: keyed}},
 		Routes: []routing.Route{
 			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts,
 		},
-	})
+	}))
 	f.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
-		Routes: func() *routing.Table { return routes }, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
+		Routes: f.routes.Load, Evacuations: f.evacuations, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
 			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) },
+			Evacuation: eligibility.EvacuationOptions{Set: f.evacuations, Time: evacuate},
 		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -21,6 +21,12 @@
 			return nil, e
 		}
 		changed := g.opts.Shards.Changed()
+		if e := g.checkKeyPlace(c, c.service.Name, c.key, g.placement(c, true)); e != nil {
+			if c.mayHaveRun {
+				return nil, g.failure(c)
+			}
+			return nil, e
+		}
 		entry, e := g.ownerEntry(c, waitUntil)
 		if e != nil {
 			return nil, e
@@ -82,6 +88,8 @@
 		return g.failure(c)
 	}
 	switch v.Reason {
+	case eligibility.RegionNotAllowed, eligibility.Evacuated:
+		return g.misplaced(c, t, g.placement(c, c.service.Keyed), v)
 	case eligibility.Limited:
 		return refusal(result.NoCapacity, g.opts.Eligibility.PromiseReturn(t.Incarnation(), v),
 			"target %s has named a limit, of which the share of this VM is used up", t.ID)
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -67,7 +67,8 @@
 
 // candidates returns the targets of the call's service that accept requests: those that are
 // ready and eligible or, if none is ready, those that leave and are still eligible. It
-// also returns the ready target that will be eligible first, if any is not.
+// also returns the ready target that will be eligible first, if any is not, or one that is excluded for
+// its place, if there is no other.
 func (g *Gateway) candidates(s *fleet.Snapshot, c *call) ([]placing.Candidate, *ineligibleTarget) {
 	targets := s.Service(c.service.Name)
 	idleAddresses := g.opts.Upstream.IdleAddresses(c.maxIdle())
@@ -77,10 +78,22 @@
 		candidate.Connected = idleAddresses[t.Address]
 		out = append(out, candidate)
 	}
-	var first *ineligibleTarget
+	place := g.placement(c, false)
+	restricted := g.opts.Eligibility.Restricts(place)
+	var first, excluded *ineligibleTarget
+	placed := func(t *fleet.Target) bool {
+		v := eligibility.Verdict{}
+		if restricted {
+			v = g.opts.Eligibility.DecidePlace(t, place)
+		}
+		if !v.OK() {
+			excluded = likelierPlace(excluded, &ineligibleTarget{t, v})
+		}
+		return v.OK()
+	}
 	anyStated := g.opts.Eligibility.HasStatements()
 	for _, t := range targets {
-		if t.State != fleet.Ready {
+		if t.State != fleet.Ready || !placed(t) {
 			continue
 		}
 		if !anyStated {
@@ -98,11 +111,14 @@
 		return out, first
 	}
 	for _, t := range targets {
-		if g.opts.Eligibility.Decide(t.Incarnation()).OK() {
+		if placed(t) && g.opts.Eligibility.Decide(t.Incarnation()).OK() {
 			add(t)
 		}
 	}
-	return out, nil
+	if len(out) > 0 {
+		return out, nil
+	}
+	return nil, excluded
 }
 
 func newCandidate(t *fleet.Target) placing.Candidate {
--- a/result/result.go
+++ b/result/result.go
@@ -74,11 +74,13 @@
 	NoCapacity    Code = 1106
 	LinkBudget    Code = 1107
 
-	NoOwner       Code = 1201
-	StaleOwner    Code = 1202
-	NoTarget      Code = 1203
-	ConnectFailed Code = 1204
-	TargetLeaving Code = 1205
+	NoOwner          Code = 1201
+	StaleOwner       Code = 1202
+	NoTarget         Code = 1203
+	ConnectFailed    Code = 1204
+	TargetLeaving    Code = 1205
+	Evacuated        Code = 1206
+	RegionNotAllowed Code = 1207
 
 	ClaimStoreDown Code = 1301
 	ClaimMismatch  Code = 1302
@@ -131,6 +133,8 @@
 	{NoTarget, "no-target", NotRun, http.StatusServiceUnavailable, "The pool has no healthy target."},
 	{ConnectFailed, "connect-failed", NotRun, http.StatusBadGateway, "No connection to the target could be opened; no byte was sent."},
 	{TargetLeaving, "target-leaving", NotRun, http.StatusServiceUnavailable, "The target is draining and refused the request."},
+	{Evacuated, "evacuated", NotRun, http.StatusServiceUnavailable, "The targets that could serve the request are in data centres that are being evacuated."},
+	{RegionNotAllowed, "region-not-allowed", NotRun, http.StatusServiceUnavailable, "No target that could serve the request is in a region that is allowed for it."},
 
 	{ClaimStoreDown, "claim-store-down", NotRun, http.StatusServiceUnavailable, "The idempotency claim could not be made durable."},
 	{ClaimMismatch, "claim-mismatch", NotRun, http.StatusUnprocessableEntity, "The idempotency key was used for a different request."},
