Follow the evacuations of data centres

Cause: operators could not empty a data centre. With [gateway] evacuate, each VM follows evacuations/ as it follows config/ and servers/, through the relay of the assigner where there is one, and is not ready until it has read the list once. Entries of the first list count as of any age: what a reader has confirmed to have relayed says nothing of earlier changes. In a batch only the last event of a data centre counts, since a batch may repeat known events.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -17,6 +17,7 @@
 	"github.com/basiltally/basiltally/bodies"
 	"github.com/basiltally/basiltally/budget"
 	"github.com/basiltally/basiltally/eligibility"
+	"github.com/basiltally/basiltally/evacuation"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
@@ -49,6 +50,8 @@
 	// targetSettle is the same for the targets' entries. A leaving target must get no new
 	// requests after 2 s.
 	targetSettle = 500 * time.Millisecond
+	// evacuationSettle is the same for the entries of evacuations. Operators write few of them.
+	evacuationSettle = 100 * time.Millisecond
 	// firstReaderWait is how long a VM that starts waits for the assigner to relay changes before it
 	// polls the store. A configuration must be in force within 2 s.
 	firstReaderWait = 1500 * time.Millisecond
@@ -79,6 +82,8 @@
 	feed      *relayfeed.Feed
 	directory *fleet.Directory
 	routes    atomic.Pointer[routing.Table]
+	// evacuations has the data centres that are being evacuated. It is nil if the setting evacuate is off.
+	evacuations *evacuation.Set
 	// targetsListed is set once the targets' entries were read.
 	targetsListed atomic.Bool
 	balancer      *placing.Balancer
@@ -152,6 +157,9 @@
 		peers:      peer.NewClient(peer.ClientOptions{VM: s.Process.VM, Role: roleNode}),
 	}
 	n.settings.Store(s)
+	if s.Gateway.Evacuate > 0 {
+		n.evacuations = evacuation.New()
+	}
 	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, Check: n.objects.Check, Logger: logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
 	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
 	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
@@ -172,16 +180,17 @@
 	})
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
-		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
+		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport, Placement: n.keyPlacement(),
 		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
 		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
 	n.eligibility = eligibility.New(eligibility.Options{
 		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, Registerer: n.registry, Logger: logger,
+		Evacuation: eligibility.EvacuationOptions{Set: n.evacuations, Time: s.Gateway.Evacuate},
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: n.eligibility, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes,
+		Directory: n.directory, Eligibility: n.eligibility, Evacuations: n.evacuations, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes,
 		Registerer: n.registry, Logger: logger,
 	})
 	n.ingress = ingress.New(ingress.Options{
@@ -203,6 +212,9 @@
 	parts.run("peers", server.Run)
 	parts.run("configuration", n.follower(platform.ConfigPrefix, newConfigConsumer(n), configSettle).Run)
 	parts.run("targets", n.follower(platform.TargetPrefix, newTargetConsumer(n), targetSettle).Run)
+	if n.evacuations != nil {
+		parts.run("evacuations", n.follower(platform.EvacuationPrefix, newEvacuationConsumer(n), evacuationSettle).Run)
+	}
 	parts.run("agent", n.agent.Run)
 	parts.run("upstream", n.upstream.Run)
 	parts.run("expiry", n.expire)
@@ -249,6 +261,8 @@
 		return errors.New("no configuration is known")
 	case !n.targetsListed.Load():
 		return errors.New("the targets are not known")
+	case !n.evacuations.Listed():
+		return errors.New("the data centres that are being evacuated are not known")
 	}
 	return nil
 }
@@ -263,10 +277,10 @@
 }
 
 // keyedServices returns the names of the services whose targets own keys; false until the
-// configuration and the targets are known.
+// configuration, the targets and the evacuations are known.
 func (n *nodeProcess) keyedServices() ([]string, bool) {
 	t := n.routes.Load()
-	if t == nil || !n.targetsListed.Load() {
+	if t == nil || !n.targetsListed.Load() || !n.evacuations.Listed() {
 		return nil, false
 	}
 	var names []string
--- /dev/null
+++ b/daemon/node_evacuations.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/basiltally/basiltally/platform"
+	"github.com/basiltally/basiltally/shard"
+	"github.com/basiltally/basiltally/store"
+)
+
+// evacuationConsumer passes the entries of data centres that are being evacuated to the set of them.
+type evacuationConsumer struct {
+	process *nodeProcess
+	regions map[string]string
+	// listed is set once the first list was read.
+	listed bool
+}
+
+func newEvacuationConsumer(n *nodeProcess) *evacuationConsumer {
+	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "basiltally_evacuated_data_centres", Help: "Data centres that are being evacuated, as this VM knows.",
+	}, func() float64 { return float64(n.evacuations.Count()) }))
+	return &evacuationConsumer{process: n, regions: n.settings.Load().Gateway.regionByDataCentre()}
+}
+
+// dataCentre returns the name of the data centre of an entry. The entry's value says nothing.
+func dataCentre(o store.Object) string { return strings.TrimPrefix(o.Key, platform.EvacuationPrefix) }
+
+// Replace implements follow.Consumer.
+func (c *evacuationConsumer) Replace(objects []store.Object) {
+	set, now := c.process.evacuations, time.Now()
+	revisions := make(map[string]store.Version, len(objects))
+	names := make([]string, 0, len(objects))
+	for _, o := range objects {
+		names = append(names, dataCentre(o))
+		revisions[dataCentre(o)] = o.Version
+	}
+	// The entries in the first list may have been made at any time.
+	at := time.Time{}
+	if c.listed {
+		at = c.changedAfter(now)
+	}
+	before := make(map[string]time.Time)
+	for _, dc := range set.DataCentres() {
+		before[dc], _ = set.Since(dc)
+	}
+	begun, ended := set.Replace(names, at, now)
+	c.listed = true
+	for _, dc := range ended {
+		c.logEnd(dc, 0, before[dc], now)
+	}
+	for _, dc := range begun {
+		c.logBegin(dc, revisions[dc], at, now)
+	}
+}
+
+// Change implements follow.Consumer. Only the last event of a data centre counts: a batch may hold events
+// that are known already, and an evacuation that they seem to end and begin again would be given more time.
+func (c *evacuationConsumer) Change(events []store.Event) {
+	set, now := c.process.evacuations, time.Now()
+	at := c.changedAfter(now)
+	last := make(map[string]int, len(events))
+	for i, e := range events {
+		last[dataCentre(e.Object)] = i
+	}
+	for i, e := range events {
+		dc := dataCentre(e.Object)
+		if last[dc] != i {
+			continue
+		}
+		if e.Deleted {
+			if since, ok := set.End(dc, now); ok {
+				c.logEnd(dc, e.Version, since, now)
+			}
+		} else if set.Begin(dc, at) {
+			c.logBegin(dc, e.Version, at, now)
+		}
+	}
+}
+
+// changedAfter returns an instant after which the changes that are being applied were made. It is zero
+// if that may be any time.
+func (c *evacuationConsumer) changedAfter(now time.Time) time.Time {
+	ago, known := c.process.feed.ChangedAgo(platform.EvacuationPrefix)
+	if !known {
+		return time.Time{}
+	}
+	return now.Add(-ago)
+}
+
+// StoreLost implements follow.Consumer. The evacuations that are known stay in force.
+func (c *evacuationConsumer) StoreLost() {}
+
+// StoreRestored implements follow.Consumer.
+func (c *evacuationConsumer) StoreRestored() {}
+
+func (c *evacuationConsumer) logBegin(dc string, revision store.Version, since, now time.Time) {
+	logger := c.process.logger
+	logger.Info("evacuation of data centre began", "data_centre", dc, "revision", revision, age(since, now))
+	if c.regions[dc] == "" {
+		logger.Warn("evacuation of a data centre that the settings do not name", "data_centre", dc, "revision", revision)
+	}
+}
+
+// logEnd logs the end of an evacuation. A list does not state the revision of a deletion.
+func (c *evacuationConsumer) logEnd(dc string, revision store.Version, since, now time.Time) {
+	c.process.logger.Info("evacuation of data centre ended", "data_centre", dc, "revision", revision, age(since, now))
+}
+
+// age is the log attribute for how long ago an evacuation began at most.
+func age(since, now time.Time) slog.Attr {
+	if since.IsZero() {
+		return slog.String("age_ms", "unknown")
+	}
+	return slog.Int64("age_ms", now.Sub(since).Milliseconds())
+}
+
+// keyPlacement returns which targets may own keys by their places.
+func (n *nodeProcess) keyPlacement() shard.PlacementOptions {
+	return shard.PlacementOptions{
+		Evacuated: func(dc string) bool {
+			_, evacuated := n.evacuations.Since(dc)
+			return evacuated
+		},
+		AllowedRegions: func(service string) ([]string, bool) {
+			t := n.routes.Load()
+			if t == nil {
+				return nil, false
+			}
+			return t.AllowedRegions(service)
+		},
+	}
+}
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -17,6 +17,7 @@
 	LameDuck          time.Duration `ini:"lame_duck" default:"2200ms" unit:"duration" range:"0s..1m" doc:"How long new connections are still accepted after a stop has begun, so that the balancer can notice the stop."`
 	StopLimit         time.Duration `ini:"stop_limit" default:"6s" unit:"duration" range:"1s..24h" doc:"Time after which the platform ends a stopping process; requests still running shortly before it are cut off."`
 	DrainTime         time.Duration `ini:"drain_time" default:"2s" unit:"duration" range:"500ms..1m" doc:"How long a target takes requests after the store has its entry as draining. Shortly before its end the owner of a key gets no more of them."`
+	Evacuate          time.Duration `ini:"evacuate" default:"0s" unit:"duration" range:"0s..1m" doc:"Time after the store has accepted an entry evacuations/DATA_CENTRE from which no request reaches targets in that data centre. Zero does not read these entries."`
 	LinkMbps          float64       `ini:"link" default:"1000" unit:"Mbit/s" range:"0.1..1000000" doc:"Bandwidth of the VM; a VM with low bandwidth leaves the assigner's role to others."`
 	CPU               float64       `ini:"cpu" default:"1" unit:"cores" range:"0.01..1024" doc:"Processor of the VM; a VM with a small share of a core leaves the assigner's role to others."`
 	QuarantineCrashes int           `ini:"quarantine_crashes" default:"3" unit:"crashes" range:"2..4" doc:"Number of targets' crashes while they ran the same request, from which all VMs refuse it."`
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -31,6 +31,11 @@
 	servers      map[string]*httptest.Server
 	nodes        []*testNode
 	relayAbove   int
+	// regions and evacuate are the settings of the VMs that are started next.
+	regions  []string
+	evacuate time.Duration
+	// refuseEvacuations is set while the store refuses all calls for evacuations.
+	refuseEvacuations atomic.Bool
 	// log is what the VMs have logged; it is printed if the test fails.
 	log testLog
 	// requests is the number of requests that were sent.
@@ -42,9 +47,11 @@
 	process *nodeProcess
 	// refusedByStore is set while the store refuses the requests of this VM.
 	refusedByStore *atomic.Bool
-	settings       *NodeSettings
-	stop           context.CancelFunc
-	done           chan error
+	// storeCalls counts the VM's calls of the store for evacuations.
+	storeCalls *atomic.Int64
+	settings   *NodeSettings
+	stop       context.CancelFunc
+	done       chan error
 }
 
 // testLog keeps what it is written. It is safe for concurrent use.
@@ -76,7 +83,7 @@
 }
 
 func newTestPlatform(t *testing.T) *testPlatform {
-	b := &testPlatform{t: t, relayAbove: 24, store: standin.NewStore(), targets: map[string]*standin.Target{}, servers: map[string]*httptest.Server{}}
+	b := &testPlatform{t: t, relayAbove: 24, regions: []string{"dc1=r1"}, store: standin.NewStore(), targets: map[string]*standin.Target{}, servers: map[string]*httptest.Server{}}
 	t.Cleanup(func() { b.log.printIfFailed(t) })
 	t.Cleanup(func() {
 		b.stopAll()
@@ -118,9 +125,13 @@
 }
 
 func (b *testPlatform) addTarget(id, service string, keyed bool) {
+	b.addTargetIn("dc1", id, service, keyed)
+}
+
+func (b *testPlatform) addTargetIn(dataCentre, id, service string, keyed bool) {
 	tg := standin.NewTarget(standin.TargetOptions{ID: id, Service: service, Keyed: keyed, Slots: 6, Queue: 24, Work: 5 * time.Millisecond})
 	b.targets[id], b.servers[id] = tg, httptest.NewServer(tg)
-	b.store.Put("servers", id, tg.Entry(b.servers[id].Listener.Addr().String(), "dc1", "ready", 1))
+	b.store.Put("servers", id, tg.Entry(b.servers[id].Listener.Addr().String(), dataCentre, "ready", 1))
 }
 
 // nextPort is the next port to try. It is below the ports that the kernel gives to outgoing
@@ -147,12 +158,19 @@
 }
 
 func (b *testPlatform) startNode(name string) *testNode {
-	refused := &atomic.Bool{}
+	refused, storeCalls := &atomic.Bool{}, &atomic.Int64{}
 	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if refused.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if strings.HasPrefix(r.URL.Path, "/objects/evacuations") {
+			storeCalls.Add(1)
+			if b.refuseEvacuations.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+		}
 		b.store.ServeHTTP(w, r)
 	}))
 	b.storeProxies = append(b.storeProxies, proxy)
@@ -161,7 +179,7 @@
 		Store:   Store{Address: proxy.Listener.Addr().String(), Timeout: time.Second},
 		Peer:    Peer{Listen: freeAddress(b.t)},
 		Gateway: GatewaySettings{
-			Listen: freeAddress(b.t), ReadyListen: freeAddress(b.t), Regions: []string{"dc1=r1"},
+			Listen: freeAddress(b.t), ReadyListen: freeAddress(b.t), Regions: b.regions, Evacuate: b.evacuate,
 			LameDuck: 100 * time.Millisecond, StopLimit: 5 * time.Second, MemoryMB: 256,
 			QuarantineCrashes: 3, QuarantineTime: 10 * time.Minute, CheckIn: 1500 * time.Millisecond,
 		},
@@ -170,7 +188,7 @@
 	}
 	s.Telemetry.Listen = freeAddress(b.t)
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &testNode{name: name, settings: s, stop: cancel, done: make(chan error, 1), refusedByStore: refused}
+	n := &testNode{name: name, settings: s, stop: cancel, done: make(chan error, 1), refusedByStore: refused, storeCalls: storeCalls}
 	n.process = newNodeProcess(s, slog.New(slog.NewTextHandler(&b.log, nil)).With("vm", name))
 	go func() { n.done <- n.process.run(ctx) }()
 	b.nodes = append(b.nodes, n)
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -49,10 +49,8 @@
 		next.since, next.ended = map[string]time.Time{}, map[string]time.Time{}
 	}
 	edit(next)
-	for _, at := range next.since {
-		if next.earliest.IsZero() || at.Before(next.earliest) {
-			next.earliest = at
-		}
+	if len(next.since) > 0 {
+		next.earliest = slices.MinFunc(slices.Collect(maps.Values(next.since)), time.Time.Compare)
 	}
 	s.current.Store(next)
 }
@@ -78,8 +76,8 @@
 	return since, ok
 }
 
-// Begin records that the data centre is being evacuated, since the instant at the earliest. It
-// returns false if it was being evacuated already: an entry may be written again while it is in
+// Begin records that the data centre is being evacuated, since the instant at the earliest. The zero
+// instant says that the evacuation may have begun at any time. Begin returns false if it was being evacuated already: an entry may be written again while it is in
 // force, which does not extend the time that the evacuation may take.
 func (s *Set) Begin(dataCentre string, at time.Time) (begun bool) {
 	s.change(func(c *content) { begun = c.begin(dataCentre, at) })
@@ -144,6 +142,15 @@
 	return len(c.since)
 }
 
+// DataCentres returns the names of the data centres that are being evacuated, in order.
+func (s *Set) DataCentres() []string {
+	c := s.load()
+	if c == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(c.since))
+}
+
 // Since returns the earliest instant at which the evacuation of the data centre can have begun. It
 // returns false if the data centre is not being evacuated. For the unknown data centre, which is
 // empty, it returns the earliest instant of all evacuations.
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -65,6 +65,19 @@
 	is.True(!ok)
 }
 
+// An evacuation that may have begun at any time must count as the earliest.
+func TestEvacuationThatBeganAtAnUnknownInstant(t *testing.T) {
+	is := is.New(t)
+	s := evacuation.New()
+	s.Replace([]string{"a"}, time.Time{}, at(5))
+	s.Begin("b", at(5))
+	for _, dc := range []string{"a", ""} {
+		since, ok := s.Since(dc)
+		is.True(ok)
+		is.True(since.IsZero())
+	}
+}
+
 // A VM without the feature must decide as if nothing were being evacuated.
 func TestNilSet(t *testing.T) {
 	is := is.New(t)
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -44,8 +44,8 @@
 		return refusal(result.RegionNotAllowed, noTargetRetryAfter, "no target of service %s is in an allowed region; allowed: %s", t.Service, allowed)
 	}
 	if p.Owner {
-		return refusal(result.Evacuated, leavingRetryAfter, "the owner of the key, target %s, is in data centre %q, which has been evacuated for up to %d ms",
-			t.ID, t.DataCentre, v.Since.Milliseconds())
+		return refusal(result.Evacuated, leavingRetryAfter, "the owner of the key, target %s, is in data centre %q; being evacuated: %s",
+			t.ID, t.DataCentre, strings.Join(g.opts.Evacuations.DataCentres(), ", "))
 	}
 	return refusal(result.Evacuated, noTargetRetryAfter, "all targets of service %s that the request may be sent to are in data centres that are being evacuated", t.Service)
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -175,7 +175,7 @@
 			"{{#zones}}{{@}}={{.}}{{,}}{{/zones}}", "kosice-a=vychod,zvolen-a=stred,trnava-a=zapad",
 			"{{bounds.grace}}", "6s", "{{bounds.drain}}", "2000ms", "{{limits.link_mbps}}", "1000.0", "{{limits.memory_mb}}", "284",
 			"{{limits.cpu_share}}", "0.32", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_extra}}", "64", "{{bounds.budget_window}}", "10s",
-			"{{bounds.hold_max}}", "10000ms", "{{#bootstrap}}800ms{{/bootstrap}}{{^bootstrap}}50ms{{/bootstrap}}", "800ms",
+			"{{#bounds.evacuate}}evacuate = {{bounds.evacuate}}{{/bounds.evacuate}}", "", "{{bounds.hold_max}}", "10000ms", "{{#bootstrap}}800ms{{/bootstrap}}{{^bootstrap}}50ms{{/bootstrap}}", "800ms",
 		).Replace(string(template))
 		if strings.Contains(text, "{{") {
 			return fmt.Errorf("deploy/node.ini has a placeholder that the stand-in does not know:\n%s", text)
