Confirm evacuations after a VM has stood still

Cause: a VM that was suspended for seconds sent requests by what it knew before the suspension, until its first poll was answered; an evacuation may have begun and taken effect meanwhile. evacuation.StallGuard notices the gap with the first request. Until the feed is known to be complete (relayfeed.KnownAt) or the store has been read once, requests are refused as not run (1501). A store that does not answer keeps the known evacuations in force.

Only with [gateway] evacuate.

--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -173,6 +173,44 @@
 	is.Equal(callers, 1) // The assigner.
 }
 
+// A VM that has stood still must serve again once the assigner has confirmed its relay, without a call of the store; a
+// VM without that after one call; and while the store is away too.
+func TestVMServesAgainAfterAStall(t *testing.T) {
+	is := is.New(t)
+	b := newEvacuationTest(t, 1)
+	nodes := []*testNode{b.startReadyNode("vm1"), b.startReadyNode("vm2"), b.startReadyNode("vm3")}
+	b.eventually("all keys are served", func() bool {
+		return b.allKeysServed(nodes[0]) && b.allKeysServed(nodes[1]) && b.allKeysServed(nodes[2])
+	})
+	time.Sleep(2 * time.Second) // Longer than a VM that has started waits for the relay.
+	for _, fault := range []standin.Fault{standin.NoFault, standin.Unavailable, standin.Hang} {
+		b.store.SetFault(fault)
+		for _, n := range nodes {
+			n.process.stalls.Doubt()
+			is.True(!n.process.stalls.Current())
+		}
+		var before, after [3]int64
+		for i, n := range nodes {
+			before[i] = n.storeCalls.Load()
+		}
+		b.eventually("all VMs go on", func() bool {
+			return nodes[0].process.stalls.Current() && nodes[1].process.stalls.Current() && nodes[2].process.stalls.Current()
+		})
+		calls := 0
+		for i, n := range nodes {
+			after[i] = n.storeCalls.Load()
+			if after[i] > before[i] {
+				calls++
+			}
+		}
+		t.Logf("fault %d: calls by VM %v before, %v after", fault, before, after)
+		if fault == standin.NoFault {
+			is.True(calls <= 1) // The assigner.
+		}
+	}
+	is.Equal(b.log.count("source=feed") >= 2, true)
+}
+
 // A batch that repeats known events must not seem to end an evacuation and to begin it anew, with more time.
 func TestRepeatedEventsDoNotRestartAnEvacuation(t *testing.T) {
 	is := is.New(t)
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/basiltally/basiltally/bodies"
+	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/budget"
 	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/evacuation"
@@ -84,6 +85,8 @@
 	routes    atomic.Pointer[routing.Table]
 	// evacuations has the data centres that are being evacuated. It is nil if the setting evacuate is off.
 	evacuations *evacuation.Set
+	// stalls is nil if the setting evacuate is off.
+	stalls *evacuation.StallGuard
 	// targetsListed is set once the targets' entries were read.
 	targetsListed atomic.Bool
 	balancer      *placing.Balancer
@@ -159,6 +162,7 @@
 	n.settings.Store(s)
 	if s.Gateway.Evacuate > 0 {
 		n.evacuations = evacuation.New()
+		n.stalls = evacuation.NewStallGuard(s.Gateway.Evacuate/stallDivisor, boottime.Now)
 	}
 	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, Check: n.objects.Check, Logger: logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
 	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
@@ -186,7 +190,7 @@
 	})
 	n.eligibility = eligibility.New(eligibility.Options{
 		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, Registerer: n.registry, Logger: logger,
-		Evacuation: eligibility.EvacuationOptions{Set: n.evacuations, Time: s.Gateway.Evacuate},
+		Evacuation: eligibility.EvacuationOptions{Set: n.evacuations, Stalls: n.stalls, Time: s.Gateway.Evacuate},
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
@@ -213,7 +217,9 @@
 	parts.run("configuration", n.follower(platform.ConfigPrefix, newConfigConsumer(n), configSettle).Run)
 	parts.run("targets", n.follower(platform.TargetPrefix, newTargetConsumer(n), targetSettle).Run)
 	if n.evacuations != nil {
-		parts.run("evacuations", n.follower(platform.EvacuationPrefix, newEvacuationConsumer(n), evacuationSettle).Run)
+		consumer := newEvacuationConsumer(n)
+		parts.run("evacuations", n.follower(platform.EvacuationPrefix, consumer, evacuationSettle).Run)
+		parts.run("stalls", consumer.watchStalls)
 	}
 	parts.run("agent", n.agent.Run)
 	parts.run("upstream", n.upstream.Run)
--- a/daemon/node_evacuations.go
+++ b/daemon/node_evacuations.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"context"
 	"log/slog"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/shard"
 	"github.com/basiltally/basiltally/store"
@@ -16,6 +19,9 @@
 type evacuationConsumer struct {
 	process *nodeProcess
 	regions map[string]string
+
+	// mu is held while entries are applied: after a stall, another goroutine reads them too.
+	mu sync.Mutex
 	// listed is set once the first list was read.
 	listed bool
 }
@@ -32,6 +38,8 @@
 
 // Replace implements follow.Consumer.
 func (c *evacuationConsumer) Replace(objects []store.Object) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	set, now := c.process.evacuations, time.Now()
 	revisions := make(map[string]store.Version, len(objects))
 	names := make([]string, 0, len(objects))
@@ -61,6 +69,8 @@
 // Change implements follow.Consumer. Only the last event of a data centre counts: a batch may hold events
 // that are known already, and an evacuation that they seem to end and begin again would be given more time.
 func (c *evacuationConsumer) Change(events []store.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	set, now := c.process.evacuations, time.Now()
 	at := c.changedAfter(now)
 	last := make(map[string]int, len(events))
@@ -98,6 +108,60 @@
 // StoreRestored implements follow.Consumer.
 func (c *evacuationConsumer) StoreRestored() {}
 
+const (
+	// stallDivisor divides the setting evacuate: a VM that has stood still for longer than a quarter of it
+	// serves only once it knows the changes since. Without a stall a VM knows a change within 3 s, which
+	// leaves that much of 5 s.
+	stallDivisor = 4
+	// stallInterval is the interval at which the process notes that it runs.
+	stallInterval = 100 * time.Millisecond
+	// stallRelayWait is how long a VM that has stood still waits for the assigner, or the answer to its
+	// own poll, to confirm that it knows all changes. It then reads the list from the store.
+	stallRelayWait = 500 * time.Millisecond
+)
+
+// watchStalls notices that the process has stood still, and finds out what has changed meanwhile, until
+// the context ends.
+func (c *evacuationConsumer) watchStalls(ctx context.Context) error {
+	tick := time.NewTicker(stallInterval)
+	defer tick.Stop()
+	// known and read are the stalls whose changes the feed knows, and for which the store is asked.
+	var known, read time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		resumed, doubted := c.process.stalls.Beat()
+		switch {
+		case !doubted:
+		case known == resumed:
+			// What the feed returned at the last tick has been applied by now.
+			c.process.stalls.Confirm(resumed)
+			c.process.logger.Info("evacuations are known again after the process stood still", "source", "feed")
+		case c.process.feed.KnownAt(platform.EvacuationPrefix) >= resumed:
+			known = resumed
+		case read != resumed && boottime.Now()-resumed >= stallRelayWait:
+			read = resumed
+			go c.readAfterStall(ctx, resumed)
+		}
+	}
+}
+
+// readAfterStall reads the list from the store. A VM that the store does not answer goes on with what it
+// knows.
+func (c *evacuationConsumer) readAfterStall(ctx context.Context, resumed time.Duration) {
+	defer c.process.stalls.Confirm(resumed)
+	objects, _, err := c.process.objects.List(ctx, platform.EvacuationPrefix)
+	if err != nil {
+		c.process.logger.Warn("cannot read the evacuations after the process stood still; the known ones stay in force", "error", err.Error())
+		return
+	}
+	c.Replace(objects)
+	c.process.logger.Info("evacuations are known again after the process stood still", "source", "store")
+}
+
 func (c *evacuationConsumer) logBegin(dc string, revision store.Version, since, now time.Time) {
 	logger := c.process.logger
 	logger.Info("evacuation of data centre began", "data_centre", dc, "revision", revision, age(since, now))
--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -36,11 +36,13 @@
 	Evacuated
 	// RegionNotAllowed means that the target is not in a region that is allowed for the request.
 	RegionNotAllowed
+	// PlacesUnknown means that it is not known which data centres are being evacuated.
+	PlacesUnknown
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
-	return [...]string{"none", "leaving", "limited", "paused", "evacuated", "region"}[r]
+	return [...]string{"none", "leaving", "limited", "paused", "evacuated", "region", "places-unknown"}[r]
 }
 
 // Verdict states whether a request may be sent to a target.
--- a/eligibility/placement.go
+++ b/eligibility/placement.go
@@ -16,6 +16,8 @@
 type EvacuationOptions struct {
 	// Set has the data centres that are being evacuated. Nil has none.
 	Set *evacuation.Set
+	// Stalls notices that the Set may be outdated because the process has stood still. Nil notices nothing.
+	Stalls *evacuation.StallGuard
 	// Time is how long after the begin of an evacuation targets may still get requests. Within it, the
 	// keys of the targets move to others.
 	Time time.Duration
@@ -29,6 +31,12 @@
 	AllowedRegions []string
 }
 
+// PlacesKnown reports whether it is known which data centres are being evacuated. Until then no request
+// may be sent.
+func (t *Tracker) PlacesKnown() bool {
+	return t.opts.Evacuation.Set.Listed() && t.opts.Evacuation.Stalls.Current()
+}
+
 // Restricts reports whether there may be targets that the request must not be sent to because of
 // their places.
 func (t *Tracker) Restricts(p Placement) bool {
@@ -53,9 +61,13 @@
 	return Verdict{Reason: Evacuated, Since: elapsed}
 }
 
-// TakeAt decides like DecidePlace and then like Take.
+// TakeAt decides by PlacesKnown, then like DecidePlace and then like Take.
 func (t *Tracker) TakeAt(target *fleet.Target, p Placement) Verdict {
-	if v := t.DecidePlace(target, p); !v.OK() {
+	v := Verdict{Reason: PlacesUnknown}
+	if t.PlacesKnown() {
+		v = t.DecidePlace(target, p)
+	}
+	if !v.OK() {
 		t.refused.WithLabelValues(v.Reason.String()).Inc()
 		return v
 	}
--- a/eligibility/placement_test.go
+++ b/eligibility/placement_test.go
@@ -17,6 +17,7 @@
 	now := time.Unix(100, 0)
 	clock := func() time.Time { return now }
 	set := evacuation.New()
+	set.Replace(nil, now, now)
 	tracker := eligibility.New(eligibility.Options{
 		Directory: fleet.NewDirectory(fleet.DirectoryOptions{Now: clock}), Now: clock,
 		Evacuation: eligibility.EvacuationOptions{Set: set, Time: 5 * time.Second},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,8 +56,7 @@
 	Directory *fleet.Directory
 	// Eligibility decides whether a request may be sent to a target.
 	Eligibility *eligibility.Tracker
-	// Evacuations has the data centres that are being evacuated. Until it is listed, no request is
-	// served. Nil needs no list.
+	// Evacuations has the data centres that are being evacuated. Nil has none.
 	Evacuations *evacuation.Set
 	Shards      Shards
 	Balancer    *placing.Balancer
@@ -239,8 +238,8 @@
 	if t == nil {
 		return nil, configRefusal("no configuration is known yet")
 	}
-	if !g.opts.Evacuations.Listed() {
-		return nil, configRefusal("the data centres that are being evacuated are not known yet")
+	if !g.opts.Eligibility.PlacesKnown() {
+		return nil, placesUnknown()
 	}
 	c.configVersion = t.Config.Version
 	if c.entry = t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); c.entry == nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/budget"
 	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/evacuation"
@@ -63,6 +64,7 @@
 	// routes is the configuration in force.
 	routes      atomic.Pointer[routing.Table]
 	evacuations *evacuation.Set
+	stalls      *evacuation.StallGuard
 
 	mu sync.Mutex
 	// servedBy holds the IDs of the targets that received a request, in order.
@@ -80,7 +82,7 @@
 // newFixtureWith returns a fixture like newFixture, with the data centres that are being evacuated.
 func newFixtureWith(t *testing.T, evacuations *evacuation.Set, keyed bool, handlers ...http.HandlerFunc) *fixture {
 	f := &fixture{
-		t: t, evacuations: evacuations, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
+		t: t, evacuations: evacuations, stalls: evacuation.NewStallGuard(time.Hour, boottime.Now), balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
 		suspects: quarantine.New(quarantine.Options{MinCrashes: 3}),
 	}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
@@ -110,7 +112,7 @@
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: f.routes.Load, Evacuations: f.evacuations, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
 			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) },
-			Evacuation: eligibility.EvacuationOptions{Set: f.evacuations, Time: evacuate},
+			Evacuation: eligibility.EvacuationOptions{Set: f.evacuations, Stalls: f.stalls, Time: evacuate},
 		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -20,6 +20,9 @@
 		if blocked, e := g.quarantined(c); blocked {
 			return nil, e
 		}
+		if blocked, e := g.unplaced(c); blocked {
+			return nil, e
+		}
 		changed := g.opts.Shards.Changed()
 		if e := g.checkKeyPlace(c, c.service.Name, c.key, g.placement(c, true)); e != nil {
 			if c.mayHaveRun {
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -24,6 +24,11 @@
 	return eligibility.Placement{Owner: keyed, AllowedRegions: e.AllowedRegions}
 }
 
+// placesUnknown returns the error for a request that may not be sent to any target at present.
+func placesUnknown() *result.Error {
+	return configRefusal("the data centres that are being evacuated are not known yet")
+}
+
 // permit decides, right before the first byte of the request is written, whether it may be sent to
 // the target. It returns nil if it may.
 func (g *Gateway) permit(c *call, t *fleet.Target) error {
@@ -81,6 +86,20 @@
 	return g.misplaced(c, excluded.target, p, excluded.verdict)
 }
 
+// unplaced reports whether the request may not be sent anywhere because it is not known which data
+// centres are being evacuated. The error is what the caller is answered; it is nil if a failed answer of a
+// target is to be passed on.
+func (g *Gateway) unplaced(c *call) (bool, *result.Error) {
+	switch {
+	case g.opts.Eligibility.PlacesKnown():
+		return false, nil
+	case c.mayHaveRun:
+		return true, g.failure(c)
+	default:
+		return true, placesUnknown()
+	}
+}
+
 // checkKeyPlace returns the error for a request for the key that cannot be served because of the
 // place of the key's owner or, while the key has none, of all targets. It returns nil if it may be served.
 func (g *Gateway) checkKeyPlace(c *call, service string, key shard.Key, p eligibility.Placement) *result.Error {
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -198,6 +198,7 @@
 	changes := map[string]func(f *fixture){
 		"evacuation begins": func(f *fixture) { f.evacuations.Begin("dc0", time.Now().Add(-evacuate)) },
 		"regions change":    func(f *fixture) { f.allow("r2") },
+		"process stalls":    func(f *fixture) { f.stalls.Doubt() },
 	}
 	for name, change := range changes {
 		for _, keyed := range []bool{true, false} {
@@ -259,6 +260,22 @@
 	is.Equal(f.send("/safe/x", "").Status, 200)
 }
 
+// A VM that was suspended knows nothing of an evacuation that has begun meanwhile.
+func TestRequestsAreRefusedAfterAStall(t *testing.T) {
+	for _, keyed := range []bool{true, false} {
+		is := is.New(t)
+		f := newFixture(t, keyed, answerOK)
+		f.stalls.Doubt()
+		checkRefused(is, f.send("/safe/x", "5"), "1501")
+		refusal, _ := f.gateway.Precheck(uploadRequest("/upload/x", "700"))
+		checkRefused(is, refusal, "1501")
+		is.Equal(f.requestsReceived(), 0)
+		resumed, _ := f.stalls.Beat()
+		f.stalls.Confirm(resumed)
+		is.Equal(f.send("/safe/x", "5").Status, 200)
+	}
+}
+
 // Leaving targets still serve if the ready ones may not.
 func TestLeavingTargetServesWhileReadyOnesAreForbidden(t *testing.T) {
 	is := is.New(t)
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -20,6 +20,9 @@
 		if blocked, e := g.quarantined(c); blocked {
 			return nil, e
 		}
+		if blocked, e := g.unplaced(c); blocked {
+			return nil, e
+		}
 		// Targets may have left while the last exchange ran.
 		snapshot := g.opts.Directory.Snapshot()
 		var ineligible *ineligibleTarget
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -540,6 +540,18 @@
 	return f.opts.Now() - after, after > 0
 }
 
+// KnownAt returns an instant up to which List and Poll have returned all changes under the prefix. It is
+// zero if none is known. A poll that waits at the store says nothing until it is answered.
+func (f *Feed) KnownAt(prefix string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.readsLocked(prefix).completeAt
+	if s, l := f.streams[prefix], f.logs[prefix]; l != nil && f.usableLocked() && s.coversLocked(l.at) && s.at <= l.at {
+		known = max(known, f.confirmedAt)
+	}
+	return known
+}
+
 // ReadAge returns the longest time since which changes may exist that this VM has not read
 // from the store and relayed, over all prefixes. It returns false while a prefix was not
 // read yet.
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -100,6 +100,29 @@
 	return keys, at
 }
 
+// A follower must not count as up to date while changes that it was sent are not returned yet, or before the reader has
+// confirmed its relay since.
+func TestKnownAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		p.is.Equal(p.follower.KnownAt("b/"), time.Duration(0))
+		at := p.follower.KnownRevisions()[prefix]
+		resumed := p.now()
+		p.is.Equal(p.follower.KnownAt(prefix), resumed)
+		time.Sleep(time.Second)
+		p.is.Equal(p.follower.KnownAt(prefix), resumed)
+		p.put("a/1")
+		p.read()
+		p.confirm()
+		p.is.Equal(p.follower.KnownAt(prefix), resumed) // The change is not returned yet.
+		p.is.Equal(p.reader.KnownAt(prefix), p.now())
+		p.poll(at)
+		p.is.Equal(p.follower.KnownAt(prefix), p.now())
+		time.Sleep(time.Minute)
+		p.is.True(p.follower.KnownAt(prefix) < p.now())
+	})
+}
+
 func TestFollowerMakesNoCallsWhileTheReaderIsUsable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newFeeds(t)
