Keep connections that are too old for one request only

A request that must not be repeated needs a connection that was idle for at most 2 s. When it found an older one, the pool closed all idle connections to the target, although targets keep them for 10 s and requests that may be repeated use them for 8 s. On keyed targets with both kinds of requests, nearly each request opened a connection.

The pool now leaves them, and closes one only to make room at the limit of connections. TestConnectionTooOldForOneRequestIsKeptForOthers failed before (one connection left, two expected).

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -175,7 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
-	return p != nil && slices.ContainsFunc(p.idle, func(cn *conn) bool { return cn.opened.Before(openedBefore) && c.usable(cn, 0) })
+	return p != nil && slices.ContainsFunc(p.idle, func(cn *conn) bool { return cn.opened.Before(openedBefore) && c.usable(cn) })
 }
 
 // Probe opens a connection to the address and keeps it for later requests. It does nothing if there is one already or
@@ -263,10 +263,14 @@
 		p = &pool{}
 		c.pools[address] = p
 	}
-	for len(p.idle) > 0 {
-		cn := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if c.usable(cn, r.MaxIdle) && !slices.Contains(cn.refused, r.ID) {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		cn := p.idle[i]
+		if r.MaxIdle > 0 && time.Since(cn.idleSince) > r.MaxIdle {
+			// It still serves requests that may be repeated.
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if c.usable(cn) && !slices.Contains(cn.refused, r.ID) {
 			c.mu.Unlock()
 			c.reused.Inc()
 			return cn, nil, nil
@@ -274,7 +278,14 @@
 		p.open--
 		cn.Close()
 	}
-	if int64(p.open) >= c.limit.Load() || time.Now().Before(p.noneBefore) {
+	pausing := time.Now().Before(p.noneBefore)
+	if int64(p.open) >= c.limit.Load() && len(p.idle) > 0 && !pausing {
+		// The idle connections are of no use to this request; one of them makes room for a new one.
+		p.open--
+		p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
+	if int64(p.open) >= c.limit.Load() || pausing {
 		var freed chan struct{}
 		if r.MaxWait > 0 {
 			freed = make(chan struct{})
@@ -306,12 +317,10 @@
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), memory: c.opts.Memory, opened: time.Now(), idleSince: time.Now()}, nil
 }
 
-// usable reports whether an idle connection is within the idle limits and has nothing to
-// read. Readable data would be a late answer or the end of the connection. A maxIdle of
-// zero sets no limit besides the connection's own.
-func (c *Client) usable(cn *conn, maxIdle time.Duration) bool {
-	idle := time.Since(cn.idleSince)
-	if idle > c.maxIdleTime(cn) || maxIdle > 0 && idle > maxIdle {
+// usable reports whether an idle connection is within its idle limit and has nothing to
+// read. Readable data would be a late answer or the end of the connection.
+func (c *Client) usable(cn *conn) bool {
+	if time.Since(cn.idleSince) > c.maxIdleTime(cn) {
 		return false
 	}
 	return cn.reader.Buffered() == 0 && idleconn.Usable(cn.Conn)
