Choose targets by what is known of full ones

Full targets of two deployments reset connections or refuse requests, while about 70 VMs send to them by loads that are up to a second old.

A Balancer now learns at which load targets refuse, or reset connections while their slots are busy, and estimates with which probability a target would refuse the next request. Targets above 0.35, or above 0.1 for requests that must not run more than once, are passed over; if a sample shows no other, Choose says so. It divides learned times by the fourth figure of the load and multiplies expected ones by it while it is fresh. Options add a preference for this VM's region and subsets that cover targets evenly, both off by default.

A VM that restarts takes over the speeds that the assigner passes on, of which it took half before (TestRestartedVMTakesOverSharedSpeeds failed).

--- a/placing/estimate.go
+++ b/placing/estimate.go
@@ -30,7 +30,7 @@
 // expected returns the time that the target would work on one more request, and the time
 // that the request would wait before that.
 func (b *Balancer) expected(s *targetState, candidate *Candidate, now time.Time) (work, wait time.Duration) {
-	service := float64(s.serviceTime)
+	service := float64(s.serviceTime) * s.pace.expected(now)
 	if now.Before(candidate.ColdUntil) {
 		service *= b.opts.ColdFactor
 	}
@@ -59,8 +59,12 @@
 // load returns the estimated number of requests at the target: those of this VM exactly, and
 // those of others by the last report, which approaches their mean as it ages.
 func (b *Balancer) load(s *targetState, now time.Time) float64 {
-	decay := math.Exp(-float64(now.Sub(s.othersLoadAt)) / float64(s.serviceTime))
-	return float64(len(s.inFlight)) + s.othersMeanLoad + (s.othersLoad-s.othersMeanLoad)*decay
+	return float64(len(s.inFlight)) + s.othersMeanLoad + (s.othersLoad-s.othersMeanLoad)*b.decay(s, now)
+}
+
+// decay returns how much of the last report still holds, from 1 to 0.
+func (b *Balancer) decay(s *targetState, now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(s.othersLoadAt)) / (float64(s.serviceTime) * s.pace.expected(now)))
 }
 
 // RoundTrip returns the network time to the target and back.
--- a/placing/observe.go
+++ b/placing/observe.go
@@ -1,6 +1,9 @@
 package placing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Begin records that a request is being sent to the target. It returns the request's number,
 // which must be passed to End.
@@ -10,7 +13,10 @@
 	s, now := b.state(candidate.ID), b.opts.Now()
 	contention, queueing := b.delays(s, candidate, now)
 	s.lastNumber++
-	s.inFlight[s.lastNumber] = inFlightRequest{sentAt: now, slowdown: 1 + contention + queueing}
+	s.service, s.slots = candidate.Service, candidate.Slots
+	s.inFlight[s.lastNumber] = inFlightRequest{
+		sentAt: now, slowdown: 1 + contention + queueing, load: b.load(s, now), risk: b.refusalRisk(candidate, now), workFactor: s.pace.fresh(now),
+	}
 	return s.lastNumber
 }
 
@@ -22,12 +28,18 @@
 	Failed bool
 	// Refused is set if the target did not take the request, or no connection became free.
 	Refused bool
+	// Full is set if the target did not take the request because it was full, as it said, or as is concluded
+	// from its load when it reset the connection.
+	Full bool
 	// Unreachable is set if no connection could be opened.
 	Unreachable bool
 	// Running and Waiting are the numbers of requests that the target reported with its
 	// answer; LoadKnown is set if it did.
 	Running, Waiting int
 	LoadKnown        bool
+	// WorkPercent is how long work takes at the target at the moment of its answer, in percent of the usual time; zero
+	// if it did not say.
+	WorkPercent int
 	// RoundTrip is the network time, which does not count as service time.
 	RoundTrip time.Duration
 }
@@ -44,6 +56,7 @@
 		return
 	}
 	if o.Unreachable {
+		s.resetLoad = 0
 		s.suspend(now)
 		return
 	}
@@ -52,12 +65,24 @@
 		s.lastAnswer = now
 		s.connectFailures = 0
 		s.suspendedUntil = time.Time{}
+		b.confirmReset(s, now)
+		s.pace.record(o.WorkPercent, now)
+		if o.WorkPercent > 0 {
+			s.unreported.WorkPercent, s.unreported.LoadAt = o.WorkPercent, now
+		}
 	}
 	if o.LoadKnown {
+		s.heldLoad.add(float64(o.Running+o.Waiting), math.Max, now)
 		s.recordLoad(float64(o.Running+o.Waiting-len(s.inFlight)), now)
 		s.unreported.LoadKnown, s.unreported.Load, s.unreported.LoadAt = true, o.Running+o.Waiting, now
 	}
+	if service := b.services[s.service]; service != nil && (o.Full || o.Answered) {
+		service.learn(r.risk, o.Full, now)
+	}
 	switch {
+	case o.Full:
+		// The load at which it refuses keeps requests away from the target; it has not failed.
+		b.recordFull(s, r, o, now)
 	case o.Refused:
 		// A target that refuses quickly would look idle, so refusals count as failures.
 		if o.Answered {
@@ -69,7 +94,7 @@
 		s.failureRate += failureWeight * (1 - s.failureRate)
 	case o.Answered:
 		s.failureRate -= failureWeight * s.failureRate
-		s.recordServiceTime(now.Sub(r.sentAt)-o.RoundTrip, r.slowdown)
+		s.recordServiceTime(s.pace.usual(now.Sub(r.sentAt)-o.RoundTrip, r.workFactor, o.WorkPercent), r.slowdown)
 	}
 }
 
@@ -122,6 +147,8 @@
 	Load      int
 	LoadKnown bool
 	LoadAt    time.Time
+	// WorkPercent is how long work took at LoadAt, in percent of the usual time; zero if the target did not say.
+	WorkPercent int
 }
 
 // TakeObservations returns what was observed since its last call, for each target of which
@@ -157,6 +184,8 @@
 	Load      int
 	LoadKnown bool
 	LoadAge   time.Duration
+	// WorkPercent is how long work took LoadAge ago, in percent of the usual time; zero if unknown.
+	WorkPercent int
 }
 
 // sharedStatsWeight is the weight of SharedStats against what this VM knows.
@@ -170,11 +199,15 @@
 	now := b.opts.Now()
 	for _, stats := range all {
 		s := b.state(stats.ID)
-		if stats.ServiceTime > 0 {
-			s.hasAnswered = true
+		if stats.ServiceTime > 0 && !s.hasShared {
+			// This VM has just started, or the target is new to it. Half of the initial estimate would be far off.
+			s.hasAnswered, s.hasShared = true, true
+			s.serviceTime = stats.ServiceTime
+		} else if stats.ServiceTime > 0 {
 			s.serviceTime += time.Duration(sharedStatsWeight * float64(stats.ServiceTime-s.serviceTime))
 		}
 		s.failureRate += sharedStatsWeight * (stats.FailureRate - s.failureRate)
+		s.pace.record(stats.WorkPercent, now.Add(-stats.LoadAge))
 		if at := now.Add(-stats.LoadAge); stats.LoadKnown && at.After(s.othersLoadAt) {
 			s.recordLoad(float64(stats.Load-len(s.inFlight)), at)
 		}
--- /dev/null
+++ b/placing/occupancy.go
@@ -0,0 +1,232 @@
+package placing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// refusalMemory is how long the load at which a target refused a request counts at least. It
+	// counts for twice as long at most.
+	refusalMemory = 15 * time.Second
+	// maxLoadAge is the age of the latest report from which a target does not count as full any more,
+	// so that a request finds out.
+	maxLoadAge = 2 * time.Second
+	// resetLoadShare is the estimated load, as a share of the one at which the target is full, from which
+	// a reset is put down to a full target. Estimates lag behind while the load rises.
+	resetLoadShare = 0.45
+	// maxRisk is the probability of a refusal from which a target counts as full, and maxOnceRisk the one from which it
+	// gets no request that must not run more than once while another has room: a full target may reset the connection,
+	// after which such a request is lost.
+	maxRisk     = 0.35
+	maxOnceRisk = 0.1
+	// loadVariance is the variance of the load about its mean, as a multiple of that.
+	loadVariance = 1.5
+	// biasStep is how much an unexpected refusal adds to the estimated loads of a service, up to maxBias. biasMemory is the
+	// time in which that is forgotten to a third.
+	biasStep   = 1
+	maxBias    = 8
+	biasMemory = 4 * time.Second
+	// refusalCost and lossCost are the times that a certain refusal adds to the score of a request that can be sent to
+	// another target afterwards, and of one that is lost.
+	refusalCost = time.Second
+	lossCost    = 3 * time.Second
+)
+
+// recentExtreme is the lowest or highest of the values that were added within the last refusalMemory, or up to
+// twice that.
+type recentExtreme struct {
+	current, previous       float64
+	hasCurrent, hasPrevious bool
+	began                   time.Time
+}
+
+// advance forgets the values that are too old.
+func (r *recentExtreme) advance(now time.Time) {
+	age := now.Sub(r.began)
+	if age < refusalMemory {
+		return
+	}
+	r.previous, r.hasPrevious = r.current, r.hasCurrent && age < 2*refusalMemory
+	r.hasCurrent, r.began = false, now
+}
+
+func (r *recentExtreme) add(value float64, pick func(a, b float64) float64, now time.Time) {
+	r.advance(now)
+	if r.hasCurrent {
+		value = pick(r.current, value)
+	}
+	r.current, r.hasCurrent = value, true
+}
+
+func (r *recentExtreme) value(pick func(a, b float64) float64, now time.Time) (float64, bool) {
+	r.advance(now)
+	switch {
+	case r.hasCurrent && r.hasPrevious:
+		return pick(r.current, r.previous), true
+	case r.hasCurrent:
+		return r.current, true
+	default:
+		return r.previous, r.hasPrevious
+	}
+}
+
+// serviceRefusals is what is known of the refusals of a service's targets.
+type serviceRefusals struct {
+	// waiting is the lowest number of waiting requests at which a target refused lately.
+	waiting recentExtreme
+	// bias is added to the estimated loads at biasAt. It rises with each refusal that was not expected. Reports come from
+	// targets that have just ended a request, and many VMs choose those that seem to have room.
+	bias   float64
+	biasAt time.Time
+}
+
+// biasNow returns the bias, which is forgotten over time so that a VM which sends nothing tries again.
+func (r *serviceRefusals) biasNow(now time.Time) float64 {
+	return r.bias * math.Exp(-float64(now.Sub(r.biasAt))/float64(biasMemory))
+}
+
+// learn corrects the bias by a request that was expected to be refused with the given probability.
+func (r *serviceRefusals) learn(risk float64, refused bool, now time.Time) {
+	outcome := 0.0
+	if refused {
+		outcome = 1
+	}
+	r.bias, r.biasAt = min(max(r.biasNow(now)+biasStep*(outcome-risk), 0), maxBias), now
+}
+
+// fullLoad returns the load at which the target takes no more requests: the lowest at which it refused one lately,
+// else the lowest number of waiting requests with which a target of its service did, above its slots. It is infinite while
+// no refusal is known. A load that the target has reported is less than that or equal.
+func (b *Balancer) fullLoad(s *targetState, slots int, now time.Time) float64 {
+	service := b.services[s.service]
+	if service == nil {
+		return math.Inf(1)
+	}
+	full, ok := s.refusedLoad.value(math.Min, now)
+	if !ok {
+		waiting, known := service.waiting.value(math.Min, now)
+		if !known {
+			return math.Inf(1)
+		}
+		full = waiting + float64(max(slots, 1))
+	}
+	if held, ok := s.heldLoad.value(math.Max, now); ok {
+		full = max(full, held)
+	}
+	return full
+}
+
+// refusalRisk returns the probability that the target refuses another request because it is full. The estimate of its load
+// is the less certain the older the latest report is.
+func (b *Balancer) refusalRisk(candidate *Candidate, now time.Time) float64 {
+	if len(b.services) == 0 {
+		return 0
+	}
+	s := b.state(candidate.ID)
+	if now.Sub(s.othersLoadAt) > maxLoadAge {
+		return 0
+	}
+	full := b.fullLoad(s, candidate.Slots, now)
+	if math.IsInf(full, 1) {
+		return 0
+	}
+	decay := b.decay(s, now)
+	variance := loadVariance * max(s.othersMeanLoad, 1) * (1 - decay*decay)
+	return 0.5 * math.Erfc((full-0.5-b.load(s, now)-b.services[s.service].biasNow(now))/math.Sqrt(2*variance+0.01))
+}
+
+// Full reports whether the target is expected to refuse another request, because its load is at least the one at which it
+// refused lately.
+func (b *Balancer) Full(candidate *Candidate) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refusalRisk(candidate, b.opts.Now()) >= maxRisk
+}
+
+// ProbablyFull reports whether the target, which has reset the connection of the request with the given number, was probably
+// full. While no target of the service is known to have refused, that is if all its slots were busy.
+func (b *Balancer) ProbablyFull(id string, number uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, now := b.state(id), b.opts.Now()
+	r, ok := s.inFlight[number]
+	if !ok {
+		return false
+	}
+	threshold := float64(max(s.slots, 1))
+	if full := b.fullLoad(s, s.slots, now); !math.IsInf(full, 1) {
+		threshold = resetLoadShare * full
+	}
+	load := s.loadAround(r, b.load(s, now))
+	if service := b.services[s.service]; service != nil {
+		load += service.biasNow(now)
+	}
+	return load >= threshold
+}
+
+// loadAround returns the number of requests that were at the target beside r, of which the end has just been seen. The
+// estimate may have been higher when r was sent, or be so now.
+func (s *targetState) loadAround(r inFlightRequest, loadNow float64) float64 {
+	return max(r.load, loadNow-1)
+}
+
+// recordFull records that the target refused the request r because it was full. The load is the reported one if the target
+// answered. Otherwise it is estimated, and counts only once an answer shows that the target has not crashed.
+func (b *Balancer) recordFull(s *targetState, r inFlightRequest, o Outcome, now time.Time) {
+	slots := float64(max(s.slots, 1))
+	if o.Answered {
+		if load := float64(o.Running + o.Waiting); o.LoadKnown && load >= slots {
+			b.recordRefusal(s, load, now)
+		}
+		return
+	}
+	load := max(s.loadAround(r, b.load(s, now)+1), slots+b.heldWaiting(s.service, now))
+	if s.resetLoad == 0 || load < s.resetLoad {
+		s.resetLoad = load
+	}
+	// A target that resets the connection does not report its load, which VMs that do not send to it just now need as well.
+	full := max(load, b.knownFullLoad(s, now))
+	s.recordLoad(full-float64(len(s.inFlight)), now)
+	if b.knownFullLoad(s, now) > 0 {
+		s.unreported.LoadKnown, s.unreported.Load, s.unreported.LoadAt = true, int(full), now
+	}
+}
+
+// heldWaiting returns the highest number of waiting requests that a target of the service reported lately. Estimates of a load
+// are too low in a surge; a target that resets connections holds about as many as others have held.
+func (b *Balancer) heldWaiting(service string, now time.Time) float64 {
+	waiting := 0.0
+	for _, s := range b.states {
+		if held, ok := s.heldLoad.value(math.Max, now); ok && s.service == service {
+			waiting = max(waiting, held-float64(max(s.slots, 1)))
+		}
+	}
+	return waiting
+}
+
+// knownFullLoad is fullLoad, or zero while no refusal is known.
+func (b *Balancer) knownFullLoad(s *targetState, now time.Time) float64 {
+	if full := b.fullLoad(s, s.slots, now); !math.IsInf(full, 1) {
+		return full
+	}
+	return 0
+}
+
+// confirmReset makes the load at which the target reset a connection count, as an answer shows that it runs.
+func (b *Balancer) confirmReset(s *targetState, now time.Time) {
+	if s.resetLoad > 0 {
+		b.recordRefusal(s, s.resetLoad, now)
+		s.resetLoad = 0
+	}
+}
+
+func (b *Balancer) recordRefusal(s *targetState, load float64, now time.Time) {
+	s.refusedLoad.add(load, math.Min, now)
+	service := b.services[s.service]
+	if service == nil {
+		service = &serviceRefusals{}
+		b.services[s.service] = service
+	}
+	service.waiting.add(max(load-float64(max(s.slots, 1)), 0), math.Min, now)
+}
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -39,8 +39,15 @@
 	ColdFactor float64
 	// MinSubsetSize is the least number of targets of this region that the VM uses. With
 	// more of them it opens more connections and observes each target less often.
-	// Default 8.
+	// Default 8, or 4 with EvenSpread.
 	MinSubsetSize int
+	// PreferRegion sends requests to targets of other regions only while those of this region are full, or are not
+	// expected to answer within the latency target.
+	PreferRegion bool
+	// EvenSpread makes the VMs use subsets of equal size that cover each target equally often, and fewer VMs use a target,
+	// so that more of its load is what the VM has sent itself. Without it,
+	// some targets are in the subsets of far more VMs than others. It needs SetPeers.
+	EvenSpread bool
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
 	// Random returns a number in [0, n). Default rand.IntN of math/rand/v2.
@@ -55,6 +62,9 @@
 	o.ConnectCost = cmp.Or(o.ConnectCost, 15*time.Millisecond)
 	o.ServiceTime = cmp.Or(o.ServiceTime, 80*time.Millisecond)
 	o.ColdFactor = cmp.Or(o.ColdFactor, 2)
+	if o.EvenSpread {
+		o.MinSubsetSize = cmp.Or(o.MinSubsetSize, 4)
+	}
 	o.MinSubsetSize = cmp.Or(o.MinSubsetSize, 8)
 	if o.Now == nil {
 		o.Now = time.Now
@@ -94,11 +104,21 @@
 	// all know the same outdated load, would choose the same targets.
 	nearSampleSize = 2
 	farSampleSize  = 1
+	// evenSampleSize is the same for both with EvenSpread, where few VMs know the same targets.
+	evenSampleSize = 4
+	// evenLoadCost is the number of service times that EvenSpread adds to the score of a target with all slots busy.
+	// Without it, fast targets get nearly all requests while the load is low.
+	evenLoadCost = 2
+	// maxFullDrawn is the number of targets that may seem full before a sample is given up. If all targets were
+	// searched for one that has room, all VMs would find the same few.
+	maxFullDrawn = 6
 	// farSubsetRatio is the number of targets of other regions in the subset, as a share of
 	// the number of those of this region.
 	farSubsetRatio = 0.5
-	// subsetsPerTarget is the number of VMs that should have a given target in their subset.
-	subsetsPerTarget = 4
+	// subsetsPerTarget is the number of VMs that should have a given target in their subset,
+	// and evenSubsetsPerTarget the same with EvenSpread. With fewer of them, more of a target's load is what this VM has sent.
+	subsetsPerTarget     = 4
+	evenSubsetsPerTarget = 2
 	// farServiceCost is the share of its service time that is added to the score of a
 	// target of another region, because the traffic between regions is billed by the byte.
 	farServiceCost = 1
@@ -107,6 +127,7 @@
 // Candidate describes a target that may get a request.
 type Candidate struct {
 	ID                 string
+	Service            string
 	DataCentre, Region string
 	Slots              int
 	// Connected is set if an idle connection to the target is open that the request can use.
@@ -122,10 +143,16 @@
 
 	mu     sync.Mutex
 	states map[string]*targetState
+	// services has, for each service of which a target refused a request because it was full, what is known of
+	// that.
+	services map[string]*serviceRefusals
 	// maxInFlight is the number of requests that this VM may have in flight at one target.
 	maxInFlight int
 	// vms is the number of VMs that share the targets; zero while unknown.
 	vms int
+	// position is this VM's place among all VMs, from 0 to 1; positioned is set if it is known.
+	position   float64
+	positioned bool
 }
 
 // targetState is what is known of one target.
@@ -148,12 +175,24 @@
 	unreported Observation
 	// hasAnswered is set once the target has answered any VM.
 	hasAnswered bool
+	// hasShared is set once the service time that all VMs together know was merged.
+	hasShared bool
 	// unreportedServiceTime is the sum of the service times of the answers in unreported.
 	unreportedServiceTime time.Duration
 	// connectFailures counts the failed attempts to connect since the last answer.
 	connectFailures int
 	suspendedUntil  time.Time
 	lastAnswer      time.Time
+	// service and slots are those of the target's latest Candidate.
+	service string
+	slots   int
+	// refusedLoad is the lowest load at which the target refused a request lately, and heldLoad the highest that it
+	// reported.
+	refusedLoad, heldLoad recentExtreme
+	// resetLoad is the estimated load at which the target reset a connection, until an answer or a failure to connect shows
+	// whether it has crashed; else zero.
+	resetLoad float64
+	pace      workPace
 }
 
 // inFlightRequest is a request that a target has not answered yet.
@@ -162,11 +201,17 @@
 	// slowdown is the time that the request was expected to take when it was sent, in
 	// service times. It exceeds 1 because of the requests that were at the target before it.
 	slowdown float64
+	// load is the estimated number of requests at the target before this one.
+	load float64
+	// risk is the probability with which a refusal was expected.
+	risk float64
+	// workFactor is the target's workPace when the request was sent; zero if unknown.
+	workFactor float64
 }
 
 // New returns a Balancer without any observations.
 func New(opts Options) *Balancer {
-	return &Balancer{opts: opts.withDefaults(), states: map[string]*targetState{}, maxInFlight: math.MaxInt}
+	return &Balancer{opts: opts.withDefaults(), states: map[string]*targetState{}, services: map[string]*serviceRefusals{}, maxInFlight: math.MaxInt}
 }
 
 func (b *Balancer) state(id string) *targetState {
@@ -190,28 +235,6 @@
 	}
 }
 
-// Pick returns the candidate with the shortest expected time for a request, out of a random
-// sample of this VM's subset, or nil if all candidates are in avoid. If it returned the best
-// of all candidates, the VMs would send all their requests to the same few targets until
-// newer load reports arrived. Suspended and stalled targets are chosen only if there is no
-// other.
-func (b *Balancer) Pick(candidates []Candidate, bulk bool, avoid []string) *Candidate {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.opts.Now()
-	if candidate := b.explore(candidates, avoid, now); candidate != nil {
-		return candidate
-	}
-	var best *Candidate
-	bestScore := math.Inf(1)
-	for _, candidate := range b.sample(candidates, avoid, now) {
-		if score := b.score(candidate, bulk, now); score < bestScore {
-			best, bestScore = candidate, score
-		}
-	}
-	return best
-}
-
 // Distances of a target from this VM.
 const (
 	sameDataCentre = iota
