Refuse at once when all targets are full, and put resets down to load

Resets by full targets counted as failures of the target, closed its idle connections, led to probes, and full targets were tried one after the other. With refusals of a service known, a reset by a target that is probably full is none of these; what may have run is still not sent again unless it may be repeated. If no target that is considered has room, the request is refused before it is sent, and so is one for a key whose owner is full. The pace and fullness in answers reach the Balancer.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -39,7 +39,9 @@
 	// gets it if no retry succeeds.
 	failedAnswer *upstream.Answer
 	// tried holds the IDs of the targets that were chosen for the request, the latest last.
-	tried        []string
+	tried []string
+	// cause is why the latest target was chosen, a value of the metric label "cause".
+	cause        string
 	tableVersion shard.Version
 	// drawnForShare is set once it is decided whether the request belongs to the share of the
 	// requests for its key that are served.
@@ -108,6 +110,11 @@
 
 func (c *call) idempotent() bool { return c.entry.Kind.MayRepeat() }
 
+// maxIdleAtMostOnce is how long the connection for an at-most-once request may have been
+// idle. A connection that was idle for longer may be dead, and such a request cannot be
+// retried after it was sent.
+const maxIdleAtMostOnce = 2 * time.Second
+
 // maxIdle returns how long the connection for the request may have been idle; zero means no
 // bound.
 func (c *call) maxIdle() time.Duration {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -135,8 +135,9 @@
 	w.opts.Tracker.Started(trackerID(t.Incarnation()), fp)
 }
 
-// end records how the exchange ended. abandoned is set if this VM ended it.
-func (w *CrashWatch) end(t *fleet.Target, fp quarantine.Fingerprint, a *upstream.Answer, f *upstream.Failure, abandoned bool) {
+// end records how the exchange ended. expected is set if this VM ended it, or if the target was probably full; the target
+// is not probed then.
+func (w *CrashWatch) end(t *fleet.Target, fp quarantine.Fingerprint, a *upstream.Answer, f *upstream.Failure, expected bool) {
 	i := t.Incarnation()
 	w.opts.Tracker.Finished(trackerID(i), fp, f == nil && !a.NotRun)
 	if f == nil && a.OtherTarget {
@@ -157,7 +158,7 @@
 		d.requests = d.requests[1:]
 	}
 	d.requests = append(d.requests, doubtfulRequest{fp, now})
-	probe := !f.TimedOut && !abandoned && now.Sub(d.probed) >= probeInterval
+	probe := !f.TimedOut && !expected && now.Sub(d.probed) >= probeInterval
 	if probe {
 		d.probed = now
 		go w.probe(i, d, now)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -59,20 +59,26 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	candidate := newCandidate(t)
+	candidate.Keyed = c.service.Keyed
 	number := g.opts.Balancer.Begin(&candidate)
 	c.tried = append(c.tried, t.ID)
 	if g.opts.Crashes != nil {
 		g.opts.Crashes.begin(t, c.content)
 	}
 	a, err := g.opts.Upstream.Do(ctx, t.Address, r)
+	f, _ := err.(*upstream.Failure)
+	full := f != nil && f.Reset && g.opts.Balancer.ProbablyFull(t.ID, number)
 	if g.opts.Crashes != nil {
-		f, _ := err.(*upstream.Failure)
-		g.opts.Crashes.end(t, c.content, a, f, ctx.Err() != nil)
+		// A target that is probably full need not be probed: a probe would be one more connection to it.
+		g.opts.Crashes.end(t, c.content, a, f, ctx.Err() != nil || full)
+	}
+	if f == nil || f.Call().MayBeDone() {
+		g.traffic.count(c, &candidate, r, a)
 	}
 	if err == nil && a.Statements != nil {
 		g.observe(c, t, a.Statements)
 	}
-	o, s := g.classify(c, t, a, err)
+	o, s := g.classify(c, t, a, f, full)
 	g.opts.Balancer.End(t.ID, number, o)
 	g.logAttempt(c, t, a, err, s)
 	g.attempts.WithLabelValues(stepNames[s]).Inc()
@@ -118,16 +124,17 @@
 }
 
 // classify returns what an exchange means for the target's statistics and how the request
-// proceeds. It also updates the call's attempts, mayHaveRun and failedAnswer.
-func (g *Gateway) classify(c *call, t *fleet.Target, a *upstream.Answer, err error) (placing.Outcome, step) {
-	if err != nil {
-		return g.classifyFailure(c, t, err.(*upstream.Failure))
+// proceeds. It also updates the call's attempts, mayHaveRun and failedAnswer. full is set if a reset is put down to the
+// target's load.
+func (g *Gateway) classify(c *call, t *fleet.Target, a *upstream.Answer, f *upstream.Failure, full bool) (placing.Outcome, step) {
+	if f != nil {
+		return g.classifyFailure(c, t, f, full)
 	}
 	c.attempts++
 	candidate := newCandidate(t)
 	o := placing.Outcome{Answered: true, RoundTrip: g.opts.Balancer.RoundTrip(&candidate)}
 	if a.Load != nil {
-		o.LoadKnown, o.Running, o.Waiting = true, a.Load.Running, a.Load.Waiting
+		o.LoadKnown, o.Running, o.Waiting, o.WorkPercent = true, a.Load.Running, a.Load.Waiting, a.Load.WorkPercent
 	}
 	switch {
 	case a.NotRun && a.Status == fasthttp.StatusMisdirectedRequest:
@@ -135,6 +142,8 @@
 		return o, stepNotOwner
 	case a.NotRun:
 		o.Refused = true
+		// A refusal for another reason, such as a limit, shows nothing of the room at the target.
+		o.Full = a.Load != nil && t.Slots > 0 && a.Load.Running+a.Load.Waiting >= t.Slots
 		return o, stepFull
 	case a.Status >= fasthttp.StatusInternalServerError:
 		o.Failed = true
@@ -149,7 +158,7 @@
 	}
 }
 
-func (g *Gateway) classifyFailure(c *call, t *fleet.Target, f *upstream.Failure) (placing.Outcome, step) {
+func (g *Gateway) classifyFailure(c *call, t *fleet.Target, f *upstream.Failure, full bool) (placing.Outcome, step) {
 	if !f.Call().MayBeDone() {
 		if f.Cause == upstream.ErrBusy {
 			return placing.Outcome{Refused: true}, stepFull
@@ -164,13 +173,20 @@
 	if c.ctx.Err() != nil || c.timeLeft() <= 0 {
 		return placing.Outcome{}, stepNoAnswer
 	}
+	if full {
+		// The reset is no fault of the target or the request. The target may have run the request all the same.
+		if !c.idempotent() {
+			return placing.Outcome{Full: true}, stepNoAnswer
+		}
+		return placing.Outcome{Full: true}, stepTryOther
+	}
 	c.brokenOff++
 	if f.Reset {
 		// The target's other idle connections may have been closed as well.
 		g.opts.Upstream.CloseIdle(t.Address)
 	}
 	if !c.idempotent() {
-		return placing.Outcome{Failed: true}, stepNoAnswer
+		return placing.Outcome{Failed: true, Reset: f.Reset}, stepNoAnswer
 	}
-	return placing.Outcome{Failed: true}, stepTryOther
+	return placing.Outcome{Failed: true, Reset: f.Reset}, stepTryOther
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,10 +68,6 @@
 }
 
 const (
-	// maxIdleAtMostOnce is how long the connection for an at-most-once request may have been
-	// idle. A connection that was idle for longer may be dead, and such a request cannot be
-	// retried after it was sent.
-	maxIdleAtMostOnce = 2 * time.Second
 	// minAttemptTime is the time until the deadline that a retry needs at least.
 	minAttemptTime = 5 * time.Millisecond
 	// maxBrokenOff is the number of exchanges without an answer after which a request is not sent again: it may be
@@ -113,6 +109,7 @@
 	duration *telemetry.ClassHistogram
 	results  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
+	traffic  *trafficCounter
 	// malformedLoggedAt is when a malformed statement was last logged, in nanoseconds since the
 	// Unix epoch.
 	malformedLoggedAt atomic.Int64
@@ -141,6 +138,7 @@
 		}, []string{"outcome"}),
 	}
 	opts.Registerer.MustRegister(g.results, g.attempts)
+	g.traffic = newTrafficCounter(opts.Registerer, opts.Balancer)
 	return g
 }
 
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -44,9 +44,13 @@
 		if !g.opts.Balancer.Reachable(t.ID) && !c.mayHaveRun {
 			return nil, refusal(result.NoTarget, unreachableRetryAfter, "the owner of the key, target %s, cannot be reached", t.ID)
 		}
+		if candidate := newCandidate(t); !c.mayHaveRun && g.opts.Balancer.Full(&candidate) {
+			return nil, refusal(result.TargetShed, g.estimate(t).Wait, "the owner of the key, target %s, is expected to have no room", t.ID)
+		}
 		if e := g.admit(c, t); e != nil {
 			return nil, e
 		}
+		c.cause = causeKey
 		if c.attempts > 0 && !g.opts.Budget.AllowRetry(c.service.Name) {
 			return nil, g.keyedFailure(c, t)
 		}
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -27,10 +27,13 @@
 		if len(candidates) == 0 && ineligible != nil && !c.mayHaveRun {
 			return nil, g.ineligible(c, ineligible.target, ineligible.verdict)
 		}
-		candidate := g.opts.Balancer.Pick(candidates, c.entry.Kind.Large(), c.tried)
+		choice := g.opts.Balancer.Choose(candidates, c.placingQuery())
+		candidate := choice.Candidate
 		if candidate == nil {
+			full = full || choice.Full
 			break
 		}
+		c.cause = string(choice.Cause)
 		if e := g.admit(c, snapshot.ByID[candidate.ID]); e != nil {
 			return nil, e
 		}
@@ -50,12 +53,12 @@
 			break
 		}
 	}
+	if !c.mayHaveRun && full {
+		return nil, refusal(result.TargetShed, g.timeUntilRoom(candidates), "no target that was considered has room for the request")
+	}
 	if !c.mayHaveRun && len(c.tried) == 0 {
 		return nil, refusal(result.NoTarget, noTargetRetryAfter, "no target of the service is known")
 	}
-	if !c.mayHaveRun && full {
-		return nil, refusal(result.TargetShed, g.timeUntilRoom(candidates), "no target that was tried has room for the request")
-	}
 	return nil, g.failure(c)
 }
 
@@ -105,9 +108,22 @@
 	return out, nil
 }
 
+// latencyShare is the share of the time until the latency target in which an answer should be expected. It is the one
+// by which package admission refuses requests.
+const latencyShare = 0.85
+
+// placingQuery describes the request to the Balancer.
+func (c *call) placingQuery() placing.Query {
+	q := placing.Query{Bulk: c.entry.Kind.Large(), Once: !c.idempotent(), Avoid: c.tried}
+	if c.entry.LatencyTarget > 0 {
+		q.UntilLate = max(time.Duration(latencyShare*float64(c.entry.LatencyTarget-time.Since(c.req.Received))), 1)
+	}
+	return q
+}
+
 func newCandidate(t *fleet.Target) placing.Candidate {
 	return placing.Candidate{
-		ID: t.ID, DataCentre: t.DataCentre, Region: t.Region, Slots: t.Slots, ColdUntil: t.FirstSeen.Add(t.WarmUpLeft),
+		ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Region: t.Region, Slots: t.Slots, ColdUntil: t.FirstSeen.Add(t.WarmUpLeft),
 	}
 }
 
--- a/placing/estimate.go
+++ b/placing/estimate.go
@@ -67,6 +67,11 @@
 	return math.Exp(-float64(now.Sub(s.othersLoadAt)) / (float64(s.serviceTime) * s.pace.expected(now)))
 }
 
+// Distance returns how far away the target is: "data_centre", "region" or "other_region".
+func (b *Balancer) Distance(candidate *Candidate) string {
+	return [distanceCount]string{"data_centre", "region", "other_region"}[b.distanceOf(candidate)]
+}
+
 // RoundTrip returns the network time to the target and back.
 func (b *Balancer) RoundTrip(candidate *Candidate) time.Duration {
 	return [distanceCount]time.Duration{0, b.opts.NearRoundTrip, b.opts.FarRoundTrip}[b.distanceOf(candidate)]
--- a/placing/observe.go
+++ b/placing/observe.go
@@ -13,7 +13,7 @@
 	s, now := b.state(candidate.ID), b.opts.Now()
 	contention, queueing := b.delays(s, candidate, now)
 	s.lastNumber++
-	s.service, s.slots = candidate.Service, candidate.Slots
+	s.service, s.slots, s.keyed = candidate.Service, candidate.Slots, candidate.Keyed
 	s.inFlight[s.lastNumber] = inFlightRequest{
 		sentAt: now, slowdown: 1 + contention + queueing, load: b.load(s, now), risk: b.refusalRisk(candidate, now), workFactor: s.pace.fresh(now),
 	}
@@ -26,6 +26,8 @@
 	Answered bool
 	// Failed is set if the target may have run the request, but failed or gave no valid answer.
 	Failed bool
+	// Reset is set with Failed if the connection was reset before an answer.
+	Reset bool
 	// Refused is set if the target did not take the request, or no connection became free.
 	Refused bool
 	// Full is set if the target did not take the request because it was full, as it said, or as is concluded
@@ -76,7 +78,7 @@
 		s.recordLoad(float64(o.Running+o.Waiting-len(s.inFlight)), now)
 		s.unreported.LoadKnown, s.unreported.Load, s.unreported.LoadAt = true, o.Running+o.Waiting, now
 	}
-	if service := b.services[s.service]; service != nil && (o.Full || o.Answered) {
+	if service := b.services[s.service]; service != nil && (o.Full || o.Answered) && !s.keyed {
 		service.learn(r.risk, o.Full, now)
 	}
 	switch {
@@ -90,6 +92,9 @@
 			s.failureRate += failureWeight * (1 - s.failureRate)
 		}
 	case o.Failed:
+		if o.Reset {
+			b.recordReset(s, r, now)
+		}
 		s.unreported.Failures++
 		s.failureRate += failureWeight * (1 - s.failureRate)
 	case o.Answered:
--- a/placing/occupancy.go
+++ b/placing/occupancy.go
@@ -20,6 +20,8 @@
 	// after which such a request is lost.
 	maxRisk     = 0.35
 	maxOnceRisk = 0.1
+	// fullRisk is the one from which a target is full for requests that no other may serve.
+	fullRisk = 0.5
 	// loadVariance is the variance of the load about its mean, as a multiple of that.
 	loadVariance = 1.5
 	// biasStep is how much an unexpected refusal adds to the estimated loads of a service, up to maxBias. biasMemory is the
@@ -136,33 +138,22 @@
 	return 0.5 * math.Erfc((full-0.5-b.load(s, now)-b.services[s.service].biasNow(now))/math.Sqrt(2*variance+0.01))
 }
 
-// Full reports whether the target is expected to refuse another request, because its load is at least the one at which it
-// refused lately.
+// Full reports whether the target is more likely than not to refuse another request because it is full.
 func (b *Balancer) Full(candidate *Candidate) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.refusalRisk(candidate, b.opts.Now()) >= maxRisk
+	return b.refusalRisk(candidate, b.opts.Now()) >= fullRisk
 }
 
 // ProbablyFull reports whether the target, which has reset the connection of the request with the given number, was probably
-// full. While no target of the service is known to have refused, that is if all its slots were busy.
+// full. It returns false while no target of the service is known to have refused a request.
 func (b *Balancer) ProbablyFull(id string, number uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, now := b.state(id), b.opts.Now()
 	r, ok := s.inFlight[number]
-	if !ok {
-		return false
-	}
-	threshold := float64(max(s.slots, 1))
-	if full := b.fullLoad(s, s.slots, now); !math.IsInf(full, 1) {
-		threshold = resetLoadShare * full
-	}
-	load := s.loadAround(r, b.load(s, now))
-	if service := b.services[s.service]; service != nil {
-		load += service.biasNow(now)
-	}
-	return load >= threshold
+	full := b.knownFullLoad(s, now)
+	return ok && full > 0 && s.loadAround(r, b.load(s, now))+b.services[s.service].biasNow(now) >= resetLoadShare*full
 }
 
 // loadAround returns the number of requests that were at the target beside r, of which the end has just been seen. The
@@ -171,25 +162,32 @@
 	return max(r.load, loadNow-1)
 }
 
-// recordFull records that the target refused the request r because it was full. The load is the reported one if the target
-// answered. Otherwise it is estimated, and counts only once an answer shows that the target has not crashed.
+// recordFull records that the target refused the request r because it was full, as it said, or as ProbablyFull did.
 func (b *Balancer) recordFull(s *targetState, r inFlightRequest, o Outcome, now time.Time) {
-	slots := float64(max(s.slots, 1))
 	if o.Answered {
-		if load := float64(o.Running + o.Waiting); o.LoadKnown && load >= slots {
+		if load := float64(o.Running + o.Waiting); o.LoadKnown && load >= float64(max(s.slots, 1)) {
 			b.recordRefusal(s, load, now)
 		}
 		return
 	}
-	load := max(s.loadAround(r, b.load(s, now)+1), slots+b.heldWaiting(s.service, now))
-	if s.resetLoad == 0 || load < s.resetLoad {
-		s.resetLoad = load
-	}
+	b.recordReset(s, r, now)
 	// A target that resets the connection does not report its load, which VMs that do not send to it just now need as well.
-	full := max(load, b.knownFullLoad(s, now))
+	full := max(s.resetLoad, b.knownFullLoad(s, now))
 	s.recordLoad(full-float64(len(s.inFlight)), now)
-	if b.knownFullLoad(s, now) > 0 {
-		s.unreported.LoadKnown, s.unreported.Load, s.unreported.LoadAt = true, int(full), now
+	s.unreported.LoadKnown, s.unreported.Load, s.unreported.LoadAt = true, int(full), now
+}
+
+// recordReset records the estimated load at which the target reset the connection of r, if its slots were busy. It counts
+// once an answer shows that the target has not crashed.
+func (b *Balancer) recordReset(s *targetState, r inFlightRequest, now time.Time) {
+	slots := float64(max(s.slots, 1))
+	load := s.loadAround(r, b.load(s, now)+1)
+	if load < slots && b.knownFullLoad(s, now) == 0 {
+		return
+	}
+	load = max(load, slots+b.heldWaiting(s.service, now))
+	if s.resetLoad == 0 || load < s.resetLoad {
+		s.resetLoad = load
 	}
 }
 
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -105,10 +105,10 @@
 	nearSampleSize = 2
 	farSampleSize  = 1
 	// evenSampleSize is the same for both with EvenSpread, where few VMs know the same targets.
-	evenSampleSize = 4
+	evenSampleSize = 6
 	// evenLoadCost is the number of service times that EvenSpread adds to the score of a target with all slots busy.
 	// Without it, fast targets get nearly all requests while the load is low.
-	evenLoadCost = 2
+	evenLoadCost = 4
 	// maxFullDrawn is the number of targets that may seem full before a sample is given up. If all targets were
 	// searched for one that has room, all VMs would find the same few.
 	maxFullDrawn = 6
@@ -118,7 +118,7 @@
 	// subsetsPerTarget is the number of VMs that should have a given target in their subset,
 	// and evenSubsetsPerTarget the same with EvenSpread. With fewer of them, more of a target's load is what this VM has sent.
 	subsetsPerTarget     = 4
-	evenSubsetsPerTarget = 2
+	evenSubsetsPerTarget = 3
 	// farServiceCost is the share of its service time that is added to the score of a
 	// target of another region, because the traffic between regions is billed by the byte.
 	farServiceCost = 1
@@ -130,6 +130,9 @@
 	Service            string
 	DataCentre, Region string
 	Slots              int
+	// Keyed is set if only the owner of its key may serve a request. Refusals by the owner of a hot key show nothing of the
+	// other targets.
+	Keyed bool
 	// Connected is set if an idle connection to the target is open that the request can use.
 	Connected bool
 	// ColdUntil is the end of the target's warm-up, until which it is slow.
@@ -183,9 +186,10 @@
 	connectFailures int
 	suspendedUntil  time.Time
 	lastAnswer      time.Time
-	// service and slots are those of the target's latest Candidate.
+	// service, slots and keyed are those of the target's latest Candidate.
 	service string
 	slots   int
+	keyed   bool
 	// refusedLoad is the lowest load at which the target refused a request lately, and heldLoad the highest that it
 	// reported.
 	refusedLoad, heldLoad recentExtreme
