Wire the preference for the region and the even spread of placing

[placing] prefer_region and even_spread set the options of the same name; both are off by default. The positions of the VMs follow from the list that the assigner sends, and are left alone while an assigner that has just taken over counts the VMs anew.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -146,6 +146,7 @@
 		objects: platform.NewObjectStore(s.Store.Address, s.Store.Timeout),
 		balancer: placing.New(placing.Options{
 			VM: s.Process.VM, DataCentre: s.Process.DataCentre, Region: s.Process.Region,
+			PreferRegion: s.Placing.PreferRegion, EvenSpread: s.Placing.EvenSpread,
 		}),
 		budget:     budget.New(budget.Options{Ratio: s.Retry.Ratio, ExtraRetries: s.Retry.Extra, Window: s.Retry.Window}),
 		keyCounter: gateway.NewKeyCounter(),
@@ -283,9 +284,18 @@
 	n.vmCount.set(len(vms), time.Now())
 	n.vms.Store(&vms)
 	n.eligibility.SetVMs(vms, n.vmCount.get(time.Now()))
+	n.setPeers()
 	n.divideAmongVMs()
 }
 
+// setPeers passes on the addresses of the VMs, unless some are missing because an assigner that has just taken over counts
+// them anew. A VM whose position changes opens connections to other targets.
+func (n *nodeProcess) setPeers() {
+	if vms := n.vms.Load(); vms != nil && len(*vms) >= n.vmCount.get(time.Now()) {
+		n.balancer.SetPeers(*vms, n.settings.Load().Peer.Listen)
+	}
+}
+
 // divideAmongVMs divides the retry budget, the targets and their connections among the VMs.
 func (n *nodeProcess) divideAmongVMs() {
 	count := n.vmCount.get(time.Now())
@@ -298,6 +308,7 @@
 	}
 	n.budget.SetVMs(count)
 	n.balancer.SetVMs(count)
+	n.setPeers()
 	n.setConnectionLimit()
 }
 
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -62,6 +62,12 @@
 	RelayAbove       int           `ini:"relay_above" default:"24" unit:"VMs" range:"1..1000000" doc:"Number of VMs above which they receive changes of the store from the assigner instead of each polling the store."`
 }
 
+// PlacingSettings configures which targets get the requests that any target of a service may serve.
+type PlacingSettings struct {
+	PreferRegion bool `ini:"prefer_region" default:"false" doc:"Whether such a request goes to another region only while the targets of this region have no room, or would answer later than the latency target allows."`
+	EvenSpread   bool `ini:"even_spread" default:"false" doc:"Whether the VMs use subsets of the targets that cover each target equally often."`
+}
+
 // NodeSettings is the settings file of basiltally-node.
 type NodeSettings struct {
 	Process   Process               `ini:"process"`
@@ -72,4 +78,5 @@
 	Gateway   GatewaySettings       `ini:"gateway"`
 	Retry     RetrySettings         `ini:"repeat"`
 	Shard     ShardSettings         `ini:"shard"`
+	Placing   PlacingSettings       `ini:"placing"`
 }
