--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -101,6 +101,10 @@
 	// ChangedAfter returns an instant after which the change that is being applied was made.
 	// Default Now. A target's time to leave counts from there.
 	ChangedAfter func() time.Time
+	// OnEntry is called with each entry that is read, also if it has not changed, unless it is that of an earlier incarnation.
+	// first is set if the incarnation was not known. It is called with a lock held and must not call the Directory, except for
+	// Snapshot. It may be nil.
+	OnEntry func(t *Target, first bool)
 	// Logger gets a line for each change. Without it nothing is logged.
 	Logger *slog.Logger
 }
@@ -306,6 +310,10 @@
 		// The entry is that of an earlier incarnation and was read late.
 		return
 	}
+	if d.opts.OnEntry != nil {
+		_, departed := d.departed[t.Incarnation()]
+		d.opts.OnEntry(t, !departed && (old == nil || !old.SameIncarnation(t)))
+	}
 	next := *t
 	now := d.opts.Now()
 	next.FirstSeen, next.LeavingSince = now, time.Time{}
