--- a/routing/routing.go
+++ b/routing/routing.go
@@ -79,6 +79,10 @@
 	// WarmUp is the time for which requests for a key are slow after a target has got the key
 	// without a handover.
 	WarmUp time.Duration
+	// ColdTime is the time for which a target is cold after its start, and ColdPerSecond is the number of requests per second
+	// that it can handle then; zero if they are not bounded.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 }
 
 // Limits bounds the size of a caller's request and the time that the caller may take.
