--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -191,3 +191,19 @@
 		}
 	}
 }
+
+// An entry that states the same again is still news of when a warm-up ends. An incarnation that returns is not a new one, and a
+// late entry of an earlier incarnation says nothing.
+func TestOnEntryIsCalledForEachEntryThatIsRead(t *testing.T) {
+	is := is.New(t)
+	var first []bool
+	d := NewDirectory(DirectoryOptions{OnEntry: func(_ *Target, f bool) { first = append(first, f) }})
+	d.Put(&Target{ID: "a", Born: 1})
+	d.Put(&Target{ID: "a", Born: 1})
+	d.Put(&Target{ID: "a", Born: 2})
+	d.Put(&Target{ID: "a", Born: 1})
+	d.Remove("a")
+	d.Put(&Target{ID: "a", Born: 2})
+	is.Equal(first, []bool{true, false, true, false})
+	is.Equal(d.Snapshot().ByID["a"].Born, int64(2))
+}
