Ask warmup before the first byte of each attempt

Cause: cold targets got requests as warm ones do.

Change: eligibility has the reason cold, asked last by Decide and Take. A refused connection, or a reset while another idle connection of the target has ended, counts as a restart; a reset alone does not. Idempotent requests without large bodies are placed among the cold targets that have tokens in the share that these have in all targets: 7 of 71 VMs would else use 0.15 of the rate.

Result: go test ./gateway ./eligibility ./upstream passes.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/basiltally/basiltally/fleet"
+	"github.com/basiltally/basiltally/warmup"
 )
 
 // Reason states why a request may not be sent to a target.
@@ -32,10 +33,14 @@
 	Limited
 	// Paused means that the target has asked this VM to pause.
 	Paused
+	// Cold means that the target has started lately and this VM has no request left of what it may get while it is cold.
+	Cold
 )
 
 // String returns the name of the reason.
-func (r Reason) String() string { return [...]string{"none", "leaving", "limited", "paused"}[r] }
+func (r Reason) String() string {
+	return [...]string{"none", "leaving", "limited", "paused", "cold"}[r]
+}
 
 // Verdict states whether a request may be sent to a target.
 type Verdict struct {
@@ -61,6 +66,8 @@
 	// DrainTime is how long a target takes requests after it has said that it leaves. Default
 	// 2 s.
 	DrainTime time.Duration
+	// WarmUp bounds the requests for cold targets. Nil does not.
+	WarmUp *warmup.Tracker
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
 	// Registerer is where the metrics are registered. Nil registers none.
@@ -121,27 +128,49 @@
 	if v := t.leaving(i, now); !v.OK() || !t.HasStatements() {
 		return v
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.statedLocked(i, now)
+	if t.stateCount.Load() > 0 {
+		t.mu.Lock()
+		v := t.statedLocked(i, now)
+		t.mu.Unlock()
+		if !v.OK() {
+			return v
+		}
+	}
+	return cold(t.opts.WarmUp.Wait(i.ID))
 }
 
-// HasStatements reports whether any incarnation has named a limit or asked for a pause. If not, all
-// targets that are ready are eligible.
-func (t *Tracker) HasStatements() bool { return t.stateCount.Load() > 0 }
+// cold returns the verdict if a request for a cold target has to wait for the duration.
+func cold(wait time.Duration) Verdict {
+	if wait > 0 {
+		return Verdict{Reason: Cold, RetryIn: wait}
+	}
+	return Verdict{}
+}
+
+// WarmUp returns Options.WarmUp, which may be nil.
+func (t *Tracker) WarmUp() *warmup.Tracker { return t.opts.WarmUp }
+
+// HasStatements reports whether any incarnation has named a limit, asked for a pause or is cold. If not, all targets that are
+// ready are eligible.
+func (t *Tracker) HasStatements() bool { return t.stateCount.Load() > 0 || t.opts.WarmUp.Any() }
 
 // Take decides like Decide, and counts the request as sent if it may be.
 func (t *Tracker) Take(i fleet.Incarnation) Verdict {
 	now := t.opts.Now()
 	v := t.leaving(i, now)
-	if v.OK() && t.HasStatements() {
+	if v.OK() && t.stateCount.Load() > 0 {
 		t.mu.Lock()
 		if v = t.statedLocked(i, now); v.OK() {
-			if s := t.states[i]; s != nil {
-				s.take(now)
+			// The target's own statements are asked first, so that no request is counted for a cold target that is not sent.
+			if v = cold(t.opts.WarmUp.Take(i.ID)); v.OK() {
+				if s := t.states[i]; s != nil {
+					s.take(now)
+				}
 			}
 		}
 		t.mu.Unlock()
+	} else if v.OK() {
+		v = cold(t.opts.WarmUp.Take(i.ID))
 	}
 	if !v.OK() {
 		t.refused.WithLabelValues(v.Reason.String()).Inc()
@@ -152,6 +181,9 @@
 // PromiseReturn returns the time after which the caller of a request should return that the
 // verdict refused. Callers that wait for the same share of a limit return one after the other.
 func (t *Tracker) PromiseReturn(i fleet.Incarnation, v Verdict) time.Duration {
+	if v.Reason == Cold {
+		t.opts.WarmUp.CountWithheld()
+	}
 	if v.Reason != Limited {
 		return v.RetryIn
 	}
@@ -215,7 +247,7 @@
 
 // Observe records what a target stated in an answer to the request with the ID.
 func (t *Tracker) Observe(s Statement, request string) {
-	if s.LimitPerSecond == 0 && s.Pause == 0 && !t.HasStatements() {
+	if s.LimitPerSecond == 0 && s.Pause == 0 && t.stateCount.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -33,7 +33,9 @@
 	// DefaultEntryDelay.
 	EntryDelay time.Duration
 	// Probe opens a connection, unless one is open, to see whether the address refuses it.
-	Probe      func(ctx context.Context, address string) error
+	Probe func(ctx context.Context, address string) error
+	// OnRefused is called with a target whose address refuses connections. It may be nil.
+	OnRefused  func(fleet.Incarnation)
 	Registerer prometheus.Registerer
 	Logger     *slog.Logger
 }
@@ -187,6 +189,9 @@
 	if err := w.opts.Probe(ctx, d.address); !evidence.MayHaveCrashed(evidence.Refused(err), false) {
 		return false
 	}
+	if w.opts.OnRefused != nil {
+		w.opts.OnRefused(i)
+	}
 	w.settleEnded(i, d, quarantine.Evidence{ConnectionRefused: true, At: broken}, "its address refuses connections")
 	return true
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,7 +58,7 @@
 	if !c.idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	candidate := newCandidate(t)
+	candidate := g.newCandidate(t)
 	number := g.opts.Balancer.Begin(&candidate)
 	c.tried = append(c.tried, t.ID)
 	if g.opts.Crashes != nil {
@@ -72,6 +72,7 @@
 	if err == nil && a.Statements != nil {
 		g.observe(c, t, a.Statements)
 	}
+	g.observeRestart(t, err)
 	o, s := g.classify(c, t, a, err)
 	g.opts.Balancer.End(t.ID, number, o)
 	g.logAttempt(c, t, a, err, s)
@@ -124,7 +125,7 @@
 		return g.classifyFailure(c, t, err.(*upstream.Failure))
 	}
 	c.attempts++
-	candidate := newCandidate(t)
+	candidate := g.newCandidate(t)
 	o := placing.Outcome{Answered: true, RoundTrip: g.opts.Balancer.RoundTrip(&candidate)}
 	if a.Load != nil {
 		o.LoadKnown, o.Running, o.Waiting = true, a.Load.Running, a.Load.Waiting
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,6 +26,7 @@
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
 	"github.com/basiltally/basiltally/upstream"
+	"github.com/basiltally/basiltally/warmup"
 )
 
 // fixedTable implements gateway.Shards with a table that never changes.
@@ -50,6 +51,8 @@
 	directory *fleet.Directory
 	upstream  *upstream.Client
 	suspects  *quarantine.Tracker
+	warmUp    *warmup.Tracker
+	servers   map[string]*httptest.Server
 	// entryAge is how long ago the directory takes its changes to have been made.
 	entryAge time.Duration
 	// later is added to the time by which it is decided what targets may get.
@@ -64,16 +67,23 @@
 
 // newFixture returns a fixture with a target for each handler: t0, t1, ...
 func newFixture(t *testing.T, keyed bool, handlers ...http.HandlerFunc) *fixture {
+	return newFixtureWith(t, keyed, func(*fixture) *warmup.Tracker { return nil }, handlers...)
+}
+
+// newFixtureWith is newFixture with what bounds the requests for cold targets.
+func newFixtureWith(t *testing.T, keyed bool, warmUp func(*fixture) *warmup.Tracker, handlers ...http.HandlerFunc) *fixture {
 	f := &fixture{
-		t: t, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
+		servers: map[string]*httptest.Server{}, t: t, balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
 		suspects: quarantine.New(quarantine.Options{MinCrashes: 3}),
 	}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
+	f.warmUp = warmUp(f)
 	table := &shard.Table{Version: shard.Version{Term: 1, Seq: 1}}
 	for i, h := range handlers {
 		id := fmt.Sprintf("t%d", i)
 		server := httptest.NewServer(f.record(id, h))
 		t.Cleanup(server.Close)
+		f.servers[id] = server
 		address := server.Listener.Addr().String()
 		f.directory.Put(&fleet.Target{ID: id, Service: "s", Address: address, Slots: 6})
 		table.Entries = append(table.Entries, shard.Entry{
@@ -94,7 +104,7 @@
 	f.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: func() *routing.Table { return routes }, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
-			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) },
+			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) }, WarmUp: f.warmUp,
 		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
 		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -10,6 +10,7 @@
 	"github.com/basiltally/basiltally/result"
 	"github.com/basiltally/basiltally/shard"
 	"github.com/basiltally/basiltally/upstream"
+	"github.com/basiltally/basiltally/warmup"
 )
 
 // serveKeyed sends the request to the owner of its key. While the key has no owner, the
@@ -31,7 +32,7 @@
 			}
 			continue
 		}
-		t := g.ownerTarget(entry)
+		t := g.ownerTarget(c, entry)
 		if !c.drawnForShare && !c.mayHaveRun {
 			c.drawnForShare = true
 			if entry.Share > 0 && rand.IntN(shard.WholeShare) >= entry.Share {
@@ -85,6 +86,9 @@
 	case eligibility.Limited:
 		return refusal(result.NoCapacity, g.opts.Eligibility.PromiseReturn(t.Incarnation(), v),
 			"target %s has named a limit, of which the share of this VM is used up", t.ID)
+	case eligibility.Cold:
+		return refusal(result.NoCapacity, g.opts.Eligibility.PromiseReturn(t.Incarnation(), v),
+			"target %s is cold, and the share of this VM of the requests that it may get is used up", t.ID)
 	case eligibility.Paused:
 		e := result.New(result.TargetShed, "target %s has asked for a pause of %d ms more", t.ID, v.RetryIn.Milliseconds())
 		e.RetryAfter = v.RetryIn + rand.N(pauseReturnSpread)
@@ -163,11 +167,18 @@
 
 // ownerTarget returns the owner's entry in the directory. If the directory does not list the
 // same incarnation, it returns a target made from the table entry.
-func (g *Gateway) ownerTarget(entry *shard.Entry) *fleet.Target {
-	if t := g.opts.Directory.Snapshot().ByID[entry.Owner.ID]; t != nil && t.Born == entry.Owner.Born {
-		return t
+func (g *Gateway) ownerTarget(c *call, entry *shard.Entry) *fleet.Target {
+	s := g.opts.Directory.Snapshot()
+	known := s.ByID[entry.Owner.ID]
+	if known != nil && known.Born == entry.Owner.Born {
+		return known
+	}
+	t := &fleet.Target{ID: entry.Owner.ID, Service: c.service.Name, Address: entry.Owner.Address, Born: entry.Owner.Born, Slots: 1}
+	if (known == nil || known.Born < t.Born) && s.LeavingSince(t.Incarnation()).IsZero() {
+		// It has started so lately that its entry has not arrived.
+		g.opts.Eligibility.WarmUp().ObserveRestart(t, warmup.CauseStarted)
 	}
-	return &fleet.Target{ID: entry.Owner.ID, Address: entry.Owner.Address, Born: entry.Owner.Born, Slots: 1}
+	return t
 }
 
 // admit returns an error if the target is not expected to serve the request in time, and else
@@ -191,7 +202,7 @@
 
 // estimate returns the expected time that a request takes at the target.
 func (g *Gateway) estimate(t *fleet.Target) admission.Estimate {
-	candidate := newCandidate(t)
+	candidate := g.newCandidate(t)
 	work, wait := g.opts.Balancer.Expected(&candidate)
 	return admission.Estimate{Service: work, Wait: wait, RoundTrip: g.opts.Balancer.RoundTrip(&candidate)}
 }
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -24,6 +24,7 @@
 		snapshot := g.opts.Directory.Snapshot()
 		var ineligible *ineligibleTarget
 		candidates, ineligible = g.candidates(snapshot, c)
+		candidates = g.preferCold(c, candidates, len(snapshot.Service(c.service.Name)))
 		if len(candidates) == 0 && ineligible != nil && !c.mayHaveRun {
 			return nil, g.ineligible(c, ineligible.target, ineligible.verdict)
 		}
@@ -73,7 +74,7 @@
 	idleAddresses := g.opts.Upstream.IdleAddresses(c.maxIdle())
 	out := make([]placing.Candidate, 0, len(targets))
 	add := func(t *fleet.Target) {
-		candidate := newCandidate(t)
+		candidate := g.newCandidate(t)
 		candidate.Connected = idleAddresses[t.Address]
 		out = append(out, candidate)
 	}
@@ -105,10 +106,33 @@
 	return out, nil
 }
 
-func newCandidate(t *fleet.Target) placing.Candidate {
-	return placing.Candidate{
+// preferCold returns the candidates among which the request is placed: some of the requests go to targets that are cold, of which
+// this VM has tokens. Requests that must not be sent twice and those with large bodies are placed as usual: other VMs may
+// send a target too much that they do not know to be cold yet, and the cold targets may be in another region.
+func (g *Gateway) preferCold(c *call, candidates []placing.Candidate, targets int) []placing.Candidate {
+	if len(c.tried) > 0 || !c.idempotent() || c.entry.Kind.Large() || !g.opts.Eligibility.WarmUp().Prefers(c.service.Name, targets) {
+		return candidates
+	}
+	var cold []placing.Candidate
+	for _, candidate := range candidates {
+		if _, _, ok := g.opts.Eligibility.WarmUp().Cold(candidate.ID); ok {
+			cold = append(cold, candidate)
+		}
+	}
+	if len(cold) == 0 {
+		return candidates
+	}
+	return cold
+}
+
+func (g *Gateway) newCandidate(t *fleet.Target) placing.Candidate {
+	c := placing.Candidate{
 		ID: t.ID, DataCentre: t.DataCentre, Region: t.Region, Slots: t.Slots, ColdUntil: t.FirstSeen.Add(t.WarmUpLeft),
 	}
+	if until, _, cold := g.opts.Eligibility.WarmUp().Cold(t.ID); cold {
+		c.ColdUntil = until
+	}
+	return c
 }
 
 // timeUntilRoom estimates the time until the least busy candidate has room for a request.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -178,6 +178,32 @@
 	return p != nil && slices.ContainsFunc(p.idle, func(cn *conn) bool { return cn.opened.Before(openedBefore) && c.usable(cn, 0) })
 }
 
+// AnyEnded reports whether the other side has ended an idle connection to the address that it was to keep. A process that ends
+// closes all its connections; one that is full resets only those on which requests arrive. If none is seen at once, AnyEnded looks
+// again after the delay.
+func (c *Client) AnyEnded(address string, delay time.Duration) bool {
+	idle, ended := c.ended(address)
+	if ended || !idle {
+		return ended
+	}
+	time.Sleep(delay)
+	_, ended = c.ended(address)
+	return ended
+}
+
+// ended reports whether there is an idle connection to the address, and whether the other side has ended one.
+func (c *Client) ended(address string) (idle, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		return false, false
+	}
+	return len(p.idle) > 0, slices.ContainsFunc(p.idle, func(cn *conn) bool {
+		return time.Since(cn.idleSince) <= c.maxIdleTime(cn) && !idleconn.Usable(cn.Conn)
+	})
+}
+
 // Probe opens a connection to the address and keeps it for later requests. It does nothing if there is one already or
 // none may be opened now.
 func (c *Client) Probe(ctx context.Context, address string) error {
--- a/warmup/bound_test.go
+++ b/warmup/bound_test.go
@@ -31,12 +31,13 @@
 	names     []string
 	trackers  []*warmup.Tracker
 	directory *fleet.Directory
+	random    *rand.Rand
 	// sent has the instants of the requests to each target.
 	sent map[string][]time.Time
 }
 
 func newFleet(vms, targets int, rate float64) *fleetOfVMs {
-	f := &fleetOfVMs{now: time.Unix(1000, 0), rate: rate, targets: targets, sent: map[string][]time.Time{}}
+	f := &fleetOfVMs{now: time.Unix(1000, 0), rate: rate, targets: targets, random: rand.New(rand.NewPCG(4, 4)), sent: map[string][]time.Time{}}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: f.clock})
 	for i := range targets {
 		f.directory.Put(&fleet.Target{ID: fmt.Sprint("t", i), Service: "s", DataCentre: "dc", Born: 1})
@@ -52,7 +53,7 @@
 
 func (f *fleetOfVMs) newTracker(i int) *warmup.Tracker {
 	return warmup.New(warmup.Options{
-		VM: f.names[i], Bounds: bounds, Directory: f.directory, Now: f.clock,
+		VM: f.names[i], Bounds: bounds, Directory: f.directory, Now: f.clock, Random: f.random.IntN,
 		Service: func(string) (warmup.Service, bool) { return warmup.Service{WarmUp: warmUp, PerSecond: f.rate}, true },
 	})
 }
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 	// withoutShareRetryAfter is the time after which a caller may return to a VM that has no share of a cold target. Most
 	// callers return to another VM.
 	withoutShareRetryAfter = time.Second
+	// namesInterval is the least time between two searches for VMs that are no longer listed.
+	namesInterval = time.Second
 	// logInterval is the least time between two log lines on single targets. All targets of a data centre may turn cold at once.
 	logInterval = 100 * time.Millisecond
 )
@@ -65,6 +68,8 @@
 	Directory *fleet.Directory
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
+	// Random returns a number in [0, n). Default rand.IntN of math/rand/v2.
+	Random func(n int) int
 	// Registerer is where the metrics are registered. Nil registers none.
 	Registerer prometheus.Registerer
 	// Logger gets a line for each target that turns cold or warm. Without it nothing is logged.
@@ -86,12 +91,15 @@
 	// dataCentres has the instants from which the targets of data centres count as cold.
 	dataCentres map[string]time.Time
 	// vms has the VMs that count for the ranks with the instants at which they were last listed; names has them in order.
-	vms        map[string]time.Time
-	names      []string
-	listedAt   time.Time
-	listed     []string
-	loggedAt   time.Time
-	suppressed int
+	vms   map[string]time.Time
+	names []string
+	// namesVersion is higher after each change of names, and namesUpdatedAt is when it was last looked for VMs that have gone.
+	namesVersion   int
+	namesUpdatedAt time.Time
+	listedAt       time.Time
+	listed         []string
+	loggedAt       time.Time
+	suppressed     int
 }
 
 // state is what is known of a target, whatever its incarnation: the address of an incarnation that has ended may be that of the
@@ -105,6 +113,8 @@
 	cold              bool
 	until             time.Time
 	bucket            bucket
+	// rank is this VM's rank for the target among the names with rankVersion.
+	rank, rankVersion int
 }
 
 // New returns a Tracker that knows no cold targets, or nil if the bounds say that the feature is off.
@@ -115,6 +125,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Random == nil {
+		opts.Random = rand.IntN
+	}
 	opts.Logger = cmp.Or(opts.Logger, slog.New(slog.DiscardHandler))
 	t := &Tracker{
 		opts: opts, states: map[string]*state{}, dataCentres: map[string]time.Time{}, vms: map[string]time.Time{},
@@ -266,7 +279,10 @@
 	a := NewAllotment(rate, t.opts.Bounds, max(len(t.names), 1))
 	rank := math.MaxInt
 	if t.listSettledLocked(now) {
-		rank = rankOf(t.opts.VM, id, t.names)
+		if s.rankVersion != t.namesVersion {
+			s.rank, s.rankVersion = rankOf(t.opts.VM, id, t.names), t.namesVersion
+		}
+		rank = s.rank
 	}
 	if first {
 		s.bucket = bucket{allotment: a, shares: rank < a.Sharers}
@@ -321,6 +337,7 @@
 
 // updateNamesLocked removes the VMs that were not listed for vmRetention and, if the VMs changed, updates the allotments. t.mu must be held.
 func (t *Tracker) updateNamesLocked(now time.Time) {
+	t.namesUpdatedAt = now
 	names := make([]string, 0, len(t.vms))
 	for vm, at := range t.vms {
 		if now.Sub(at) >= vmRetention {
@@ -332,6 +349,7 @@
 	slices.Sort(names)
 	if !slices.Equal(names, t.names) {
 		t.names = names
+		t.namesVersion++
 		t.evaluateAllLocked(now)
 	}
 }
@@ -344,8 +362,10 @@
 	now := t.opts.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.touchListedLocked(now)
-	t.updateNamesLocked(now)
+	if now.Sub(t.namesUpdatedAt) >= namesInterval {
+		t.touchListedLocked(now)
+		t.updateNamesLocked(now)
+	}
 	t.evaluateAllLocked(now)
 }
 
@@ -427,6 +447,24 @@
 	return 0
 }
 
+// Prefers reports whether a request for the service, which has that number of targets, should be sent to a cold target of which
+// this VM has a token. It does so for the share of the requests that the cold targets have in all targets: few VMs may send to a
+// cold target, and by their usual choice they would send it a small part of what it can handle.
+func (t *Tracker) Prefers(service string, targets int) bool {
+	if !t.Any() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cold := 0
+	for _, s := range t.states {
+		if s.cold && s.service == service {
+			cold++
+		}
+	}
+	return cold > 0 && t.opts.Random(max(targets, 1)) < cold
+}
+
 // CountWithheld counts a request that was refused because its only target is cold.
 func (t *Tracker) CountWithheld() {
 	if t != nil {
