Leave cold targets out of the plan of keys

Cause: the owner of a key gets all requests for it, which crashes it while it is cold.

Change: AgentOptions.Cold.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -38,6 +38,8 @@
 	// Services returns the names of the services whose targets own keys. It returns
 	// false while the configuration or the targets are not known yet.
 	Services func() ([]string, bool)
+	// Cold reports whether a target is cold, and how many requests per second it can handle then. Nil reports none.
+	Cold func(*fleet.Target) (perSecond float64, cold bool)
 	// Report returns the loads and target states that this VM reports to the assigner.
 	Report func() *pb.ShardReport
 	// Suspects holds the requests that crash targets, which the VMs share through the assigner. If it is nil,
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -491,7 +491,7 @@
 
 // planTargets returns the targets of the service that may own keys.
 func (a *assigner) planTargets(s *serviceState, owned []OwnedRange, now time.Duration) []PlanTarget {
-	var out []PlanTarget
+	var out, cold []PlanTarget
 	withKeys := make(map[string]bool, len(owned))
 	for _, o := range owned {
 		withKeys[o.Owner.ID] = true
@@ -511,9 +511,15 @@
 		if limit, ok := a.targets.limitOf(h, now); ok && limit < p.Capacity {
 			p.Capacity, p.FullCapacity = limit, p.Capacity
 		}
+		if a.agent.opts.Cold != nil {
+			if perSecond, ok := a.agent.opts.Cold(t); ok {
+				cold = append(cold, p.limitedTo(perSecond))
+				continue
+			}
+		}
 		out = append(out, p)
 	}
-	return out
+	return withColdIfNeeded(out, cold)
 }
 
 // sendAndReport sends an order and passes its result to run.
--- /dev/null
+++ b/shard/cold_test.go
@@ -0,0 +1,65 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// planWithCold plans for the targets as planTargets passes them on, with the given ones cold.
+func planWithCold(w *planSimulation, perSecond float64, cold ...int) {
+	all := w.targets
+	var warm, coldTargets []PlanTarget
+	for i, t := range all {
+		isCold := false
+		for _, c := range cold {
+			isCold = isCold || c == i
+		}
+		if isCold {
+			coldTargets = append(coldTargets, t.limitedTo(perSecond))
+		} else {
+			warm = append(warm, t)
+		}
+	}
+	w.targets = withColdIfNeeded(warm, coldTargets)
+	w.plan()
+	w.now += 3 * time.Second
+	w.plan()
+	w.targets = all
+}
+
+// An owner that turns cold must lose its keys to warm targets, and gets keys again once it is warm.
+func TestKeysMoveAwayFromColdOwner(t *testing.T) {
+	is := is.New(t)
+	w := newPlanSimulation(1, 1, 1, 1, 1, 1)
+	is.True(w.keysOf("t02") > 0)
+	planWithCold(w, 6.5, 2)
+	is.Equal(w.keysOf("t02"), 0)
+	w.now += 10 * time.Second
+	w.plan()
+	is.True(w.keysOf("t02") > 0)
+}
+
+// While the warm targets have less than half of the capacity, the cold ones keep keys, with the rate that they can handle as
+// their limit: the warm ones would be overloaded.
+func TestColdTargetsOwnKeysIfFewAreWarm(t *testing.T) {
+	is := is.New(t)
+	w := newPlanSimulation(1, 1, 1, 1, 1, 1)
+	planWithCold(w, 6.5, 0, 1, 2)
+	is.Equal(w.keysOf("t00")+w.keysOf("t01")+w.keysOf("t02"), 0) // Half are warm.
+	w = newPlanSimulation(1, 1, 1, 1, 1, 1)
+	planWithCold(w, 6.5, 0, 1, 2, 3)
+	is.True(w.keysOf("t00") > 0 && w.keysOf("t03") > 0)
+	targets := withColdIfNeeded(nil, []PlanTarget{PlanTarget{Capacity: 80}.limitedTo(6.5), PlanTarget{Capacity: 5}.limitedTo(6.5)})
+	is.Equal(targets[0].Capacity, 6.5)
+	is.Equal(targets[0].FullCapacity, 80.0)
+	is.Equal(targets[1], PlanTarget{Capacity: 5})
+}
+
+// Without cold targets, the plan is for the same targets as before.
+func TestPlanWithoutColdTargets(t *testing.T) {
+	is := is.New(t)
+	warm := []PlanTarget{{Capacity: 80}}
+	is.Equal(withColdIfNeeded(warm, nil), warm)
+}
