Wire warmup into basiltally-node

Change: section [warmup] with overage and slack, set in deploy/node.ini from the platform's bounds where these exist. Without overage there is no tracker and no hook in the directory. docs/design/warm-up.md has the design, OPERATIONS.md the log lines and metrics.

Result: TestColdTargetsAreSpared (two VMs, entries that turn cold) fails without the assigner's part (keys stay) and without the part of eligibility (requests are sent on), and passes with both.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -31,6 +31,7 @@
 	"github.com/basiltally/basiltally/store/relayfeed"
 	"github.com/basiltally/basiltally/telemetry"
 	"github.com/basiltally/basiltally/upstream"
+	"github.com/basiltally/basiltally/warmup"
 )
 
 const (
@@ -83,6 +84,7 @@
 	targetsListed atomic.Bool
 	balancer      *placing.Balancer
 	eligibility   *eligibility.Tracker
+	warmUp        *warmup.Tracker
 	budget        *budget.Budget
 	keyCounter    *gateway.KeyCounter
 	upstream      *upstream.Client
@@ -153,7 +155,7 @@
 	}
 	n.settings.Store(s)
 	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, Check: n.objects.Check, Logger: logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
-	n.directory = fleet.NewDirectory(fleet.DirectoryOptions{Logger: logger, ChangedAfter: n.targetsChangedAfter})
+	n.newDirectory(s)
 	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "basiltally_body_memory_bytes", Help: "Memory that the bodies of requests and answers take.",
@@ -168,16 +170,16 @@
 		VM: s.Process.VM, MinCrashes: s.Gateway.QuarantineCrashes, Duration: s.Gateway.QuarantineTime, AmbiguousDuration: s.Gateway.QuarantineTime, Registerer: n.registry, Logger: logger,
 	})
 	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{
-		Tracker: suspects, Directory: n.directory, Connected: n.upstream.Connected, Probe: n.upstream.Probe, EntryDelay: gateway.EntryDelay(s.Gateway.CheckIn), Registerer: n.registry, Logger: logger,
+		Tracker: suspects, Directory: n.directory, Connected: n.upstream.Connected, Probe: n.upstream.Probe, OnRefused: n.targetRefused, EntryDelay: gateway.EntryDelay(s.Gateway.CheckIn), Registerer: n.registry, Logger: logger,
 	})
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
-		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
+		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Cold: n.coldTarget(), Report: n.shardReport,
 		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
 		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
 	n.eligibility = eligibility.New(eligibility.Options{
-		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, Registerer: n.registry, Logger: logger,
+		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, WarmUp: n.warmUp, Registerer: n.registry, Logger: logger,
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
@@ -283,6 +285,7 @@
 	n.vmCount.set(len(vms), time.Now())
 	n.vms.Store(&vms)
 	n.eligibility.SetVMs(vms, n.vmCount.get(time.Now()))
+	n.warmUp.SetVMs(vms)
 	n.divideAmongVMs()
 }
 
@@ -359,6 +362,7 @@
 			return nil
 		case <-tick.C:
 			n.directory.Expire()
+			n.warmUp.Refresh()
 			n.divideAmongVMs()
 		}
 	}
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -62,6 +62,12 @@
 	RelayAbove       int           `ini:"relay_above" default:"24" unit:"VMs" range:"1..1000000" doc:"Number of VMs above which they receive changes of the store from the assigner instead of each polling the store."`
 }
 
+// WarmUpSettings bounds the requests that a target gets while it is cold, in addition to warmup_per_s of its service.
+type WarmUpSettings struct {
+	Overage float64 `ini:"overage" default:"0" unit:"ratio" range:"0..100" doc:"Multiple of a service's warmup_per_s that all VMs together may send to a cold target in any second; 0 does not bound it."`
+	Slack   float64 `ini:"slack" default:"0" unit:"requests" range:"0..1000000" doc:"Requests that a cold target may get in any second in addition."`
+}
+
 // NodeSettings is the settings file of basiltally-node.
 type NodeSettings struct {
 	Process   Process               `ini:"process"`
@@ -72,4 +78,5 @@
 	Gateway   GatewaySettings       `ini:"gateway"`
 	Retry     RetrySettings         `ini:"repeat"`
 	Shard     ShardSettings         `ini:"shard"`
+	WarmUp    WarmUpSettings        `ini:"warmup"`
 }
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -31,6 +31,9 @@
 	servers      map[string]*httptest.Server
 	nodes        []*testNode
 	relayAbove   int
+	// coldPerSecond is what the services state of cold targets; zero if they state nothing. warmUp is set for the VMs.
+	coldPerSecond float64
+	warmUp        WarmUpSettings
 	// log is what the VMs have logged; it is printed if the test fails.
 	log testLog
 	// requests is the number of requests that were sent.
@@ -112,11 +115,19 @@
 	b.store.Put("config", "main", map[string]any{
 		"version":  version,
 		"routes":   []any{route("safe", "/safe/", "safe", safeService), route("unsafe", "/unsafe/", "unsafe", "free")},
-		"services": []any{map[string]any{"name": "keyed", "max_conns": 100, "sharded": true}, map[string]any{"name": "free", "max_conns": 100}},
+		"services": []any{b.service("keyed", true), b.service("free", false)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout": "3s", "idle_timeout": "15s"},
 	})
 }
 
+func (b *testPlatform) service(name string, keyed bool) map[string]any {
+	s := map[string]any{"name": name, "max_conns": 100, "sharded": keyed}
+	if b.coldPerSecond > 0 {
+		s["warmup"], s["warmup_per_s"] = "8s", b.coldPerSecond
+	}
+	return s
+}
+
 func (b *testPlatform) addTarget(id, service string, keyed bool) {
 	tg := standin.NewTarget(standin.TargetOptions{ID: id, Service: service, Keyed: keyed, Slots: 6, Queue: 24, Work: 5 * time.Millisecond})
 	b.targets[id], b.servers[id] = tg, httptest.NewServer(tg)
@@ -165,8 +176,9 @@
 			LameDuck: 100 * time.Millisecond, StopLimit: 5 * time.Second, MemoryMB: 256,
 			QuarantineCrashes: 3, QuarantineTime: 10 * time.Minute, CheckIn: 1500 * time.Millisecond,
 		},
-		Retry: RetrySettings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
-		Shard: ShardSettings{LeaseDuration: 1500 * time.Millisecond, MaxLeaseDuration: 5 * time.Second, RoleLease: 1500 * time.Millisecond, RelayAbove: b.relayAbove},
+		Retry:  RetrySettings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		WarmUp: b.warmUp,
+		Shard:  ShardSettings{LeaseDuration: 1500 * time.Millisecond, MaxLeaseDuration: 5 * time.Second, RoleLease: 1500 * time.Millisecond, RelayAbove: b.relayAbove},
 	}
 	s.Telemetry.Listen = freeAddress(b.t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -176,6 +176,7 @@
 			"{{bounds.grace}}", "6s", "{{bounds.drain}}", "2000ms", "{{limits.link_mbps}}", "1000.0", "{{limits.memory_mb}}", "284",
 			"{{limits.cpu_share}}", "0.32", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_extra}}", "64", "{{bounds.budget_window}}", "10s",
 			"{{bounds.hold_max}}", "10000ms", "{{#bootstrap}}800ms{{/bootstrap}}{{^bootstrap}}50ms{{/bootstrap}}", "800ms",
+			"{{#bounds.warmup_overage}}{{bounds.warmup_overage}}{{/bounds.warmup_overage}}{{^bounds.warmup_overage}}0{{/bounds.warmup_overage}}", "0", "{{#bounds.warmup_slack}}{{bounds.warmup_slack}}{{/bounds.warmup_slack}}{{^bounds.warmup_slack}}0{{/bounds.warmup_slack}}", "0",
 		).Replace(string(template))
 		if strings.Contains(text, "{{") {
 			return fmt.Errorf("deploy/node.ini has a placeholder that the stand-in does not know:\n%s", text)
