--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -560,3 +560,24 @@
 	is.Equal(len(tg.conns), 1)
 	is.True(evidence.Refused(c.Probe(t.Context(), "127.0.0.1:1")))
 }
+
+// A target that ends one of its idle connections early has restarted; one that keeps them has not, also if it has none.
+func TestEndedIdleConnectionsAreNoticed(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if cn, err := ln.Accept(); err == nil {
+			accepted <- cn
+		}
+	}()
+	c := New(Options{})
+	address := ln.Addr().String()
+	is.True(!c.AnyEnded(address, time.Millisecond)) // There is none.
+	is.NoErr(c.Probe(context.Background(), address))
+	is.True(!c.AnyEnded(address, time.Millisecond))
+	is.NoErr((<-accepted).Close())
+	is.True(c.AnyEnded(address, time.Second)) // The end may arrive a moment later.
+}
