--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -80,7 +80,8 @@
 // Tracker knows of no cold targets.
 type Tracker struct {
 	opts     Options
-	requests *prometheus.CounterVec
+	sent     prometheus.Counter
+	withheld prometheus.Counter
 	// coldCount is the number of cold targets. While it is zero, as mostly, mu need not be locked.
 	coldCount atomic.Int64
 	// firstTake is when the first request was sent to any target, in nanoseconds since the Unix epoch; zero before.
@@ -96,10 +97,12 @@
 	// namesVersion is higher after each change of names, and namesUpdatedAt is when it was last looked for VMs that have gone.
 	namesVersion   int
 	namesUpdatedAt time.Time
-	listedAt       time.Time
-	listed         []string
-	loggedAt       time.Time
-	suppressed     int
+	// listedAt is when the first list of VMs came, and listed is the latest list.
+	listedAt time.Time
+	listed   []string
+	// loggedAt is when a single target was last logged, and suppressed counts the lines that were left out since.
+	loggedAt   time.Time
+	suppressed int
 }
 
 // state is what is known of a target, whatever its incarnation: the address of an incarnation that has ended may be that of the
@@ -131,12 +134,13 @@
 	opts.Logger = cmp.Or(opts.Logger, slog.New(slog.DiscardHandler))
 	t := &Tracker{
 		opts: opts, states: map[string]*state{}, dataCentres: map[string]time.Time{}, vms: map[string]time.Time{},
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "basiltally_warmup_requests_total", Help: "Requests for cold targets, by whether they were sent or withheld.",
-		}, []string{"outcome"}),
 	}
+	requests := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basiltally_warmup_requests_total", Help: "Requests for cold targets, by whether they were sent or withheld.",
+	}, []string{"outcome"})
+	t.sent, t.withheld = requests.WithLabelValues("sent"), requests.WithLabelValues("withheld")
 	if opts.Registerer != nil {
-		opts.Registerer.MustRegister(t.requests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		opts.Registerer.MustRegister(requests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "basiltally_cold_targets", Help: "Targets that count as cold at this VM.",
 		}, func() float64 { return float64(t.coldCount.Load()) }))
 	}
@@ -437,12 +441,12 @@
 	defer t.mu.Unlock()
 	wait := t.waitLocked(id, now)
 	if wait > 0 {
-		t.requests.WithLabelValues("withheld").Inc()
+		t.withheld.Inc()
 		return wait
 	}
 	if s := t.states[id]; s != nil && s.cold && now.Before(s.until) {
 		s.bucket.tokens--
-		t.requests.WithLabelValues("sent").Inc()
+		t.sent.Inc()
 	}
 	return 0
 }
@@ -468,6 +472,6 @@
 // CountWithheld counts a request that was refused because its only target is cold.
 func (t *Tracker) CountWithheld() {
 	if t != nil {
-		t.requests.WithLabelValues("withheld").Inc()
+		t.withheld.Inc()
 	}
 }
