--- a/warmup/use_test.go
+++ b/warmup/use_test.go
@@ -79,13 +79,15 @@
 			var candidates []placing.Candidate
 			for i := range targets {
 				id := ids[i]
-				if f.trackers[vm].Wait(id) > 0 {
+				if isCold(i) && f.trackers[vm].Wait(id) > 0 {
 					continue
 				}
 				dc, region := place(i)
 				c := placing.Candidate{ID: id, DataCentre: dc, Region: region, Slots: 6, Connected: true}
-				if until, _, is := f.trackers[vm].Cold(id); is {
-					c.ColdUntil = until
+				if isCold(i) {
+					if until, _, is := f.trackers[vm].Cold(id); is {
+						c.ColdUntil = until
+					}
 				}
 				candidates = append(candidates, c)
 			}
