--- a/daemon/node_evacuations.go
+++ b/daemon/node_evacuations.go
@@ -59,7 +59,7 @@
 	begun, ended := set.Replace(names, at, now)
 	c.listed = true
 	for _, dc := range ended {
-		c.logEnd(dc, 0, before[dc], now)
+		c.ended(dc, 0, before[dc], now)
 	}
 	for _, dc := range begun {
 		c.logBegin(dc, revisions[dc], at, now)
@@ -84,7 +84,7 @@
 		}
 		if e.Deleted {
 			if since, ok := set.End(dc, now); ok {
-				c.logEnd(dc, e.Version, since, now)
+				c.ended(dc, e.Version, since, now)
 			}
 		} else if set.Begin(dc, at) {
 			c.logBegin(dc, e.Version, at, now)
@@ -170,8 +170,10 @@
 	}
 }
 
-// logEnd logs the end of an evacuation. A list does not state the revision of a deletion.
-func (c *evacuationConsumer) logEnd(dc string, revision store.Version, since, now time.Time) {
+// ended records and logs the end of an evacuation. A list does not state the revision of a deletion.
+func (c *evacuationConsumer) ended(dc string, revision store.Version, since, now time.Time) {
+	// The targets may have become cold while they got no requests.
+	c.process.warmUp.MarkCold(dc, now)
 	c.process.logger.Info("evacuation of data centre ended", "data_centre", dc, "revision", revision, age(since, now))
 }
 
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -69,6 +69,12 @@
 	EvenSpread   bool `ini:"even_spread" default:"false" doc:"Whether the VMs use subsets of the targets that cover each target equally often."`
 }
 
+// WarmUpSettings bounds the requests that a target gets while it is cold, in addition to warmup_per_s of its service.
+type WarmUpSettings struct {
+	Overage float64 `ini:"overage" default:"0" unit:"ratio" range:"0..100" doc:"Multiple of a service's warmup_per_s that all VMs together may send to a cold target in any second; 0 does not bound it."`
+	Slack   float64 `ini:"slack" default:"0" unit:"requests" range:"0..1000000" doc:"Requests that a cold target may get in any second in addition."`
+}
+
 // NodeSettings is the settings file of basiltally-node.
 type NodeSettings struct {
 	Process   Process               `ini:"process"`
@@ -80,4 +86,5 @@
 	Retry     RetrySettings         `ini:"repeat"`
 	Shard     ShardSettings         `ini:"shard"`
 	Placing   PlacingSettings       `ini:"placing"`
+	WarmUp    WarmUpSettings        `ini:"warmup"`
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,7 +53,7 @@
 	if !c.idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	candidate := newCandidate(t)
+	candidate := g.newCandidate(t)
 	candidate.Keyed = c.service.Keyed
 	number := g.opts.Balancer.Begin(&candidate)
 	c.tried = append(c.tried, t.ID)
@@ -73,6 +73,7 @@
 	if err == nil && a.Statements != nil {
 		g.observe(c, t, a.Statements)
 	}
+	g.observeRestart(t, err)
 	o, s := g.classify(c, t, a, f, full)
 	g.opts.Balancer.End(t.ID, number, o)
 	g.logAttempt(c, t, a, err, s)
@@ -126,7 +127,7 @@
 		return g.classifyFailure(c, t, f, full)
 	}
 	c.attempts++
-	candidate := newCandidate(t)
+	candidate := g.newCandidate(t)
 	o := placing.Outcome{Answered: true, RoundTrip: g.opts.Balancer.RoundTrip(&candidate)}
 	if a.Load != nil {
 		o.LoadKnown, o.Running, o.Waiting, o.WorkPercent = true, a.Load.Running, a.Load.Waiting, a.Load.WorkPercent
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
 	"github.com/basiltally/basiltally/upstream"
+	"github.com/basiltally/basiltally/warmup"
 )
 
 // evacuate is the time after which no request may reach a data centre that is being evacuated.
@@ -56,6 +57,8 @@
 	directory *fleet.Directory
 	upstream  *upstream.Client
 	suspects  *quarantine.Tracker
+	warmUp    *warmup.Tracker
+	servers   map[string]*httptest.Server
 	// entryAge is how long ago the directory takes its changes to have been made.
 	entryAge time.Duration
 	// later is added to the time by which it is decided what targets may get.
@@ -76,21 +79,23 @@
 func newFixture(t *testing.T, keyed bool, handlers ...http.HandlerFunc) *fixture {
 	evacuations := evacuation.New()
 	evacuations.Replace(nil, time.Now(), time.Now())
-	return newFixtureWith(t, evacuations, keyed, handlers...)
+	return newFixtureWith(t, evacuations, keyed, func(*fixture) *warmup.Tracker { return nil }, handlers...)
 }
 
-// newFixtureWith returns a fixture like newFixture, with the data centres that are being evacuated.
-func newFixtureWith(t *testing.T, evacuations *evacuation.Set, keyed bool, handlers ...http.HandlerFunc) *fixture {
+// newFixtureWith is newFixture with the data centres that are being evacuated and what bounds the requests for cold targets.
+func newFixtureWith(t *testing.T, evacuations *evacuation.Set, keyed bool, warmUp func(*fixture) *warmup.Tracker, handlers ...http.HandlerFunc) *fixture {
 	f := &fixture{
-		t: t, evacuations: evacuations, stalls: evacuation.NewStallGuard(time.Hour, boottime.Now), balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
+		servers: map[string]*httptest.Server{}, t: t, evacuations: evacuations, stalls: evacuation.NewStallGuard(time.Hour, boottime.Now), balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
 		suspects: quarantine.New(quarantine.Options{MinCrashes: 3}),
 	}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
+	f.warmUp = warmUp(f)
 	table := &shard.Table{Version: shard.Version{Term: 1, Seq: 1}}
 	for i, h := range handlers {
 		id := fmt.Sprintf("t%d", i)
 		server := httptest.NewServer(f.record(id, h))
 		t.Cleanup(server.Close)
+		f.servers[id] = server
 		address := server.Listener.Addr().String()
 		f.directory.Put(&fleet.Target{ID: id, Service: "s", Address: address, Slots: 6})
 		table.Entries = append(table.Entries, shard.Entry{
@@ -111,7 +116,7 @@
 	f.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: f.routes.Load, Evacuations: f.evacuations, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
-			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) },
+			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) }, WarmUp: f.warmUp,
 			Evacuation: eligibility.EvacuationOptions{Set: f.evacuations, Stalls: f.stalls, Time: evacuate},
 		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -113,7 +113,7 @@
 	if entry == nil || !entry.Held {
 		return g.noPlace(c, service, p)
 	}
-	t := g.ownerTarget(entry)
+	t := g.ownerTarget(service, entry)
 	if v := g.opts.Eligibility.DecidePlace(t, p); !v.OK() {
 		return g.misplaced(c, t, p, v)
 	}
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -12,6 +12,7 @@
 	"github.com/basiltally/basiltally/evacuation"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/routing"
+	"github.com/basiltally/basiltally/warmup"
 )
 
 // place moves a target to a data centre and a region.
@@ -251,7 +252,7 @@
 // Until all evacuations are known, a request could reach an evacuated data centre.
 func TestRequestsAreRefusedUntilEvacuationsAreListed(t *testing.T) {
 	is := is.New(t)
-	f := newFixtureWith(t, evacuation.New(), false, answerOK)
+	f := newFixtureWith(t, evacuation.New(), false, func(*fixture) *warmup.Tracker { return nil }, answerOK)
 	r := f.send("/safe/x", "")
 	is.Equal(r.Status, http.StatusServiceUnavailable)
 	is.True(strings.Contains(string(r.Body), "evacuated"))
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -40,6 +40,8 @@
 	Services func() ([]string, bool)
 	// Placement restricts which targets may own keys by their places.
 	Placement PlacementOptions
+	// Cold reports whether a target is cold, and how many requests per second it can handle then. Nil reports none.
+	Cold func(*fleet.Target) (perSecond float64, cold bool)
 	// Report returns the loads and target states that this VM reports to the assigner.
 	Report func() *pb.ShardReport
 	// Suspects holds the requests that crash targets, which the VMs share through the assigner. If it is nil,
