Split the arithmetic of admission.Decide

A policy that shortens the wait of less urgent requests needs the allowed wait and the decision by a given bound separately. Decide returns what it did before; its tests pass unchanged.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -48,11 +48,21 @@
 // Decide reports whether the request should be sent. If not, it returns the time after
 // which the target is expected to have room.
 func Decide(e Estimate, r Request) (admit bool, roomIn time.Duration) {
+	return DecideWithin(e, r, AllowedWait(e, r))
+}
+
+// AllowedWait returns the longest wait with which the answer is expected within the latency
+// target.
+func AllowedWait(e Estimate, r Request) time.Duration {
+	allowed := time.Duration(usableShare*float64(r.UntilLatencyTarget)) - e.RoundTrip - e.Service
+	return max(allowed, time.Duration(minWaitFactor*float64(e.Service)))
+}
+
+// DecideWithin is Decide with a given bound on the wait.
+func DecideWithin(e Estimate, r Request, allowed time.Duration) (admit bool, roomIn time.Duration) {
 	if e.Total() > r.UntilDeadline {
 		return false, e.Total() - r.UntilDeadline
 	}
-	allowed := time.Duration(usableShare*float64(r.UntilLatencyTarget)) - e.RoundTrip - e.Service
-	allowed = max(allowed, time.Duration(minWaitFactor*float64(e.Service)))
 	if e.Wait <= allowed {
 		return true, 0
 	}
