gateway: Refuse for lack of room by priority where package overload is on

Options.Overload takes the place of the call of admission.Decide, divides the requests for a hot key by rank, learns the work of each kind from answers, and sets the time to return of these refusals and of those of full targets. Uploads that no target can serve in time are refused before their bodies are read.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,8 @@
 	// drawnForShare is set once it is decided whether the request belongs to the share of the
 	// requests for its key that are served.
 	drawnForShare bool
+	// overloadCounted is set once Options.Overload has counted the request.
+	overloadCounted bool
 	// content identifies what the request asks for, if Options.Crashes is set.
 	content quarantine.Fingerprint
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,12 +58,14 @@
 	if !c.idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
+	expected := g.expectedWork(t)
 	candidate := newCandidate(t)
 	number := g.opts.Balancer.Begin(&candidate)
 	c.tried = append(c.tried, t.ID)
 	if g.opts.Crashes != nil {
 		g.opts.Crashes.begin(t, c.content)
 	}
+	sent := time.Now()
 	a, err := g.opts.Upstream.Do(ctx, t.Address, r)
 	if g.opts.Crashes != nil {
 		f, _ := err.(*upstream.Failure)
@@ -74,6 +76,9 @@
 	}
 	o, s := g.classify(c, t, a, err)
 	g.opts.Balancer.End(t.ID, number, o)
+	if s == stepDone {
+		g.learnWork(c, a, time.Since(sent), expected)
+	}
 	g.logAttempt(c, t, a, err, s)
 	g.attempts.WithLabelValues(stepNames[s]).Inc()
 	return a, s
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -62,7 +61,9 @@
 	Budget      *budget.Budget
 	KeyCounter  *KeyCounter
 	// Crashes relates requests to crashes of targets. Nil does not.
-	Crashes    *CrashWatch
+	Crashes *CrashWatch
+	// Overload decides which requests are refused for lack of room. Nil decides by package admission.
+	Overload   *Overload
 	Registerer prometheus.Registerer
 	Logger     *slog.Logger
 }
@@ -204,11 +205,9 @@
 	if !c.service.Keyed {
 		return g.serveUnkeyed(c)
 	}
-	key, err := strconv.ParseUint(string(c.req.Header.Peek(g.opts.Headers.Key)), 10, 16)
-	if err != nil {
-		return nil, result.New(result.BadRequest, "the key is missing or not a number from 0 to %d", shard.LastKey)
+	if c.key, e = g.requestKey(c); e != nil {
+		return nil, e
 	}
-	c.key = shard.Key(key)
 	g.opts.KeyCounter.Count(c.service.Name, c.key)
 	return g.serveKeyed(c)
 }
@@ -248,11 +247,11 @@
 	return t, nil
 }
 
-// Precheck implements ingress.Handler. It refuses requests without a route, without time left or
-// without any target.
+// Precheck implements ingress.Handler. It refuses requests without a route, without time left,
+// without any target, or that no target can serve in time.
 func (g *Gateway) Precheck(r *ingress.Request) (*ingress.Response, time.Time) {
 	c := g.newCall(context.Background(), r)
-	_, e := g.findRoute(c)
+	t, e := g.findRoute(c)
 	switch {
 	case e != nil:
 	case c.timeLeft() <= minAttemptTime:
@@ -260,17 +259,13 @@
 	case !g.anyTarget(c.entry):
 		e = refusal(result.NoTarget, noTargetRetryAfter, "no target of the route's services is known")
 	default:
-		return nil, c.deadline
+		if e = g.refuseBeforeBody(c, t); e == nil {
+			return nil, c.deadline
+		}
 	}
 	return g.finish(c, nil, e), time.Time{}
 }
 
-// anyTarget reports whether a target of any of the route's services is known.
-func (g *Gateway) anyTarget(e *routing.Entry) bool {
-	s := g.opts.Directory.Snapshot()
-	return slices.ContainsFunc(e.Services, func(w routing.WeightedService) bool { return len(s.Service(w.Service)) > 0 })
-}
-
 // Refuse implements ingress.Handler.
 func (g *Gateway) Refuse(r *ingress.Request, cause ingress.RefusalCause) *ingress.Response {
 	c := g.newCall(context.Background(), r)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -56,6 +56,8 @@
 	later time.Duration
 	table *shard.Table
 
+	opts gateway.Options
+
 	mu sync.Mutex
 	// servedBy holds the IDs of the targets that received a request, in order.
 	servedBy   []string
@@ -84,14 +86,16 @@
 	f.table = table
 	sixAttempts := f.route("/six/", routing.Idempotent)
 	sixAttempts.MaxAttempts = 6
+	minor := f.route("/minor/", routing.Idempotent)
+	minor.Priority = 1
 	routes := routing.NewTable(&routing.Config{
 		Version:  1,
 		Services: []routing.Service{{Name: "s", Keyed: keyed}},
 		Routes: []routing.Route{
-			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts,
+			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts, minor,
 		},
 	})
-	f.gateway = gateway.New(gateway.Options{
+	f.opts = gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: func() *routing.Table { return routes }, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
 			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) },
@@ -101,7 +105,8 @@
 		Crashes: gateway.NewCrashWatch(gateway.CrashWatchOptions{
 			Tracker: f.suspects, Directory: f.directory, Connected: f.upstream.Connected, Probe: f.upstream.Probe,
 		}),
-	})
+	}
+	f.gateway = gateway.New(f.opts)
 	return f
 }
 
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/basiltally/basiltally/admission"
@@ -34,8 +35,8 @@
 		t := g.ownerTarget(entry)
 		if !c.drawnForShare && !c.mayHaveRun {
 			c.drawnForShare = true
-			if entry.Share > 0 && rand.IntN(shard.WholeShare) >= entry.Share {
-				return nil, refusal(result.NoCapacity, hotKeyReturn, "the owner of the key, target %s, can serve %d of 1000 requests for it", t.ID, entry.Share)
+			if entry.Share > 0 && rand.Float64() >= g.hotKeyShare(c, float64(entry.Share)/shard.WholeShare) {
+				return nil, g.noRoom(c, decisionHotKey, result.NoCapacity, hotKeyReturn, "the owner of the key, target %s, can serve %d of 1000 requests for it", t.ID, entry.Share)
 			}
 		}
 		if v := g.opts.Eligibility.Decide(t.Incarnation()); !v.OK() {
@@ -61,7 +62,7 @@
 			continue
 		case stepFull:
 			if !c.mayHaveRun {
-				return nil, refusal(result.TargetShed, g.estimate(t).Wait, "the owner of the key has no room for the request")
+				return nil, g.noRoom(c, decisionFull, result.TargetShed, g.estimate(t).Wait, "the owner of the key has no room for the request")
 			}
 		case stepNotOwner, stepUnreachable:
 			ownerRetries++
@@ -161,6 +162,15 @@
 	return refusal(result.StaleOwner, g.estimate(t).Wait, "target %s, the listed owner, did not accept the request for key %d", t.ID, c.key)
 }
 
+// requestKey returns the key that the request's header states.
+func (g *Gateway) requestKey(c *call) (shard.Key, *result.Error) {
+	key, err := strconv.ParseUint(string(c.req.Header.Peek(g.opts.Headers.Key)), 10, 16)
+	if err != nil {
+		return 0, result.New(result.BadRequest, "the key is missing or not a number from 0 to %d", shard.LastKey)
+	}
+	return shard.Key(key), nil
+}
+
 // ownerTarget returns the owner's entry in the directory. If the directory does not list the
 // same incarnation, it returns a target made from the table entry.
 func (g *Gateway) ownerTarget(entry *shard.Entry) *fleet.Target {
@@ -177,12 +187,10 @@
 		return nil
 	}
 	e := g.estimate(t)
-	untilDeadline := c.timeLeft()
-	untilLatencyTarget := untilDeadline
-	if c.entry.LatencyTarget > 0 {
-		untilLatencyTarget = c.entry.LatencyTarget - time.Since(c.req.Received)
+	if g.opts.Overload != nil {
+		return g.opts.Overload.decide(c, t, e)
 	}
-	ok, roomIn := admission.Decide(e, admission.Request{UntilDeadline: untilDeadline, UntilLatencyTarget: untilLatencyTarget})
+	ok, roomIn := admission.Decide(e, c.limits())
 	if ok {
 		return nil
 	}
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/placing"
 	"github.com/basiltally/basiltally/result"
+	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/upstream"
 )
 
@@ -54,7 +56,7 @@
 		return nil, refusal(result.NoTarget, noTargetRetryAfter, "no target of the service is known")
 	}
 	if !c.mayHaveRun && full {
-		return nil, refusal(result.TargetShed, g.timeUntilRoom(candidates), "no target that was tried has room for the request")
+		return nil, g.noRoom(c, decisionFull, result.TargetShed, g.timeUntilRoom(candidates), "no target that was tried has room for the request")
 	}
 	return nil, g.failure(c)
 }
@@ -105,6 +107,12 @@
 	return out, nil
 }
 
+// anyTarget reports whether a target of any of the route's services is known.
+func (g *Gateway) anyTarget(e *routing.Entry) bool {
+	s := g.opts.Directory.Snapshot()
+	return slices.ContainsFunc(e.Services, func(w routing.WeightedService) bool { return len(s.Service(w.Service)) > 0 })
+}
+
 func newCandidate(t *fleet.Target) placing.Candidate {
 	return placing.Candidate{
 		ID: t.ID, DataCentre: t.DataCentre, Region: t.Region, Slots: t.Slots, ColdUntil: t.FirstSeen.Add(t.WarmUpLeft),
