node: Add the settings of overload, on by the platform's contracts

The template language has no condition on an entry's value, so [overload] takes the whole list; package platform knows the word. Without a list the setting is empty and the policy off.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -179,9 +179,13 @@
 	n.eligibility = eligibility.New(eligibility.Options{
 		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, Registerer: n.registry, Logger: logger,
 	})
+	var byPriority *gateway.Overload
+	if s.Overload.on() {
+		byPriority = gateway.NewOverload(gateway.OverloadOptions{Registerer: n.registry, Logger: logger})
+	}
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: n.eligibility, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes,
+		Directory: n.directory, Eligibility: n.eligibility, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes, Overload: byPriority,
 		Registerer: n.registry, Logger: logger,
 	})
 	n.ingress = ingress.New(ingress.Options{
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/telemetry"
 )
 
@@ -62,6 +63,15 @@
 	RelayAbove       int           `ini:"relay_above" default:"24" unit:"VMs" range:"1..1000000" doc:"Number of VMs above which they receive changes of the store from the assigner instead of each polling the store."`
 }
 
+// OverloadSettings configures who is served while a service gets more requests than it can serve.
+type OverloadSettings struct {
+	Enabled   bool     `ini:"enabled" default:"false" doc:"Whether requests are refused for lack of room by priority, deadline and work, and refused callers return spread over time."`
+	Contracts []string `ini:"contracts" unit:"name" doc:"The platform's list of contracts. The one for overload sets enabled."`
+}
+
+// on reports whether refusals are decided by priority.
+func (o *OverloadSettings) on() bool { return o.Enabled || platform.RefusesByPriority(o.Contracts) }
+
 // NodeSettings is the settings file of basiltally-node.
 type NodeSettings struct {
 	Process   Process               `ini:"process"`
@@ -72,4 +82,5 @@
 	Gateway   GatewaySettings       `ini:"gateway"`
 	Retry     RetrySettings         `ini:"repeat"`
 	Shard     ShardSettings         `ini:"shard"`
+	Overload  OverloadSettings      `ini:"overload"`
 }
--- /dev/null
+++ b/daemon/node_settings_test.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/settings"
+)
+
+// Refusals must be decided by priority only where the settings or the platform's contracts ask for
+// it; a platform without contracts leaves the list empty.
+func TestOverloadIsOnWhereAskedFor(t *testing.T) {
+	for text, want := range map[string]bool{
+		"":                               false,
+		"contracts =":                    false,
+		"contracts = other":              false,
+		"contracts = other,pressure":     true,
+		"contracts = pressures":          false,
+		"enabled = true":                 true,
+		"enabled = false\ncontracts = x": false,
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			var s struct {
+				Overload OverloadSettings `ini:"overload"`
+			}
+			is.NoErr(settings.Parse("node.ini", []byte("[overload]\n"+text+"\n"), &s))
+			is.Equal(s.Overload.on(), want)
+		})
+	}
+}
