overload: Bound the effect of work by the share of a rank

Cause: work shortened the wait to 0.75, below the 0.8 of a rank, so that much work could outweigh priority where the urgent kind gets no more than its latency target.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -25,14 +25,13 @@
 	// than a refusal. Where most requests are urgent themselves, all of them would be late.
 	urgentReach = 2
 	// lateShare is the part of the mean wait of its kind that is allowed to a request that has missed
-	// its latency target, mostly one whose caller has returned. In the
-	// surge of the tests, patient callers of the
-	// keyed service returned 1.79 times at 0.5, 1.66 times at 1, and 1.55 times at 1.5, where a surge
-	// of urgent requests as a whole lost value.
+	// its latency target, mostly one whose caller has returned. In the surge of the tests, patient
+	// callers of the keyed service returned 1.79 times at 0.5, 1.66 times at 1, and 1.55 times at 1.5,
+	// where a surge of urgent requests as a whole lost value.
 	lateShare = 1
 	// minWorkFactor bounds how much a kind with more work than the mean of its service has its wait
 	// shortened. It is not below rankShare, so that work does not outweigh priority.
-	minWorkFactor = 0.75
+	minWorkFactor = 0.8
 	// minRelativeWork and maxRelativeWork bound the work of a kind against the mean of its service.
 	minRelativeWork, maxRelativeWork = 0.2, 5
 	// workWeight is the weight of one answer without queueing in the mean work of its kind.
