--- a/daemon/node.go
+++ b/daemon/node.go
@@ -156,7 +156,7 @@
 		objects: platform.NewObjectStore(s.Store.Address, s.Store.Timeout),
 		balancer: placing.New(placing.Options{
 			VM: s.Process.VM, DataCentre: s.Process.DataCentre, Region: s.Process.Region,
-			PreferRegion: s.Placing.PreferRegion, EvenSpread: s.Placing.EvenSpread,
+			PreferRegion: s.Placing.PreferRegion || s.Overload.contracted(), EvenSpread: s.Placing.EvenSpread || s.Overload.contracted(),
 		}),
 		budget:     budget.New(budget.Options{Ratio: s.Retry.Ratio, ExtraRetries: s.Retry.Extra, Window: s.Retry.Window}),
 		keyCounter: gateway.NewKeyCounter(),
@@ -195,9 +195,13 @@
 		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, WarmUp: n.warmUp, Registerer: n.registry, Logger: logger,
 		Evacuation: eligibility.EvacuationOptions{Set: n.evacuations, Stalls: n.stalls, Time: s.Gateway.Evacuate},
 	})
+	var byPriority *gateway.Overload
+	if s.Overload.on() {
+		byPriority = gateway.NewOverload(gateway.OverloadOptions{Registerer: n.registry, Logger: logger})
+	}
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: n.eligibility, Evacuations: n.evacuations, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes,
+		Directory: n.directory, Eligibility: n.eligibility, Evacuations: n.evacuations, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes, Overload: byPriority,
 		Registerer: n.registry, Logger: logger,
 	})
 	n.ingress = ingress.New(ingress.Options{
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/telemetry"
 )
 
@@ -75,6 +76,18 @@
 	Slack   float64 `ini:"slack" default:"0" unit:"requests" range:"0..1000000" doc:"Requests that a cold target may get in any second in addition."`
 }
 
+// OverloadSettings configures who is served while a service gets more requests than it can serve.
+type OverloadSettings struct {
+	Enabled   bool     `ini:"enabled" default:"false" doc:"Whether requests are refused for lack of room by priority, deadline and work, and refused callers return spread over time."`
+	Contracts []string `ini:"contracts" unit:"name" doc:"The platform's list of contracts. The one for overload sets enabled, and prefer_region and even_spread of placing."`
+}
+
+// contracted reports whether the platform's contracts ask for decisions on overload.
+func (o *OverloadSettings) contracted() bool { return platform.RefusesByPriority(o.Contracts) }
+
+// on reports whether refusals are decided by priority.
+func (o *OverloadSettings) on() bool { return o.Enabled || o.contracted() }
+
 // NodeSettings is the settings file of basiltally-node.
 type NodeSettings struct {
 	Process   Process               `ini:"process"`
@@ -87,4 +100,5 @@
 	Shard     ShardSettings         `ini:"shard"`
 	Placing   PlacingSettings       `ini:"placing"`
 	WarmUp    WarmUpSettings        `ini:"warmup"`
+	Overload  OverloadSettings      `ini:"overload"`
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,6 +53,7 @@
 	if !c.idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
+	expected := g.expectedWork(t)
 	candidate := g.newCandidate(t)
 	candidate.Keyed = c.service.Keyed
 	number := g.opts.Balancer.Begin(&candidate)
@@ -60,6 +61,7 @@
 	if g.opts.Crashes != nil {
 		g.opts.Crashes.begin(t, c.content)
 	}
+	sent := time.Now()
 	a, err := g.opts.Upstream.Do(ctx, t.Address, r)
 	f, _ := err.(*upstream.Failure)
 	full := f != nil && f.Reset && g.opts.Balancer.ProbablyFull(t.ID, number)
@@ -76,6 +78,9 @@
 	g.observeRestart(t, err)
 	o, s := g.classify(c, t, a, f, full)
 	g.opts.Balancer.End(t.ID, number, o)
+	if s == stepDone {
+		g.learnWork(c, a, time.Since(sent), expected)
+	}
 	g.logAttempt(c, t, a, err, s)
 	g.attempts.WithLabelValues(stepNames[s]).Inc()
 	return a, s
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,9 @@
 	Budget      *budget.Budget
 	KeyCounter  *KeyCounter
 	// Crashes relates requests to crashes of targets. Nil does not.
-	Crashes    *CrashWatch
+	Crashes *CrashWatch
+	// Overload decides which requests are refused for lack of room. Nil decides by package admission.
+	Overload   *Overload
 	Registerer prometheus.Registerer
 	Logger     *slog.Logger
 }
@@ -204,9 +206,8 @@
 	if !c.service.Keyed {
 		return g.serveUnkeyed(c)
 	}
-	var err error
-	if c.key, err = g.requestKey(c.req); err != nil {
-		return nil, result.New(result.BadRequest, "the key is missing or not a number from 0 to %d", shard.LastKey)
+	if c.key, e = g.requestKey(c); e != nil {
+		return nil, e
 	}
 	g.opts.KeyCounter.Count(c.service.Name, c.key)
 	return g.serveKeyed(c)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -69,6 +69,8 @@
 	evacuations *evacuation.Set
 	stalls      *evacuation.StallGuard
 
+	opts gateway.Options
+
 	mu sync.Mutex
 	// servedBy holds the IDs of the targets that received a request, in order.
 	servedBy   []string
@@ -106,14 +108,16 @@
 	f.table = table
 	sixAttempts := f.route("/six/", routing.Idempotent)
 	sixAttempts.MaxAttempts = 6
+	minor := f.route("/minor/", routing.Idempotent)
+	minor.Priority = 1
 	f.routes.Store(routing.NewTable(&routing.Config{
 		Version:  1,
 		Services: []routing.Service{{Name: "s", Keyed: keyed}},
 		Routes: []routing.Route{
-			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts,
+			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts, minor,
 		},
 	}))
-	f.gateway = gateway.New(gateway.Options{
+	f.opts = gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: f.routes.Load, Evacuations: f.evacuations, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
 			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) }, WarmUp: f.warmUp,
@@ -124,7 +128,8 @@
 		Crashes: gateway.NewCrashWatch(gateway.CrashWatchOptions{
 			Tracker: f.suspects, Directory: f.directory, Connected: f.upstream.Connected, Probe: f.upstream.Probe,
 		}),
-	})
+	}
+	f.gateway = gateway.New(f.opts)
 	return f
 }
 
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"strconv"
 	"strings"
 
 	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
-	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/result"
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
@@ -145,15 +143,9 @@
 	if !s.Keyed {
 		return g.noPlace(c, s.Name, p)
 	}
-	key, err := g.requestKey(c.req)
-	if err != nil {
+	key, e := g.requestKey(c)
+	if e != nil {
 		return nil // The request is refused for its key.
 	}
 	return g.checkKeyPlace(c, s.Name, key, p)
 }
-
-// requestKey returns the key that the request states.
-func (g *Gateway) requestKey(r *ingress.Request) (shard.Key, error) {
-	key, err := strconv.ParseUint(string(r.Header.Peek(g.opts.Headers.Key)), 10, 16)
-	return shard.Key(key), err
-}
--- a/gateway/precheck.go
+++ b/gateway/precheck.go
@@ -11,7 +11,7 @@
 )
 
 // Precheck implements ingress.Handler. It refuses requests without a route, without time left,
-// without any target, or without one in a place that the request may be sent to.
+// without any target, without one in a place that the request may be sent to, or that no target can serve in time.
 func (g *Gateway) Precheck(r *ingress.Request) (*ingress.Response, time.Time) {
 	c := g.newCall(context.Background(), r)
 	t, e := g.findRoute(c)
@@ -22,7 +22,9 @@
 	case !g.anyTarget(c.entry):
 		e = refusal(result.NoTarget, noTargetRetryAfter, "no target of the route's services is known")
 	default:
-		e = g.checkPlaces(c, t)
+		if e = g.checkPlaces(c, t); e == nil {
+			e = g.refuseBeforeBody(c, t)
+		}
 	}
 	if e == nil {
 		return nil, c.deadline
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -58,7 +58,7 @@
 		}
 	}
 	if !c.mayHaveRun && full {
-		return nil, refusal(result.TargetShed, g.timeUntilRoom(candidates), "no target that was considered has room for the request")
+		return nil, g.noRoom(c, decisionFull, result.TargetShed, g.timeUntilRoom(candidates), "no target that was considered has room for the request")
 	}
 	if !c.mayHaveRun && len(c.tried) == 0 {
 		return nil, refusal(result.NoTarget, noTargetRetryAfter, "no target of the service is known")
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -177,6 +177,7 @@
 			"{{limits.cpu_share}}", "0.32", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_extra}}", "64", "{{bounds.budget_window}}", "10s",
 			"{{#bounds.evacuate}}evacuate = {{bounds.evacuate}}{{/bounds.evacuate}}", "", "{{bounds.hold_max}}", "10000ms", "{{#bootstrap}}800ms{{/bootstrap}}{{^bootstrap}}50ms{{/bootstrap}}", "800ms",
 			"{{#bounds.warmup_overage}}{{bounds.warmup_overage}}{{/bounds.warmup_overage}}{{^bounds.warmup_overage}}0{{/bounds.warmup_overage}}", "0", "{{#bounds.warmup_slack}}{{bounds.warmup_slack}}{{/bounds.warmup_slack}}{{^bounds.warmup_slack}}0{{/bounds.warmup_slack}}", "0",
+			"{{#contracts}}{{.}}{{,}}{{/contracts}}", "",
 		).Replace(string(template))
 		if strings.Contains(text, "{{") {
 			return fmt.Errorf("deploy/node.ini has a placeholder that the stand-in does not know:\n%s", text)
