Estimate the load of targets with few slots from recent reports

Cause: the load of a target between reports returns to the mean of the last reports, weighed by report and not by time. One of 63 VMs gets an answer of the owner of a key every few seconds, some while it is busy. It then took the owner for busy, refused its requests and got no answer that showed the contrary. The service time, which is divided by the slowdown that was expected, was wrong for the same reason.

Change, for targets with at most three slots: Expected takes the last report less what has been worked off since; Begin weighs reports by their age. Pick, and targets with more slots, are as before.

--- a/placing/placing.go
+++ b/placing/placing.go
@@ -73,6 +73,11 @@
 	serviceTimeWeight = 0.1
 	// loadWeight is the weight of one report in the moving mean of the load.
 	loadWeight = 0.1
+	// recentLoadTime is the time constant of the mean of a target's recent load. A queue of ten requests at two slots is worked
+	// off within a second.
+	recentLoadTime = time.Second
+	// fewSlots is the number of slots up to which Begin and Expected count recent reports only.
+	fewSlots = 3
 	// failureWeight is the weight of one answer in the failure rate.
 	failureWeight = 0.1
 	// failureCost is the time that a failure rate of 1 adds to the score.
@@ -144,6 +149,8 @@
 	rank uint64
 	// othersMeanLoad is the moving mean of othersLoad.
 	othersMeanLoad float64
+	// othersRecentLoad is the mean of othersLoad over recentLoadTime.
+	othersRecentLoad float64
 	// serviceTime is the moving mean of the time of a request without its queueing.
 	serviceTime time.Duration
 	failureRate float64
@@ -406,21 +413,26 @@
 // expected returns the time that the target would work on one more request, and the time
 // that the request would wait before that.
 func (b *Balancer) expected(s *targetState, candidate *Candidate, now time.Time) (work, wait time.Duration) {
+	return b.expectedAt(s, candidate, b.load(s, now), now)
+}
+
+// expectedAt returns the same for a number of requests at the target.
+func (b *Balancer) expectedAt(s *targetState, candidate *Candidate, load float64, now time.Time) (work, wait time.Duration) {
 	service := float64(s.serviceTime)
 	if now.Before(candidate.ColdUntil) {
 		service *= b.opts.ColdFactor
 	}
-	contention, queueing := b.delays(s, candidate, now)
+	contention, queueing := b.delays(s, candidate, load)
 	return time.Duration(service * (1 + contention)), time.Duration(service * queueing)
 }
 
-// delays returns how much the requests at the target delay the next one, in service times:
+// delays returns how much a number of requests at the target, load, delay the next one, in service times:
 // contention by running beside it, and queueing by being ahead of it, either in the target's
 // queue or on this VM while all connections that it may have to the target are in use.
-func (b *Balancer) delays(s *targetState, candidate *Candidate, now time.Time) (contention, queueing float64) {
+func (b *Balancer) delays(s *targetState, candidate *Candidate, load float64) (contention, queueing float64) {
 	slots := float64(max(candidate.Slots, 1))
 	queuedHere := max(len(s.inFlight)-b.maxInFlight, 0)
-	ahead := b.load(s, now) - float64(queuedHere)
+	ahead := load - float64(queuedHere)
 	// Running requests slow each other down before all slots are busy, so that contention
 	// grows from the first one.
 	contention = contentionCost * math.Pow(min(ahead/slots, 1), 2)
@@ -439,6 +451,33 @@
 	return float64(len(s.inFlight)) + s.othersMeanLoad + (s.othersLoad-s.othersMeanLoad)*decay
 }
 
+// estimatedLoad returns the estimated number of requests at the target, for the expected time of a request that has no
+// other target.
+func (b *Balancer) estimatedLoad(s *targetState, candidate *Candidate, now time.Time) float64 {
+	if candidate.Slots > fewSlots {
+		return b.load(s, now)
+	}
+	return b.recentLoad(s, now)
+}
+
+// recentLoad returns the same from the reports of the last seconds. The mean in load weighs reports and not time, so that
+// a VM that seldom sends to a target takes it for as busy as it was at the last few reports, however
+// old they are. If the VMs then refuse its requests, nothing shows them that it is idle.
+func (b *Balancer) recentLoad(s *targetState, now time.Time) float64 {
+	age := float64(now.Sub(s.othersLoadAt))
+	mean := s.othersRecentLoad * math.Exp(-age/float64(recentLoadTime))
+	decay := math.Exp(-age / float64(s.serviceTime))
+	return float64(len(s.inFlight)) + mean + (s.othersLoad-mean)*decay
+}
+
+// leastLoad returns the number of requests at a target with few slots if no other VM has sent one since the last report:
+// those that were reported less those that have been worked off since. With a mean of the past in its place, VMs that
+// seldom send to the target would refuse requests while it has a free slot.
+func leastLoad(s *targetState, candidate *Candidate, now time.Time) float64 {
+	workedOff := float64(now.Sub(s.othersLoadAt)) / float64(s.serviceTime) * float64(candidate.Slots)
+	return float64(len(s.inFlight)) + max(s.othersLoad-workedOff, 0)
+}
+
 // RoundTrip returns the network time to the target and back.
 func (b *Balancer) RoundTrip(candidate *Candidate) time.Duration {
 	return [distanceCount]time.Duration{0, b.opts.NearRoundTrip, b.opts.FarRoundTrip}[b.distanceOf(candidate)]
@@ -471,7 +510,11 @@
 func (b *Balancer) Expected(candidate *Candidate) (work, wait time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.expected(b.state(candidate.ID), candidate, b.opts.Now())
+	s, now := b.state(candidate.ID), b.opts.Now()
+	if candidate.Slots > fewSlots {
+		return b.expected(s, candidate, now)
+	}
+	return b.expectedAt(s, candidate, leastLoad(s, candidate, now), now)
 }
 
 // Reachable reports whether the target is not suspended, that is, whether this VM may try to
@@ -488,7 +531,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, now := b.state(candidate.ID), b.opts.Now()
-	contention, queueing := b.delays(s, candidate, now)
+	contention, queueing := b.delays(s, candidate, b.estimatedLoad(s, candidate, now))
 	s.lastNumber++
 	s.inFlight[s.lastNumber] = inFlightRequest{sentAt: now, slowdown: 1 + contention + queueing}
 	return s.lastNumber
@@ -566,7 +609,10 @@
 
 // recordLoad sets the number of requests of other VMs at the target at the given instant.
 func (s *targetState) recordLoad(others float64, at time.Time) {
-	s.othersLoad, s.othersLoadAt = max(others, 0), at
+	others = max(others, 0)
+	weight := max(loadWeight, 1-math.Exp(-float64(at.Sub(s.othersLoadAt))/float64(recentLoadTime)))
+	s.othersRecentLoad += weight * (others - s.othersRecentLoad)
+	s.othersLoad, s.othersLoadAt = others, at
 	s.othersMeanLoad += loadWeight * (s.othersLoad - s.othersMeanLoad)
 }
 
