Estimate the capacity of targets with few slots from a quantile

Cause: the capacity of a target is its slots divided by a moving average of its service times. 3 in 100 requests take 7 times as long, and answers behind one of them contain waiting time that the VMs cannot tell from work. At two slots the estimates vary so much that keys move to and fro.

Change: for targets with at most three slots, the 0.4 quantile of the service times, times the median ratio of mean to quantile over the targets of the service. Other targets keep the moving average, which a test checks.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -494,8 +494,7 @@
 		withKeys[o.Owner.ID] = true
 	}
 	targets := a.agent.opts.Directory.Snapshot().Service(s.name)
-	// Targets of the service that are not known yet count as the others.
-	typical := a.targets.typicalServiceTime(targets)
+	times := a.targets.serviceTimesOf(targets)
 	for _, t := range targets {
 		if t.State != fleet.Ready {
 			continue
@@ -504,7 +503,7 @@
 		if !s.leases.MayOwn(h) {
 			continue
 		}
-		p := PlanTarget{Holder: h, Capacity: float64(t.Slots) / a.targets.serviceTime(t.ID, typical).Seconds(), WithoutKeys: !withKeys[t.ID]}
+		p := PlanTarget{Holder: h, Capacity: times.capacity(t), WithoutKeys: !withKeys[t.ID]}
 		if limit, ok := a.targets.limitOf(h, now); ok && limit < p.Capacity {
 			p.Capacity, p.FullCapacity = limit, p.Capacity
 		}
