Report early when the owner of a key is busy

Cause: a VM reports every 250 ms, so that the first requests of a hot spot wait for 185 ms in the median before they are reported.

Change: a VM that the owner of a key refuses, or that refuses a request for it, reports at once, if the owner has at most three slots. The least time between two reports is 60 ms and 1.2 ms for each VM, so that an assigner with some hundred VMs gets no more reports than before.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -176,6 +176,7 @@
 		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
 		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
+	n.keyCounter.OnBusyOwner(n.agent.ReportBusyOwner)
 	n.eligibility = eligibility.New(eligibility.Options{
 		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, Registerer: n.registry, Logger: logger,
 	})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,6 +50,8 @@
 	directory *fleet.Directory
 	upstream  *upstream.Client
 	suspects  *quarantine.Tracker
+	// busySlots holds the slots of the owners of keys that were busy.
+	busySlots []int
 	// entryAge is how long ago the directory takes its changes to have been made.
 	entryAge time.Duration
 	// later is added to the time by which it is decided what targets may get.
@@ -91,13 +93,15 @@
 			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts,
 		},
 	})
+	keyCounter := gateway.NewKeyCounter()
+	keyCounter.OnBusyOwner(func(slots int) { f.busySlots = append(f.busySlots, slots) })
 	f.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: func() *routing.Table { return routes }, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
 			Directory: f.directory, Now: func() time.Time { return time.Now().Add(f.later) },
 		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
-		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
+		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: keyCounter,
 		Crashes: gateway.NewCrashWatch(gateway.CrashWatchOptions{
 			Tracker: f.suspects, Directory: f.directory, Connected: f.upstream.Connected, Probe: f.upstream.Probe,
 		}),
@@ -440,3 +444,14 @@
 	f.table.Version.Term = 1
 	is.Equal(f.gateway.Serve(context.Background(), r).Status, 200)
 }
+
+// The assigner learns of a hot spot from the VMs whose requests its owner refuses, so that these must say so at once.
+func TestBusyOwnerOfKeyIsNoted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true, answerFull)
+	is.Equal(f.send("/safe/x", "10").Status, 503)
+	is.Equal(f.busySlots, []int{6})
+	f = newFixture(t, true, answerOK)
+	is.Equal(f.send("/safe/x", "10").Status, 200)
+	is.Equal(len(f.busySlots), 0)
+}
--- a/gateway/keycounter.go
+++ b/gateway/keycounter.go
@@ -11,6 +11,8 @@
 type KeyCounter struct {
 	mu     sync.Mutex
 	counts map[string]map[shard.Key]uint32
+	// onBusy is called with the slots of an owner that is busy; nil is not.
+	onBusy func(slots int)
 }
 
 // NewKeyCounter returns a KeyCounter without any counts.
@@ -28,6 +30,16 @@
 	m[key]++
 }
 
+// OnBusyOwner sets a function that is called with the slots of the owner of a key when that has refused a
+// request, or was expected to answer too late. It must be called before the first request.
+func (k *KeyCounter) OnBusyOwner(f func(slots int)) { k.onBusy = f }
+
+func (k *KeyCounter) ownerBusy(slots int) {
+	if k.onBusy != nil {
+		k.onBusy(slots)
+	}
+}
+
 // Take returns the counts by service and key, and resets them.
 func (k *KeyCounter) Take() map[string]map[shard.Key]uint32 {
 	k.mu.Lock()
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -60,6 +60,7 @@
 			// The verdict is asked for again, with the table that is known now.
 			continue
 		case stepFull:
+			g.opts.KeyCounter.ownerBusy(t.Slots)
 			if !c.mayHaveRun {
 				return nil, refusal(result.TargetShed, g.estimate(t).Wait, "the owner of the key has no room for the request")
 			}
@@ -186,6 +187,7 @@
 	if ok {
 		return nil
 	}
+	g.opts.KeyCounter.ownerBusy(t.Slots)
 	return refusal(result.NoCapacity, roomIn, "target %s cannot answer in time: the expected wait in its queue is %d ms", t.ID, e.Wait.Milliseconds())
 }
 
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -144,6 +144,8 @@
 	// delay is left.
 	othersPreferred bool
 	resigned        atomic.Bool
+	// soon has a value if the next report is to be sent early.
+	soon chan struct{}
 }
 
 // roleConfirmation records when the store last confirmed an assigner's role, as
@@ -155,7 +157,7 @@
 
 // NewAgent returns an Agent that knows no tables.
 func NewAgent(opts AgentOptions) *Agent {
-	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersPreferred: true, announcements: make(chan string, 1)}
+	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersPreferred: true, announcements: make(chan string, 1), soon: make(chan struct{}, 1)}
 	a.tables.Store(&map[string]*Table{})
 	return a
 }
--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -281,3 +281,19 @@
 	is.True(stored.refused.Load() >= 2)
 	is.True(stored.refused.Load() <= int64(2*time.Second/(planRetryPause/2))+1)
 }
+
+// Guards against an assigner that some hundred VMs keep busy with early reports, and against early reports in
+// deployments with many slots.
+func TestEarlyReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	is.True(earlyReportInterval(63) <= 100*time.Millisecond)
+	is.True(earlyReportInterval(10) >= 50*time.Millisecond)
+	is.True(float64(300)/earlyReportInterval(300).Seconds() < 1000) // Reports a second.
+	a := NewAgent(AgentOptions{})
+	a.ReportBusyOwner(6)
+	is.True(!a.takeReportSoon())
+	a.ReportBusyOwner(2)
+	a.ReportBusyOwner(2)
+	is.True(a.takeReportSoon())
+	is.True(!a.takeReportSoon())
+}
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -187,7 +187,7 @@
 			continue
 		case <-tick.C:
 			now := boottime.Now()
-			if now-lastReport >= a.agent.opts.ReportInterval {
+			if now-lastReport >= a.agent.opts.ReportInterval || now-lastReport >= earlyReportInterval(a.vmCount()) && a.agent.takeReportSoon() {
 				lastReport = now
 				a.applyReport(a.agent.opts.Report())
 			}
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -214,17 +214,57 @@
 	}
 }
 
-// sendReports sends a report every ReportInterval until the context ends or the stream
-// breaks.
+const (
+	// minEarlyInterval is the least time between two reports, and earlyIntervalPerVM the same for each VM: the
+	// assigner may have a third of a core for the reports of some hundred VMs.
+	minEarlyInterval   = 60 * time.Millisecond
+	earlyIntervalPerVM = 1200 * time.Microsecond
+)
+
+// earlyReportInterval returns the least time between two reports of a VM, given the number of VMs.
+func earlyReportInterval(vms int) time.Duration {
+	return max(minEarlyInterval, time.Duration(vms)*earlyIntervalPerVM)
+}
+
+// ReportBusyOwner makes this VM report early because the owner of a key, which has the given number of slots, has
+// refused a request or was expected to answer too late. The owners of the keys of a hot spot do so before the assigner
+// can know of it.
+func (a *Agent) ReportBusyOwner(slots int) {
+	if slots > fewSlots {
+		return
+	}
+	select {
+	case a.soon <- struct{}{}:
+	default: // The next report is early already.
+	}
+}
+
+// takeReportSoon reports whether ReportBusyOwner was called since the last call.
+func (a *Agent) takeReportSoon() bool {
+	select {
+	case <-a.soon:
+		return true
+	default:
+		return false
+	}
+}
+
+// sendReports sends a report every ReportInterval, or earlier if an owner is busy, until the context ends or the
+// stream breaks.
 func (a *Agent) sendReports(ctx context.Context, s *peer.Stream) {
 	for {
 		if err := s.Send(a.report()); err != nil {
 			return
 		}
+		a.mu.Lock()
+		earliest := min(earlyReportInterval(len(a.peers)), a.opts.ReportInterval)
+		a.mu.Unlock()
+		pause(ctx, earliest)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(a.opts.ReportInterval):
+		case <-a.soon:
+		case <-time.After(a.opts.ReportInterval - earliest):
 		}
 	}
 }
