Find hot spots at their begin and cut them up in one plan

Cause: on targets with two slots a hot spot took seconds to spread. The new simulation (Load, Plan, LeaseManager, the Balancers of 63 VMs and admission on a clock of its own) shows that the plan took longest: the moving average shows a third of the rate at first, each plan moved a few parts, and these were moved again. Grants and tables take 15 and 25 ms.

Change, where most targets have at most three slots: hot spots are found by comparing two moving averages, their full rate is projected from the ratio of both, and they are cut up at once. In calm, plans use the slow average and move at most four ranges. Metrics basiltally_hot_spot_moves_total, basiltally_range_moves_total and basiltally_hot_spots, and log lines. With more slots the options of Plan and the load that it sees are as before.

Seen to fail: the simulation on the code before; the other tests on planted faults (no projection, no end of a hot spot, lower thresholds, no growth of all keys, no shrinking of hot keys, no filling beyond the room, no gate by slots).

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -173,7 +173,7 @@
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Report: n.shardReport,
-		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
+		Registerer: n.registry, OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
 		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
 	n.keyCounter.OnBusyOwner(n.agent.ReportBusyOwner)
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/boottime"
@@ -40,6 +41,8 @@
 	Services func() ([]string, bool)
 	// Report returns the loads and target states that this VM reports to the assigner.
 	Report func() *pb.ShardReport
+	// Registerer registers the metrics of the assigner; nil does not.
+	Registerer prometheus.Registerer
 	// Suspects holds the requests that crash targets, which the VMs share through the assigner. If it is nil,
 	// none are shared.
 	Suspects *quarantine.Tracker
@@ -145,7 +148,8 @@
 	othersPreferred bool
 	resigned        atomic.Bool
 	// soon has a value if the next report is to be sent early.
-	soon chan struct{}
+	soon    chan struct{}
+	metrics *assignerMetrics
 }
 
 // roleConfirmation records when the store last confirmed an assigner's role, as
@@ -158,6 +162,7 @@
 // NewAgent returns an Agent that knows no tables.
 func NewAgent(opts AgentOptions) *Agent {
 	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersPreferred: true, announcements: make(chan string, 1), soon: make(chan struct{}, 1)}
+	a.metrics = newAssignerMetrics(a.opts.Registerer)
 	a.tables.Store(&map[string]*Table{})
 	return a
 }
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -101,6 +101,11 @@
 	written bool
 	// saving is set while a record is being written.
 	saving bool
+	// fewSlots is set if the targets have few slots. Hot spots are sought then, last at spotsSought, and spots are
+	// those that were found.
+	fewSlots    bool
+	spotsSought time.Duration
+	spots       []HotSpot
 	// nextPlan is the earliest instant of the next plan.
 	nextPlan time.Duration
 	// nextUpdate is the earliest instant of the next record without moves.
@@ -414,7 +419,7 @@
 		if s.leases.PredecessorActs(now) {
 			continue
 		}
-		if now >= s.nextPlan && !s.saving {
+		if !s.saving && (now >= s.nextPlan || a.hotSpotBegan(s, now)) {
 			s.nextPlan = now + planInterval
 			a.plan(ctx, s, now)
 		}
@@ -448,12 +453,13 @@
 		return
 	}
 	s.leases.SetShares(HotKeyShares(owned, targets, s.load, a.vmCount()))
+	if s.fewSlots = haveFewSlots(targets); s.fewSlots {
+		s.load.FindHotSpots(now)
+		a.recordSpots(s, now)
+	}
 	moves := Plan(owned, targets, s.load, a.agent.opts.Plan, now)
 	if r := s.leases.Propose(moves, now); r != nil {
-		for _, m := range moves {
-			a.agent.opts.Logger.Info("assigning range to owner", "service", s.name, "from", m.Keys.From, "to", m.Keys.To,
-				"owner", m.To.ID, "rate", s.load.Rate(m.Keys), "term", a.term)
-		}
+		a.recordMoves(s, moves, now)
 		a.save(ctx, s, r)
 		return
 	}
@@ -503,7 +509,7 @@
 		if !s.leases.MayOwn(h) {
 			continue
 		}
-		p := PlanTarget{Holder: h, Capacity: times.capacity(t), WithoutKeys: !withKeys[t.ID]}
+		p := PlanTarget{Holder: h, Capacity: times.capacity(t), Slots: t.Slots, WithoutKeys: !withKeys[t.ID]}
 		if limit, ok := a.targets.limitOf(h, now); ok && limit < p.Capacity {
 			p.Capacity, p.FullCapacity = limit, p.Capacity
 		}
--- a/shard/load.go
+++ b/shard/load.go
@@ -11,8 +11,11 @@
 	// timeConstant is the time constant of the moving average.
 	timeConstant time.Duration
 	// rates are in requests a second, by key.
-	rates   [int(LastKey) + 1]float32
+	rates [int(LastKey) + 1]float32
+	// slow are the same over slowTimeConstant.
+	slow    [int(LastKey) + 1]float32
 	updated time.Duration
+	spots   []HotSpot
 }
 
 // NewLoad returns a Load in which all rates are zero. The weight of past counts falls to
@@ -22,9 +25,10 @@
 // Add adds numbers of requests by key, received up to the instant now.
 func (l *Load) Add(counts map[Key]uint32, now time.Duration) {
 	l.decay(now)
-	perCount := float32(1 / l.timeConstant.Seconds())
+	perCount, perCountSlow := float32(1/l.timeConstant.Seconds()), float32(1/slowTimeConstant.Seconds())
 	for k, n := range counts {
 		l.rates[k] += perCount * float32(n)
+		l.slow[k] += perCountSlow * float32(n)
 	}
 }
 
@@ -37,10 +41,15 @@
 		return
 	}
 	l.updated = now
-	factor := float32(math.Exp(-passed.Seconds() / l.timeConstant.Seconds()))
-	for k, r := range l.rates {
+	decayAll(&l.rates, passed, l.timeConstant)
+	decayAll(&l.slow, passed, slowTimeConstant)
+}
+
+func decayAll(rates *[int(LastKey) + 1]float32, passed, timeConstant time.Duration) {
+	factor := float32(math.Exp(-passed.Seconds() / timeConstant.Seconds()))
+	for k, r := range rates {
 		if r != 0 {
-			l.rates[k] = r * factor
+			rates[k] = r * factor
 		}
 	}
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -14,6 +14,8 @@
 	// FullCapacity is set if the target has named its Capacity as a limit: it gets no more, and the
 	// rest of the requests for its keys is refused. It is what the target could serve.
 	FullCapacity float64
+	// Slots is the number of requests that the target runs at a time, or zero if unknown.
+	Slots int
 	// WithoutKeys is set if the target owns no keys yet. The plan gives it some.
 	WithoutKeys bool
 }
@@ -58,7 +60,13 @@
 	HotKeyMinStay time.Duration
 }
 
-func (o PlanOptions) withDefaults() PlanOptions {
+func (o PlanOptions) withDefaults(fewSlots bool) PlanOptions {
+	if fewSlots {
+		o.HighUtilisation = cmp.Or(o.HighUtilisation, 0.45)
+		o.Imbalance = cmp.Or(o.Imbalance, 1.4)
+		o.MinMoves = cmp.Or(o.MinMoves, 4)
+		o.MovesPerTarget = cmp.Or(o.MovesPerTarget, 0.01)
+	}
 	o.HighUtilisation = cmp.Or(o.HighUtilisation, 0.6)
 	o.LimitedUtilisation = cmp.Or(o.LimitedUtilisation, 0.8)
 	o.Imbalance = cmp.Or(o.Imbalance, 1.5)
@@ -76,12 +84,15 @@
 
 // planner is the state of one plan: the projected owners and loads.
 type planner struct {
-	opts    PlanOptions
-	now     time.Duration
-	load    *Load
-	owned   []OwnedRange
-	targets []*planTarget
-	byID    map[string]*planTarget
+	opts PlanOptions
+	now  time.Duration
+	load *Load
+	// fewSlots is set if the targets have few slots, and spots are the hot spots if it is set.
+	fewSlots bool
+	spots    []HotSpot
+	owned    []OwnedRange
+	targets  []*planTarget
+	byID     map[string]*planTarget
 	// meanRate is the total request rate divided by the number of targets.
 	meanRate float64
 	moves    []Move
@@ -117,12 +128,18 @@
 	if len(targets) == 0 {
 		return nil
 	}
-	p := &planner{opts: opts.withDefaults(), now: now, load: load.Smoothed(), owned: slices.Clone(owned), byID: map[string]*planTarget{}}
+	p := &planner{opts: opts.withDefaults(haveFewSlots(targets)), now: now, fewSlots: haveFewSlots(targets), owned: slices.Clone(owned), byID: map[string]*planTarget{}}
+	if p.fewSlots {
+		p.load, p.spots = load.Projected(now), load.HotSpots()
+	} else {
+		p.load = load.Smoothed()
+	}
 	for _, t := range targets {
 		pt := &planTarget{PlanTarget: t}
 		p.targets = append(p.targets, pt)
 		p.byID[t.Holder.ID] = pt
 	}
+	p.limitSpots()
 	if len(owned) == 0 {
 		return p.divideByCapacity()
 	}
@@ -135,10 +152,22 @@
 	p.replaceOwners()
 	p.fillGaps()
 	p.giveFirstKeys()
+	p.spreadSpots()
 	p.spreadLoad()
 	return p.moves
 }
 
+// haveFewSlots reports whether most of the targets have few slots.
+func haveFewSlots(targets []PlanTarget) bool {
+	n := 0
+	for _, t := range targets {
+		if t.Slots > 0 && t.Slots <= fewSlots {
+			n++
+		}
+	}
+	return 2*n > len(targets)
+}
+
 // currentOwner returns the target that owns the range and can keep it, or nil.
 func (p *planner) currentOwner(o OwnedRange) *planTarget {
 	t := p.byID[o.Owner.ID]
--- a/shard/spread.go
+++ b/shard/spread.go
@@ -1,6 +1,9 @@
 package shard
 
-import "cmp"
+import (
+	"cmp"
+	"math"
+)
 
 // spreadLoad moves keys from the most utilised targets to those with the most spare
 // capacity, until no target exceeds the limits or as many moves are made as PlanOptions allow.
@@ -23,9 +26,35 @@
 	if t.limited() {
 		return t.utilisation() >= max(p.opts.LimitedUtilisation, mean)
 	}
+	high := max(p.opts.HighUtilisation, p.opts.Imbalance*mean)
+	if len(p.spots) > 0 {
+		// While a hot spot lasts, targets are filled up to maxFill.
+		high = max(high, maxFill)
+	}
 	// The rate must be that high beyond its random variation: a target with a few requests a second
 	// would else seem overloaded now and then.
-	return (t.rate-p.load.Deviation(t.rate))/t.Capacity >= max(p.opts.HighUtilisation, p.opts.Imbalance*mean)
+	return (t.rate-p.deviation(t))/t.Capacity >= high
+}
+
+// deviation returns the standard deviation of the target's rate. The rates of keys of a hot spot are known from the time
+// since it began only.
+func (p *planner) deviation(t *planTarget) float64 {
+	d := p.load.Deviation(t.rate)
+	if len(p.spots) == 0 {
+		return d
+	}
+	variance := d * d
+	for _, o := range p.owned {
+		if p.currentOwner(o) != t {
+			continue
+		}
+		for _, s := range p.spots {
+			if o.Keys.Overlaps(s.Keys) {
+				variance += p.load.Rate(o.Keys.Overlap(s.Keys)) / s.observed(p.now)
+			}
+		}
+	}
+	return math.Sqrt(variance)
 }
 
 // offload moves keys away from a target. It returns false if none may move.
