--- a/daemon/node.go
+++ b/daemon/node.go
@@ -188,9 +188,10 @@
 	n.agent = shard.NewAgent(shard.AgentOptions{
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Cold: n.coldTarget(), Report: n.shardReport, Placement: n.keyPlacement(),
-		OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
+		Registerer: n.registry, OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
 		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
 	})
+	n.keyCounter.OnBusyOwner(n.agent.ReportBusyOwner)
 	n.eligibility = eligibility.New(eligibility.Options{
 		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, WarmUp: n.warmUp, Registerer: n.registry, Logger: logger,
 		Evacuation: eligibility.EvacuationOptions{Set: n.evacuations, Stalls: n.stalls, Time: s.Gateway.Evacuate},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -59,6 +59,8 @@
 	suspects  *quarantine.Tracker
 	warmUp    *warmup.Tracker
 	servers   map[string]*httptest.Server
+	// busySlots holds the slots of the owners of keys that were busy.
+	busySlots []int
 	// entryAge is how long ago the directory takes its changes to have been made.
 	entryAge time.Duration
 	// later is added to the time by which it is decided what targets may get.
@@ -117,6 +119,8 @@
 			f.route("/safe/", routing.Idempotent), f.route("/unsafe/", routing.AtMostOnce), f.route("/upload/", routing.Upload), sixAttempts, minor,
 		},
 	}))
+	keyCounter := gateway.NewKeyCounter()
+	keyCounter.OnBusyOwner(func(slots int) { f.busySlots = append(f.busySlots, slots) })
 	f.opts = gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(),
 		Routes: f.routes.Load, Evacuations: f.evacuations, Directory: f.directory, Eligibility: eligibility.New(eligibility.Options{
@@ -124,7 +128,7 @@
 			Evacuation: eligibility.EvacuationOptions{Set: f.evacuations, Stalls: f.stalls, Time: evacuate},
 		}), Shards: fixedTable{table}, Balancer: f.balancer,
 		Upstream: f.upstream,
-		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: gateway.NewKeyCounter(),
+		Budget:   budget.New(budget.Options{Ratio: 0.2, ExtraRetries: 1000}), KeyCounter: keyCounter,
 		Crashes: gateway.NewCrashWatch(gateway.CrashWatchOptions{
 			Tracker: f.suspects, Directory: f.directory, Connected: f.upstream.Connected, Probe: f.upstream.Probe,
 		}),
@@ -468,3 +472,14 @@
 	f.table.Version.Term = 1
 	is.Equal(f.gateway.Serve(context.Background(), r).Status, 200)
 }
+
+// The assigner learns of a hot spot from the VMs whose requests its owner refuses, so that these must say so at once.
+func TestBusyOwnerOfKeyIsNoted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true, answerFull)
+	is.Equal(f.send("/safe/x", "10").Status, 503)
+	is.Equal(f.busySlots, []int{6})
+	f = newFixture(t, true, answerOK)
+	is.Equal(f.send("/safe/x", "10").Status, 200)
+	is.Equal(len(f.busySlots), 0)
+}
--- a/placing/observe.go
+++ b/placing/observe.go
@@ -11,7 +11,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, now := b.state(candidate.ID), b.opts.Now()
-	contention, queueing := b.delays(s, candidate, now)
+	contention, queueing := b.delays(s, candidate, b.estimatedLoad(s, candidate, now))
 	s.lastNumber++
 	s.service, s.slots, s.keyed = candidate.Service, candidate.Slots, candidate.Keyed
 	s.inFlight[s.lastNumber] = inFlightRequest{
@@ -116,7 +116,10 @@
 
 // recordLoad sets the number of requests of other VMs at the target at the given instant.
 func (s *targetState) recordLoad(others float64, at time.Time) {
-	s.othersLoad, s.othersLoadAt = max(others, 0), at
+	others = max(others, 0)
+	weight := max(loadWeight, 1-math.Exp(-float64(at.Sub(s.othersLoadAt))/float64(recentLoadTime)))
+	s.othersRecentLoad += weight * (others - s.othersRecentLoad)
+	s.othersLoad, s.othersLoadAt = others, at
 	s.othersMeanLoad += loadWeight * (s.othersLoad - s.othersMeanLoad)
 }
 
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -80,6 +80,11 @@
 	serviceTimeWeight = 0.1
 	// loadWeight is the weight of one report in the moving mean of the load.
 	loadWeight = 0.1
+	// recentLoadTime is the time constant of the mean of a target's recent load. A queue of ten requests at two slots is worked
+	// off within a second.
+	recentLoadTime = time.Second
+	// fewSlots is the number of slots up to which Begin and Expected count recent reports only.
+	fewSlots = 3
 	// failureWeight is the weight of one answer in the failure rate.
 	failureWeight = 0.1
 	// failureCost is the time that a failure rate of 1 adds to the score.
@@ -171,6 +176,8 @@
 	rank uint64
 	// othersMeanLoad is the moving mean of othersLoad.
 	othersMeanLoad float64
+	// othersRecentLoad is the mean of othersLoad over recentLoadTime.
+	othersRecentLoad float64
 	// serviceTime is the moving mean of the time of a request without its queueing.
 	serviceTime time.Duration
 	failureRate float64
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/basiltally/basiltally/boottime"
@@ -44,6 +45,8 @@
 	Cold func(*fleet.Target) (perSecond float64, cold bool)
 	// Report returns the loads and target states that this VM reports to the assigner.
 	Report func() *pb.ShardReport
+	// Registerer registers the metrics of the assigner; nil does not.
+	Registerer prometheus.Registerer
 	// Suspects holds the requests that crash targets, which the VMs share through the assigner. If it is nil,
 	// none are shared.
 	Suspects *quarantine.Tracker
@@ -148,6 +151,9 @@
 	// delay is left.
 	othersPreferred bool
 	resigned        atomic.Bool
+	// soon has a value if the next report is to be sent early.
+	soon    chan struct{}
+	metrics *assignerMetrics
 }
 
 // roleConfirmation records when the store last confirmed an assigner's role, as
@@ -159,7 +165,8 @@
 
 // NewAgent returns an Agent that knows no tables.
 func NewAgent(opts AgentOptions) *Agent {
-	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersPreferred: true, announcements: make(chan string, 1)}
+	a := &Agent{opts: opts.withDefaults(), incarnation: newNonce(), changed: make(chan struct{}), othersPreferred: true, announcements: make(chan string, 1), soon: make(chan struct{}, 1)}
+	a.metrics = newAssignerMetrics(a.opts.Registerer)
 	a.tables.Store(&map[string]*Table{})
 	return a
 }
