--- a/routing/regions.go
+++ b/routing/regions.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/basiltally/basiltally/residency"
+import (
+	"slices"
+
+	"github.com/basiltally/basiltally/residency"
+)
 
 // AllowedRegions returns the regions that are allowed by all routes of the service that have a list of
 // allowed regions. It returns false if none has. Routes that send the service no requests do not count.
@@ -25,3 +29,9 @@
 	}
 	return false
 }
+
+// Serves reports whether any requests of the route are sent to the service. One with a very small share gets none, because the
+// order by which the requests are divided is bounded in length. It is false for a route whose requests are refused.
+func (e *Entry) Serves(service string) bool {
+	return slices.ContainsFunc(e.order, func(i uint8) bool { return e.Services[i].Service == service })
+}
