basiltallyctl: check a configuration before it is sent

Cause: the nodes take a configuration into force in the parts that they understand, so that a mistake is seen only in their logs and by refused callers.

Exit code 0 without errors and warnings, 1 with any, 2 for wrong usage or a file that cannot be read.

--- a/cmd/basiltallyctl/main.go
+++ b/cmd/basiltallyctl/main.go
@@ -28,7 +28,7 @@
 
 Exit codes:
   0  done
-  1  unexpected error, outcome unknown
+  1  unexpected error, outcome unknown; config check: errors or warnings found
   2  wrong usage, settings or bundle; nothing was changed
   3  refused; nothing was changed
   4  outcome unknown: the command may have taken effect, check before repeating
@@ -61,6 +61,7 @@
 	ForceTakeover forceTakeoverCmd `cmd:"" name:"force-takeover" help:"Take a group over without a majority of its candidates. Dangerous."`
 	Quarantine    quarantineGroup  `cmd:"" name:"quarantine" help:"List or release requests that are refused because they caused targets to crash."`
 	Bundle        bundleGroup      `cmd:"" help:"Check, sign and roll forward configuration bundles."`
+	Config        configGroup      `cmd:"" help:"Check configurations of basiltally-node."`
 }
 
 // printDefaults is a flag that prints a settings file with the defaults and ends the program.
@@ -120,6 +121,9 @@
 	if errors.As(err, &lagging) {
 		return operator.ExitLagging
 	}
+	if errors.Is(err, errFindings) {
+		return operator.ExitFindings
+	}
 	if err != nil {
 		fmt.Fprintf(stderr, "basiltallyctl: %v\n", err)
 	}
--- a/cmd/basiltallyctl/main_test.go
+++ b/cmd/basiltallyctl/main_test.go
@@ -76,3 +76,40 @@
 	is.Equal(code, operator.ExitOK)
 	is.True(strings.Contains(stdout, "approved by anna, ben"))
 }
+
+// A script that sends a configuration relies on the exit codes: a check with errors must not look like one without, nor like wrong usage.
+func TestConfigCheck(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const good = `{"version":2,"routes":[{"name":"r","hostname":"h","path_prefix":"/","route_type":"safe","service":"s","max_attempts":1}],"services":[{"name":"s"}]}`
+	write("good", good)
+	write("old", strings.Replace(good, `"version":2`, `"version":1`, 1))
+	write("bad", `{"version":3}`)
+	cases := []struct {
+		args, want string
+		code       int
+	}{
+		{"good", "version 2: no findings\n", operator.ExitOK},
+		{"good --against old --format json", `"in_force": 1`, operator.ExitOK},
+		{"old --against good", "error        configuration: version 1 is not above version 2", operator.ExitFindings},
+		{"bad", "warning      configuration: there are no routes", operator.ExitFindings},
+		{"bad --format json", `"warnings": 1`, operator.ExitFindings},
+		{"- --against -", "only one of the two files", operator.ExitInput},
+		{"good --format xml", "--format", operator.ExitInput},
+		{"missing", "no such file", operator.ExitInput},
+	}
+	t.Chdir(dir)
+	for _, c := range cases {
+		t.Run(c.args, func(t *testing.T) {
+			is := is.New(t)
+			code, stdout, stderr := runCtl(append([]string{"config", "check"}, strings.Fields(c.args)...)...)
+			is.Equal(code, c.code)
+			is.True(strings.Contains(stdout+stderr, c.want))
+			is.Equal(c.code == operator.ExitInput, stderr != "")
+		})
+	}
+}
--- a/operator/exit.go
+++ b/operator/exit.go
@@ -13,6 +13,8 @@
 	ExitOK = 0
 	// ExitInternal means an unexpected error; the outcome is unknown.
 	ExitInternal = 1
+	// ExitFindings means that the command "config check" found errors or warnings.
+	ExitFindings = 1
 	// ExitInput means invalid usage, settings or bundle; nothing was changed.
 	ExitInput = 2
 	// ExitRefused means that the system refused the command; nothing was changed.
