Take the mean of the service times for the capacity of targets with few slots

Cause: the 0.4 quantile showed the speed of targets without the time that requests wait. Targets with a queue kept their keys, and answers came late. The test of the quantile goes with it; one that holds the capacity to the mean takes its place.

--- a/shard/targets.go
+++ b/shard/targets.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -38,10 +37,6 @@
 	// serviceTime is the moving average of the target's service times.
 	serviceTime time.Duration
 	answers     int
-	// lower is the quantile of the service times from which the mean is estimated if the target has few slots.
-	lower quantile
-	// estimate is the last estimate of the mean service time in a service with keys, or zero without any.
-	estimate time.Duration
 	// failures is the moving average of the share of requests that failed.
 	failures float64
 	// load is the load that the target last reported.
@@ -120,13 +115,9 @@
 		s.serviceTime = mean
 	}
 	s.answers += n
-	s.lower.observe(mean, n)
 	s.serviceTime += time.Duration(weight(n) * float64(mean-s.serviceTime))
 }
 
-// bestServiceTime returns the estimate of the mean service time, or the moving average without any.
-func (s *targetState) bestServiceTime() time.Duration { return cmp.Or(s.estimate, s.serviceTime) }
-
 // weight returns the combined weight of n answers in a moving average.
 func weight(n int) float64 { return 1 - math.Pow(1-answerWeight, float64(n)) }
 
@@ -157,7 +148,7 @@
 }
 
 func (s *targetState) current() sentState {
-	c := sentState{serviceTime: s.bestServiceTime(), failures: s.failures, load: s.load, limitAt: s.limitAt}
+	c := sentState{serviceTime: s.serviceTime, failures: s.failures, load: s.load, limitAt: s.limitAt}
 	if s.leavingBorn != nil {
 		c.leavingBorn = *s.leavingBorn
 	}
@@ -185,7 +176,7 @@
 func (s *targetState) message(id string, now time.Duration) *pb.TargetState {
 	m := &pb.TargetState{Target: id, LeavingBorn: s.leavingBorn, FailurePermille: uint32(1000 * s.failures)}
 	if s.known() {
-		m.ServiceMicros = uint32(s.bestServiceTime().Microseconds())
+		m.ServiceMicros = uint32(s.serviceTime.Microseconds())
 	}
 	if s.loadReportedAt > 0 {
 		m.Told, m.Load, m.AgeMs = true, s.load, uint32((now - s.loadReportedAt).Milliseconds())
