Bound the bytes of request bodies in flight at one target

Cause: a target crashes if the requests that it holds exceed its memory, which it does not state. Targets were chosen without regard to the lengths of bodies.

Off by default.

--- a/placing/choose.go
+++ b/placing/choose.go
@@ -16,6 +16,8 @@
 	Avoid []string
 	// UntilLate is the time in which the answer should arrive; zero if none is required.
 	UntilLate time.Duration
+	// BodyBytes is the length of the request's body.
+	BodyBytes int64
 }
 
 // Cause is why a target was chosen that is not in this VM's region.
@@ -39,6 +41,8 @@
 	Candidate *Candidate
 	// Full is set if there is no Candidate because all are expected to refuse the request.
 	Full bool
+	// BodiesFull is set if a target was passed over because of the bodies in flight there.
+	BodiesFull bool
 	// Cause is why the target is not in this VM's region, if it is not.
 	Cause Cause
 }
@@ -51,6 +55,8 @@
 	maxRisk float64
 	// full is set once a target was passed over because of maxRisk.
 	full bool
+	// bodiesFull is set once a target was passed over because of the bodies in flight there.
+	bodiesFull bool
 }
 
 // Pick returns what Choose does for a request without further properties.
@@ -67,11 +73,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q := &query{Query: &request, now: b.opts.Now(), maxRisk: maxRisk}
+	c := b.choose(candidates, q)
+	c.BodiesFull = q.bodiesFull
+	return c
+}
+
+func (b *Balancer) choose(candidates []Candidate, q *query) Choice {
 	if c := b.explore(candidates, q); c != nil {
 		return Choice{Candidate: c, Cause: CauseExploration}
 	}
 	near, far := b.byRegion(candidates)
-	if request.Once && len(b.services) > 0 {
+	if q.Once && len(b.services) > 0 {
 		q.maxRisk = maxOnceRisk
 		if c := b.chooseUsable(near, far, q); c.Candidate != nil {
 			return c
@@ -86,11 +98,11 @@
 }
 
 // untried returns the candidates that are suspended, stalled or have as many requests of this VM in flight as they may, but
-// are not in Avoid.
+// are not in Avoid and have room for the request's body.
 func (b *Balancer) untried(candidates []Candidate, q *query) []*Candidate {
 	var out []*Candidate
 	for i := range candidates {
-		if !slices.Contains(q.Avoid, candidates[i].ID) {
+		if !slices.Contains(q.Avoid, candidates[i].ID) && b.bodyFits(candidates[i].ID, q) {
 			out = append(out, &candidates[i])
 		}
 	}
@@ -171,6 +183,7 @@
 			}
 			score += risk * cost.Seconds()
 		}
+		score += b.bodyCost(candidate, q)
 		if b.opts.EvenSpread {
 			s := b.state(candidate.ID)
 			score += evenLoadCost * s.serviceTime.Seconds() * b.load(s, q.now) / float64(max(candidate.Slots, 1))
--- a/placing/observe.go
+++ b/placing/observe.go
@@ -10,13 +10,19 @@
 func (b *Balancer) Begin(candidate *Candidate) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, now := b.state(candidate.ID), b.opts.Now()
+	return b.begin(candidate, 0, b.opts.Now())
+}
+
+func (b *Balancer) begin(candidate *Candidate, bodyBytes int64, now time.Time) uint64 {
+	s := b.state(candidate.ID)
 	contention, queueing := b.delays(s, candidate, b.estimatedLoad(s, candidate, now))
 	s.lastNumber++
 	s.service, s.slots, s.keyed = candidate.Service, candidate.Slots, candidate.Keyed
 	s.inFlight[s.lastNumber] = inFlightRequest{
 		sentAt: now, slowdown: 1 + contention + queueing, load: b.load(s, now), risk: b.refusalRisk(candidate, now), workFactor: s.pace.fresh(now),
+		bodyBytes: bodyBytes,
 	}
+	s.bodyBytes += bodyBytes
 	return s.lastNumber
 }
 
@@ -44,6 +50,8 @@
 	WorkPercent int
 	// RoundTrip is the network time, which does not count as service time.
 	RoundTrip time.Duration
+	// BodyHeldUntil is until when the target may still hold the request's body, if this VM has given up the request before.
+	BodyHeldUntil time.Time
 }
 
 // End records how the exchange with the given number, which Begin returned, ended. Unknown
@@ -57,6 +65,7 @@
 	if !ok {
 		return
 	}
+	b.endBody(s, r, o.BodyHeldUntil, now)
 	if o.Unreachable {
 		s.resetLoad = 0
 		s.suspend(now)
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -156,6 +156,8 @@
 	services map[string]*serviceRefusals
 	// maxInFlight is the number of requests that this VM may have in flight at one target.
 	maxInFlight int
+	// maxBodyBytes is the number of bytes of request bodies that this VM may have in flight at one target; zero is no bound.
+	maxBodyBytes int64
 	// vms is the number of VMs that share the targets; zero while unknown.
 	vms int
 	// position is this VM's place among all VMs, from 0 to 1; positioned is set if it is known.
@@ -167,6 +169,9 @@
 type targetState struct {
 	inFlight   map[uint64]inFlightRequest
 	lastNumber uint64
+	// bodyBytes is the sum of the bodies of inFlight, and held has those of requests that were given up.
+	bodyBytes int64
+	held      []heldBody
 	// othersLoad is the number of requests of other VMs at the target at othersLoadAt, by
 	// its latest load report.
 	othersLoad   float64
@@ -218,6 +223,7 @@
 	risk float64
 	// workFactor is the target's workPace when the request was sent; zero if unknown.
 	workFactor float64
+	bodyBytes  int64
 }
 
 // New returns a Balancer without any observations.
--- a/placing/sample.go
+++ b/placing/sample.go
@@ -108,7 +108,7 @@
 		if n == 0 || full == maxFullDrawn {
 			break
 		}
-		if !b.usable(from[i], q) || slices.Contains(out, from[i]) {
+		if !b.usable(from[i], q) || slices.Contains(out, from[i]) || !b.bodyFits(from[i].ID, q) {
 			continue
 		}
 		if b.refusalRisk(from[i], q.now) >= q.maxRisk {
@@ -167,7 +167,7 @@
 		if b.opts.PreferRegion && b.distanceOf(candidate) == otherRegion {
 			continue
 		}
-		if !s.hasAnswered && len(s.inFlight) == 0 && !q.now.Before(s.suspendedUntil) && !slices.Contains(q.Avoid, candidate.ID) {
+		if !s.hasAnswered && len(s.inFlight) == 0 && !q.now.Before(s.suspendedUntil) && !slices.Contains(q.Avoid, candidate.ID) && b.bodyFits(candidate.ID, q) {
 			return candidate
 		}
 	}
