Add the setting target_body_bytes

A bound of what one target may hold must be kept by all VMs together, and the connections of callers must be bounded by the memory of the VM.

Change: [gateway] target_body_bytes, 0 = off, is divided by the number of VMs in divideAmongVMs and takes effect at a reload. While the number is unknown, and as the least share, a VM has one request with a body in flight at a target. The gateway sends an upload to another target, or refuses it as not run (1105), and counts both in basiltally_target_body_limit_total.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -46,6 +47,9 @@
 	memoryShare = 0.7
 	// bodyShare is the share of the VM's memory that the bodies of requests and answers may take.
 	bodyShare = 0.2
+	// connectionShare is the share of the VM's memory that the connections of callers may take. The descriptors of a process
+	// allow 15,000 of them, which take 360 MB.
+	connectionShare = 0.25
 	// configSettle is the pause after a change of the configuration in which further
 	// changes are collected. A configuration must be in force within 2 s.
 	configSettle = 200 * time.Millisecond
@@ -105,6 +109,8 @@
 	vms           atomic.Pointer[[]string]
 	// vmsInForce is the number of VMs by which the shares are divided.
 	vmsInForce atomic.Int64
+	// bodyLimitMu makes setBodyLimit use the latest settings and number of VMs.
+	bodyLimitMu sync.Mutex
 }
 
 // RunNode runs basiltally-node until the context ends. It returns when the requests in
@@ -207,8 +213,9 @@
 	})
 	n.ingress = ingress.New(ingress.Options{
 		Address: s.Gateway.Listen, Handler: n.gateway, Limits: n.limits,
-		LameDuck: s.Gateway.LameDuck, StopLimit: s.Gateway.StopLimit - stopMargin, MaxConnections: callerConnections(logger), Memory: memory, Logger: logger,
+		LameDuck: s.Gateway.LameDuck, StopLimit: s.Gateway.StopLimit - stopMargin, MaxConnections: callerConnections(logger), ConnectionMemory: int64(float64(s.Gateway.MemoryMB) * connectionShare * (1 << 20)), Memory: memory, Registerer: n.registry, Logger: logger,
 	})
+	n.setBodyLimit()
 	n.directory.OnChange(n.targetsChanged)
 	return n
 }
@@ -324,7 +331,7 @@
 	}
 }
 
-// divideAmongVMs divides the retry budget, the targets and their connections among the VMs.
+// divideAmongVMs divides the retry budget, the targets, their connections and the bodies in flight there among the VMs.
 func (n *nodeProcess) divideAmongVMs() {
 	count := n.vmCount.get(time.Now())
 	if count == 0 || n.vmsInForce.Swap(int64(count)) == int64(count) {
@@ -338,6 +345,23 @@
 	n.balancer.SetVMs(count)
 	n.setPeers()
 	n.setConnectionLimit()
+	n.setBodyLimit()
+}
+
+// setBodyLimit divides the bytes of request bodies that may be in flight at one target among the VMs. The least share, which
+// holds as well while the number of VMs is unknown, is one request with a body at a time.
+func (n *nodeProcess) setBodyLimit() {
+	n.bodyLimitMu.Lock()
+	defer n.bodyLimitMu.Unlock()
+	total, vms := n.settings.Load().Gateway.TargetBodyBytes, n.vmsInForce.Load()
+	switch {
+	case total == 0:
+		n.balancer.SetMaxBodyBytes(0)
+	case vms == 0:
+		n.balancer.SetMaxBodyBytes(1)
+	default:
+		n.balancer.SetMaxBodyBytes(max(total/vms, 1))
+	}
 }
 
 // setConnectionLimit divides the connections that a target accepts among the VMs. The lowest
--- a/daemon/node_reload.go
+++ b/daemon/node_reload.go
@@ -45,6 +45,7 @@
 	old := n.settings.Swap(next)
 	setMemory(next)
 	n.budget.SetBound(next.Retry.Ratio, next.Retry.Extra)
+	n.setBodyLimit()
 	n.logger.Info("settings reloaded", "changed", !reflect.DeepEqual(old, next), "needs_restart", needsRestart(old, next))
 }
 
@@ -52,5 +53,6 @@
 func needsRestart(old, next *NodeSettings) bool {
 	a, b := *old, *next
 	a.Retry.Ratio, a.Retry.Extra, a.Gateway.MemoryMB = b.Retry.Ratio, b.Retry.Extra, b.Gateway.MemoryMB
+	a.Gateway.TargetBodyBytes = b.Gateway.TargetBodyBytes
 	return !reflect.DeepEqual(a, b)
 }
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -25,6 +25,7 @@
 	QuarantineTime    time.Duration `ini:"quarantine_time" default:"10m" unit:"duration" range:"1s..24h" doc:"How long such a request is refused after the latest crash."`
 	CheckIn           time.Duration `ini:"check_in" default:"1500ms" unit:"duration" range:"100ms..1m" doc:"Interval at which targets renew their entries. The entry of a target that has crashed is removed after three of them."`
 	MemoryMB          int           `ini:"memory" default:"256" unit:"MB" range:"32..1048576" doc:"Memory of the VM; the garbage collector works harder as the process comes near it."`
+	TargetBodyBytes   int64         `ini:"target_body_bytes" default:"0" unit:"bytes" range:"0..1099511627776" doc:"Bytes of request bodies that all VMs together may have in flight at one target. Each VM takes an even share, and may always have one request in flight there. Zero does not bound them."`
 }
 
 // Validate returns an error if a value of regions is not of the form data_centre=region.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,6 +33,8 @@
 	stepNoAnswer
 	// stepIneligible means that the request was not sent because the target must not get it.
 	stepIneligible
+	// stepBodiesFull means that the request was not sent because of the bodies in flight at the target.
+	stepBodiesFull
 )
 
 // exchange sends the request to a target and records the outcome. The answer is nil if there
@@ -56,8 +58,11 @@
 	expected := g.expectedWork(t)
 	candidate := g.newCandidate(t)
 	candidate.Keyed = c.service.Keyed
-	number := g.opts.Balancer.Begin(&candidate)
 	c.tried = append(c.tried, t.ID)
+	number, ok := g.opts.Balancer.BeginBody(&candidate, int64(len(c.req.Body)))
+	if !ok {
+		return nil, stepBodiesFull
+	}
 	if g.opts.Crashes != nil {
 		g.opts.Crashes.begin(t, c.content)
 	}
@@ -77,6 +82,10 @@
 	}
 	g.observeRestart(t, err)
 	o, s := g.classify(c, t, a, f, full)
+	if f != nil && f.Call().MayBeDone() && !f.Reset {
+		// The target may work on the request until its deadline, although the connection is closed.
+		o.BodyHeldUntil = c.deadline
+	}
 	g.opts.Balancer.End(t.ID, number, o)
 	if s == stepDone {
 		g.learnWork(c, a, time.Since(sent), expected)
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -58,6 +58,9 @@
 		if candidate := g.newCandidate(t); !c.mayHaveRun && g.opts.Balancer.Full(&candidate) {
 			return nil, g.noRoom(c, decisionFull, result.TargetShed, g.estimate(t).Wait, "the owner of the key, target %s, is expected to have no room", t.ID)
 		}
+		if !g.opts.Balancer.BodyFits(t.ID, int64(len(c.req.Body))) {
+			return nil, g.ownerBodiesFull(c, t)
+		}
 		if e := g.admit(c, t); e != nil {
 			return nil, e
 		}
@@ -71,6 +74,8 @@
 			return a, nil
 		case stepNoAnswer:
 			return nil, g.failure(c)
+		case stepBodiesFull:
+			return nil, g.ownerBodiesFull(c, t)
 		case stepIneligible:
 			// The verdict is asked for again, with the table that is known now.
 			continue
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -15,7 +15,7 @@
 // allowed.
 func (g *Gateway) serveUnkeyed(c *call) (*upstream.Answer, *result.Error) {
 	var candidates []placing.Candidate
-	full := false
+	full, bodiesFull := false, false
 	for {
 		if blocked, e := g.quarantined(c); blocked {
 			return nil, e
@@ -34,9 +34,12 @@
 		choice := g.opts.Balancer.Choose(candidates, c.placingQuery())
 		candidate := choice.Candidate
 		if candidate == nil {
-			full = full || choice.Full
+			full, bodiesFull = full || choice.Full, bodiesFull || choice.BodiesFull
 			break
 		}
+		if choice.BodiesFull {
+			g.traffic.bodyLimit.WithLabelValues(bodyRedirected).Inc()
+		}
 		c.cause = string(choice.Cause)
 		if e := g.admit(c, snapshot.ByID[candidate.ID]); e != nil {
 			return nil, e
@@ -52,11 +55,16 @@
 			return nil, g.failure(c)
 		case stepFull:
 			full = true
+		case stepBodiesFull:
+			bodiesFull = true
 		}
 		if !c.mayRetry() {
 			break
 		}
 	}
+	if bodiesFull && !c.mayHaveRun {
+		return nil, g.bodiesFull(c, g.timeUntilRoom(candidates), "the targets that were considered hold as many bytes of request bodies of this VM as they may")
+	}
 	if !c.mayHaveRun && full {
 		return nil, g.noRoom(c, decisionFull, result.TargetShed, g.timeUntilRoom(candidates), "no target that was considered has room for the request")
 	}
@@ -134,7 +142,7 @@
 
 // placingQuery describes the request to the Balancer.
 func (c *call) placingQuery() placing.Query {
-	q := placing.Query{Bulk: c.entry.Kind.Large(), Once: !c.idempotent(), Avoid: c.tried}
+	q := placing.Query{Bulk: c.entry.Kind.Large(), Once: !c.idempotent(), Avoid: c.tried, BodyBytes: int64(len(c.req.Body))}
 	if c.entry.LatencyTarget > 0 {
 		q.UntilLate = max(time.Duration(latencyShare*float64(c.entry.LatencyTarget-time.Since(c.req.Received))), 1)
 	}
