gateway: Do not prefer a cold target that is busy

Idempotent requests that are to use the tokens for cold targets were placed among the cold candidates only. If these had no free slot, the request was refused (admission, or full) although warm targets were free.

Only cold candidates without a queue, and in time for the deadline, are preferred now. If the Balancer chooses none of them, it chooses among all.

TestBusyColdTargetIsNotPreferred: 503 before, 200 from the warm target now.

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -70,6 +70,24 @@
 	is.Equal(f.requestsOf("t0"), before+50)
 }
 
+// A request must not be refused because the cold target whose token it would use is busy, while a warm target is free.
+func TestBusyColdTargetIsNotPreferred(t *testing.T) {
+	is := is.New(t)
+	f := newColdFixture(t, false, 1e6, answerOK, answerOK)
+	f.balancer.MergeStats([]placing.SharedStats{{ID: "t0", ServiceTime: 200 * time.Millisecond}, {ID: "t1", ServiceTime: 200 * time.Millisecond}})
+	f.makeCold("t0")
+	f.later += time.Second
+	is.Equal(f.send("/safe/x", "1").Status, 200)
+	is.Equal(f.requestsOf("t0"), 1)
+	for range 30 {
+		f.balancer.Begin(&placing.Candidate{ID: "t0", Service: "s", Slots: 6})
+	}
+	for range 10 {
+		is.Equal(f.send("/safe/x", "1").Status, 200)
+	}
+	is.Equal(f.requestsOf("t1"), 10)
+}
+
 // Requests that any target may serve go to warm targets while there is no token for the cold one.
 func TestColdTargetIsNoCandidate(t *testing.T) {
 	is := is.New(t)
--- a/gateway/unkeyed.go
+++ b/gateway/unkeyed.go
@@ -27,11 +27,10 @@
 		snapshot := g.opts.Directory.Snapshot()
 		var ineligible *ineligibleTarget
 		candidates, ineligible = g.candidates(snapshot, c)
-		candidates = g.preferCold(c, candidates, len(snapshot.Service(c.service.Name)))
 		if len(candidates) == 0 && ineligible != nil && !c.mayHaveRun {
 			return nil, g.ineligible(c, ineligible.target, ineligible.verdict)
 		}
-		choice := g.opts.Balancer.Choose(candidates, c.placingQuery())
+		choice := g.choose(c, candidates, len(snapshot.Service(c.service.Name)))
 		candidate := choice.Candidate
 		if candidate == nil {
 			full = full || choice.Full
@@ -141,21 +140,34 @@
 	return q
 }
 
-// preferCold returns the candidates among which the request is placed: some of the requests go to targets that are cold, of which
-// this VM has tokens. Requests that must not be sent twice and those with large bodies are placed as usual: other VMs may
-// send a target too much that they do not know to be cold yet, and the cold targets may be in another region.
-func (g *Gateway) preferCold(c *call, candidates []placing.Candidate, targets int) []placing.Candidate {
+// choose places the request on one of the candidates, on a cold one if preferredCold returns any.
+func (g *Gateway) choose(c *call, candidates []placing.Candidate, targets int) placing.Choice {
+	if cold := g.preferredCold(c, candidates, targets); len(cold) > 0 {
+		if choice := g.opts.Balancer.Choose(cold, c.placingQuery()); choice.Candidate != nil {
+			return choice
+		}
+	}
+	return g.opts.Balancer.Choose(candidates, c.placingQuery())
+}
+
+// preferredCold returns the candidates that are cold and can serve the request now, if the request is one of those that are to use
+// the tokens for cold targets. Without a free slot there, it would be refused although warm targets have room. Requests that
+// must not be sent twice and those with large bodies are placed as usual: other VMs may send a target too much that they do not
+// know to be cold yet, and the cold targets may be in another region.
+func (g *Gateway) preferredCold(c *call, candidates []placing.Candidate, targets int) []placing.Candidate {
 	if len(c.tried) > 0 || !c.idempotent() || c.entry.Kind.Large() || !g.opts.Eligibility.WarmUp().Prefers(c.service.Name, targets) {
-		return candidates
+		return nil
 	}
 	var cold []placing.Candidate
-	for _, candidate := range candidates {
-		if _, _, ok := g.opts.Eligibility.WarmUp().Cold(candidate.ID); ok {
-			cold = append(cold, candidate)
+	for i := range candidates {
+		candidate := &candidates[i]
+		if _, _, ok := g.opts.Eligibility.WarmUp().Cold(candidate.ID); !ok {
+			continue
+		}
+		work, wait := g.opts.Balancer.Expected(candidate)
+		if wait == 0 && work+g.opts.Balancer.RoundTrip(candidate) < c.timeLeft() {
+			cold = append(cold, *candidate)
 		}
-	}
-	if len(cold) == 0 {
-		return candidates
 	}
 	return cold
 }
