node: Ignore a list after a stall that is older than what the feed has returned

After a stall, a VM that is not confirmed within 0.5 s reads the list of evacuations beside its follower. If the follower applied a later change while the list was under way, the list undid it: the feed does not return the change again, so that the VM sent requests to an evacuated data centre, or kept an ended evacuation in force, until its next list.

The list is ignored if the feed has returned changes up to a later revision.

TestOutdatedListAfterAStallIsIgnored fails without the comparison.

--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -211,6 +211,22 @@
 	is.Equal(b.log.count("source=feed") >= 2, true)
 }
 
+// A list that is read after a stall must not undo changes that the feed has returned meanwhile: the feed does not return
+// them again, so that the VM would send requests to an evacuated data centre until its next list.
+func TestOutdatedListAfterAStallIsIgnored(t *testing.T) {
+	is := is.New(t)
+	b := newEvacuationTest(t, 24)
+	n := b.startReadyNode("vm1")
+	c := &evacuationConsumer{process: n.process, listed: true}
+	outdated := n.process.feed.KnownRevisions()[platform.EvacuationPrefix]
+	b.store.Put("evacuations", "dc1", map[string]any{})
+	b.eventually("the evacuation is known", n.process.evacuations.Any)
+	is.True(!c.replaceUnlessOutdated(nil, outdated))
+	is.True(n.process.evacuations.Any())
+	is.True(c.replaceUnlessOutdated(nil, store.Version(b.store.Revision("evacuations", "dc1"))+1000))
+	is.True(!n.process.evacuations.Any())
+}
+
 // A batch that repeats known events must not seem to end an evacuation and to begin it anew, with more time.
 func TestRepeatedEventsDoNotRestartAnEvacuation(t *testing.T) {
 	is := is.New(t)
--- a/daemon/node_evacuations.go
+++ b/daemon/node_evacuations.go
@@ -40,6 +40,11 @@
 func (c *evacuationConsumer) Replace(objects []store.Object) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.replaceLocked(objects)
+}
+
+// replaceLocked is Replace. c.mu must be held.
+func (c *evacuationConsumer) replaceLocked(objects []store.Object) {
 	set, now := c.process.evacuations, time.Now()
 	revisions := make(map[string]store.Version, len(objects))
 	names := make([]string, 0, len(objects))
@@ -153,15 +158,30 @@
 // knows.
 func (c *evacuationConsumer) readAfterStall(ctx context.Context, resumed time.Duration) {
 	defer c.process.stalls.Confirm(resumed)
-	objects, _, err := c.process.objects.List(ctx, platform.EvacuationPrefix)
+	objects, at, err := c.process.objects.List(ctx, platform.EvacuationPrefix)
 	if err != nil {
 		c.process.logger.Warn("cannot read the evacuations after the process stood still; the known ones stay in force", "error", err.Error())
 		return
 	}
-	c.Replace(objects)
+	if !c.replaceUnlessOutdated(objects, at) {
+		// The feed has returned later changes, which its goroutine applies at once.
+		time.Sleep(stallInterval)
+	}
 	c.process.logger.Info("evacuations are known again after the process stood still", "source", "store")
 }
 
+// replaceUnlessOutdated is Replace for a list as of a revision that was not read by the feed. It ignores the list, and returns
+// false, if the feed has returned later changes: the list would undo them, and the feed does not return them again.
+func (c *evacuationConsumer) replaceUnlessOutdated(objects []store.Object, at store.Version) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.process.feed.KnownRevisions()[platform.EvacuationPrefix] > at {
+		return false
+	}
+	c.replaceLocked(objects)
+	return true
+}
+
 func (c *evacuationConsumer) logBegin(dc string, revision store.Version, since, now time.Time) {
 	logger := c.process.logger
 	logger.Info("evacuation of data centre began", "data_centre", dc, "revision", revision, age(since, now))
