node: Take targets for cold after an evacuation that was not seen

A VM that was cut off may learn of the begin and the end of an evacuation with one batch of changes. Only the last event of a data centre was applied, and an end without a known begin had no effect, so that the VM sent the returned targets, which the others spare, requests without a bound.

The end now counts if the batch also has a begin that is later than all entries applied before. Repeated batches have no effect.

TestTargetsAreColdAfterAnEvacuationThatWasNotSeen fails without the change.

--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -211,6 +211,32 @@
 	is.Equal(b.log.count("source=feed") >= 2, true)
 }
 
+// A VM that was cut off may learn of the begin and the end of an evacuation at once. The targets that return are as cold as if
+// it had known of it; the same events must not make them cold again.
+func TestTargetsAreColdAfterAnEvacuationThatWasNotSeen(t *testing.T) {
+	is := is.New(t)
+	b := newEvacuationTest(t, 24)
+	b.coldPerSecond, b.warmUp = 0.1, WarmUpSettings{Overage: 1.5, Slack: 8}
+	b.putConfig(2, "keyed")
+	n := b.startReadyNode("vm1")
+	isCold := func(id string) bool {
+		_, _, cold := n.process.warmUp.Cold(id)
+		return cold
+	}
+	c := &evacuationConsumer{process: n.process, listed: true}
+	event := func(dc string, version store.Version, deleted bool) store.Event {
+		return store.Event{Object: store.Object{Key: platform.EvacuationPrefix + dc, Version: version}, Deleted: deleted}
+	}
+	c.Replace([]store.Object{event("dc1", 1000, false).Object})
+	c.Replace(nil)
+	is.True(isCold("f0") && !isCold("f3"))
+	c.Change([]store.Event{event("dc2", 999, false), event("dc2", 1001, true)}) // Known when the list was read.
+	is.True(!isCold("f3"))
+	c.Change([]store.Event{event("dc2", 1002, false), event("dc2", 1003, true)})
+	is.True(isCold("f3"))
+	is.True(!n.process.evacuations.Any())
+}
+
 // A list that is read after a stall must not undo changes that the feed has returned meanwhile: the feed does not return
 // them again, so that the VM would send requests to an evacuated data centre until its next list.
 func TestOutdatedListAfterAStallIsIgnored(t *testing.T) {
--- a/daemon/node_evacuations.go
+++ b/daemon/node_evacuations.go
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// listed is set once the first list was read.
 	listed bool
+	// newest is the highest revision of an entry that was applied.
+	newest store.Version
 }
 
 func newEvacuationConsumer(n *nodeProcess) *evacuationConsumer {
@@ -51,6 +53,7 @@
 	for _, o := range objects {
 		names = append(names, dataCentre(o))
 		revisions[dataCentre(o)] = o.Version
+		c.newest = max(c.newest, o.Version)
 	}
 	// The entries in the first list may have been made at any time.
 	at := time.Time{}
@@ -79,9 +82,17 @@
 	set, now := c.process.evacuations, time.Now()
 	at := c.changedAfter(now)
 	last := make(map[string]int, len(events))
+	// begun has the data centres whose evacuation has begun with an event that is not known already.
+	begun := make(map[string]bool)
+	newest := c.newest
 	for i, e := range events {
 		last[dataCentre(e.Object)] = i
+		if !e.Deleted && e.Version > c.newest {
+			begun[dataCentre(e.Object)] = true
+			newest = max(newest, e.Version)
+		}
 	}
+	c.newest = newest
 	for i, e := range events {
 		dc := dataCentre(e.Object)
 		if last[dc] != i {
@@ -90,6 +101,9 @@
 		if e.Deleted {
 			if since, ok := set.End(dc, now); ok {
 				c.ended(dc, e.Version, since, now)
+			} else if begun[dc] {
+				// The evacuation was over before this VM, which was cut off, knew of it.
+				c.ended(dc, e.Version, at, now)
 			}
 		} else if set.Begin(dc, at) {
 			c.logBegin(dc, e.Version, at, now)
