gateway: Keep the last list of regions if the new one cannot be decoded

A route whose list of regions cannot be decoded has no list and is marked as not served. Requests that came before such a configuration took the route's empty list for their next attempt, which allows all regions.

The last list counts now, as it does if the route is gone.

TestUnreadableListOfRegionsDoesNotLiftTheLastOne: the retry reached the forbidden region before, and stays out of it now.

--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -11,11 +11,12 @@
 )
 
 // placement returns which targets the request may be sent to by their places. The list of allowed
-// regions is that of the configuration in force, which may have changed since the request came.
+// regions is that of the configuration in force, which may have changed since the request came. If its route is gone or not
+// valid, the last list counts.
 func (g *Gateway) placement(c *call, keyed bool) eligibility.Placement {
 	e := c.entry
 	if t := g.opts.Routes(); t != nil && t.Config.Version != c.configVersion {
-		if now := t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); now != nil {
+		if now := t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); now != nil && now.Unserved == "" {
 			e = now
 		}
 	}
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -288,3 +288,25 @@
 	is.Equal(f.send("/safe/x", "").Status, 200)
 	is.Equal(f.served(), []string{"t1"})
 }
+
+// A configuration whose list of regions cannot be decoded, and which comes while a request is on its way, must not lift the
+// restriction of the request.
+func TestUnreadableListOfRegionsDoesNotLiftTheLastOne(t *testing.T) {
+	is := is.New(t)
+	var f *fixture
+	f = newFixture(t, false, func(w http.ResponseWriter, r *http.Request) {
+		c := *f.routes.Load().Config
+		c.Version++
+		c.Routes = slices.Clone(c.Routes)
+		for i := range c.Routes {
+			c.Routes[i].AllowedRegions, c.Routes[i].Unserved = nil, "allowed_regions: not a list"
+		}
+		f.routes.Store(routing.NewTable(&c))
+		answerError(w, r)
+	}, answerOK)
+	f.place("t0", "dc0", "r1")
+	f.place("t1", "dc1", "r2")
+	f.allow("r1")
+	is.Equal(f.send("/safe/x", "").Status, http.StatusInternalServerError)
+	is.Equal(f.served(), []string{"t0"})
+}
