shard: Choose owners by region before warmth

The assigner left out cold targets first, and then those outside the regions that all routes allow. With all targets of the allowed regions cold, none of these was left, so that keys moved to warm targets elsewhere, where the requests of the restricted routes are refused.

The region decides first now. withColdIfNeeded takes all targets with the rates of the cold ones; its tests check the same as before.

TestColdTargetsInAllowedRegionsKeepTheirKeys: t0 to t3 may own keys before, t4 to t7, which are in the allowed region, now.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -495,7 +495,9 @@
 // planTargets returns the targets of the service that may own keys. Owners that are not among them
 // hand their keys over.
 func (a *assigner) planTargets(s *serviceState, owned []OwnedRange, now time.Duration) []PlanTarget {
-	var out, cold []PlanTarget
+	var out []PlanTarget
+	// cold has the rates that the cold targets can handle.
+	cold := make(map[string]float64)
 	withKeys := make(map[string]bool, len(owned))
 	for _, o := range owned {
 		withKeys[o.Owner.ID] = true
@@ -519,13 +521,13 @@
 		}
 		if a.agent.opts.Cold != nil {
 			if perSecond, ok := a.agent.opts.Cold(t); ok {
-				cold = append(cold, p.limitedTo(perSecond))
-				continue
+				cold[t.ID] = perSecond
 			}
 		}
 		out = append(out, p)
 	}
-	return place.inAllowedRegions(s.name, withColdIfNeeded(out, cold), regions)
+	// The region decides first: a cold target in an allowed region serves requests that a warm one elsewhere may not get.
+	return withColdIfNeeded(place.inAllowedRegions(s.name, out, regions), cold)
 }
 
 // sendAndReport sends an order and passes its result to run.
--- a/shard/cold.go
+++ b/shard/cold.go
@@ -16,19 +16,22 @@
 // fullCapacity returns what the target could serve without a limit.
 func (p PlanTarget) fullCapacity() float64 { return max(p.Capacity, p.FullCapacity) }
 
-// withColdIfNeeded returns the targets that may own keys: the warm ones, and the cold ones if the warm ones have less than
-// minWarmShare of the capacity.
-func withColdIfNeeded(warm, cold []PlanTarget) []PlanTarget {
-	if len(cold) == 0 {
-		return warm
+// withColdIfNeeded returns those of the targets that may own keys, given the rates that the cold ones can handle: the warm ones,
+// and the cold ones too if the warm ones have less than minWarmShare of the capacity.
+func withColdIfNeeded(targets []PlanTarget, coldPerSecond map[string]float64) []PlanTarget {
+	if len(coldPerSecond) == 0 {
+		return targets
 	}
+	var warm, cold []PlanTarget
 	warmCapacity, total := 0.0, 0.0
-	for _, p := range warm {
-		warmCapacity += p.fullCapacity()
-	}
-	total = warmCapacity
-	for _, p := range cold {
+	for _, p := range targets {
 		total += p.fullCapacity()
+		if perSecond, ok := coldPerSecond[p.Holder.ID]; ok {
+			cold = append(cold, p.limitedTo(perSecond))
+			continue
+		}
+		warm = append(warm, p)
+		warmCapacity += p.fullCapacity()
 	}
 	if warmCapacity >= minWarmShare*total {
 		return warm
--- a/shard/cold_test.go
+++ b/shard/cold_test.go
@@ -10,19 +10,11 @@
 // planWithCold plans for the targets as planTargets passes them on, with the given ones cold.
 func planWithCold(w *planSimulation, perSecond float64, cold ...int) {
 	all := w.targets
-	var warm, coldTargets []PlanTarget
-	for i, t := range all {
-		isCold := false
-		for _, c := range cold {
-			isCold = isCold || c == i
-		}
-		if isCold {
-			coldTargets = append(coldTargets, t.limitedTo(perSecond))
-		} else {
-			warm = append(warm, t)
-		}
+	rates := map[string]float64{}
+	for _, c := range cold {
+		rates[all[c].Holder.ID] = perSecond
 	}
-	w.targets = withColdIfNeeded(warm, coldTargets)
+	w.targets = withColdIfNeeded(all, rates)
 	w.plan()
 	w.now += 3 * time.Second
 	w.plan()
@@ -51,10 +43,11 @@
 	w = newPlanSimulation(1, 1, 1, 1, 1, 1)
 	planWithCold(w, 6.5, 0, 1, 2, 3)
 	is.True(w.keysOf("t00") > 0 && w.keysOf("t03") > 0)
-	targets := withColdIfNeeded(nil, []PlanTarget{PlanTarget{Capacity: 80}.limitedTo(6.5), PlanTarget{Capacity: 5}.limitedTo(6.5)})
+	a, b := Holder{ID: "a"}, Holder{ID: "b"}
+	targets := withColdIfNeeded([]PlanTarget{{Holder: a, Capacity: 80}, {Holder: b, Capacity: 5}}, map[string]float64{"a": 6.5, "b": 6.5})
 	is.Equal(targets[0].Capacity, 6.5)
 	is.Equal(targets[0].FullCapacity, 80.0)
-	is.Equal(targets[1], PlanTarget{Capacity: 5})
+	is.Equal(targets[1], PlanTarget{Holder: b, Capacity: 5})
 }
 
 // Without cold targets, the plan is for the same targets as before.
--- a/shard/placement_test.go
+++ b/shard/placement_test.go
@@ -148,3 +148,15 @@
 	p.allowed, p.evacuated = nil, nil
 	is.Equal(len(p.planned()), 8)
 }
+
+// Cold targets in the allowed regions must keep their keys if all warm targets are elsewhere: those would serve no request of the
+// routes that have the list, while the cold ones serve some.
+func TestColdTargetsInAllowedRegionsKeepTheirKeys(t *testing.T) {
+	is := is.New(t)
+	p := newPlacementTest(t, is)
+	p.allowed = []string{"r2"}
+	p.assigner.agent.opts.Cold = func(t *fleet.Target) (float64, bool) { return 6.5, t.Region == "r2" }
+	is.Equal(p.planned(), []string{"t4", "t5", "t6", "t7"})
+	p.assigner.agent.opts.Cold = func(t *fleet.Target) (float64, bool) { return 6.5, t.DataCentre == "dc2" }
+	is.Equal(p.planned(), []string{"t6", "t7"})
+}
