relayfeed: List a quiet prefix seldom while the store is away

Each VM follows evacuations/ like config/ and servers/. While the store does not answer, each follower lists its prefix about three times a second, and after an outage or the loss of the reader it lists and polls the prefix once more, although it has hardly any object.

A prefix for which Options.Quiet returns true is listed every 2 s in an outage, or as soon as a read of another prefix succeeds. A VM that has followed a reader then waits 1 s for it, and 1.5 s more between a list and its poll. If the reader is lost, it waits for the next one until MaxStaleness, and not only for TakeoverTimeout. Without the setting evacuate, no prefix is quiet.

Tests: TestQuietPrefixIsSeldomListedWhileTheStoreIsAway fails without the wait; TestQuietPrefixWaitsLongerForTheNextReader and TestQuietPrefixIsReadWithoutAReaderThatFollowsIt bound the waits.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -167,7 +167,14 @@
 		n.evacuations = evacuation.New()
 		n.stalls = evacuation.NewStallGuard(s.Gateway.Evacuate/stallDivisor, boottime.Now)
 	}
-	n.feed = relayfeed.New(relayfeed.Options{Direct: n.objects, Check: n.objects.Check, Logger: logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) }})
+	var quiet func(string) bool
+	if n.evacuations != nil {
+		quiet = func(prefix string) bool { return prefix == platform.EvacuationPrefix }
+	}
+	n.feed = relayfeed.New(relayfeed.Options{
+		Direct: n.objects, Check: n.objects.Check, Logger: logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, Quiet: quiet,
+		MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) },
+	})
 	n.newDirectory(s)
 	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -74,6 +74,11 @@
 	// reader before it polls the store. It should cover the time in which a VM finds the assigner and
 	// is sent the first changes. Zero does not wait.
 	FirstReaderWait time.Duration
+	// Quiet reports whether the prefix has few objects that seldom change. A VM does not list such a prefix
+	// again and again while the store does not answer: reads of the other prefixes show when it does, and
+	// the reader mostly relays the prefix soon after. If the reader is lost, the VM waits for the next one up to
+	// MaxStaleness, and once more for FirstReaderWait after its list. Nil means that none is.
+	Quiet func(prefix string) bool
 	// Now returns the time of a clock that goes on while the VM is suspended. Default
 	// boottime.Now.
 	Now func() time.Duration
@@ -103,8 +108,14 @@
 	relayed bool
 	// changed is closed and replaced when batches arrive or readerUsable changes.
 	changed chan struct{}
-	// failing is true for a prefix whose last read of the store failed.
-	failing map[string]bool
+	// failing is true for a prefix whose last read of the store failed. storeFailing is true if the last
+	// read of any prefix that is not quiet failed. storeAnsweredAt is when that last ended, or zero.
+	failing         map[string]bool
+	storeFailing    bool
+	storeAnsweredAt time.Duration
+	// quietFailedAt has the quiet prefixes that must be listed again because a read failed, with the instants
+	// at which that was.
+	quietFailedAt map[string]time.Duration
 	// reads has, for each prefix, what this VM itself has read from the store.
 	reads  map[string]*directReads
 	bounds map[string]*changeBounds
@@ -139,6 +150,15 @@
 // maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
 const maxPollDelay = 200 * time.Millisecond
 
+const (
+	// quietRetryInterval is the time after which a list of a quiet prefix that failed is tried again although other prefixes
+	// still cannot be read, which may be for a reason of their own.
+	quietRetryInterval = 2 * time.Second
+	// quietReaderWait is how long a VM waits for the reader before it lists a quiet prefix, once the store answers
+	// again. The reader confirms its role and reads all prefixes first, which takes up to a second.
+	quietReaderWait = time.Second
+)
+
 // changeLog holds the objects under a prefix and their latest changes, as this VM knows them.
 type changeLog struct {
 	// base is the revision after which batches has all changes. at is the revision up to
@@ -179,7 +199,7 @@
 	}
 	return &Feed{
 		opts: opts, logs: map[string]*changeLog{}, streams: map[string]*stream{},
-		changed: make(chan struct{}), failing: map[string]bool{}, reads: map[string]*directReads{},
+		changed: make(chan struct{}), failing: map[string]bool{}, quietFailedAt: map[string]time.Duration{}, reads: map[string]*directReads{},
 		bounds: map[string]*changeBounds{},
 	}
 }
@@ -187,6 +207,9 @@
 // List implements store.Feed. It reads the store, unless the reader sends all changes since
 // the revision that this VM knows.
 func (f *Feed) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	if f.quiet(prefix) {
+		f.awaitStore(ctx, prefix)
+	}
 	if objects, at, ok := f.listFromReader(prefix); ok {
 		return objects, at, nil
 	}
@@ -205,6 +228,40 @@
 	return objects, at, err
 }
 
+func (f *Feed) quiet(prefix string) bool { return f.opts.Quiet != nil && f.opts.Quiet(prefix) }
+
+// awaitStore waits, if the last read of a quiet prefix failed, until it should be listed: when the store answers reads of
+// other prefixes again and the reader has had time to cover the prefix, but not for long if they go on failing.
+func (f *Feed) awaitStore(ctx context.Context, prefix string) {
+	for {
+		f.mu.Lock()
+		now, changed := f.opts.Now(), f.changed
+		failedAt, failed := f.quietFailedAt[prefix]
+		wait := time.Duration(0)
+		switch {
+		case !failed || f.usableLocked():
+		case f.storeFailing:
+			wait = failedAt + quietRetryInterval - now
+		case f.relayed && !f.isReader:
+			wait = f.storeAnsweredAt + quietReaderWait - now
+		}
+		f.mu.Unlock()
+		if wait <= 0 {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // listed reports whether the objects under the prefix are known.
 func (f *Feed) listed(prefix string) bool {
 	f.mu.Lock()
@@ -239,6 +296,7 @@
 	f.boundChanges(prefix, 0)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.quietFailedAt, prefix)
 	objects := make([]store.Object, 0, len(l.objects))
 	for _, key := range slices.Sorted(maps.Keys(l.objects)) {
 		objects = append(objects, l.objects[key])
@@ -262,6 +320,10 @@
 		return Batch{Prefix: prefix, After: at, At: at, Reset: true}
 	}
 	l.reliesOnReader = false
+	if f.quiet(prefix) && f.relayed && !f.isReader {
+		// A poll now would mostly be given up for the next reader.
+		l.awaitReaderUntil = f.opts.Now() + f.opts.FirstReaderWait
+	}
 	b := Batch{Prefix: prefix, After: l.at, At: at}
 	current := indexByKey(objects)
 	for key := range l.objects {
@@ -436,7 +498,12 @@
 	s, l := f.streams[prefix], f.logs[prefix]
 	reliesOnReader := l != nil && l.reliesOnReader
 	usable, staleIn := f.usableLocked(), f.freshAt+f.opts.MaxStaleness-f.opts.Now()
-	takeoverWait := min(f.opts.TakeoverTimeout-time.Since(f.unusableSince), staleIn)
+	takeoverWait := staleIn
+	if usable || !f.quiet(prefix) || f.unusableSince.IsZero() {
+		// A usable reader may not follow the prefix, so that its confirmations say nothing of it. The reader itself,
+		// for which unusableSince is zero, does not wait.
+		takeoverWait = min(f.opts.TakeoverTimeout-time.Since(f.unusableSince), staleIn)
+	}
 	switch {
 	case usable && s.coversLocked(after):
 	case l != nil && f.opts.Now() < l.awaitReaderUntil:
@@ -578,6 +645,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failing[prefix] = err != nil
+	switch {
+	case f.quiet(prefix) && err != nil:
+		f.quietFailedAt[prefix] = f.opts.Now()
+	case f.quiet(prefix):
+		delete(f.quietFailedAt, prefix)
+	case f.opts.Quiet != nil && f.storeFailing != (err != nil):
+		f.storeFailing = err != nil
+		if err == nil {
+			f.storeAnsweredAt = f.opts.Now()
+		}
+		f.wakeLocked()
+	}
 }
 
 // Healthy reports whether the last read of each prefix from the store succeeded. It returns
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -58,10 +58,14 @@
 func (p *feeds) confirm() { p.follower.SetReader(true, p.now()) }
 
 // newFeeds returns the feeds of a reader and its follower. Both have listed the store.
-func newFeeds(t *testing.T) *feeds {
+func newFeeds(t *testing.T) *feeds { return newFeedsWith(t, relayfeed.Options{}) }
+
+// newFeedsWith is newFeeds with options of the follower.
+func newFeedsWith(t *testing.T, opts relayfeed.Options) *feeds {
 	p := &feeds{is: is.New(t), store: &countingStore{Store: memstore.New(memstore.Options{})}}
 	p.began = time.Now()
-	p.follower = relayfeed.New(relayfeed.Options{Direct: p.store, Now: p.now})
+	opts.Direct, opts.Now = p.store, p.now
+	p.follower = relayfeed.New(opts)
 	p.reader = relayfeed.New(relayfeed.Options{Direct: p.store, Now: p.now, OnBatch: func(b relayfeed.Batch) { p.follower.Receive(b) }})
 	p.put("a/0")
 	_, _, err := p.follower.List(t.Context(), prefix)
@@ -664,3 +668,143 @@
 		p.is.Equal(checks, 9) // The others rely on this VM.
 	})
 }
+
+// failingStore counts the lists of each prefix. Those of the prefixes in failing fail.
+type failingStore struct {
+	*memstore.Store
+	mu      sync.Mutex
+	lists   map[string]int
+	failing map[string]bool
+}
+
+func (s *failingStore) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	s.mu.Lock()
+	s.lists[prefix]++
+	failing := s.failing[prefix]
+	s.mu.Unlock()
+	if failing {
+		return nil, 0, store.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *failingStore) listsOf(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists[prefix]
+}
+
+func (s *failingStore) fail(prefixes ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = map[string]bool{}
+	for _, p := range prefixes {
+		s.failing[p] = true
+	}
+}
+
+// Each VM lists what it follows again and again while the store is away. A quiet prefix must not cost as much as the
+// others then, must be known soon after, and must not depend on the others.
+func TestQuietPrefixIsSeldomListedWhileTheStoreIsAway(t *testing.T) {
+	for name, relayed := range map[string]bool{"follower": true, "without a reader": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, began := is.New(t), time.Now()
+				s := &failingStore{Store: memstore.New(memstore.Options{}), lists: map[string]int{}}
+				now := func() time.Duration { return time.Hour + time.Since(began) }
+				f := relayfeed.New(relayfeed.Options{Direct: s, Now: now, Quiet: func(p string) bool { return p == "q/" }})
+				if relayed {
+					f.SetReader(true, now())
+					f.ForgetReader()
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				defer wg.Wait()
+				defer cancel()
+				var quietAt, otherAt atomic.Int64
+				follow := func(prefix string, listedAt *atomic.Int64) {
+					for ctx.Err() == nil {
+						if _, _, err := f.List(ctx, prefix); err == nil {
+							listedAt.Store(int64(now()))
+						}
+						time.Sleep(300 * time.Millisecond)
+					}
+				}
+				s.fail("a/", "q/")
+				wg.Go(func() { follow("a/", &otherAt) })
+				wg.Go(func() { follow("q/", &quietAt) })
+				time.Sleep(10 * time.Second)
+				is.True(s.listsOf("a/") > 30)
+				is.True(s.listsOf("q/") <= 6)
+				s.fail()
+				restored := now()
+				time.Sleep(1400 * time.Millisecond)
+				is.True(time.Duration(otherAt.Load()) >= restored)
+				is.True(time.Duration(quietAt.Load()) >= restored)
+				s.fail("a/", "q/")
+				time.Sleep(time.Second)
+				s.fail("a/") // The store fails for the others only.
+				restored = now()
+				time.Sleep(2100 * time.Millisecond)
+				is.True(time.Duration(quietAt.Load()) >= restored)
+			})
+		})
+	}
+}
+
+// A change of the reader that takes longer than usual must not make each VM list and poll a quiet prefix. Without a reader, the
+// VM must read the prefix in time all the same.
+func TestQuietPrefixWaitsLongerForTheNextReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeedsWith(t, relayfeed.Options{Quiet: func(string) bool { return true }, FirstReaderWait: 1500 * time.Millisecond})
+		at := p.follower.KnownRevisions()[prefix]
+		lists := p.store.lists.Load()
+		_, at = p.poll(at) // The follower relies on the reader, which has confirmed nothing for a second then.
+		p.confirm()
+		began := time.Now()
+		p.follower.ForgetReader()
+		_, _, err := p.follower.Poll(t.Context(), prefix, at, 10*time.Second)
+		p.is.True(errors.Is(err, store.ErrCompacted))
+		p.is.Equal(time.Since(began), 1600*time.Millisecond)
+		_, at, err = p.follower.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.is.Equal(p.store.lists.Load(), lists+1)
+		p.put("a/1")
+		began = time.Now()
+		events, _, err := p.follower.Poll(t.Context(), prefix, at, 10*time.Second)
+		p.is.NoErr(err)
+		p.is.Equal(len(events), 1)
+		p.is.Equal(time.Since(began), 1500*time.Millisecond)
+		p.is.Equal(p.store.polls.Load(), int64(1))
+	})
+}
+
+// A reader may confirm that it has relayed all changes and yet not follow a quiet prefix. The VM must then read the prefix itself.
+func TestQuietPrefixIsReadWithoutAReaderThatFollowsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeedsWith(t, relayfeed.Options{Quiet: func(string) bool { return true }, FirstReaderWait: 1500 * time.Millisecond})
+		_, at := p.poll(p.follower.KnownRevisions()[prefix])
+		began := time.Now()
+		p.follower.ForgetReader()
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				p.confirm()
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+		_, _, err := p.follower.Poll(t.Context(), prefix, at, 10*time.Second)
+		p.is.True(errors.Is(err, store.ErrCompacted))
+		p.is.True(time.Since(began) <= time.Second)
+		_, at, err = p.follower.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		p.put("a/1")
+		events, _, err := p.follower.Poll(t.Context(), prefix, at, 10*time.Second)
+		p.is.NoErr(err)
+		p.is.Equal(len(events), 1)
+		p.is.True(time.Since(began) <= 3*time.Second)
+	})
+}
