--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -77,8 +77,9 @@
 }
 
 // Begin records that the data centre is being evacuated, since the instant at the earliest. The zero
-// instant says that the evacuation may have begun at any time. Begin returns false if it was being evacuated already: an entry may be written again while it is in
-// force, which does not extend the time that the evacuation may take.
+// instant says that the evacuation may have begun at any time. Begin returns false if it was being
+// evacuated already: an entry may be written again while it is in force, which does not extend the time
+// that the evacuation may take.
 func (s *Set) Begin(dataCentre string, at time.Time) (begun bool) {
 	s.change(func(c *content) { begun = c.begin(dataCentre, at) })
 	return begun
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -43,7 +43,8 @@
 	if v.Reason == eligibility.RegionNotAllowed {
 		allowed := strings.Join(p.AllowedRegions, ", ")
 		if p.Owner {
-			return refusal(result.RegionNotAllowed, noTargetRetryAfter, "the owner of the key, target %s, is in region %q; allowed: %s", t.ID, t.Region, allowed)
+			return refusal(result.RegionNotAllowed, noTargetRetryAfter, "the owner of the key, target %s, is in region %q; allowed: %s",
+				t.ID, t.Region, allowed)
 		}
 		return refusal(result.RegionNotAllowed, noTargetRetryAfter, "no target of service %s is in an allowed region; allowed: %s", t.Service, allowed)
 	}
@@ -51,7 +52,8 @@
 		return refusal(result.Evacuated, leavingRetryAfter, "the owner of the key, target %s, is in data centre %q; being evacuated: %s",
 			t.ID, t.DataCentre, strings.Join(g.opts.Evacuations.DataCentres(), ", "))
 	}
-	return refusal(result.Evacuated, noTargetRetryAfter, "all targets of service %s that the request may be sent to are in data centres that are being evacuated", t.Service)
+	return refusal(result.Evacuated, noTargetRetryAfter,
+		"all targets of service %s that the request may be sent to are in data centres that are being evacuated", t.Service)
 }
 
 // likelierPlace returns the verdict that tells more about why no target can serve a request: an
