--- a/daemon/node_evacuations.go
+++ b/daemon/node_evacuations.go
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// listed is set once the first list was read.
 	listed bool
+	// newest is the highest revision of an entry that was applied.
+	newest store.Version
 }
 
 func newEvacuationConsumer(n *nodeProcess) *evacuationConsumer {
@@ -40,12 +42,18 @@
 func (c *evacuationConsumer) Replace(objects []store.Object) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.replaceLocked(objects)
+}
+
+// replaceLocked is Replace. c.mu must be held.
+func (c *evacuationConsumer) replaceLocked(objects []store.Object) {
 	set, now := c.process.evacuations, time.Now()
 	revisions := make(map[string]store.Version, len(objects))
 	names := make([]string, 0, len(objects))
 	for _, o := range objects {
 		names = append(names, dataCentre(o))
 		revisions[dataCentre(o)] = o.Version
+		c.newest = max(c.newest, o.Version)
 	}
 	// The entries in the first list may have been made at any time.
 	at := time.Time{}
@@ -74,9 +82,17 @@
 	set, now := c.process.evacuations, time.Now()
 	at := c.changedAfter(now)
 	last := make(map[string]int, len(events))
+	// begun has the data centres whose evacuation has begun with an event that is not known already.
+	begun := make(map[string]bool)
+	newest := c.newest
 	for i, e := range events {
 		last[dataCentre(e.Object)] = i
+		if !e.Deleted && e.Version > c.newest {
+			begun[dataCentre(e.Object)] = true
+			newest = max(newest, e.Version)
+		}
 	}
+	c.newest = newest
 	for i, e := range events {
 		dc := dataCentre(e.Object)
 		if last[dc] != i {
@@ -85,6 +101,9 @@
 		if e.Deleted {
 			if since, ok := set.End(dc, now); ok {
 				c.ended(dc, e.Version, since, now)
+			} else if begun[dc] {
+				// The evacuation was over before this VM, which was cut off, knew of it.
+				c.ended(dc, e.Version, at, now)
 			}
 		} else if set.Begin(dc, at) {
 			c.logBegin(dc, e.Version, at, now)
@@ -153,15 +172,30 @@
 // knows.
 func (c *evacuationConsumer) readAfterStall(ctx context.Context, resumed time.Duration) {
 	defer c.process.stalls.Confirm(resumed)
-	objects, _, err := c.process.objects.List(ctx, platform.EvacuationPrefix)
+	objects, at, err := c.process.objects.List(ctx, platform.EvacuationPrefix)
 	if err != nil {
 		c.process.logger.Warn("cannot read the evacuations after the process stood still; the known ones stay in force", "error", err.Error())
 		return
 	}
-	c.Replace(objects)
+	if !c.replaceUnlessOutdated(objects, at) {
+		// The feed has returned later changes, which its goroutine applies at once.
+		time.Sleep(stallInterval)
+	}
 	c.process.logger.Info("evacuations are known again after the process stood still", "source", "store")
 }
 
+// replaceUnlessOutdated is Replace for a list as of a revision that was not read by the feed. It ignores the list, and returns
+// false, if the feed has returned later changes: the list would undo them, and the feed does not return them again.
+func (c *evacuationConsumer) replaceUnlessOutdated(objects []store.Object, at store.Version) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.process.feed.KnownRevisions()[platform.EvacuationPrefix] > at {
+		return false
+	}
+	c.replaceLocked(objects)
+	return true
+}
+
 func (c *evacuationConsumer) logBegin(dc string, revision store.Version, since, now time.Time) {
 	logger := c.process.logger
 	logger.Info("evacuation of data centre began", "data_centre", dc, "revision", revision, age(since, now))
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -11,11 +11,12 @@
 )
 
 // placement returns which targets the request may be sent to by their places. The list of allowed
-// regions is that of the configuration in force, which may have changed since the request came.
+// regions is that of the configuration in force, which may have changed since the request came. If its route is gone or not
+// valid, the last list counts.
 func (g *Gateway) placement(c *call, keyed bool) eligibility.Placement {
 	e := c.entry
 	if t := g.opts.Routes(); t != nil && t.Config.Version != c.configVersion {
-		if now := t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); now != nil {
+		if now := t.Lookup(string(c.req.Header.Host()), requestPath(c.req)); now != nil && now.Unserved == "" {
 			e = now
 		}
 	}
@@ -42,7 +43,8 @@
 	if v.Reason == eligibility.RegionNotAllowed {
 		allowed := strings.Join(p.AllowedRegions, ", ")
 		if p.Owner {
-			return refusal(result.RegionNotAllowed, noTargetRetryAfter, "the owner of the key, target %s, is in region %q; allowed: %s", t.ID, t.Region, allowed)
+			return refusal(result.RegionNotAllowed, noTargetRetryAfter, "the owner of the key, target %s, is in region %q; allowed: %s",
+				t.ID, t.Region, allowed)
 		}
 		return refusal(result.RegionNotAllowed, noTargetRetryAfter, "no target of service %s is in an allowed region; allowed: %s", t.Service, allowed)
 	}
@@ -50,7 +52,8 @@
 		return refusal(result.Evacuated, leavingRetryAfter, "the owner of the key, target %s, is in data centre %q; being evacuated: %s",
 			t.ID, t.DataCentre, strings.Join(g.opts.Evacuations.DataCentres(), ", "))
 	}
-	return refusal(result.Evacuated, noTargetRetryAfter, "all targets of service %s that the request may be sent to are in data centres that are being evacuated", t.Service)
+	return refusal(result.Evacuated, noTargetRetryAfter,
+		"all targets of service %s that the request may be sent to are in data centres that are being evacuated", t.Service)
 }
 
 // likelierPlace returns the verdict that tells more about why no target can serve a request: an
