placing: Learn full loads only where they are configured to be used

Refusals with busy slots counted as full loads in place of failures, and owners of keys were refused at once as full, in every deployment. A deployment without [overload] and placement preferences is to be served as before.

Options.LearnFull is set where [overload], prefer_region or even_spread is on. Without it, refusals and resets are failures and no target counts as full. TestWithoutLearnFullRefusalsAreFailures fails without the condition.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -157,6 +157,7 @@
 		balancer: placing.New(placing.Options{
 			VM: s.Process.VM, DataCentre: s.Process.DataCentre, Region: s.Process.Region,
 			PreferRegion: s.Placing.PreferRegion || s.Overload.contracted(), EvenSpread: s.Placing.EvenSpread || s.Overload.contracted(),
+			LearnFull: s.Placing.PreferRegion || s.Placing.EvenSpread || s.Overload.on(),
 		}),
 		budget:     budget.New(budget.Options{Ratio: s.Retry.Ratio, ExtraRetries: s.Retry.Extra, Window: s.Retry.Window}),
 		keyCounter: gateway.NewKeyCounter(),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -89,7 +89,7 @@
 // newFixtureWith is newFixture with the data centres that are being evacuated and what bounds the requests for cold targets.
 func newFixtureWith(t *testing.T, evacuations *evacuation.Set, keyed bool, warmUp func(*fixture) *warmup.Tracker, handlers ...http.HandlerFunc) *fixture {
 	f := &fixture{
-		servers: map[string]*httptest.Server{}, t: t, evacuations: evacuations, stalls: evacuation.NewStallGuard(time.Hour, boottime.Now), balancer: placing.New(placing.Options{}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
+		servers: map[string]*httptest.Server{}, t: t, evacuations: evacuations, stalls: evacuation.NewStallGuard(time.Hour, boottime.Now), balancer: placing.New(placing.Options{LearnFull: true}), upstream: upstream.New(upstream.Options{Headers: platform.TargetHeaders()}),
 		suspects: quarantine.New(quarantine.Options{MinCrashes: 3}),
 	}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
--- a/placing/observe.go
+++ b/placing/observe.go
@@ -73,6 +73,7 @@
 			s.unreported.WorkPercent, s.unreported.LoadAt = o.WorkPercent, now
 		}
 	}
+	o.Full = o.Full && b.opts.LearnFull
 	if o.LoadKnown {
 		s.heldLoad.add(float64(o.Running+o.Waiting), math.Max, now)
 		s.recordLoad(float64(o.Running+o.Waiting-len(s.inFlight)), now)
@@ -92,7 +93,7 @@
 			s.failureRate += failureWeight * (1 - s.failureRate)
 		}
 	case o.Failed:
-		if o.Reset {
+		if o.Reset && b.opts.LearnFull {
 			b.recordReset(s, r, now)
 		}
 		s.unreported.Failures++
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -10,7 +10,7 @@
 
 // fixedClock returns a Balancer whose time is the one that now points to.
 func fixedClock(now *time.Time) *Balancer {
-	return New(Options{ServiceTime: 100 * time.Millisecond, Now: func() time.Time { return *now }})
+	return New(Options{ServiceTime: 100 * time.Millisecond, LearnFull: true, Now: func() time.Time { return *now }})
 }
 
 // answer ends a request at the candidate after the given time, with the load and statement of the target.
@@ -191,7 +191,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	b := New(Options{
-		DataCentre: "a", Region: "r", PreferRegion: true, ServiceTime: 100 * time.Millisecond, Now: func() time.Time { return now },
+		DataCentre: "a", Region: "r", PreferRegion: true, LearnFull: true, ServiceTime: 100 * time.Millisecond, Now: func() time.Time { return now },
 	})
 	candidates := []Candidate{
 		{ID: "near", Service: "s", DataCentre: "b", Region: "r", Slots: 2}, {ID: "far", Service: "s", DataCentre: "x", Region: "q", Slots: 2},
@@ -236,3 +236,21 @@
 		is.True(n <= 4)
 	}
 }
+
+// Where LearnFull is not set, refusals and resets count as failures, and no target counts as full.
+func TestWithoutLearnFullRefusalsAreFailures(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := New(Options{Now: func() time.Time { return now }})
+	c := Candidate{ID: "a", Service: "s", Slots: 4}
+	for range 10 {
+		refuse(b, &c, 8)
+		b.End(c.ID, b.Begin(&c), Outcome{Failed: true, Reset: true})
+	}
+	answer(b, &now, &c, time.Millisecond, 8, 0)
+	is.True(b.state("a").failureRate > 0.5)
+	is.Equal(b.TakeObservations()[0].Failures, 20)
+	is.True(!b.Full(&c))
+	is.True(!b.ProbablyFull("a", b.Begin(&c)))
+	is.True(b.Choose([]Candidate{c}, Query{}).Candidate != nil)
+}
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -48,6 +48,9 @@
 	// so that more of its load is what the VM has sent itself. Without it,
 	// some targets are in the subsets of far more VMs than others. It needs SetPeers.
 	EvenSpread bool
+	// LearnFull makes refusals and resets of targets that were probably full count as a full load, above which they get no
+	// requests, in place of failures.
+	LearnFull bool
 	// Now returns the current time. Default time.Now.
 	Now func() time.Time
 	// Random returns a number in [0, n). Default rand.IntN of math/rand/v2.
--- a/placing/surge_test.go
+++ b/placing/surge_test.go
@@ -114,7 +114,7 @@
 	for i := range s.vms {
 		dc, region := place(i)
 		b := New(Options{
-			VM: fmt.Sprint(i), DataCentre: dc, Region: region, PreferRegion: s.prefer, EvenSpread: s.even,
+			VM: fmt.Sprint(i), DataCentre: dc, Region: region, PreferRegion: s.prefer, EvenSpread: s.even, LearnFull: true,
 			Now: func() time.Time { return p.now }, Random: p.rng.IntN,
 		})
 		b.SetVMs(s.vms)
--- a/shard/uneven_test.go
+++ b/shard/uneven_test.go
@@ -202,7 +202,7 @@
 	for vm := range opts.vms {
 		w.counts[vm] = map[Key]uint32{}
 		w.balancers = append(w.balancers, placing.New(placing.Options{
-			Region: fmt.Sprint(vm % regions), DataCentre: fmt.Sprint(vm % regions), FarRoundTrip: 24 * time.Millisecond,
+			Region: fmt.Sprint(vm % regions), DataCentre: fmt.Sprint(vm % regions), FarRoundTrip: 24 * time.Millisecond, LearnFull: true,
 			Now: func() time.Time { return time.Unix(0, 0).Add(w.now) },
 		}))
 		w.after(w.between(0, 250*time.Millisecond), func() { w.reportEvery(vm) })
