placing: Take over the full load of other targets from two of them at least

One faulty target that sheds requests as soon as its slots are busy made all targets of its service count as full at that load, as the lowest load of any refusal counted. Such a refusal was no failure either, so that the target kept its place in the choice.

The others now count as full at the median load of the targets that refused lately, if there are two. A refusal far below what the target held lately is a failure again and no full load. Tests: TestTargetThatShedsDoesNotMakeOthersFull fails with one target in place of two, TestRefusalFarBelowHeldLoadIsAFailure with a share of zero. TestFullTargetsAreNotChosen expected one refusal to hold for others; it now has two targets that refuse.

--- a/placing/observe.go
+++ b/placing/observe.go
@@ -73,7 +73,7 @@
 			s.unreported.WorkPercent, s.unreported.LoadAt = o.WorkPercent, now
 		}
 	}
-	o.Full = o.Full && b.opts.LearnFull
+	o.Full = o.Full && b.opts.LearnFull && !s.refusedForOtherReason(o, now)
 	if o.LoadKnown {
 		s.heldLoad.add(float64(o.Running+o.Waiting), math.Max, now)
 		s.recordLoad(float64(o.Running+o.Waiting-len(s.inFlight)), now)
--- a/placing/occupancy.go
+++ b/placing/occupancy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,12 @@
 	biasStep   = 1
 	maxBias    = 8
 	biasMemory = 4 * time.Second
+	// minRefusers is the number of targets that must have refused lately for the others of the service to count as full at
+	// their median load. One target may refuse because it is faulty.
+	minRefusers = 2
+	// otherReasonShare is the share of the highest load that a target held lately below which a refusal is not put down to
+	// its load. The load that it states may be lower by the requests that ended meanwhile.
+	otherReasonShare = 0.75
 	// refusalCost and lossCost are the times that a certain refusal adds to the score of a request that can be sent to
 	// another target afterwards, and of one that is lost.
 	refusalCost = time.Second
@@ -75,8 +82,9 @@
 
 // serviceRefusals is what is known of the refusals of a service's targets.
 type serviceRefusals struct {
-	// waiting is the lowest number of waiting requests at which a target refused lately.
-	waiting recentExtreme
+	// waiting is the number of waiting requests at which targets are full, as of waitingAt. It is zero at the zero time.
+	waiting   float64
+	waitingAt time.Time
 	// bias is added to the estimated loads at biasAt. It rises with each refusal that was not expected. Reports come from
 	// targets that have just ended a request, and many VMs choose those that seem to have room.
 	bias   float64
@@ -98,7 +106,7 @@
 }
 
 // fullLoad returns the load at which the target takes no more requests: the lowest at which it refused one lately,
-// else the lowest number of waiting requests with which a target of its service did, above its slots. It is infinite while
+// else the number of waiting requests with which targets of its service did, above its slots. It is infinite while
 // no refusal is known. A load that the target has reported is less than that or equal.
 func (b *Balancer) fullLoad(s *targetState, slots int, now time.Time) float64 {
 	service := b.services[s.service]
@@ -107,11 +115,10 @@
 	}
 	full, ok := s.refusedLoad.value(math.Min, now)
 	if !ok {
-		waiting, known := service.waiting.value(math.Min, now)
-		if !known {
+		if service.waitingAt.IsZero() || now.Sub(service.waitingAt) > 2*refusalMemory {
 			return math.Inf(1)
 		}
-		full = waiting + float64(max(slots, 1))
+		full = service.waiting + float64(max(slots, 1))
 	}
 	if held, ok := s.heldLoad.value(math.Max, now); ok {
 		full = max(full, held)
@@ -226,5 +233,28 @@
 		service = &serviceRefusals{}
 		b.services[s.service] = service
 	}
-	service.waiting.add(max(load-float64(max(s.slots, 1)), 0), math.Min, now)
+	if waiting := b.refusedWaiting(s.service, now); len(waiting) >= minRefusers {
+		slices.Sort(waiting)
+		service.waiting, service.waitingAt = waiting[len(waiting)/2], now
+	}
+}
+
+// refusedWaiting returns the numbers of waiting requests at which the targets of the service that refused lately are full.
+func (b *Balancer) refusedWaiting(service string, now time.Time) []float64 {
+	var out []float64
+	for _, s := range b.states {
+		if s.service != service {
+			continue
+		}
+		if _, ok := s.refusedLoad.value(math.Min, now); ok {
+			out = append(out, max(b.fullLoad(s, s.slots, now)-float64(max(s.slots, 1)), 0))
+		}
+	}
+	return out
+}
+
+// refusedForOtherReason reports whether a target that refused a request had far fewer than it has held lately.
+func (s *targetState) refusedForOtherReason(o Outcome, now time.Time) bool {
+	held, ok := s.heldLoad.value(math.Max, now)
+	return ok && o.Answered && o.LoadKnown && float64(o.Running+o.Waiting) < otherReasonShare*held
 }
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -86,7 +86,8 @@
 	for range 20 {
 		is.Equal(b.Pick(candidates[:2], false, nil).ID, "b")
 	}
-	// What a holds counts for b as well, as they are of the same service, and not for one of another service.
+	// What two targets hold counts for b as well, as they are of the same service, and not for one of another service.
+	refuse(b, &Candidate{ID: "c", Service: "s", Slots: 2}, 6)
 	for i := range candidates[1:] {
 		n := b.Begin(&candidates[1+i])
 		b.End(candidates[1+i].ID, n, Outcome{Answered: true, LoadKnown: true, Running: 2, Waiting: 4})
@@ -237,6 +238,38 @@
 	}
 }
 
+// Guards against one faulty target that sheds requests as soon as its slots are busy: all targets of its service once counted
+// as full at that load.
+func TestTargetThatShedsDoesNotMakeOthersFull(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	faulty, healthy := Candidate{ID: "faulty", Service: "s", Slots: 6}, Candidate{ID: "healthy", Service: "s", Slots: 6}
+	for range 5 {
+		refuse(b, &faulty, 6)
+		answer(b, &now, &healthy, time.Millisecond, 6, 0)
+	}
+	is.True(!b.Full(&healthy))
+	for range 20 {
+		is.Equal(b.Pick([]Candidate{faulty, healthy}, false, nil).ID, "healthy")
+	}
+}
+
+// Guards against a target that sheds requests far below what it holds at other times: such refusals once counted neither as
+// failures nor kept requests away from it.
+func TestRefusalFarBelowHeldLoadIsAFailure(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	c := Candidate{ID: "a", Service: "s", Slots: 6}
+	answer(b, &now, &c, time.Millisecond, 10, 0)
+	refuse(b, &c, 6)
+	is.True(b.state("a").failureRate > 0)
+	is.True(math.IsInf(b.fullLoad(b.state("a"), 6, now), 1))
+	refuse(b, &c, 10)
+	is.Equal(b.fullLoad(b.state("a"), 6, now), 10.0)
+}
+
 // Where LearnFull is not set, refusals and resets count as failures, and no target counts as full.
 func TestWithoutLearnFullRefusalsAreFailures(t *testing.T) {
 	is := is.New(t)
