placing: Take resets by idle targets for faults while others refuse

The bias that corrects estimated loads rises to 8 with unexpected refusals of any target of the service, which alone exceeded 0.45 of a full load of 10. Each reset by an idle target then counted as one by a full target: no failure, no probe, no bound on broken exchanges, and one more unexpected refusal.

At most 0.35 of the full load now counts as bias there. TestResetByIdleTargetIsAFault fails without the bound.

--- a/placing/occupancy.go
+++ b/placing/occupancy.go
@@ -16,6 +16,9 @@
 	// resetLoadShare is the estimated load, as a share of the one at which the target is full, from which
 	// a reset is put down to a full target. Estimates lag behind while the load rises.
 	resetLoadShare = 0.45
+	// maxResetBias bounds the bias that counts there, as a share of the same, so that the resets of an idle target are
+	// faults however many refusals of others were not expected.
+	maxResetBias = 0.35
 	// maxRisk is the probability of a refusal from which a target counts as full, and maxOnceRisk the one from which it
 	// gets no request that must not run more than once while another has room: a full target may reset the connection,
 	// after which such a request is lost.
@@ -160,7 +163,11 @@
 	s, now := b.state(id), b.opts.Now()
 	r, ok := s.inFlight[number]
 	full := b.knownFullLoad(s, now)
-	return ok && full > 0 && s.loadAround(r, b.load(s, now))+b.services[s.service].biasNow(now) >= resetLoadShare*full
+	if !ok || full == 0 {
+		return false
+	}
+	bias := min(b.services[s.service].biasNow(now), maxResetBias*full)
+	return s.loadAround(r, b.load(s, now))+bias >= resetLoadShare*full
 }
 
 // loadAround returns the number of requests that were at the target beside r, of which the end has just been seen. The
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -287,3 +287,18 @@
 	is.True(!b.ProbablyFull("a", b.Begin(&c)))
 	is.True(b.Choose([]Candidate{c}, Query{}).Candidate != nil)
 }
+
+// Guards against resets by an idle target that are put down to its load because refusals by others were not expected.
+func TestResetByIdleTargetIsAFault(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	idle := Candidate{ID: "idle", Service: "s", Slots: 6}
+	for i := range 20 {
+		refuse(b, &Candidate{ID: string(rune('a' + i)), Service: "s", Slots: 6}, 10)
+	}
+	answer(b, &now, &idle, time.Millisecond, 0, 0)
+	n := b.Begin(&idle)
+	is.True(b.services["s"].biasNow(now) > 4)
+	is.True(!b.ProbablyFull("idle", n))
+}
