gateway: Take a reset for a crash if the target has ended idle connections too

A reset by a busy target of a service with known refusals was put down to its load even if its process had ended: no probe, no failure, and no count towards the bound on broken exchanges, so that a request that crashes targets could reach as many as its route allows attempts.

A full target resets only connections on which requests arrive. If an idle connection to it has ended as well, the reset counts as before. Package warmup looks at the same; the look is now shared, so that no reset waits twice. TestBusyTargetThatEndsIdleConnectionsHasFailed fails without the condition.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -64,7 +64,9 @@
 	sent := time.Now()
 	a, err := g.opts.Upstream.Do(ctx, t.Address, r)
 	f, _ := err.(*upstream.Failure)
-	full := f != nil && f.Reset && g.opts.Balancer.ProbablyFull(t.ID, number)
+	probablyFull := f != nil && f.Reset && g.opts.Balancer.ProbablyFull(t.ID, number)
+	ended := f != nil && f.Reset && (probablyFull || g.opts.Eligibility.WarmUp() != nil) && g.opts.Upstream.AnyEnded(t.Address, endedDelay)
+	full := probablyFull && !ended
 	if g.opts.Crashes != nil {
 		// A target that is probably full need not be probed: a probe would be one more connection to it.
 		g.opts.Crashes.end(t, c.content, a, f, ctx.Err() != nil || full)
@@ -75,7 +77,7 @@
 	if err == nil && a.Statements != nil {
 		g.observe(c, t, a.Statements)
 	}
-	g.observeRestart(t, err)
+	g.observeRestart(t, f, ended)
 	o, s := g.classify(c, t, a, f, full)
 	g.opts.Balancer.End(t.ID, number, o)
 	if s == stepDone {
--- a/gateway/occupancy_test.go
+++ b/gateway/occupancy_test.go
@@ -50,6 +50,36 @@
 	is.True(!f.balancer.Full(&placing.Candidate{ID: "t0", Service: "s", Slots: 6}))
 }
 
+// Guards against a crash that is put down to load because the target was busy: a full target resets only connections on which
+// requests arrive, and one that has crashed ends its idle connections as well.
+func TestBusyTargetThatEndsIdleConnectionsHasFailed(t *testing.T) {
+	is := is.New(t)
+	entered, answer, done := make(chan struct{}, 2), make(chan struct{}), make(chan struct{})
+	f := newFixture(t, false, func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-answer
+		answerLoaded("5,0,6", false)(w, r)
+	})
+	c := &placing.Candidate{ID: "t0", Service: "s", Slots: 6}
+	end := func(o placing.Outcome) { f.balancer.End("t0", f.balancer.Begin(c), o) }
+	end(placing.Outcome{Answered: true, Refused: true, Full: true, LoadKnown: true, Running: 6, Waiting: 3})
+	for range 30 {
+		end(placing.Outcome{Answered: true, LoadKnown: true, Running: 5})
+	}
+	f.balancer.TakeObservations()
+	for range 2 {
+		go func() { f.send("/unsafe/x", ""); done <- struct{}{} }()
+	}
+	<-entered
+	<-entered
+	answer <- struct{}{} // One of the connections is idle from now on.
+	<-done
+	f.servers["t0"].CloseClientConnections()
+	<-done
+	close(answer)
+	is.Equal(f.balancer.TakeObservations()[0].Failures, 1)
+}
+
 // Resets by full targets must neither count as failures nor close idle connections, and a request that must not run
 // more than once must not be sent again.
 func TestResetByFullTarget(t *testing.T) {
--- a/gateway/restart.go
+++ b/gateway/restart.go
@@ -12,17 +12,16 @@
 // after a reset waits for it, because all idle connections are closed here then.
 const endedDelay = 3 * time.Millisecond
 
-// observeRestart passes on that the target's process may have restarted, if the error of an exchange shows that. That happens
-// before its entry in the store changes. A reset alone shows nothing: a target that is full resets connections too.
-func (g *Gateway) observeRestart(t *fleet.Target, err error) {
-	f, ok := err.(*upstream.Failure)
-	if g.opts.Eligibility.WarmUp() == nil || !ok {
-		return
-	}
+// observeRestart passes on that the target's process may have restarted, if the failure of an exchange shows that. That happens
+// before its entry in the store changes. A reset alone shows nothing: a target that is full resets connections too. ended is set
+// if the target has reset the connection and has ended another one that was idle.
+func (g *Gateway) observeRestart(t *fleet.Target, f *upstream.Failure, ended bool) {
+	w := g.opts.Eligibility.WarmUp()
 	switch {
+	case w == nil || f == nil:
 	case f.Refused:
-		g.opts.Eligibility.WarmUp().ObserveRestart(t, warmup.CauseRefused)
-	case f.Reset && g.opts.Upstream.AnyEnded(t.Address, endedDelay):
-		g.opts.Eligibility.WarmUp().ObserveRestart(t, warmup.CauseEnded)
+		w.ObserveRestart(t, warmup.CauseRefused)
+	case ended:
+		w.ObserveRestart(t, warmup.CauseEnded)
 	}
 }
