shard: Take an owner's answers a second for a lower bound of its capacity in shares of hot keys

The capacity of an owner with a long queue was estimated from service times that include time in the queue, since each of many VMs knows a part of the queue only. The quantile of servicetime.go does not help when all answers have waited. An owner that served 6 to 10 requests a second was told to serve 2.5.

The assigner now tracks the answers that all VMs report of a target over one second, less a standard deviation, and remembers the highest for some seconds. HotKeyShares uses it as a lower bound, except for targets that have named a limit.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -513,7 +513,7 @@
 			continue
 		}
 		regions[t.ID] = t.Region
-		p := PlanTarget{Holder: h, Capacity: times.capacity(t), Slots: t.Slots, WithoutKeys: !withKeys[t.ID]}
+		p := PlanTarget{Holder: h, Capacity: times.capacity(t), Answered: a.targets.answered(t.ID, now), Slots: t.Slots, WithoutKeys: !withKeys[t.ID]}
 		if limit, ok := a.targets.limitOf(h, now); ok && limit < p.Capacity {
 			p.Capacity, p.FullCapacity = limit, p.Capacity
 		}
--- a/shard/hotkey.go
+++ b/shard/hotkey.go
@@ -23,7 +23,11 @@
 func HotKeyShares(owned []OwnedRange, targets []PlanTarget, load *Load, vms int) map[Key]int {
 	capacity := make(map[string]float64, len(targets))
 	for _, t := range targets {
-		capacity[t.Holder.ID] = t.Capacity
+		c := t.Capacity
+		if t.FullCapacity == 0 {
+			c = max(c, t.Answered)
+		}
+		capacity[t.Holder.ID] = c
 	}
 	shares := map[Key]int{}
 	for _, o := range owned {
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -14,6 +14,8 @@
 	// FullCapacity is set if the target has named its Capacity as a limit: it gets no more, and the
 	// rest of the requests for its keys is refused. It is what the target could serve.
 	FullCapacity float64
+	// Answered is a lower bound of Capacity by what the target has answered a second lately.
+	Answered float64
 	// Slots is the number of requests that the target runs at a time, or zero if unknown.
 	Slots int
 	// WithoutKeys is set if the target owns no keys yet. The plan gives it some.
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -39,7 +39,8 @@
 	serviceTime time.Duration
 	answers     int
 	// lower is the quantile of the service times from which the mean is estimated if the target has few slots.
-	lower quantile
+	lower      quantile
+	answerRate answerRate
 	// estimate is the last estimate of the mean service time in a service with keys, or zero without any.
 	estimate time.Duration
 	// failures is the moving average of the share of requests that failed.
@@ -85,6 +86,7 @@
 	s.changed = true
 	if n := int(r.GetAnswers()); n > 0 {
 		s.observe(time.Duration(r.GetServiceMicros())*time.Microsecond, n)
+		s.answerRate.add(n, now)
 	}
 	total := int(r.GetAnswers() + r.GetFailures())
 	if total > 0 {
