shard: End the share of a hot key soon after its requests have ended

The assigner now tracks the rates of keys with a share over 250 ms as well and uses 1.25 times that if it is lower. The state is one number for each such key until it has hardly any requests. The share varies between 36 and 50 while the key is hot, as is checked.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	mathrand "math/rand/v2"
 	"slices"
 	"sync"
@@ -452,7 +453,9 @@
 	if len(owned) == 0 && !a.targetsStable(s.name) {
 		return
 	}
-	s.leases.SetShares(HotKeyShares(owned, targets, s.load, a.vmCount()))
+	shares := HotKeyShares(owned, targets, s.load, a.vmCount())
+	s.load.WatchKeys(maps.Keys(shares))
+	s.leases.SetShares(shares)
 	if s.fewSlots = haveFewSlots(targets); s.fewSlots {
 		s.load.FindHotSpots(now)
 		a.recordSpots(s, now)
--- a/shard/hotkey.go
+++ b/shard/hotkey.go
@@ -35,10 +35,14 @@
 		if c == 0 || float64(vms) < vmsPerRequest*c {
 			continue
 		}
-		keys, rate, ok := load.Narrowest(o.Keys, hotKeyOverload*c)
+		keys, _, ok := load.Narrowest(o.Keys, hotKeyOverload*c)
 		if !ok || keys.Size() != 1 {
 			continue
 		}
+		rate := load.presentRate(keys.From)
+		if rate < hotKeyOverload*c {
+			continue
+		}
 		shares[keys.From] = max(int(WholeShare*hotKeyFill*c/rate), 1)
 	}
 	return shares
--- a/shard/hotkey_test.go
+++ b/shard/hotkey_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -49,3 +50,46 @@
 	lm.FinishProposal(true)
 	is.Equal(lm.TakeTable(3*time.Second).Find(3377).Keys, KeyRange{0, 30000})
 }
+
+// Guards against shares that go on after a hot key is no longer requested: the moving average of its rate took 2.5 s to fall to
+// what the owner can serve, and nearly all of the few requests were refused meanwhile.
+func TestShareEndsSoonAfterTheHotKey(t *testing.T) {
+	is := is.New(t)
+	owner := Holder{ID: "a", Address: "a:1"}
+	owned, targets := []OwnedRange{{Keys: AllKeys, Owner: owner}}, []PlanTarget{{Holder: owner, Capacity: 8}}
+	load, now := NewLoad(loadTimeConstant), time.Minute
+	play := func(count uint32) int {
+		now += 50 * time.Millisecond
+		load.Add(map[Key]uint32{3377: count}, now)
+		shares := HotKeyShares(owned, targets, load, 200)
+		load.WatchKeys(maps.Keys(shares))
+		return shares[3377]
+	}
+	for range 60 {
+		play(9) // 180 a second.
+	}
+	for i := range 40 {
+		share := play(uint32(8 + 2*(i%2)))
+		is.True(share >= 36 && share <= 50) // 0.9 * 8 of 180 are 40.
+	}
+	ended, last, refused := now, now, 0.0
+	for i := range 80 {
+		count := uint32((i + 1) % 4 / 3) // 5 a second.
+		if share := play(count); share > 0 {
+			last = now
+			refused += float64(count) * (1 - float64(share)/WholeShare)
+		}
+	}
+	t.Logf("share for %v after the end, in which %.1f of the requests were refused", last-ended, refused)
+	is.True(last-ended <= 1500*time.Millisecond)
+	is.True(refused < 5)
+	// The key is hot again.
+	for range 20 {
+		play(9)
+	}
+	is.True(play(9) > 0)
+	// Keys without requests are not tracked for long.
+	now += 10 * time.Second
+	play(0)
+	is.Equal(len(load.recent), 0)
+}
--- a/shard/load.go
+++ b/shard/load.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -16,8 +17,17 @@
 	slow    [int(LastKey) + 1]float32
 	updated time.Duration
 	spots   []HotSpot
+	// recent are the rates over recentTimeConstant of the keys for which shares were stated.
+	recent map[Key]float64
 }
 
+// recentTimeConstant is the time constant of the rates that show the end of a hot key. That of rates takes seconds to
+// fall from a hundred times what an owner can serve.
+const recentTimeConstant = 250 * time.Millisecond
+
+// recentMargin is the multiple of a recent rate that a moving average may have by chance.
+const recentMargin = 1.25
+
 // NewLoad returns a Load in which all rates are zero. The weight of past counts falls to
 // 1/e within the time constant.
 func NewLoad(timeConstant time.Duration) *Load { return &Load{timeConstant: timeConstant} }
@@ -29,6 +39,9 @@
 	for k, n := range counts {
 		l.rates[k] += perCount * float32(n)
 		l.slow[k] += perCountSlow * float32(n)
+		if _, ok := l.recent[k]; ok {
+			l.recent[k] += float64(n) / recentTimeConstant.Seconds()
+		}
 	}
 }
 
@@ -43,6 +56,33 @@
 	l.updated = now
 	decayAll(&l.rates, passed, l.timeConstant)
 	decayAll(&l.slow, passed, slowTimeConstant)
+	for k := range l.recent {
+		l.recent[k] *= math.Exp(-passed.Seconds() / recentTimeConstant.Seconds())
+		if l.rates[k] < minSmoothedRate {
+			delete(l.recent, k)
+		}
+	}
+}
+
+// WatchKeys tracks the recent rates of the keys, until they have hardly any requests.
+func (l *Load) WatchKeys(keys iter.Seq[Key]) {
+	for k := range keys {
+		if _, ok := l.recent[k]; !ok {
+			if l.recent == nil {
+				l.recent = map[Key]float64{}
+			}
+			l.recent[k] = float64(l.rates[k])
+		}
+	}
+}
+
+// presentRate returns the rate of the key, or a bound by the recent one if that is lower.
+func (l *Load) presentRate(k Key) float64 {
+	rate := float64(l.rates[k])
+	if recent, ok := l.recent[k]; ok {
+		rate = min(rate, recentMargin*recent)
+	}
+	return rate
 }
 
 func decayAll(rates *[int(LastKey) + 1]float32, passed, timeConstant time.Duration) {
