gateway: Report busy owners early when the overload policy refuses

Refusals by package admission, and those of the owner itself, made the VM report early, so that the assigner finds a hot spot at its begin. With [overload] on, the refusals of the policy and those for owners that are known to be full did not, so that only a request that the owner itself turned away caused an early report. Refusals by targets without keys did, although only owners matter.

serveKeyed notes the owner as busy in all of these cases. TestBusyOwnerIsNotedWithThePolicy fails without that.

--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -56,9 +56,11 @@
 			return nil, refusal(result.NoTarget, unreachableRetryAfter, "the owner of the key, target %s, cannot be reached", t.ID)
 		}
 		if candidate := g.newCandidate(t); !c.mayHaveRun && g.opts.Balancer.Full(&candidate) {
+			g.opts.KeyCounter.ownerBusy(t.Slots)
 			return nil, g.noRoom(c, decisionFull, result.TargetShed, g.estimate(t).Wait, "the owner of the key, target %s, is expected to have no room", t.ID)
 		}
 		if e := g.admit(c, t); e != nil {
+			g.opts.KeyCounter.ownerBusy(t.Slots)
 			return nil, e
 		}
 		c.cause = causeKey
@@ -221,7 +223,6 @@
 	if ok {
 		return nil
 	}
-	g.opts.KeyCounter.ownerBusy(t.Slots)
 	return refusal(result.NoCapacity, roomIn, "target %s cannot answer in time: the expected wait in its queue is %d ms", t.ID, e.Wait.Milliseconds())
 }
 
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -77,6 +77,26 @@
 	}
 }
 
+// Guards against a hot spot that the assigner learns of late: refusals of the policy, and for owners that are known to be full,
+// once caused no early report.
+func TestBusyOwnerIsNotedWithThePolicy(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, true, answerOK)
+	f.overloaded()
+	f.load("t0", 100)
+	f.busySlots = nil
+	is.Equal(f.send("/minor/x", "7").Status, 503)
+	is.Equal(f.busySlots, []int{6})
+
+	f = newFixture(t, true, answerLoaded("6,3,6", true))
+	f.overloaded()
+	f.busySlots = nil
+	received := f.requestsReceived()
+	is.Equal(f.send("/safe/x", "7").Status, 503)
+	is.Equal(f.requestsReceived(), received) // The owner is known to be full.
+	is.Equal(f.busySlots, []int{6})
+}
+
 // A request that may have run must be sent to another target, not refused, however long the queue.
 func TestRequestThatMayHaveRunIsNotRefused(t *testing.T) {
 	is := is.New(t)
