placing: Take over shared speeds whole only without answers of one's own

A VM that starts takes the service times of the assigner's first update whole.

It is now taken whole only if the target has answered this VM never. TestFirstSharedSpeedDoesNotReplaceOwnAnswers fails before.

--- a/placing/observe.go
+++ b/placing/observe.go
@@ -208,9 +208,9 @@
 	now := b.opts.Now()
 	for _, stats := range all {
 		s := b.state(stats.ID)
-		if stats.ServiceTime > 0 && !s.hasShared {
+		if stats.ServiceTime > 0 && !s.hasAnswered {
 			// This VM has just started, or the target is new to it. Half of the initial estimate would be far off.
-			s.hasAnswered, s.hasShared = true, true
+			s.hasAnswered = true
 			s.serviceTime = stats.ServiceTime
 		} else if stats.ServiceTime > 0 {
 			s.serviceTime += time.Duration(sharedStatsWeight * float64(stats.ServiceTime-s.serviceTime))
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -188,6 +188,21 @@
 	is.True(work > 1800*time.Millisecond && work < 1900*time.Millisecond)
 }
 
+// Guards against an assigner that has just started, whose first service time stems from three answers: it once replaced what a VM
+// had learned from many.
+func TestFirstSharedSpeedDoesNotReplaceOwnAnswers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	c := Candidate{ID: "a", Slots: 100}
+	for range 50 {
+		answer(b, &now, &c, 100*time.Millisecond, 0, 0)
+	}
+	b.MergeStats([]SharedStats{{ID: "a", ServiceTime: 900 * time.Millisecond}})
+	work, _ := b.Expected(&c)
+	is.True(work > 450*time.Millisecond && work < 550*time.Millisecond)
+}
+
 func TestFarTargetsOnlyWithoutRoomNear(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -188,8 +188,6 @@
 	unreported Observation
 	// hasAnswered is set once the target has answered any VM.
 	hasAnswered bool
-	// hasShared is set once the service time that all VMs together know was merged.
-	hasShared bool
 	// unreportedServiceTime is the sum of the service times of the answers in unreported.
 	unreportedServiceTime time.Duration
 	// connectFailures counts the failed attempts to connect since the last answer.
