placing: Take what any target of a service held for a bound of its full loads

Several faulty targets that shed requests with busy slots still made the others count as full at that load, since the median of refusals was theirs. What another target of the service held lately is now a lower bound, as it was for resets.

--- a/placing/occupancy.go
+++ b/placing/occupancy.go
@@ -34,7 +34,7 @@
 	maxBias    = 8
 	biasMemory = 4 * time.Second
 	// minRefusers is the number of targets that must have refused lately for the others of the service to count as full at
-	// their median load. One target may refuse because it is faulty.
+	// their median load, or at the highest that one of the service held. Some may refuse because they are faulty.
 	minRefusers = 2
 	// otherReasonShare is the share of the highest load that a target held lately below which a refusal is not put down to
 	// its load. The load that it states may be lower by the requests that ended meanwhile.
@@ -242,7 +242,7 @@
 	}
 	if waiting := b.refusedWaiting(s.service, now); len(waiting) >= minRefusers {
 		slices.Sort(waiting)
-		service.waiting, service.waitingAt = waiting[len(waiting)/2], now
+		service.waiting, service.waitingAt = max(waiting[len(waiting)/2], b.heldWaiting(s.service, now)), now
 	}
 }
 
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -270,6 +270,23 @@
 	}
 }
 
+// Guards against several faulty targets: what the healthy ones hold shows that the service takes more.
+func TestTargetsThatShedDoNotMakeOthersFull(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	busy, idle := Candidate{ID: "busy", Service: "s", Slots: 6}, Candidate{ID: "idle", Service: "s", Slots: 6}
+	answer(b, &now, &busy, time.Millisecond, 9, 0)
+	for range 3 {
+		for _, id := range []string{"a", "b", "c"} {
+			refuse(b, &Candidate{ID: id, Service: "s", Slots: 6, Keyed: true}, 6)
+		}
+	}
+	answer(b, &now, &idle, time.Millisecond, 7, 0)
+	is.Equal(b.fullLoad(b.state("idle"), 6, now), 9.0)
+	is.True(!b.Full(&idle))
+}
+
 // Guards against a target that sheds requests far below what it holds at other times: such refusals once counted neither as
 // failures nor kept requests away from it.
 func TestRefusalFarBelowHeldLoadIsAFailure(t *testing.T) {
