--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -56,12 +56,14 @@
 			return nil, refusal(result.NoTarget, unreachableRetryAfter, "the owner of the key, target %s, cannot be reached", t.ID)
 		}
 		if candidate := g.newCandidate(t); !c.mayHaveRun && g.opts.Balancer.Full(&candidate) {
+			g.opts.KeyCounter.ownerBusy(t.Slots)
 			return nil, g.noRoom(c, decisionFull, result.TargetShed, g.estimate(t).Wait, "the owner of the key, target %s, is expected to have no room", t.ID)
 		}
 		if !g.opts.Balancer.BodyFits(t.ID, int64(len(c.req.Body))) {
 			return nil, g.ownerBodiesFull(c, t)
 		}
 		if e := g.admit(c, t); e != nil {
+			g.opts.KeyCounter.ownerBusy(t.Slots)
 			return nil, e
 		}
 		c.cause = causeKey
@@ -226,7 +228,6 @@
 	if ok {
 		return nil
 	}
-	g.opts.KeyCounter.ownerBusy(t.Slots)
 	return refusal(result.NoCapacity, roomIn, "target %s cannot answer in time: the expected wait in its queue is %d ms", t.ID, e.Wait.Milliseconds())
 }
 
--- a/placing/observe.go
+++ b/placing/observe.go
@@ -82,6 +82,7 @@
 			s.unreported.WorkPercent, s.unreported.LoadAt = o.WorkPercent, now
 		}
 	}
+	o.Full = o.Full && b.opts.LearnFull && !s.refusedForOtherReason(o, now)
 	if o.LoadKnown {
 		s.heldLoad.add(float64(o.Running+o.Waiting), math.Max, now)
 		s.recordLoad(float64(o.Running+o.Waiting-len(s.inFlight)), now)
@@ -101,7 +102,7 @@
 			s.failureRate += failureWeight * (1 - s.failureRate)
 		}
 	case o.Failed:
-		if o.Reset {
+		if o.Reset && b.opts.LearnFull {
 			b.recordReset(s, r, now)
 		}
 		s.unreported.Failures++
@@ -216,9 +217,9 @@
 	now := b.opts.Now()
 	for _, stats := range all {
 		s := b.state(stats.ID)
-		if stats.ServiceTime > 0 && !s.hasShared {
+		if stats.ServiceTime > 0 && !s.hasAnswered {
 			// This VM has just started, or the target is new to it. Half of the initial estimate would be far off.
-			s.hasAnswered, s.hasShared = true, true
+			s.hasAnswered = true
 			s.serviceTime = stats.ServiceTime
 		} else if stats.ServiceTime > 0 {
 			s.serviceTime += time.Duration(sharedStatsWeight * float64(stats.ServiceTime-s.serviceTime))
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -10,7 +10,7 @@
 
 // fixedClock returns a Balancer whose time is the one that now points to.
 func fixedClock(now *time.Time) *Balancer {
-	return New(Options{ServiceTime: 100 * time.Millisecond, Now: func() time.Time { return *now }})
+	return New(Options{ServiceTime: 100 * time.Millisecond, LearnFull: true, Now: func() time.Time { return *now }})
 }
 
 // answer ends a request at the candidate after the given time, with the load and statement of the target.
@@ -86,7 +86,8 @@
 	for range 20 {
 		is.Equal(b.Pick(candidates[:2], false, nil).ID, "b")
 	}
-	// What a holds counts for b as well, as they are of the same service, and not for one of another service.
+	// What two targets hold counts for b as well, as they are of the same service, and not for one of another service.
+	refuse(b, &Candidate{ID: "c", Service: "s", Slots: 2}, 6)
 	for i := range candidates[1:] {
 		n := b.Begin(&candidates[1+i])
 		b.End(candidates[1+i].ID, n, Outcome{Answered: true, LoadKnown: true, Running: 2, Waiting: 4})
@@ -187,11 +188,26 @@
 	is.True(work > 1800*time.Millisecond && work < 1900*time.Millisecond)
 }
 
+// Guards against an assigner that has just started, whose first service time stems from three answers: it once replaced what a VM
+// had learned from many.
+func TestFirstSharedSpeedDoesNotReplaceOwnAnswers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	c := Candidate{ID: "a", Slots: 100}
+	for range 50 {
+		answer(b, &now, &c, 100*time.Millisecond, 0, 0)
+	}
+	b.MergeStats([]SharedStats{{ID: "a", ServiceTime: 900 * time.Millisecond}})
+	work, _ := b.Expected(&c)
+	is.True(work > 450*time.Millisecond && work < 550*time.Millisecond)
+}
+
 func TestFarTargetsOnlyWithoutRoomNear(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	b := New(Options{
-		DataCentre: "a", Region: "r", PreferRegion: true, ServiceTime: 100 * time.Millisecond, Now: func() time.Time { return now },
+		DataCentre: "a", Region: "r", PreferRegion: true, LearnFull: true, ServiceTime: 100 * time.Millisecond, Now: func() time.Time { return now },
 	})
 	candidates := []Candidate{
 		{ID: "near", Service: "s", DataCentre: "b", Region: "r", Slots: 2}, {ID: "far", Service: "s", DataCentre: "x", Region: "q", Slots: 2},
@@ -236,3 +252,85 @@
 		is.True(n <= 4)
 	}
 }
+
+// Guards against one faulty target that sheds requests as soon as its slots are busy: all targets of its service once counted
+// as full at that load.
+func TestTargetThatShedsDoesNotMakeOthersFull(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	faulty, healthy := Candidate{ID: "faulty", Service: "s", Slots: 6}, Candidate{ID: "healthy", Service: "s", Slots: 6}
+	for range 5 {
+		refuse(b, &faulty, 6)
+		answer(b, &now, &healthy, time.Millisecond, 6, 0)
+	}
+	is.True(!b.Full(&healthy))
+	for range 20 {
+		is.Equal(b.Pick([]Candidate{faulty, healthy}, false, nil).ID, "healthy")
+	}
+}
+
+// Guards against several faulty targets: what the healthy ones hold shows that the service takes more.
+func TestTargetsThatShedDoNotMakeOthersFull(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	busy, idle := Candidate{ID: "busy", Service: "s", Slots: 6}, Candidate{ID: "idle", Service: "s", Slots: 6}
+	answer(b, &now, &busy, time.Millisecond, 9, 0)
+	for range 3 {
+		for _, id := range []string{"a", "b", "c"} {
+			refuse(b, &Candidate{ID: id, Service: "s", Slots: 6, Keyed: true}, 6)
+		}
+	}
+	answer(b, &now, &idle, time.Millisecond, 7, 0)
+	is.Equal(b.fullLoad(b.state("idle"), 6, now), 9.0)
+	is.True(!b.Full(&idle))
+}
+
+// Guards against a target that sheds requests far below what it holds at other times: such refusals once counted neither as
+// failures nor kept requests away from it.
+func TestRefusalFarBelowHeldLoadIsAFailure(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	c := Candidate{ID: "a", Service: "s", Slots: 6}
+	answer(b, &now, &c, time.Millisecond, 10, 0)
+	refuse(b, &c, 6)
+	is.True(b.state("a").failureRate > 0)
+	is.True(math.IsInf(b.fullLoad(b.state("a"), 6, now), 1))
+	refuse(b, &c, 10)
+	is.Equal(b.fullLoad(b.state("a"), 6, now), 10.0)
+}
+
+// Where LearnFull is not set, refusals and resets count as failures, and no target counts as full.
+func TestWithoutLearnFullRefusalsAreFailures(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := New(Options{Now: func() time.Time { return now }})
+	c := Candidate{ID: "a", Service: "s", Slots: 4}
+	for range 10 {
+		refuse(b, &c, 8)
+		b.End(c.ID, b.Begin(&c), Outcome{Failed: true, Reset: true})
+	}
+	answer(b, &now, &c, time.Millisecond, 8, 0)
+	is.True(b.state("a").failureRate > 0.5)
+	is.Equal(b.TakeObservations()[0].Failures, 20)
+	is.True(!b.Full(&c))
+	is.True(!b.ProbablyFull("a", b.Begin(&c)))
+	is.True(b.Choose([]Candidate{c}, Query{}).Candidate != nil)
+}
+
+// Guards against resets by an idle target that are put down to its load because refusals by others were not expected.
+func TestResetByIdleTargetIsAFault(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := fixedClock(&now)
+	idle := Candidate{ID: "idle", Service: "s", Slots: 6}
+	for i := range 20 {
+		refuse(b, &Candidate{ID: string(rune('a' + i)), Service: "s", Slots: 6}, 10)
+	}
+	answer(b, &now, &idle, time.Millisecond, 0, 0)
+	n := b.Begin(&idle)
+	is.True(b.services["s"].biasNow(now) > 4)
+	is.True(!b.ProbablyFull("idle", n))
+}
--- a/shard/hotkey.go
+++ b/shard/hotkey.go
@@ -23,7 +23,11 @@
 func HotKeyShares(owned []OwnedRange, targets []PlanTarget, load *Load, vms int) map[Key]int {
 	capacity := make(map[string]float64, len(targets))
 	for _, t := range targets {
-		capacity[t.Holder.ID] = t.Capacity
+		c := t.Capacity
+		if t.FullCapacity == 0 {
+			c = max(c, t.Answered)
+		}
+		capacity[t.Holder.ID] = c
 	}
 	shares := map[Key]int{}
 	for _, o := range owned {
@@ -31,10 +35,14 @@
 		if c == 0 || float64(vms) < vmsPerRequest*c {
 			continue
 		}
-		keys, rate, ok := load.Narrowest(o.Keys, hotKeyOverload*c)
+		keys, _, ok := load.Narrowest(o.Keys, hotKeyOverload*c)
 		if !ok || keys.Size() != 1 {
 			continue
 		}
+		rate := load.presentRate(keys.From)
+		if rate < hotKeyOverload*c {
+			continue
+		}
 		shares[keys.From] = max(int(WholeShare*hotKeyFill*c/rate), 1)
 	}
 	return shares
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -37,6 +37,7 @@
 	// serviceTime is the moving average of the target's service times.
 	serviceTime time.Duration
 	answers     int
+	answerRate  answerRate
 	// failures is the moving average of the share of requests that failed.
 	failures float64
 	// load is the load that the target last reported.
@@ -80,6 +81,7 @@
 	s.changed = true
 	if n := int(r.GetAnswers()); n > 0 {
 		s.observe(time.Duration(r.GetServiceMicros())*time.Microsecond, n)
+		s.answerRate.add(n, now)
 	}
 	total := int(r.GetAnswers() + r.GetFailures())
 	if total > 0 {
