Let the fake targets turn cold, read slowly and reset when full

SetCold makes a target cold for a time, which its entry states in warmup_left. Reached reports each request that is not refused with 421, with its arrival and, while the target is cold, the highest number of requests in a second around it. FullResets, SetReadPause and the query parameter pad (long answers) are off by default; entries and answers of warm targets are as before.

--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -116,6 +116,13 @@
 	return s.objects[kind][name].Metadata.Rev
 }
 
+// Spec returns the content of an object, or nil if it does not exist.
+func (s *Store) Spec(kind, name string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Spec
+}
+
 // Put writes an object regardless of its revision, as operators and targets do. It panics
 // if spec cannot be encoded as JSON.
 func (s *Store) Put(kind, name string, spec any) {
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,8 +24,15 @@
 	Slots, Queue int
 	// Work is how long each request runs.
 	Work time.Duration
+	// FullResets makes the target reset the connection of a request for which it has no room,
+	// instead of answering 503.
+	FullResets bool
 	// Observer is notified of what happens at the target. It may be nil.
 	Observer Observer
+	// Reached is called for each request that the target does not refuse with 421, with the instant of
+	// its arrival. While the target is cold, cold is the highest number of requests in a second around
+	// that instant. It is called while the target is locked and must not call the target. It may be nil.
+	Reached func(r *http.Request, arrived time.Time, cold int)
 }
 
 // Observer is notified of what happens at a target. Its methods are called while the
@@ -60,6 +70,12 @@
 	statements map[string]string
 	// refuse makes the target refuse all requests as if its queue were full.
 	refuse bool
+	// The target is cold from coldFrom to coldUntil. coldArrivals are the instants of the requests that it
+	// got in this time, in ascending order.
+	coldFrom, coldUntil time.Time
+	coldArrivals        []time.Time
+	// readPause is the pause before each piece of a request's body is read.
+	readPause time.Duration
 }
 
 // grantedRange is a range of keys, both ends included, that was granted with a fencing
@@ -108,6 +124,44 @@
 	t.refuse = refuse
 }
 
+// SetCold makes the target cold for the time, which its entry states from then on.
+func (t *Target) SetCold(length time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldFrom, t.coldArrivals = time.Now(), nil
+	t.coldUntil = t.coldFrom.Add(length)
+}
+
+// SetReadPause sets the pause before each piece of a request's body is read.
+func (t *Target) SetReadPause(pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readPause = pause
+}
+
+// reached notifies Reached of a request that arrived at the instant.
+func (t *Target) reached(r *http.Request, arrived time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cold := 0
+	if !arrived.Before(t.coldFrom) && arrived.Before(t.coldUntil) {
+		t.coldArrivals = append(t.coldArrivals, arrived)
+		slices.SortFunc(t.coldArrivals, time.Time.Compare)
+		first := 0
+		for last, at := range t.coldArrivals {
+			for at.Sub(t.coldArrivals[first]) >= time.Second {
+				first++
+			}
+			if !t.coldArrivals[first].After(arrived) && !at.Before(arrived) {
+				cold = max(cold, last-first+1)
+			}
+		}
+	}
+	if t.opts.Reached != nil {
+		t.opts.Reached(r, arrived, cold)
+	}
+}
+
 // SetHang sets whether new calls hang without an answer until their caller gives up.
 func (t *Target) SetHang(hang bool) {
 	t.mu.Lock()
@@ -222,6 +276,7 @@
 // runRequest runs a request, or refuses it if it is meant for another target, the queue is
 // full or the target does not hold its key.
 func (t *Target) runRequest(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	t.mu.Lock()
@@ -235,22 +290,23 @@
 		return
 	}
 	t.mu.Lock()
-	refuse := t.refuse
+	refuse, readPause := t.refuse, t.readPause
 	if t.opts.Observer != nil {
 		t.opts.Observer.Arrived(t.opts.ID, id)
 	}
 	t.mu.Unlock()
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(pausingReader{r.Body, readPause})
 	if err != nil {
 		return
 	}
 	if refuse {
+		t.reached(r, arrived)
 		t.answer(id, true)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if !t.acquireSlot(w, r) {
+	if !t.acquireSlot(w, r, arrived) {
 		return
 	}
 	defer func() { <-t.slots }()
@@ -260,6 +316,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.reached(r, arrived)
 	t.mu.Lock()
 	t.runs[id]++
 	if t.opts.Observer != nil {
@@ -274,7 +331,26 @@
 	t.answer(id, false)
 	w.Header().Set("Server-Seal", t.opts.ID)
 	w.Header().Set("Instance-Load", t.load())
-	fmt.Fprintf(w, "%s %s %s", t.opts.ID, r.URL.RequestURI(), body)
+	// Callers ask for long answers by the query parameter pad.
+	pad, _ := strconv.Atoi(r.URL.Query().Get("pad"))
+	fmt.Fprintf(w, "%s%s %s %s", t.opts.ID, strings.Repeat(".", min(max(pad, 0), maxPad)), r.URL.RequestURI(), body)
+}
+
+// maxPad bounds the length of answers, in bytes.
+const maxPad = 1 << 20
+
+// pausingReader reads in small pieces, with a pause before each.
+type pausingReader struct {
+	from  io.Reader
+	pause time.Duration
+}
+
+func (p pausingReader) Read(b []byte) (int, error) {
+	if p.pause == 0 {
+		return p.from.Read(b)
+	}
+	time.Sleep(p.pause)
+	return p.from.Read(b[:min(len(b), 4<<10)])
 }
 
 // answer notifies the observer of an answer.
@@ -288,7 +364,7 @@
 
 // acquireSlot waits for a slot and returns true if it has taken one. It refuses the request
 // if the queue is full, and gives up when the caller closes the connection.
-func (t *Target) acquireSlot(w http.ResponseWriter, r *http.Request) bool {
+func (t *Target) acquireSlot(w http.ResponseWriter, r *http.Request, arrived time.Time) bool {
 	t.mu.Lock()
 	full := t.waiting >= t.opts.Slots+t.opts.Queue
 	if !full {
@@ -296,6 +372,11 @@
 	}
 	t.mu.Unlock()
 	if full {
+		t.reached(r, arrived)
+		if t.opts.FullResets {
+			resetConn(w)
+			return false
+		}
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
@@ -313,6 +394,20 @@
 	}
 }
 
+// resetConn resets the connection of a request.
+func resetConn(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if nc, _, err := h.Hijack(); err == nil {
+			if tcp, ok := nc.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // An error means that the connection has already ended.
+			}
+			nc.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // load returns the value of the Instance-Load header: the numbers of running requests, of
 // waiting requests and of slots.
 func (t *Target) load() string {
@@ -324,9 +419,12 @@
 // Entry returns the spec of the target's object in the store. born identifies the start of
 // the target.
 func (t *Target) Entry(address, dataCentre, state string, born int64) map[string]any {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	left := max(0, time.Until(t.coldUntil)).Milliseconds()
 	return map[string]any{
 		"address": address, "born": born,
 		"info":   map[string]any{"service": t.opts.Service, "version": "v1", "zone": dataCentre, "slots": t.opts.Slots},
-		"status": map[string]any{"state": state, "sequence": 1, "warmup_left": "0ms"},
+		"status": map[string]any{"state": state, "sequence": 1, "warmup_left": fmt.Sprintf("%dms", left)},
 	}
 }
