Play evacuations, cold, slow and hostile targets in the soak

The soak knew none of the parts for hard load, so that no run of the real programs checked them.

--hard-load puts nodes and targets into four data centres in three regions and adds evacuations (several, overlapping, repeated, a whole region, beside store faults and kills of the assigner's VM), data centres that return cold, targets that turn cold, read slowly or reset when full, routes with allowed_regions, callers that read slowly or never, and a target whose answers are broken on the wire. It checks allowed regions, evacuations, the bound of cold targets, and that no broken answer reaches a caller. Targets that are down refuse connections in this mode.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 # place for temporary files.
 soak: build
 	bin/basiltally-soak --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds.txt | paste -sd,)"
-	bin/basiltally-soak --count 6
+	bin/basiltally-soak --count 3
+	bin/basiltally-soak --hard-load --count 3
 
 # Prints the cost of each role from measured slopes, see docs/CAPACITY.md.
 capacity:
--- a/cmd/basiltally-soak/main.go
+++ b/cmd/basiltally-soak/main.go
@@ -24,6 +24,7 @@
 	Targets  int           `help:"Number of targets of each of the two services." default:"4"`
 	Callers  int           `help:"Number of callers of each VM." default:"3"`
 	Length   time.Duration `help:"Time during which new disturbances are started." default:"12s"`
+	HardLoad bool          `help:"Add evacuations, cold and slow targets, restricted routes, slow callers and a hostile target."`
 	Binaries string        `help:"Directory of the built programs." default:"bin" type:"existingdir"`
 }
 
@@ -38,7 +39,7 @@
 	failed := 0
 	for _, seed := range seeds {
 		broken, err := soak.Run(ctx, seed, soak.Options{
-			Binaries: cli.Binaries, Nodes: cli.Nodes, Targets: cli.Targets, Callers: cli.Callers, Length: cli.Length, Out: os.Stdout,
+			Binaries: cli.Binaries, Nodes: cli.Nodes, Targets: cli.Targets, Callers: cli.Callers, Length: cli.Length, HardLoad: cli.HardLoad, Out: os.Stdout,
 		})
 		k.FatalIfErrorf(err)
 		for _, b := range broken {
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -37,10 +37,12 @@
 	rng     *rand.Rand
 	// uploads decides which requests are uploads, and how these are sent.
 	uploads *rand.Rand
-	counts  *outcomeCounts
-	conn    net.Conn
-	reader  *bufio.Reader
-	sent    int
+	// hard decides which requests are those of hard load. It is nil without hard load.
+	hard   *rand.Rand
+	counts *outcomeCounts
+	conn   net.Conn
+	reader *bufio.Reader
+	sent   int
 }
 
 // outcomeCounts counts the requests of all callers by outcome.
@@ -84,6 +86,9 @@
 		c.upload(c.uploads)
 		return
 	}
+	if c.hard != nil && c.hardLoadRequest() {
+		return
+	}
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
 	method, path, body := http.MethodGet, "/keyed/"+id, ""
 	switch c.rng.IntN(3) {
@@ -143,6 +148,9 @@
 	if resp.StatusCode < 300 && resp.Header.Get("Server-Seal") == "" {
 		c.checker.reportBroken("whole answers: %s received a success without a target's Server-Seal header", id)
 	}
+	if strings.Contains(string(data), brokenMark) {
+		c.checker.reportBroken("broken answers: %s received status %d with a part of one", id, resp.StatusCode)
+	}
 	if resp.Close {
 		c.closeConn()
 	}
--- a/standin/soak/disturb.go
+++ b/standin/soak/disturb.go
@@ -48,7 +48,7 @@
 	{"resets", func(s *soak, p *disturbanceParams) {
 		s.noteAllDisturbed()
 		s.targets[p.target].link.resetConns()
-		s.nodes[p.node].noteDisturbed()
+		s.nodes[p.node].noteContactLost()
 		s.storeLinks[p.node].resetConns()
 	}},
 	{"store", func(s *soak, p *disturbanceParams) { s.applyStoreFault(p) }},
@@ -87,6 +87,10 @@
 		busy[i] = &sync.Mutex{}
 	}
 	running.Go(func() { s.runStatements(ctx, s.seed, busy) })
+	if s.hard != nil {
+		s.hard.busy = busy
+		running.Go(func() { s.hard.run(ctx) })
+	}
 	if s.seed%2 == 0 {
 		crashing := &crashingRequest{soak: s, busy: busy, rng: rand.New(rand.NewPCG(s.seed, 3))}
 		s.crashing.Store(crashing)
@@ -155,12 +159,12 @@
 	fault := linkFault(1 + p.kind%int(linkFaultCount-1))
 	s.logf("link of node %d to the store: %s", p.node, linkFaultNames[fault])
 	n, link := s.nodes[p.node], s.storeLinks[p.node]
-	n.noteDisturbed()
+	n.noteContactLost()
 	link.setFault(fault)
 	time.Sleep(p.length)
 	link.setFault(linkHealthy)
 	link.resetConns()
-	n.noteDisturbed()
+	n.noteContactLost()
 	s.checker.noteLateCalls() // Grants, releases and writes delayed by the link may arrive late.
 }
 
@@ -170,8 +174,10 @@
 	t := s.targets[p.target]
 	s.logf("link to target %s: %s", t.id, linkFaultNames[fault])
 	s.noteAllDisturbed()
+	s.hard.noteLink(t)
 	t.link.setFault(fault)
 	time.Sleep(p.length)
+	s.hard.noteLink(t)
 	t.link.setFault(linkHealthy)
 	t.link.resetConns()
 	s.noteAllDisturbed()
@@ -184,10 +190,12 @@
 		fault = platform.Swallow
 	}
 	s.noteStoreDisturbed()
+	s.hard.noteStoreFault(1)
 	s.store.SetFault(fault)
 	time.Sleep(p.length)
 	s.store.SetFault(platform.NoFault)
 	s.noteStoreDisturbed()
+	s.hard.noteStoreFault(-1)
 }
 
 // restartTarget stops a target without a leaving notice and starts it again under the
--- a/standin/soak/node.go
+++ b/standin/soak/node.go
@@ -32,14 +32,16 @@
 	// disturbedAt is the last instant at which the node was disturbed, other than by
 	// SIGTERM. terminatedAt is the instant of the last SIGTERM.
 	disturbedAt, terminatedAt time.Time
+	// contactLostAt is the last instant at which the process was stopped or its link to the store disturbed.
+	contactLostAt time.Time
 	// startedAt is when the present process was started.
 	startedAt time.Time
 }
 
 const nodeSettingsFormat = `[process]
 vm = %s
-region = r%d
-data_centre = dc%d
+region = %s
+data_centre = %s
 [log]
 format = json
 [telemetry]
@@ -53,9 +55,9 @@
 [gateway]
 listen = %s
 ready_listen = %s
-regions = dc0=r0,dc1=r1,dc2=r2
+regions = %s
 stop_limit = %s
-[shard]
+%s[shard]
 relay_above = %d
 `
 
@@ -100,6 +102,9 @@
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if s != syscall.SIGHUP {
+		n.contactLostAt = time.Now()
+	}
 	switch s {
 	case syscall.SIGTERM:
 		n.terminatedAt = time.Now()
@@ -129,6 +134,22 @@
 	n.disturbedAt = time.Now()
 }
 
+// noteContactLost records a disturbance of the node's link to the store.
+func (n *node) noteContactLost() {
+	n.noteDisturbed()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.contactLostAt = n.disturbedAt
+}
+
+// inContactSince reports whether the node has run and its link to the store has not been disturbed since the
+// instant.
+func (n *node) inContactSince(since time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.frozen && n.contactLostAt.Before(since)
+}
+
 // undisturbedSince reports whether the node has not been disturbed since the instant,
 // SIGTERM included.
 func (n *node) undisturbedSince(since time.Time) bool {
@@ -176,6 +197,11 @@
 		settingsPath: filepath.Join(dir, name+".ini"), logPath: filepath.Join(dir, name+".log"),
 		callerAddress: nextAddress(), readyAddress: nextAddress(),
 	}
-	text := fmt.Sprintf(nodeSettingsFormat, name, i%3, i%3, nextAddress(), store, peer, seeds, n.callerAddress, n.readyAddress, stopGrace, o.RelayAbove)
+	dataCentre, region, regions, more := fmt.Sprintf("dc%d", i%3), fmt.Sprintf("r%d", i%3), "dc0=r0,dc1=r1,dc2=r2", ""
+	if o.HardLoad {
+		dataCentre = dataCentres[i%len(dataCentres)]
+		region, regions, more = regionOf[dataCentre], hardLoadRegions, hardLoadSettings()
+	}
+	text := fmt.Sprintf(nodeSettingsFormat, name, region, dataCentre, nextAddress(), store, peer, seeds, n.callerAddress, n.readyAddress, regions, stopGrace, more, o.RelayAbove)
 	return n, errors.Wrap(os.WriteFile(n.settingsPath, []byte(text), 0o600), "write the settings")
 }
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,13 +35,15 @@
 
 // proxy is a TCP proxy on a loopback address in front of a server.
 type proxy struct {
+	// passResets makes a reset by the server reach the client as a reset.
+	passResets bool
+
+	mu sync.Mutex
 	ln net.Listener
 	// server is the address of the server.
 	server string
-
-	mu    sync.Mutex
-	fault linkFault
-	conns map[*proxyConn]struct{}
+	fault  linkFault
+	conns  map[*proxyConn]struct{}
 }
 
 // proxyConn is a connection through the proxy.
@@ -50,25 +53,43 @@
 	silent bool
 }
 
-func newProxy(server string) (*proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(server string) (*proxy, error) { return newProxyAt("127.0.0.1:0", server, false) }
+
+// newProxyAt returns a proxy that listens on the address.
+func newProxyAt(address, server string, passResets bool) (*proxy, error) {
+	p := &proxy{server: server, passResets: passResets, conns: map[*proxyConn]struct{}{}}
+	return p, p.listen(address)
+}
+
+// listen makes the proxy accept connections.
+func (p *proxy) listen(address string) error {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "proxy: listen")
+		return errors.Wrap(err, "proxy: listen")
 	}
-	p := &proxy{ln: ln, server: server, conns: map[*proxyConn]struct{}{}}
-	go p.accept()
-	return p, nil
+	p.mu.Lock()
+	p.ln = ln
+	p.mu.Unlock()
+	go p.accept(ln)
+	return nil
 }
 
-func (p *proxy) address() string { return p.ln.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ln.Addr().String()
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(ln net.Listener) {
 	for {
-		client, err := p.ln.Accept()
+		client, err := ln.Accept()
 		if err != nil {
 			return // The proxy was closed.
 		}
-		server, err := net.DialTimeout("tcp", p.server, connectTimeout)
+		p.mu.Lock()
+		address := p.server
+		p.mu.Unlock()
+		server, err := net.DialTimeout("tcp", address, connectTimeout)
 		if err != nil {
 			client.Close()
 			continue
@@ -90,6 +111,9 @@
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && p.passResets && errors.Is(err, syscall.ECONNRESET) {
+				_ = tcp.SetLinger(0) // An error means that the connection has already ended.
+			}
 			return
 		}
 		fault, silent := p.state(c)
@@ -148,7 +172,14 @@
 	}
 }
 
-func (p *proxy) close() {
+// stopListening makes the proxy refuse connections.
+func (p *proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.ln.Close()
+}
+
+func (p *proxy) close() {
+	p.stopListening()
 	p.resetConns()
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -37,6 +37,9 @@
 	// RelayAbove is the nodes' setting relay_above. The default is 2, so that the nodes
 	// relay changes.
 	RelayAbove int
+	// HardLoad adds evacuations, cold and slow targets, restricted routes, slow callers and a hostile
+	// target. The other disturbances of a seed stay the same.
+	HardLoad bool
 	// Dir is the directory of settings and logs. The default is a new directory among the
 	// system's temporary files, which is kept if a promise was broken.
 	Dir string
@@ -106,15 +109,24 @@
 	stated map[string]*statements
 	// crashing is set while a request comes that crashes targets.
 	crashing atomic.Pointer[crashingRequest]
+	// hard is nil without Options.HardLoad.
+	hard *hardLoad
 }
 
 // target is a stand-in target behind a proxy.
 type target struct {
 	id, service string
 	server      *httptest.Server
+	// mu protects the replacement of handler.
+	mu          sync.Mutex
 	handler     *platform.Target
 	link        *proxy
 	incarnation int64
+	number      int
+	dataCentre  string
+	// nextAddress gives the address of the link under hard load.
+	nextAddress func() string
+	stoppedAt   time.Time
 }
 
 // Run runs a soak with the disturbances of the seed and returns the broken promises. It
@@ -122,6 +134,9 @@
 func Run(ctx context.Context, seed uint64, o Options) ([]string, error) {
 	o = o.withDefaults()
 	s := &soak{opts: o, seed: seed, stated: map[string]*statements{}, rng: rand.New(rand.NewPCG(seed, 1)), checker: newChecker(), targetLinks: map[string]*proxy{}, version: 1}
+	if o.HardLoad {
+		s.hard = newHardLoad(s, seed)
+	}
 	if s.dir = o.Dir; s.dir == "" {
 		dir, err := os.MkdirTemp("", "basiltally-soak-")
 		if err != nil {
@@ -144,6 +159,9 @@
 				name: fmt.Sprintf("c%d.%d", i, k), node: n, checker: s.checker, counts: &s.counts,
 				rng: rand.New(rand.NewPCG(seed, uint64(100+i*o.Callers+k))), uploads: rand.New(rand.NewPCG(seed, uint64(1000+i*o.Callers+k))),
 			}
+			if o.HardLoad {
+				c.hard = rand.New(rand.NewPCG(seed, uint64(2000+i*o.Callers+k)))
+			}
 			calling.Go(func() { c.run(callers) })
 		}
 	}
@@ -155,6 +173,9 @@
 	calling.Wait()
 	time.Sleep(callerTimeout) // Requests that nodes forwarded late have run by then.
 	broken := s.checker.finalCheck()
+	if s.hard != nil {
+		s.hard.logCounts()
+	}
 	fmt.Fprintf(o.Out, "seed %d: %s; %d promises broken\n", seed, s.counts.String(), len(broken))
 	if len(broken) == 0 && o.Dir == "" {
 		return nil, errors.Wrap(os.RemoveAll(s.dir), "soak: remove the directory")
@@ -180,9 +201,13 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	nextAddress := addressAllocator()
 	for i := range s.opts.Targets {
 		for _, service := range []string{keyed, free} {
-			t := &target{id: fmt.Sprintf("%s%d", service, i), service: service}
+			t := &target{id: fmt.Sprintf("%s%d", service, i), service: service, number: i, dataCentre: "dc1", nextAddress: nextAddress}
+			if s.hard != nil {
+				t.dataCentre = dataCentres[i%len(dataCentres)]
+			}
 			if err := s.startTarget(t); err != nil {
 				return err
 			}
@@ -190,21 +215,39 @@
 		}
 	}
 	s.putConfig()
-	return s.startNodes(server.Listener.Addr().String())
+	if s.hard != nil {
+		if err := s.startHostile(); err != nil {
+			return err
+		}
+	}
+	return s.startNodes(server.Listener.Addr().String(), nextAddress)
 }
 
 // startTarget starts a target, or starts it again. Its address is that of its proxy, which
 // stays.
 func (s *soak) startTarget(t *target) error {
 	t.incarnation++
-	t.handler = platform.NewTarget(platform.TargetOptions{
+	options := platform.TargetOptions{
 		ID: t.id, Service: t.service, Keyed: t.service == keyed, Slots: 6, Queue: 24, Work: 20 * time.Millisecond, Observer: s,
-	})
+	}
+	if s.hard != nil {
+		options = s.hard.options(t, options)
+		t.incarnation = max(t.incarnation, time.Now().UnixMilli())
+	}
+	t.setHandler(platform.NewTarget(options))
+	if s.hard != nil && !t.stoppedAt.IsZero() {
+		s.hard.started(t, time.Since(t.stoppedAt))
+	}
 	t.server = httptest.NewServer(t.handler)
 	s.forgetStatements(t.id)
 	s.checker.clearHeld(t.id)
 	if t.link == nil {
-		link, err := newProxy(t.server.Listener.Addr().String())
+		address, passResets := "127.0.0.1:0", false
+		if s.hard != nil {
+			// The address is closed while the target is down, and must not be given to outgoing connections.
+			address, passResets = t.nextAddress(), true
+		}
+		link, err := newProxyAt(address, t.server.Listener.Addr().String(), passResets)
 		if err != nil {
 			return err
 		}
@@ -214,13 +257,36 @@
 		t.link.mu.Lock()
 		t.link.server = t.server.Listener.Addr().String()
 		t.link.mu.Unlock()
+		if s.hard != nil {
+			if err := t.link.listen(t.link.address()); err != nil {
+				return err
+			}
+		}
 	}
 	s.putEntry(t, "ready")
 	return nil
 }
 
+// setHandler sets the handler of the next incarnation.
+func (t *target) setHandler(h *platform.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handler = h
+}
+
+// current returns the handler of the present incarnation.
+func (t *target) current() *platform.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.handler
+}
+
 // stop stops the target's server and resets the connections through its proxy.
 func (t *target) stop() {
+	t.stoppedAt = time.Now()
+	if t.link.passResets {
+		t.link.stopListening()
+	}
 	t.link.resetConns()
 	t.server.CloseClientConnections()
 	t.server.Close()
@@ -228,7 +294,7 @@
 
 // putEntry writes the target's entry with its state to the store.
 func (s *soak) putEntry(t *target, state string) {
-	s.store.Put("servers", t.id, t.handler.Entry(t.link.address(), "dc1", state, t.incarnation))
+	s.store.Put("servers", t.id, t.handler.Entry(t.link.address(), t.dataCentre, state, t.incarnation))
 	s.checker.noteLeaving(t.id, state != "ready")
 }
 
@@ -291,17 +357,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	routes := []any{
+		route("keyed", "/keyed/", "safe", keyed), route("free", "/free/", "safe", free), route("once", "/once/", "unsafe", free),
+		route("upload", "/upload/", "upload", free),
+		route("version", fmt.Sprintf("/version%d/", s.version), "safe", free),
+	}
+	services := []any{
+		map[string]any{"name": keyed, "max_conns": 110, "sharded": true},
+		map[string]any{"name": free, "max_conns": 110},
+	}
+	if s.hard != nil {
+		routes = restrict(routes, services)
+	}
 	s.store.Put("config", "main", map[string]any{
-		"version": s.version,
-		"routes": []any{
-			route("keyed", "/keyed/", "safe", keyed), route("free", "/free/", "safe", free), route("once", "/once/", "unsafe", free),
-			route("upload", "/upload/", "upload", free),
-			route("version", fmt.Sprintf("/version%d/", s.version), "safe", free),
-		},
-		"services": []any{
-			map[string]any{"name": keyed, "max_conns": 110, "sharded": true},
-			map[string]any{"name": free, "max_conns": 110},
-		},
+		"version": s.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3s", "idle_timeout": "15s"},
 	})
 	s.configWrittenAt = time.Now()
@@ -333,8 +402,7 @@
 	return s.version == version
 }
 
-func (s *soak) startNodes(store string) error {
-	nextAddress := addressAllocator()
+func (s *soak) startNodes(store string, nextAddress func() string) error {
 	peers := make([]string, s.opts.Nodes)
 	for i := range peers {
 		peers[i] = nextAddress()
