Hold by a test that the soak's callers notice broken answers

The check of broken answers had no test. A caller whose VM answers 503 with a part of a broken answer now has to report it; seen to fail with the check taken out.

--- a/standin/soak/hardload_test.go
+++ b/standin/soak/hardload_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -55,3 +56,22 @@
 		})
 	}
 }
+
+// Guards against a caller that takes a part of a broken answer for one that a VM made itself.
+func TestCallerReportsBrokenAnswers(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(brokenMark))
+	}))
+	defer server.Close()
+	c := &caller{
+		name: "c0.0", node: &node{callerAddress: server.Listener.Addr().String()}, checker: newChecker(), counts: &outcomeCounts{},
+		rng: rand.New(rand.NewPCG(1, 1)), uploads: rand.New(rand.NewPCG(1, 2)),
+	}
+	defer c.closeConn()
+	c.request()
+	broken := c.checker.finalCheck()
+	is.Equal(len(broken), 1)
+	is.True(strings.Contains(broken[0], "broken answers"))
+}
