Give each entry of the soak's targets a new sequence under hard load

The target had stated the same warm-up 0.93 s earlier, so that its second entry was equal to the first, the fake store made no new revision, and no VM learned of the second warm-up: a fault of the soak. Each entry now has the next sequence, so that it differs.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -122,8 +122,10 @@
 	handler     *platform.Target
 	link        *proxy
 	incarnation int64
-	number      int
-	dataCentre  string
+	// sequence counts the entries under hard load.
+	sequence   int
+	number     int
+	dataCentre string
 	// nextAddress gives the address of the link under hard load.
 	nextAddress func() string
 	stoppedAt   time.Time
@@ -294,7 +296,13 @@
 
 // putEntry writes the target's entry with its state to the store.
 func (s *soak) putEntry(t *target, state string) {
-	s.store.Put("servers", t.id, t.handler.Entry(t.link.address(), t.dataCentre, state, t.incarnation))
+	entry := t.handler.Entry(t.link.address(), t.dataCentre, state, t.incarnation)
+	if s.hard != nil {
+		// The store makes no new revision of an entry that states the same warm-up again.
+		t.sequence++
+		entry["status"].(map[string]any)["sequence"] = t.sequence
+	}
+	s.store.Put("servers", t.id, entry)
 	s.checker.noteLeaving(t.id, state != "ready")
 }
 
