--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 soak: build
 	bin/basiltally-soak --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds.txt | paste -sd,)"
 	bin/basiltally-soak --count 3
+	bin/basiltally-soak --hard-load --length 8s --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds-hard-load.txt | paste -sd,)"
 	bin/basiltally-soak --hard-load --count 3
 
 # Prints the cost of each role from measured slopes, see docs/CAPACITY.md.
