Let cold targets of the soak write their entries again

On the platform, entries are at most two seconds old. Cold targets now write theirs every 1.5 s, unless they are being disturbed.

--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -132,6 +132,13 @@
 	t.coldUntil = t.coldFrom.Add(length)
 }
 
+// Cold reports whether the target is cold, or has been within the last two seconds.
+func (t *Target) Cold() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.coldUntil) < 2*time.Second
+}
+
 // SetReadPause sets the pause before each piece of a request's body is read.
 func (t *Target) SetReadPause(pause time.Duration) {
 	t.mu.Lock()
--- a/standin/soak/disturb.go
+++ b/standin/soak/disturb.go
@@ -90,6 +90,7 @@
 	if s.hard != nil {
 		s.hard.busy = busy
 		running.Go(func() { s.hard.run(ctx) })
+		go s.hard.refreshEntries(ctx)
 	}
 	if s.seed%2 == 0 {
 		crashing := &crashingRequest{soak: s, busy: busy, rng: rand.New(rand.NewPCG(s.seed, 3))}
--- a/standin/soak/hardload.go
+++ b/standin/soak/hardload.go
@@ -35,6 +35,8 @@
 	coldDowntime = time.Second
 	// arrivalSlack is how much later than it was permitted a request may be noticed at a target.
 	arrivalSlack = 300 * time.Millisecond
+	// entryInterval is the pause between two entries of a cold target.
+	entryInterval = 1500 * time.Millisecond
 	// meanHardLoadGap is the mean pause between the starts of two disturbances by hard load.
 	meanHardLoadGap = 1500 * time.Millisecond
 )
@@ -235,6 +237,23 @@
 	h.coldFrom[t.id] = start
 }
 
+// refreshEntries writes the entries of cold targets again until the context ends, as the platform's targets do, so that
+// a node that starts does not read a warm-up that is long over. Targets that are being disturbed write nothing.
+func (h *hardLoad) refreshEntries(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(entryInterval)
+		for i, t := range h.soak.targets {
+			if !h.busy[i].TryLock() {
+				continue
+			}
+			if t.current().Cold() {
+				h.soak.putEntry(t, "ready")
+			}
+			h.busy[i].Unlock()
+		}
+	}
+}
+
 // assigner returns the node that has the assigner's role, or nil if none has.
 func (h *hardLoad) assigner() *node {
 	var role struct {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -135,6 +135,8 @@
 // fails if the programs cannot be started or do not serve within startLimit.
 func Run(ctx context.Context, seed uint64, o Options) ([]string, error) {
 	o = o.withDefaults()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	s := &soak{opts: o, seed: seed, stated: map[string]*statements{}, rng: rand.New(rand.NewPCG(seed, 1)), checker: newChecker(), targetLinks: map[string]*proxy{}, version: 1}
 	if o.HardLoad {
 		s.hard = newHardLoad(s, seed)
