Name new tests after the failures that they guard against, one line of comment each

Only names and comments changed; no assertion did. go vet ./... is clean, also with GOARCH=arm64; residency, overload, evacuation, bodies, configcheck, warmup, eligibility, docs and lint pass.

--- a/bodies/bodies_test.go
+++ b/bodies/bodies_test.go
@@ -75,9 +75,8 @@
 	is.Equal(m.Used(), int64(0))
 }
 
-// Memory must count as short once bodies find no room, also if a long one does not fit beside few others; a body that never
-// fits shows nothing.
-func TestShort(t *testing.T) {
+// Guards against a memory that does not count as short although a body has just found no room.
+func TestMemoryIsShortAfterABodyFoundNoRoom(t *testing.T) {
 	is := is.New(t)
 	m := NewMemory(1000)
 	is.True(!m.Short())
--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -42,7 +42,7 @@
 }
 
 // Each fault must be reported once, with its severity and the part that has it, and without others that follow from it.
-func TestFaults(t *testing.T) {
+func TestEachFaultIsFoundOnce(t *testing.T) {
 	const r1, r2, s1, s2 = `route "r1"`, `route "r2"`, `service "s1"`, `service "s2"`
 	second := `{"name":"r3","hostname":"A.example:80","path_prefix":"/x/","route_type":"safe","service":"s1","max_attempts":1}`
 	regional := strings.Replace(strings.Replace(second, "/x/", "/z/", 1), `"max`, `"allowed_regions":["south"],"max`, 1)
@@ -102,9 +102,8 @@
 	}
 }
 
-// A document with a version that is not above the one in force must not pass: the nodes ignore it silently. Equal values in
-// another spelling are no difference.
-func TestCompare(t *testing.T) {
+// Guards against an old version that passes, since the nodes ignore it silently, and against other spellings listed as changes.
+func TestOldVersionsAndDifferencesAreReported(t *testing.T) {
 	is := is.New(t)
 	inForce := strings.NewReplacer(`"1200ms"`, `"1.2s"`, `"version":8`, `"version":7`, `"weight":10`, `"weight":20`, `"upload"`, `"unsafe"`,
 		`"name":"r2"`, `"name":"old"`, `"15s"`, `"10s"`).Replace(document)
--- a/daemon/bodylimit_test.go
+++ b/daemon/bodylimit_test.go
@@ -9,8 +9,7 @@
 	"github.com/basiltally/basiltally/placing"
 )
 
-// Shares of target_body_bytes by a wrong number of VMs would add up to more than a target holds: while the number is unknown
-// a VM may have one request in flight, and a number that falls at a take-over is not in force at once.
+// Guards against shares by a wrong number of VMs, which would add up to more than a target holds.
 func TestShareOfTargetBodyBytes(t *testing.T) {
 	is := is.New(t)
 	n := newIdleNode()
--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -46,8 +46,7 @@
 	return b.runsInDC1() == before
 }
 
-// An evacuation must hold through the loss of the assigner, an outage of the store and the start of a VM, and end when
-// its entry is deleted.
+// Guards against an evacuation that is lost with the assigner, in an outage of the store or at the start of a VM.
 func TestEvacuationThroughFailures(t *testing.T) {
 	t.Run("each VM polls", func(t *testing.T) { testEvacuationThroughFailures(t, 24) })
 	t.Run("the assigner polls", func(t *testing.T) { testEvacuationThroughFailures(t, 1) })
@@ -94,8 +93,7 @@
 	is.True(b.log.count("evacuation of data centre ended") >= 2)
 }
 
-// A VM that starts while an evacuation is in force must not serve before it has read which data centres are being evacuated,
-// and must not become an assigner that gives keys to their targets.
+// Guards against a VM that serves, or assigns keys, before it knows which data centres are being evacuated.
 func TestVMIsNotReadyUntilEvacuationsAreRead(t *testing.T) {
 	is := is.New(t)
 	b := newEvacuationTest(t, 24)
@@ -173,8 +171,7 @@
 	is.Equal(callers, 1) // The assigner.
 }
 
-// A VM that has stood still must serve again once the assigner has confirmed its relay, without a call of the store; a
-// VM without that after one call; and while the store is away too.
+// Guards against a VM that refuses for ever after it has stood still, and against store calls that the relay saves.
 func TestVMServesAgainAfterAStall(t *testing.T) {
 	is := is.New(t)
 	b := newEvacuationTest(t, 1)
@@ -211,8 +208,7 @@
 	is.Equal(b.log.count("source=feed") >= 2, true)
 }
 
-// A VM that was cut off may learn of the begin and the end of an evacuation at once. The targets that return are as cold as if
-// it had known of it; the same events must not make them cold again.
+// Guards against targets taken for warm by a VM that learns of the begin and the end of an evacuation at once.
 func TestTargetsAreColdAfterAnEvacuationThatWasNotSeen(t *testing.T) {
 	is := is.New(t)
 	b := newEvacuationTest(t, 24)
@@ -237,8 +233,7 @@
 	is.True(!n.process.evacuations.Any())
 }
 
-// A list that is read after a stall must not undo changes that the feed has returned meanwhile: the feed does not return
-// them again, so that the VM would send requests to an evacuated data centre until its next list.
+// Guards against a list read after a stall that undoes later changes, which the feed does not return again.
 func TestOutdatedListAfterAStallIsIgnored(t *testing.T) {
 	is := is.New(t)
 	b := newEvacuationTest(t, 24)
--- a/daemon/node_settings_test.go
+++ b/daemon/node_settings_test.go
@@ -8,8 +8,7 @@
 	"github.com/basiltally/basiltally/settings"
 )
 
-// Refusals must be decided by priority only where the settings or the platform's contracts ask for
-// it; a platform without contracts leaves the list empty.
+// Guards against refusals by priority in deployments that do not ask for them.
 func TestOverloadIsOnWhereAskedFor(t *testing.T) {
 	for text, want := range map[string]bool{
 		"":                               false,
--- a/daemon/node_warmup_test.go
+++ b/daemon/node_warmup_test.go
@@ -9,8 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// A target that returns cold must lose its keys to warm targets, and get none of the requests that any target may serve beyond
-// its allotment, also if its entry states a new warm-up of the same incarnation.
+// Guards against keys and requests for a target that has returned cold or states a new warm-up.
 func TestColdTargetsAreSpared(t *testing.T) {
 	is := is.New(t)
 	b := newTestPlatform(t)
--- a/daemon/placing_test.go
+++ b/daemon/placing_test.go
@@ -22,8 +22,7 @@
 	}, slog.New(slog.DiscardHandler))
 }
 
-// What is known of the targets' speeds must survive a new configuration, or each change would send as many requests to slow
-// targets as to fast ones until all were learned again. A VM that has just started gets them with the assigner's first update.
+// Guards against speeds that are lost at each change of the configuration, or not sent to a VM that starts.
 func TestLearnedSpeedsSurviveAConfiguration(t *testing.T) {
 	is := is.New(t)
 	n := newIdleNode()
--- a/eligibility/cold_test.go
+++ b/eligibility/cold_test.go
@@ -11,9 +11,8 @@
 	"github.com/basiltally/basiltally/warmup"
 )
 
-// A cold target must get no more than the allotment on any path, and a request that its limit or a pause refuses must not use
-// up a token.
-func TestColdTarget(t *testing.T) {
+// Guards against a path on which a cold target gets more than its allotment, and against tokens used up by refused requests.
+func TestColdTargetGetsItsAllotmentOnly(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
--- a/eligibility/placement_test.go
+++ b/eligibility/placement_test.go
@@ -12,7 +12,7 @@
 )
 
 // The owner of a key gets requests until one second before the time of an evacuation has elapsed, other targets none.
-func TestTargetInEvacuatedDataCentre(t *testing.T) {
+func TestTargetInEvacuatedDataCentreIsNotEligible(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	clock := func() time.Time { return now }
@@ -41,7 +41,7 @@
 }
 
 // A VM that follows no evacuations decides by regions only.
-func TestRegionsWithoutEvacuations(t *testing.T) {
+func TestRegionsBindWithoutEvacuations(t *testing.T) {
 	is := is.New(t)
 	tracker := eligibility.New(eligibility.Options{Directory: fleet.NewDirectory(fleet.DirectoryOptions{})})
 	inside := eligibility.Placement{AllowedRegions: []string{"r"}, Owner: true}
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -12,9 +12,8 @@
 
 func at(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
 
-// An entry that is written again while it is in force must not restart the time that the evacuation
-// may take. One that is written after its end must.
-func TestRepeatedEvacuation(t *testing.T) {
+// Guards against an entry written again that restarts the time an evacuation may take.
+func TestRepeatedEntryDoesNotRestartAnEvacuation(t *testing.T) {
 	is := is.New(t)
 	s := evacuation.New()
 	is.True(s.Begin("a", at(10)))
@@ -37,7 +36,7 @@
 }
 
 // The end of one evacuation must not end another that overlaps it.
-func TestOverlappingEvacuations(t *testing.T) {
+func TestEndOfOneEvacuationDoesNotEndAnother(t *testing.T) {
 	is := is.New(t)
 	s := evacuation.New()
 	is.True(!s.Listed())
@@ -79,7 +78,7 @@
 }
 
 // A VM without the feature must decide as if nothing were being evacuated.
-func TestNilSet(t *testing.T) {
+func TestNilSetEvacuatesNothing(t *testing.T) {
 	is := is.New(t)
 	var s *evacuation.Set
 	is.True(s.Listed())
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -192,8 +192,7 @@
 	}
 }
 
-// An entry that states the same again is still news of when a warm-up ends. An incarnation that returns is not a new one, and a
-// late entry of an earlier incarnation says nothing.
+// Guards against an entry that states a warm-up again and is not passed on because it equals the last one.
 func TestOnEntryIsCalledForEachEntryThatIsRead(t *testing.T) {
 	is := is.New(t)
 	var first []bool
--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -48,8 +48,7 @@
 	return 0
 }
 
-// An upload must not be sent to a target where the bodies in flight leave no room. It goes to another one, or is refused as
-// not run if there is none.
+// Guards against an upload sent to a target where the bodies in flight leave no room.
 func TestUploadsGoWhereTheirBodiesHaveRoom(t *testing.T) {
 	for _, keyed := range []bool{false, true} {
 		is := is.New(t)
--- a/gateway/occupancy_test.go
+++ b/gateway/occupancy_test.go
@@ -50,8 +50,7 @@
 	is.True(!f.balancer.Full(&placing.Candidate{ID: "t0", Service: "s", Slots: 6}))
 }
 
-// Guards against a crash that is put down to load because the target was busy: a full target resets only connections on which
-// requests arrive, and one that has crashed ends its idle connections as well.
+// Guards against a crash of a busy target that is put down to load.
 func TestBusyTargetThatEndsIdleConnectionsHasFailed(t *testing.T) {
 	is := is.New(t)
 	entered, answer, done := make(chan struct{}, 2), make(chan struct{}), make(chan struct{})
@@ -80,9 +79,8 @@
 	is.Equal(f.balancer.TakeObservations()[0].Failures, 1)
 }
 
-// Resets by full targets must neither count as failures nor close idle connections, and a request that must not run
-// more than once must not be sent again.
-func TestResetByFullTarget(t *testing.T) {
+// Guards against resets by full targets that count as failures or close idle connections, and against a second send.
+func TestResetByFullTargetIsNoFailureOfTheExchange(t *testing.T) {
 	is := is.New(t)
 	var resets atomic.Bool
 	f := newFixture(t, false, func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -53,8 +53,7 @@
 	return v
 }
 
-// Where the queue has room left for the more urgent kind only, the other must be refused as not run,
-// with a time to return that its caller honours.
+// Guards against a less urgent kind that takes the last room in a queue.
 func TestRoomIsLeftToTheMoreUrgentKind(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, true, answerOK)
@@ -77,8 +76,7 @@
 	}
 }
 
-// Guards against a hot spot that the assigner learns of late: refusals of the policy, and for owners that are known to be full,
-// once caused no early report.
+// Guards against a hot spot that the assigner learns of late because the policy refuses its requests.
 func TestBusyOwnerIsNotedWithThePolicy(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, true, answerOK)
@@ -119,8 +117,7 @@
 	is.Equal(f.send("/minor/x", "").Status, 503)
 }
 
-// An upload that no target can serve in time must be refused before its body is read, and one that
-// another target can serve must not be.
+// Guards against reading the body of an upload that no target can serve in time.
 func TestUploadIsRefusedBeforeItsBody(t *testing.T) {
 	for _, keyed := range []bool{false, true} {
 		is := is.New(t)
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -98,8 +98,7 @@
 	is.Equal(f.send("/safe/x", "").Status, 200)
 }
 
-// Only the owner can serve a key; if it is outside the allowed regions, the request must be refused, before its body if it
-// has one.
+// Guards against a request for a key sent to an owner outside the allowed regions.
 func TestKeyWithOwnerOutsideAllowedRegionsIsRefused(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, true, answerOK)
@@ -139,8 +138,7 @@
 	is.True(time.Since(start) < 200*time.Millisecond)
 }
 
-// Requests that any target may serve must leave an evacuated data centre at once, and those for a key before its time has
-// elapsed.
+// Guards against requests that reach an evacuated data centre.
 func TestEvacuatedDataCentreGetsNoRequests(t *testing.T) {
 	is := is.New(t)
 	free := newFixture(t, false, answerOK, answerOK, answerOK)
@@ -173,7 +171,7 @@
 }
 
 // A request of a route with allowed regions must not leave them because they are being evacuated.
-func TestEvacuatedAllowedRegion(t *testing.T) {
+func TestRequestIsRefusedIfItsOnlyRegionIsEvacuated(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, false, answerOK, answerOK)
 	f.place("t0", "dc0", "r1")
@@ -185,7 +183,7 @@
 }
 
 // The owner of a key that is not listed here may be in any data centre.
-func TestOwnerInUnknownDataCentre(t *testing.T) {
+func TestOwnerInUnknownDataCentreMayBeEvacuated(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, true, answerOK)
 	f.setOwner("t0", 9) // An incarnation that is not listed yet.
@@ -289,8 +287,7 @@
 	is.Equal(f.served(), []string{"t1"})
 }
 
-// A configuration whose list of regions cannot be decoded, and which comes while a request is on its way, must not lift the
-// restriction of the request.
+// Guards against a restriction that an unreadable list of regions lifts for a request on its way.
 func TestUnreadableListOfRegionsDoesNotLiftTheLastOne(t *testing.T) {
 	is := is.New(t)
 	var f *fixture
--- a/ingress/unread_test.go
+++ b/ingress/unread_test.go
@@ -42,8 +42,7 @@
 	return nc, br
 }
 
-// Callers that never read their answers held the memory for 30 s, in which uploads of others were refused. The answers
-// that are given up must not look complete.
+// Guards against uploads refused for 30 s because callers never read their answers, and against answers cut short that look whole.
 func TestUnreadAnswersFreeMemoryWhileItIsShort(t *testing.T) {
 	is := is.New(t)
 	s := start(t, bulky, routing.Limits{})
@@ -92,8 +91,7 @@
 	is.True(time.Since(began) > unreadTimeoutShort)
 }
 
-// What a slow caller's system takes must be seen although the server's buffer accepts nothing meanwhile: a caller at
-// 10 kB/s would seem to read nothing for minutes.
+// Guards against a slow caller that seems to read nothing because the buffer of the server accepts nothing.
 func TestQueuedBytesFallAsTheCallerReads(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -120,7 +118,7 @@
 }
 
 // The bounds are for callers that take nothing, and only while memory is short for those that are slow.
-func TestWhenAnAnswerIsGivenUp(t *testing.T) {
+func TestAnswerIsGivenUpOnlyWithoutProgress(t *testing.T) {
 	began := time.Unix(100, 0)
 	for _, tt := range []struct {
 		name     string
@@ -171,8 +169,7 @@
 	}
 }
 
-// Callers that announce long uploads and send nothing held the memory until their deadlines, while uploads of others were
-// refused. One that sends slowly but steadily is served.
+// Guards against uploads refused because callers announce long bodies and send nothing.
 func TestStalledUploadsFreeMemoryWhileItIsShort(t *testing.T) {
 	is := is.New(t)
 	var served atomic.Int64
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -58,8 +58,7 @@
 	}
 }
 
-// A less urgent kind must get a shorter wait while a more urgent one has requests, however long its
-// own latency target is, and the whole wait afterwards.
+// Guards against a less urgent kind that may wait longer because its own latency target is long.
 func TestLessUrgentKindWaitsLess(t *testing.T) {
 	is := is.New(t)
 	p, now := policyWith(map[Kind]time.Duration{urgent: 800 * ms, other: 5 * time.Second})
@@ -81,9 +80,8 @@
 	is.True(p.Decide(start.Add(1100*ms), r).Allowed < admission.AllowedWait(r.Expected, r.Limits))
 }
 
-// A deadline that cannot be met must lead to a refusal at once, also if the target is idle, and even
-// for the highest rank.
-func TestDeadlineThatCannotBeMet(t *testing.T) {
+// Guards against a request admitted although its deadline cannot be met.
+func TestDeadlineThatCannotBeMetIsRefused(t *testing.T) {
 	is := is.New(t)
 	p, now := policyWith(map[Kind]time.Duration{urgent: 800 * ms})
 	d := p.Decide(now, request(urgent, 0, 800*ms, 90*ms))
@@ -93,8 +91,7 @@
 	is.True(p.Decide(now, request(urgent, 0, 800*ms, 110*ms)).Admit)
 }
 
-// A kind that gets less than its floor must have requests decided as of a higher rank, and Hopeless
-// must not refuse before a body is read what would be raised afterwards.
+// Guards against a kind that gets less than its floor, also before its bodies are read.
 func TestFloorRaisesRequests(t *testing.T) {
 	is := is.New(t)
 	p, now := policyWith(map[Kind]time.Duration{urgent: 800 * ms, other: 800 * ms})
@@ -108,8 +105,7 @@
 	is.True(d.Admit && d.Raised)
 }
 
-// The work of a kind must be learned from its answers, and a kind with more work than the mean must
-// get a shorter wait, one with less work the whole.
+// Guards against a kind with much work that waits as long as one with little.
 func TestWorkIsLearned(t *testing.T) {
 	is := is.New(t)
 	light, heavy := Kind{Service: "s", Route: "light"}, Kind{Service: "s", Route: "heavy"}
@@ -128,8 +124,7 @@
 	is.True(p.Decide(now, request(light, 0, 800*ms, 120*ms)).Admit)
 }
 
-// Of the requests for a hot key, the urgent ones must be served first, each kind must keep its
-// floor, and all of them together must get the share that can be served.
+// Guards against urgent requests for a hot key that are refused while less urgent ones are served beyond their floor.
 func TestShareOfHotKeyByRank(t *testing.T) {
 	is := is.New(t)
 	p, now := NewPolicy(start, never), start
@@ -148,8 +143,7 @@
 	}
 }
 
-// The time to return must grow with the callers that were told to return, be spread, and stay
-// within what callers honour.
+// Guards against refused callers that are all told to return at the same time, or later than they wait.
 func TestReturnsGrowWithTheBacklog(t *testing.T) {
 	is := is.New(t)
 	random := 0.0
@@ -177,7 +171,7 @@
 }
 
 // Callers that were due must leave the backlog, also after a pause longer than the record.
-func TestReturnsEnd(t *testing.T) {
+func TestReturnsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	r := NewReturns(never)
 	for range 5 {
--- a/overload/play_test.go
+++ b/overload/play_test.go
@@ -363,9 +363,7 @@
 // returnsEach returns how often a patient caller whose request was refused returned.
 func (c playCount) returnsEach() float64 { return float64(c.returns) / float64(max(c.refused, 1)) }
 
-// In a surge of the least urgent kind, the urgent one must be served better than it and than without
-// the policy, although the VMs share nothing but the loads of the targets, and all requests
-// together must not lose value.
+// Guards against a surge of the least urgent kind that takes the room of the urgent one, or a policy that loses value as a whole.
 func TestSurgeOfTheLeastUrgentKind(t *testing.T) {
 	for name, s := range map[string]playSetup{"two slots": playKeyed, "six slots": playSixSlots} {
 		t.Run(name, func(t *testing.T) {
@@ -380,8 +378,7 @@
 	}
 }
 
-// VMs that all start anew in a surge, without a record of requests and returns, must serve the urgent
-// kind better again.
+// Guards against VMs that forget the order of the kinds when all restart in a surge.
 func TestSurgeWithRestartOfAllVMs(t *testing.T) {
 	is := is.New(t)
 	s := playKeyed
@@ -392,8 +389,7 @@
 	is.True(after.share() > before.share()-playError)
 }
 
-// A surge of the urgent kind must leave the other kind its floor, and still serve the urgent one
-// better than without the policy.
+// Guards against a surge of the urgent kind that leaves the others less than their floor.
 func TestSurgeOfTheUrgentKindStarvesNothing(t *testing.T) {
 	is := is.New(t)
 	s := withSurge(playKeyed, 14, 1)
@@ -405,8 +401,7 @@
 	is.True(after.share() > before.share())
 }
 
-// Of two kinds of the same priority, the one with a third of the work must not be held behind the
-// other, which has the longer latency target.
+// Guards against a kind with little work that is held behind one with much work and a longer latency target.
 func TestLittleWorkIsNotHeldBehindMuch(t *testing.T) {
 	is := is.New(t)
 	without, with := simulate(playUnkeyed, false), simulate(playUnkeyed, true)
@@ -415,8 +410,7 @@
 	is.True(after.share() > before.share()+0.05)
 }
 
-// Without a surge, all requests together must keep their value, apart from what more work for the
-// urgent kind takes from the others at the slow targets.
+// Guards against a policy that costs value without a surge.
 func TestUsualLoadKeepsItsValue(t *testing.T) {
 	is := is.New(t)
 	s := withSurge(playKeyed, 1, 1)
--- a/placing/bodies_test.go
+++ b/placing/bodies_test.go
@@ -83,8 +83,7 @@
 	return most, sent, refused
 }
 
-// Uploads that pile up at slow targets make them crash for lack of memory. The VMs must keep the bound together, although
-// none knows what the others send, and refuse hardly any.
+// Guards against targets that crash for lack of memory under uploads of many VMs.
 func TestUploadsKeepTheBoundOfAllVMs(t *testing.T) {
 	is := is.New(t)
 	const bound = 12 * 400_000
@@ -119,8 +118,7 @@
 	is.True(b.BodyFits("a", 5000))
 }
 
-// A target works on a request until its deadline although this VM has closed the connection. Callers that give up early
-// and send again would otherwise make it hold any number of bodies.
+// Guards against any number of bodies at a target whose callers give up early and send again.
 func TestBodyOfARequestThatWasGivenUpCountsUntilItsDeadline(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -143,8 +141,7 @@
 	is.Equal(len(b.state("a").held), 0) // Nothing is kept while the bound is off.
 }
 
-// A target without room is passed over, and large bodies go where fewer bytes are in flight. A suspended target that has room
-// is tried before the request is refused.
+// Guards against a large body sent where others are in flight while another target has room.
 func TestChoiceByBodiesInFlight(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
--- a/placing/fewslots_test.go
+++ b/placing/fewslots_test.go
@@ -7,9 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// One of many VMs gets an answer of the owner of a key every few seconds, and some of them come while the owner is
-// busy. Between them, the VM must not take the owner for busy: it would refuse requests for an owner with a free slot, and
-// would get no answer that shows this. With six slots the estimate is as before.
+// Guards against refusals for an owner that is idle since its last report said that it was busy.
 func TestOwnerWithFewSlotsCountsAsBusyForAMomentOnly(t *testing.T) {
 	for _, tt := range []struct {
 		slots int
@@ -32,8 +30,7 @@
 	}
 }
 
-// A request that waited behind others must not make the target count as slower or faster: its time is divided by what
-// was expected, for which only recent reports count.
+// Guards against time in a queue that is learned as the speed of a target.
 func TestSlowdownOfTargetWithFewSlotsIsThatOfItsRecentLoad(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -42,8 +42,7 @@
 	is.Equal(b.TakeObservations()[0].WorkPercent, 100)
 }
 
-// The statement belongs to the moment of the answer: work that began on a busy machine and ended on an idle one took longer
-// than usual.
+// Guards against work that ended on an idle machine and is taken to have begun on one.
 func TestStatementAtTheAnswerDoesNotHoldForTheWholeRequest(t *testing.T) {
 	is := is.New(t)
 	p := workPace{}
@@ -72,6 +71,7 @@
 	})
 }
 
+// Guards against requests sent to targets that are known to be full.
 func TestFullTargetsAreNotChosen(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -188,8 +188,7 @@
 	is.True(work > 1800*time.Millisecond && work < 1900*time.Millisecond)
 }
 
-// Guards against an assigner that has just started, whose first service time stems from three answers: it once replaced what a VM
-// had learned from many.
+// Guards against a new assigner whose few answers replace what a VM has learned from many.
 func TestFirstSharedSpeedDoesNotReplaceOwnAnswers(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -203,6 +202,7 @@
 	is.True(work > 450*time.Millisecond && work < 550*time.Millisecond)
 }
 
+// Guards against traffic between regions while a target of this region has room.
 func TestFarTargetsOnlyWithoutRoomNear(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -253,8 +253,7 @@
 	}
 }
 
-// Guards against one faulty target that sheds requests as soon as its slots are busy: all targets of its service once counted
-// as full at that load.
+// Guards against one faulty target that sheds requests and makes all of its service count as full.
 func TestTargetThatShedsDoesNotMakeOthersFull(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -287,8 +286,7 @@
 	is.True(!b.Full(&idle))
 }
 
-// Guards against a target that sheds requests far below what it holds at other times: such refusals once counted neither as
-// failures nor kept requests away from it.
+// Guards against a target that sheds requests far below what it holds and gets as many as before.
 func TestRefusalFarBelowHeldLoadIsAFailure(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
--- a/placing/surge_test.go
+++ b/placing/surge_test.go
@@ -361,9 +361,7 @@
 	return s
 }
 
-// Simulates the surge in which full targets reset connections. They must get few requests more than they take, and
-// requests that must not run more than once must hardly be lost. The stalled targets get so few that the others get 1.25 x the
-// mean, weighted by their usual speed. The busiest target is logged only, as it varies by a tenth with the seed.
+// Guards against sends to full targets in the surge, of which those that must not run twice are lost.
 func TestFullTargetsGetFewRequests(t *testing.T) {
 	is := is.New(t)
 	before, learns, after := hardSurge().play(), hardSurge().half(), hardSurge().after().play()
@@ -383,8 +381,7 @@
 	is.Equal(after.refused, 0)
 }
 
-// Simulates 1.5 times the load, which is more than the targets can serve. Requests must be refused before they are sent in
-// place of being lost.
+// Guards against requests lost at 1.5 times the load that should be refused before they are sent.
 func TestOverloadIsRefusedRatherThanLost(t *testing.T) {
 	is := is.New(t)
 	s := hardSurge().half()
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -10,7 +10,7 @@
 )
 
 // A region outside any list, or one that is not known, must not count as allowed.
-func TestAllows(t *testing.T) {
+func TestRegionOutsideAListIsNotAllowed(t *testing.T) {
 	tests := []struct {
 		name, region string
 		lists        [][]string
--- a/routing/regions_test.go
+++ b/routing/regions_test.go
@@ -9,8 +9,7 @@
 	"github.com/basiltally/basiltally/routing"
 )
 
-// Keys must be given to targets that the requests of all routes may reach, and routes that send a service nothing must
-// not restrict where its keys are.
+// Guards against keys in regions that a route does not allow, and against restrictions by routes that send nothing.
 func TestAllowedRegionsOfAService(t *testing.T) {
 	is := is.New(t)
 	route := func(prefix string, regions []string, services ...routing.WeightedService) routing.Route {
--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -282,8 +282,7 @@
 	is.True(stored.refused.Load() <= int64(2*time.Second/(planRetryPause/2))+1)
 }
 
-// Guards against an assigner that some hundred VMs keep busy with early reports, and against early reports in
-// deployments with many slots.
+// Guards against an assigner that hundreds of VMs keep busy with early reports.
 func TestEarlyReportsAreBounded(t *testing.T) {
 	is := is.New(t)
 	is.True(earlyReportInterval(63) <= 100*time.Millisecond)
--- a/shard/answerrate_test.go
+++ b/shard/answerrate_test.go
@@ -9,8 +9,7 @@
 	"github.com/basiltally/basiltally/pb"
 )
 
-// Guards against a share of a hot key that is far below what its owner serves: the service times that VMs report of an owner with
-// a queue include time in the queue. An owner that served 8 requests a second was to get 2.5.
+// Guards against a share of a hot key far below what its owner serves: 2.5 in place of 8 requests a second.
 func TestHotKeyShareIsNotBelowWhatItsOwnerAnswers(t *testing.T) {
 	is := is.New(t)
 	owner := Holder{ID: "a", Address: "a:1"}
--- a/shard/cold_test.go
+++ b/shard/cold_test.go
@@ -33,8 +33,7 @@
 	is.True(w.keysOf("t02") > 0)
 }
 
-// While the warm targets have less than half of the capacity, the cold ones keep keys, with the rate that they can handle as
-// their limit: the warm ones would be overloaded.
+// Guards against warm targets that are overloaded with the keys of all cold ones.
 func TestColdTargetsOwnKeysIfFewAreWarm(t *testing.T) {
 	is := is.New(t)
 	w := newPlanSimulation(1, 1, 1, 1, 1, 1)
@@ -51,7 +50,7 @@
 }
 
 // Without cold targets, the plan is for the same targets as before.
-func TestPlanWithoutColdTargets(t *testing.T) {
+func TestPlanIsUnchangedWithoutColdTargets(t *testing.T) {
 	is := is.New(t)
 	warm := []PlanTarget{{Capacity: 80}}
 	is.Equal(withColdIfNeeded(warm, nil), warm)
--- a/shard/hotkey_test.go
+++ b/shard/hotkey_test.go
@@ -51,8 +51,7 @@
 	is.Equal(lm.TakeTable(3*time.Second).Find(3377).Keys, KeyRange{0, 30000})
 }
 
-// Guards against shares that go on after a hot key is no longer requested: the moving average of its rate took 2.5 s to fall to
-// what the owner can serve, and nearly all of the few requests were refused meanwhile.
+// Guards against a share that goes on for seconds after its key is no longer requested.
 func TestShareEndsSoonAfterTheHotKey(t *testing.T) {
 	is := is.New(t)
 	owner := Holder{ID: "a", Address: "a:1"}
--- a/shard/hotspot_test.go
+++ b/shard/hotspot_test.go
@@ -40,8 +40,7 @@
 	return began
 }
 
-// Guards against moves for hot spots that are none: random variation of an even load must not look like one, at low and at
-// high rates.
+// Guards against moves for the random variation of an even load.
 func TestEvenLoadHasNoHotSpots(t *testing.T) {
 	for _, rate := range []float64{20, 500, 3000} {
 		is := is.New(t)
@@ -51,8 +50,7 @@
 	}
 }
 
-// Guards against all keys becoming a hot spot, of which the plan would move none in calm: when a new assigner gets its
-// first counts, in a surge, or after a hot spot that lasts on.
+// Guards against all keys that become a hot spot with the first counts of a new assigner or in a surge.
 func TestRiseOfAllKeysIsNoHotSpot(t *testing.T) {
 	is := is.New(t)
 	l := newSpotLoad(1)
@@ -65,8 +63,7 @@
 	is.True(l.Projected(l.now).Rate(KeyRange{20000, 20199}) > 1700)
 }
 
-// Guards against a hot spot that is found late, or cut into too few parts because the moving average has reached a third
-// of its rate only; and against one that seems to last on.
+// Guards against a hot spot that is found late, cut into too few parts, or seems to last on.
 func TestRateOfHotSpotIsKnownSoon(t *testing.T) {
 	for seed := range uint64(10) {
 		is := is.New(t)
@@ -118,8 +115,7 @@
 	is.True(len(two) >= 100) // The hot spot is cut up at once.
 }
 
-// Guards against a part of a hot spot that is left with its owner because the other targets have no room, or that
-// loses a key.
+// Guards against a part of a hot spot that stays with its owner because no other target has room.
 func TestHotSpotBeyondAllCapacityIsShared(t *testing.T) {
 	is := is.New(t)
 	w := newPlanSimulation(0.1, 0.1, 0.1, 0.1)
--- a/shard/placement_test.go
+++ b/shard/placement_test.go
@@ -149,8 +149,7 @@
 	is.Equal(len(p.planned()), 8)
 }
 
-// Cold targets in the allowed regions must keep their keys if all warm targets are elsewhere: those would serve no request of the
-// routes that have the list, while the cold ones serve some.
+// Guards against keys that move out of the allowed regions because all targets there are cold.
 func TestColdTargetsInAllowedRegionsKeepTheirKeys(t *testing.T) {
 	is := is.New(t)
 	p := newPlacementTest(t, is)
--- a/shard/servicetime_test.go
+++ b/shard/servicetime_test.go
@@ -34,8 +34,7 @@
 	return targets
 }
 
-// Guards against a capacity by another measure than the mean: by a low quantile, targets with a queue kept their keys and
-// answered late.
+// Guards against a quantile as capacity, with which targets with a queue kept their keys.
 func TestCapacityIsThatOfTheMean(t *testing.T) {
 	for _, slots := range []int{2, 6} {
 		t.Run(fmt.Sprint(slots), func(t *testing.T) {
--- a/shard/states_test.go
+++ b/shard/states_test.go
@@ -13,8 +13,7 @@
 	"github.com/basiltally/basiltally/store/memstore"
 )
 
-// A VM that restarts knows no speeds. It must get those of all targets with its first update, also of targets that have not
-// changed since.
+// Guards against a restarted VM that knows no speeds of targets that have not changed since.
 func TestNewFollowerGetsAllTargetStates(t *testing.T) {
 	is := is.New(t)
 	agent := NewAgent(AgentOptions{
--- a/shard/uneven_test.go
+++ b/shard/uneven_test.go
@@ -734,8 +734,7 @@
 
 var twoSlots = unevenOptions{targets: 152, slots: 2, vms: 63, speeds: []float64{0.7, 0.7, 1.7}, rate: 560, confirmations: 148}
 
-// Guards against hot spots that take seconds to spread on targets with two slots, as they did with counts of 700 ms, moves
-// of a few parts a plan and speeds learned from answers that had waited; and against moves and refusals in calm.
+// Guards against hot spots that take seconds to spread on targets with two slots, and against moves and refusals in calm.
 func TestHotSpotsOnTargetsWithTwoSlots(t *testing.T) {
 	for _, tt := range []struct {
 		rate float64
--- a/standin/soak/hardload_test.go
+++ b/standin/soak/hardload_test.go
@@ -11,9 +11,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against checks under hard load that miss a broken promise or report one that the rules excuse. dc0 was evacuated
-// six seconds ago, and the target keyed0 has been cold for as long.
-func TestHardLoadChecks(t *testing.T) {
+// Guards against checks of the soak that miss a broken promise or report one that the rules excuse.
+func TestHardLoadChecksFindBrokenPromises(t *testing.T) {
 	now := time.Now()
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
 	for _, tt := range []struct {
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -104,9 +104,8 @@
 	return keys, at
 }
 
-// A follower must not count as up to date while changes that it was sent are not returned yet, or before the reader has
-// confirmed its relay since.
-func TestKnownAt(t *testing.T) {
+// Guards against a follower that counts as up to date while changes that it was sent are not returned yet.
+func TestFollowerIsUpToDateOnlyWithAllChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newFeeds(t)
 		p.is.Equal(p.follower.KnownAt("b/"), time.Duration(0))
@@ -703,8 +702,7 @@
 	}
 }
 
-// Each VM lists what it follows again and again while the store is away. A quiet prefix must not cost as much as the
-// others then, must be known soon after, and must not depend on the others.
+// Guards against a prefix with hardly any object that costs as many lists in an outage as the others.
 func TestQuietPrefixIsSeldomListedWhileTheStoreIsAway(t *testing.T) {
 	for name, relayed := range map[string]bool{"follower": true, "without a reader": false} {
 		t.Run(name, func(t *testing.T) {
@@ -752,8 +750,7 @@
 	}
 }
 
-// A change of the reader that takes longer than usual must not make each VM list and poll a quiet prefix. Without a reader, the
-// VM must read the prefix in time all the same.
+// Guards against a list and a poll of each VM when the reader changes slowly.
 func TestQuietPrefixWaitsLongerForTheNextReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newFeedsWith(t, relayfeed.Options{Quiet: func(string) bool { return true }, FirstReaderWait: 1500 * time.Millisecond})
--- a/upstream/idle_test.go
+++ b/upstream/idle_test.go
@@ -16,8 +16,7 @@
 	}
 }
 
-// A request that must not be repeated needs a connection that was idle for a short time. It once closed all others,
-// which targets keep for 10 s, so that the next request to the target had to open one as well.
+// Guards against a request that closes connections which only it cannot use.
 func TestConnectionTooOldForOneRequestIsKeptForOthers(t *testing.T) {
 	is := is.New(t)
 	tg := startTarget(t, answerInTurn(validAnswer, validAnswer, validAnswer))
--- a/upstream/load_test.go
+++ b/upstream/load_test.go
@@ -6,8 +6,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against targets that share machines with others, whose loads all VMs ignored because their header has a
-// fourth figure.
+// Guards against loads that are ignored because their header has a fourth figure.
 func TestLoadIsParsedWithAndWithoutTheTimeOfWork(t *testing.T) {
 	for text, want := range map[string]*Load{
 		"3,1,6":      {Running: 3, Waiting: 1, Slots: 6},
--- a/warmup/bound_test.go
+++ b/warmup/bound_test.go
@@ -106,9 +106,7 @@
 
 func (f *fleetOfVMs) bound() float64 { return f.rate*bounds.Overage + bounds.Slack }
 
-// Each VM sends as much as it may, in bursts, while the lists differ between the VMs and change: two sides that are cut off
-// from each other, a new assigner that lists the VMs one after the other, VMs that restart without a list, and lists
-// that lack some. A target that got more than the bound in any second would crash.
+// Guards against a cold target that crashes because VMs with different lists exceed the bound together.
 func TestBoundHoldsWithDifferentListsOfVMs(t *testing.T) {
 	for _, rate := range []float64{4.1, 6.5, 20} {
 		for seed := range uint64(3) {
@@ -239,8 +237,7 @@
 	}
 }
 
-// VMs that were cut off for longer than they are remembered may all count themselves among the first of their side. Two sides
-// must not exceed the bound together.
+// Guards against two sides of a long cut that exceed the bound together.
 func TestBoundHoldsOnTwoSidesOfALongCut(t *testing.T) {
 	for _, rate := range []float64{0.7, 4.1, 6.5, 20, 150} {
 		f := newFleet(71, 4, rate)
@@ -278,8 +275,7 @@
 	}
 }
 
-// A target that crashes at each start has a new incarnation every 200 ms, and two processes may have run behind its address in a
-// second. A new incarnation must not give the VMs tokens that they have used already.
+// Guards against new tokens for each incarnation of a target that crashes at each start.
 func TestBoundHoldsForATargetThatRestartsAgainAndAgain(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(71, 1, 6.5)
@@ -313,8 +309,7 @@
 	}
 }
 
-// The VMs that share a target use its whole rate if they have requests for it at all times, also if no assigner has listed the
-// VMs for long.
+// Guards against an allotment that is not used although the VMs have requests for the target.
 func TestAllotmentIsUsed(t *testing.T) {
 	for _, rate := range []float64{0.7, 4.1, 6.5, 20} {
 		f := newFleet(71, 4, rate)
--- a/warmup/use_test.go
+++ b/warmup/use_test.go
@@ -10,7 +10,7 @@
 )
 
 // The VMs choose targets as the gateway does, and get as many requests as in deployment B. A sixth of the targets is cold.
-func TestUseOfTheAllotmentByTheGatewaysChoice(t *testing.T) {
+func TestAllotmentIsUsedByTheGatewaysChoice(t *testing.T) {
 	usual := useOfAllotment(t, false)
 	preferred := useOfAllotment(t, true)
 	t.Logf("share of the allotment that is used: %.3f by the usual choice, %.3f with preference", usual, preferred)
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -69,7 +69,7 @@
 }
 
 // The end of a warm-up counts from when the entry was read, and an entry that states a shorter rest does not end it earlier.
-func TestEntryStatesWarmUp(t *testing.T) {
+func TestWarmUpOfEntryIsNotMissed(t *testing.T) {
 	is := is.New(t)
 	s := newSingle()
 	s.entry(1, 5*time.Second)
@@ -118,7 +118,7 @@
 }
 
 // The process behind an address may restart under the same ID before its entry changes.
-func TestRestartUnderTheSameID(t *testing.T) {
+func TestRestartUnderTheSameIDIsCold(t *testing.T) {
 	is := is.New(t)
 	s := newSingle()
 	e := s.entry(1, 0)
@@ -143,7 +143,7 @@
 }
 
 // A configuration may be read after the entries, and may state another rate or none later.
-func TestConfigurationIsReadLater(t *testing.T) {
+func TestTargetsSeenBeforeTheConfigurationAreCold(t *testing.T) {
 	is := is.New(t)
 	s := newSingle()
 	s.known = false
@@ -159,7 +159,7 @@
 }
 
 // Without bounds there is no Tracker, and a missing Tracker allows all.
-func TestFeatureIsOff(t *testing.T) {
+func TestNothingIsBoundedWithoutSettings(t *testing.T) {
 	is := is.New(t)
 	tracker := warmup.New(warmup.Options{})
 	is.True(tracker == nil)
