Keep the platform's names in platform and its stand-ins

Cause: the check of a configuration and new tests spelled fields, kinds and headers of the platform's documents themselves.

--- a/cmd/basiltallyctl/main_test.go
+++ b/cmd/basiltallyctl/main_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/basiltally/basiltally/operator"
+	standin "github.com/basiltally/basiltally/standin/platform"
 )
 
 // runCtl runs a command line and returns its exit code and output.
@@ -85,7 +86,7 @@
 			t.Fatal(err)
 		}
 	}
-	const good = `{"version":2,"routes":[{"name":"r","hostname":"h","path_prefix":"/","route_type":"safe","service":"s","max_attempts":1}],"services":[{"name":"s"}]}`
+	const good = standin.MinimalConfig
 	write("good", good)
 	write("old", strings.Replace(good, `"version":2`, `"version":1`, 1))
 	write("bad", `{"version":3}`)
--- a/configcheck/rules.go
+++ b/configcheck/rules.go
@@ -54,10 +54,10 @@
 		}
 		c.checkTimes(part, r)
 		if r.MaxAttempts == 0 {
-			c.add(Warning, "max-attempts", part, "max_attempts is 0 or missing; requests are sent once at most")
+			c.add(Warning, "max-attempts", part, "%s is 0 or missing; requests are sent once at most", platform.FieldMaxAttempts)
 		}
 		if slices.Contains(r.AllowedRegions, "") {
-			c.add(Warning, "empty-region", part, "allowed_regions has an empty name, which no target's region matches")
+			c.add(Warning, "empty-region", part, "%s has an empty name, which no target's region matches", platform.FieldAllowedRegions)
 		}
 	}
 }
@@ -69,7 +69,7 @@
 		timeout, source = routeTimeout, "the timeout of routes that set none,"
 	}
 	if timeout < r.LatencyTarget {
-		c.add(Warning, "timeout", part, "%s %s is below target_latency %s", source, timeout, r.LatencyTarget)
+		c.add(Warning, "timeout", part, "%s %s is below %s %s", source, timeout, platform.FieldLatencyTarget, r.LatencyTarget)
 	}
 }
 
@@ -120,13 +120,15 @@
 		}
 		names[s.Name] = true
 		if s.MaxConnections > lowest {
-			c.add(Information, "max-conns", part, "max_conns is %d, but the lowest of all services, %d, holds for all targets", s.MaxConnections, lowest)
+			c.add(Information, "max-conns", part, "%s is %d, but the lowest of all services, %d, holds for all targets", platform.FieldMaxConnections, s.MaxConnections, lowest)
 		}
 		switch {
 		case s.ColdTime > 0 && s.ColdPerSecond == 0:
-			c.add(Warning, "warm-up", part, "warmup is %s without warmup_per_s; requests to cold targets are not bounded", s.ColdTime)
+			c.add(Warning, "warm-up", part, "%s is %s without %s; requests to cold targets are not bounded",
+				platform.FieldColdTime, s.ColdTime, platform.FieldColdPerSecond)
 		case s.ColdTime == 0 && s.ColdPerSecond > 0:
-			c.add(Warning, "warm-up", part, "warmup_per_s without warmup; it holds only for warm-ups that targets state themselves")
+			c.add(Warning, "warm-up", part, "%s without %s; it holds only for warm-ups that targets state themselves",
+				platform.FieldColdPerSecond, platform.FieldColdTime)
 		}
 		if s.WarmUp > 0 && !s.Keyed {
 			c.add(Warning, "warm", part, "warm has no effect on a service that is not sharded")
@@ -144,7 +146,8 @@
 		return
 	}
 	if regions, restricted := c.table.AllowedRegions(s.Name); s.Keyed && restricted && len(regions) == 0 && len(routes) > 1 {
-		c.add(Warning, "no-common-region", part, "the allowed_regions of its routes have none in common; whichever region owns a key, some requests for it are refused")
+		c.add(Warning, "no-common-region", part, "the %s of its routes have none in common; whichever region owns a key, some requests for it are refused",
+			platform.FieldAllowedRegions)
 	}
 	priority := routes[0].Priority
 	if priority > 0 && !slices.ContainsFunc(routes, func(e *routing.Entry) bool { return e.Priority != priority }) {
@@ -156,10 +159,12 @@
 func (c *checker) checkLimits() {
 	l := c.config.Limits
 	if l.HeaderBytes < minHeaderBytes {
-		c.add(Warning, "header-limit", platform.PartLimits, "max_header_bytes %d has no effect: headers of up to %d bytes are accepted", l.HeaderBytes, minHeaderBytes)
+		c.add(Warning, "header-limit", platform.PartLimits, "%s %d has no effect: headers of up to %d bytes are accepted",
+			platform.FieldHeaderBytes, l.HeaderBytes, minHeaderBytes)
 	}
 	uploads := slices.ContainsFunc(c.config.Routes, func(r routing.Route) bool { return r.Kind == routing.Upload })
 	if uploads && l.BodyBytes < l.HeaderBytes {
-		c.add(Warning, "body-limit", platform.PartLimits, "max_body_bytes %d is below max_header_bytes %d although there are routes for uploads", l.BodyBytes, l.HeaderBytes)
+		c.add(Warning, "body-limit", platform.PartLimits, "%s %d is below %s %d although there are routes for uploads",
+			platform.FieldBodyBytes, l.BodyBytes, platform.FieldHeaderBytes, l.HeaderBytes)
 	}
 }
--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -57,7 +57,7 @@
 	b := newEvacuationTest(t, relayAbove)
 	first, second := b.startReadyNode("vm1"), b.startReadyNode("vm2")
 	b.eventually("all keys are served", func() bool { return b.allKeysServed(first) && b.allKeysServed(second) })
-	b.store.Put("evacuations", "dc1", map[string]any{})
+	b.store.Put(standin.KindEvacuations, "dc1", map[string]any{})
 	b.eventually("requests leave the data centre", func() bool { return b.servedOutsideDC1(first) && b.servedOutsideDC1(second) })
 
 	third := b.startReadyNode("vm3") // It must not have to learn of the evacuation first.
@@ -72,7 +72,7 @@
 	is.NoErr(<-first.done)
 	b.nodes = b.nodes[1:]
 	b.eventually("another VM is the assigner", b.assignerConfirmed)
-	b.store.Put("evacuations", "dc1", map[string]any{"again": true}) // Written again.
+	b.store.Put(standin.KindEvacuations, "dc1", map[string]any{"again": true}) // Written again.
 	b.eventually("requests stay outside", func() bool { return b.servedOutsideDC1(second) && b.servedOutsideDC1(third) })
 
 	b.store.SetFault(standin.Unavailable)
@@ -84,7 +84,7 @@
 	is.True(b.servedOutsideDC1(second))
 
 	is.True(second.process.evacuations.EndedAt("dc1").IsZero())
-	b.store.Delete("evacuations", "dc1")
+	b.store.Delete(standin.KindEvacuations, "dc1")
 	b.eventually("keys and requests return", func() bool {
 		return b.allKeysServed(second) && b.allKeysServed(third) && b.targets["k0"].Holds(0) != b.targets["k3"].Holds(0) && !b.servedOutsideDC1(second)
 	})
@@ -98,7 +98,7 @@
 	is := is.New(t)
 	b := newEvacuationTest(t, 24)
 	b.refuseEvacuations.Store(true)
-	b.store.Put("evacuations", "dc1", map[string]any{})
+	b.store.Put(standin.KindEvacuations, "dc1", map[string]any{})
 	n := b.startNode("vm1")
 	b.eventually("the configuration and the targets are known", func() bool {
 		return n.process.routes.Load() != nil && n.process.targetsListed.Load()
@@ -125,7 +125,7 @@
 	is := is.New(t)
 	b := newEvacuationTest(t, 24)
 	b.evacuate = 0
-	b.store.Put("evacuations", "dc1", map[string]any{})
+	b.store.Put(standin.KindEvacuations, "dc1", map[string]any{})
 	n := b.startReadyNode("vm1")
 	b.eventually("all keys are served", func() bool { return b.allKeysServed(n) })
 	is.True(!b.servedOutsideDC1(n))
@@ -151,11 +151,11 @@
 	}
 	before := calls()
 	for range 3 {
-		b.store.Put("evacuations", "dc1", map[string]any{})
+		b.store.Put(standin.KindEvacuations, "dc1", map[string]any{})
 		b.eventually("all VMs know the begin", func() bool {
 			return nodes[0].process.evacuations.Any() && nodes[1].process.evacuations.Any() && nodes[2].process.evacuations.Any()
 		})
-		b.store.Delete("evacuations", "dc1")
+		b.store.Delete(standin.KindEvacuations, "dc1")
 		b.eventually("all VMs know the end", func() bool {
 			return !nodes[0].process.evacuations.Any() && !nodes[1].process.evacuations.Any() && !nodes[2].process.evacuations.Any()
 		})
@@ -240,11 +240,11 @@
 	n := b.startReadyNode("vm1")
 	c := &evacuationConsumer{process: n.process, listed: true}
 	outdated := n.process.feed.KnownRevisions()[platform.EvacuationPrefix]
-	b.store.Put("evacuations", "dc1", map[string]any{})
+	b.store.Put(standin.KindEvacuations, "dc1", map[string]any{})
 	b.eventually("the evacuation is known", n.process.evacuations.Any)
 	is.True(!c.replaceUnlessOutdated(nil, outdated))
 	is.True(n.process.evacuations.Any())
-	is.True(c.replaceUnlessOutdated(nil, store.Version(b.store.Revision("evacuations", "dc1"))+1000))
+	is.True(c.replaceUnlessOutdated(nil, store.Version(b.store.Revision(standin.KindEvacuations, "dc1"))+1000))
 	is.True(!n.process.evacuations.Any())
 }
 
--- a/daemon/node_settings.go
+++ b/daemon/node_settings.go
@@ -18,7 +18,7 @@
 	LameDuck          time.Duration `ini:"lame_duck" default:"2200ms" unit:"duration" range:"0s..1m" doc:"How long new connections are still accepted after a stop has begun, so that the balancer can notice the stop."`
 	StopLimit         time.Duration `ini:"stop_limit" default:"6s" unit:"duration" range:"1s..24h" doc:"Time after which the platform ends a stopping process; requests still running shortly before it are cut off."`
 	DrainTime         time.Duration `ini:"drain_time" default:"2s" unit:"duration" range:"500ms..1m" doc:"How long a target takes requests after the store has its entry as draining. Shortly before its end the owner of a key gets no more of them."`
-	Evacuate          time.Duration `ini:"evacuate" default:"0s" unit:"duration" range:"0s..1m" doc:"Time after the store has accepted an entry evacuations/DATA_CENTRE from which no request reaches targets in that data centre. Zero does not read these entries."`
+	Evacuate          time.Duration `ini:"evacuate" default:"0s" unit:"duration" range:"0s..1m" doc:"Time after the store has accepted an entry for the evacuation of a data centre from which no request reaches targets in that data centre. Zero does not read these entries."`
 	LinkMbps          float64       `ini:"link" default:"1000" unit:"Mbit/s" range:"0.1..1000000" doc:"Bandwidth of the VM; a VM with low bandwidth leaves the assigner's role to others."`
 	CPU               float64       `ini:"cpu" default:"1" unit:"cores" range:"0.01..1024" doc:"Processor of the VM; a VM with a small share of a core leaves the assigner's role to others."`
 	QuarantineCrashes int           `ini:"quarantine_crashes" default:"3" unit:"crashes" range:"2..4" doc:"Number of targets' crashes while they ran the same request, from which all VMs refuse it."`
@@ -71,9 +71,9 @@
 	EvenSpread   bool `ini:"even_spread" default:"false" doc:"Whether the VMs use subsets of the targets that cover each target equally often."`
 }
 
-// WarmUpSettings bounds the requests that a target gets while it is cold, in addition to warmup_per_s of its service.
+// WarmUpSettings bounds the requests that a target gets while it is cold, in addition to the rate that its service states.
 type WarmUpSettings struct {
-	Overage float64 `ini:"overage" default:"0" unit:"ratio" range:"0..100" doc:"Multiple of a service's warmup_per_s that all VMs together may send to a cold target in any second; 0 does not bound it."`
+	Overage float64 `ini:"overage" default:"0" unit:"ratio" range:"0..100" doc:"Multiple of the rate that a service states for its cold targets, which all VMs together may send to one in any second; 0 does not bound it."`
 	Slack   float64 `ini:"slack" default:"0" unit:"requests" range:"0..1000000" doc:"Requests that a cold target may get in any second in addition."`
 }
 
--- a/daemon/node_settings_test.go
+++ b/daemon/node_settings_test.go
@@ -5,17 +5,18 @@
 
 	"github.com/matryer/is"
 
+	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/settings"
 )
 
 // Guards against refusals by priority in deployments that do not ask for them.
 func TestOverloadIsOnWhereAskedFor(t *testing.T) {
 	for text, want := range map[string]bool{
-		"":                               false,
-		"contracts =":                    false,
-		"contracts = other":              false,
-		"contracts = other,pressure":     true,
-		"contracts = pressures":          false,
+		"":                  false,
+		"contracts =":       false,
+		"contracts = other": false,
+		"contracts = other," + platform.ContractOverload: true,
+		"contracts = " + platform.ContractOverload + "s": false,
 		"enabled = true":                 true,
 		"enabled = false\ncontracts = x": false,
 	} {
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -128,11 +128,7 @@
 }
 
 func (b *testPlatform) service(name string, keyed bool) map[string]any {
-	s := map[string]any{"name": name, "max_conns": 100, "sharded": keyed}
-	if b.coldPerSecond > 0 {
-		s["warmup"], s["warmup_per_s"] = "8s", b.coldPerSecond
-	}
-	return s
+	return standin.ServiceDocument(name, keyed, 100, "8s", b.coldPerSecond)
 }
 
 func (b *testPlatform) addTarget(id, service string, keyed bool) {
@@ -175,7 +171,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if strings.HasPrefix(r.URL.Path, "/objects/evacuations") {
+		if strings.Contains(r.URL.Path, "/"+standin.KindEvacuations) {
 			storeCalls.Add(1)
 			if b.refuseEvacuations.Load() {
 				w.WriteHeader(http.StatusServiceUnavailable)
--- a/daemon/node_warmup_test.go
+++ b/daemon/node_warmup_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	standin "github.com/basiltally/basiltally/standin/platform"
 )
 
 // Guards against keys and requests for a target that has returned cold or states a new warm-up.
@@ -19,7 +21,7 @@
 	b.eventually("all keys are served", func() bool { return b.allKeysServed(first) && b.allKeysServed(second) })
 	for _, id := range []string{"k0", "f0"} {
 		e := b.targets[id].Entry(b.servers[id].Listener.Addr().String(), "dc1", "ready", 1)
-		e["status"].(map[string]any)["warmup_left"] = "5m"
+		standin.SetWarmUpLeft(e, "5m")
 		b.store.Put("servers", id, e)
 	}
 	b.eventually("the VMs know that the targets are cold", func() bool {
--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -15,13 +15,14 @@
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/placing"
+	"github.com/basiltally/basiltally/platform"
 )
 
 // upload sends an upload with a body of the given length.
 func (f *fixture) upload(bytes int) *ingress.Response {
 	f.t.Helper()
 	h := &fasthttp.RequestHeader{}
-	text := "POST /upload/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nRequest-Deadline-Ms: 800\r\nShard-Key: 5\r\n\r\n"
+	text := "POST /upload/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nRequest-Deadline-Ms: 800\r\n" + platform.CallerHeaders().Key + ": 5\r\n\r\n"
 	if err := h.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
 		f.t.Fatal(err)
 	}
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -17,6 +17,7 @@
 	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
 	"github.com/basiltally/basiltally/placing"
+	"github.com/basiltally/basiltally/platform"
 )
 
 // overloaded adds the policy to the fixture. It has been in force for two seconds, and requests of
@@ -124,7 +125,7 @@
 		f := newFixture(t, keyed, answerOK, answerOK)
 		f.load("t0", 200)
 		request := uploadRequest("/upload/x", "700")
-		request.Header.Set("Shard-Key", "7")
+		request.Header.Set(platform.CallerHeaders().Key, "7")
 		refusal, _ := f.gateway.Precheck(request)
 		is.Equal(refusal, nil) // Without the policy, the body is read.
 		f.overloaded()
@@ -148,7 +149,7 @@
 	f.load("t0", 200)
 	for range 50 {
 		r := uploadRequest("/minor/x", "800")
-		r.Header.Set("Shard-Key", "7")
+		r.Header.Set(platform.CallerHeaders().Key, "7")
 		is.Equal(f.gateway.Serve(context.Background(), r).Status, 503)
 	}
 	is.Equal(strings.Count(log.String(), "refused for lack of room"), 20)
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/basiltally/basiltally/evacuation"
 	"github.com/basiltally/basiltally/ingress"
+	"github.com/basiltally/basiltally/platform"
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/warmup"
 )
@@ -106,7 +107,7 @@
 	f.allow("r2", "r3")
 	checkRefused(is, f.send("/unsafe/x", "5"), codeRegionNotAllowed)
 	upload := uploadRequest("/upload/x", "700")
-	upload.Header.Set("Shard-Key", "5")
+	upload.Header.Set(platform.CallerHeaders().Key, "5")
 	refusal, _ := f.gateway.Precheck(upload)
 	checkRefused(is, refusal, codeRegionNotAllowed)
 	f.allow("r1")
@@ -296,7 +297,7 @@
 		c.Version++
 		c.Routes = slices.Clone(c.Routes)
 		for i := range c.Routes {
-			c.Routes[i].AllowedRegions, c.Routes[i].Unserved = nil, "allowed_regions: not a list"
+			c.Routes[i].AllowedRegions, c.Routes[i].Unserved = nil, "the list of regions cannot be decoded"
 		}
 		f.routes.Store(routing.NewTable(&c))
 		answerError(w, r)
