placing: Make two tests fail on the faults that they guard against

Cause: with planted faults, 33 of 35 new tests that had not been seen to fail failed; TestOwnerOfHotKeyDoesNotMakeOthersFull and TestChoiceByBodiesInFlight passed, the first since full loads need two refusing targets, the second since the other target was idle. Ten hot owners refuse now, and requests without bodies run at the other target. Both fail with the exclusion of keyed services and the cost of bodies taken out.

--- a/placing/bodies_test.go
+++ b/placing/bodies_test.go
@@ -154,6 +154,9 @@
 	}
 	b.End("suspended", b.Begin(&candidates[2]), Outcome{Unreachable: true})
 	_, _ = b.BeginBody(&candidates[0], 200_000)
+	// More requests run at b, which counts less than the bodies at a.
+	b.Begin(&candidates[1])
+	b.Begin(&candidates[1])
 	for range 20 {
 		is.Equal(b.Choose(candidates[:2], Query{BodyBytes: 50_000}).Candidate.ID, "b")
 		choice := b.Choose(candidates, Query{BodyBytes: 150_000})
--- a/placing/occupancy_test.go
+++ b/placing/occupancy_test.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -169,9 +170,12 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	b := fixedClock(&now)
-	hot, other := Candidate{ID: "hot", Service: "s", Slots: 2, Keyed: true}, Candidate{ID: "other", Service: "s", Slots: 2, Keyed: true}
+	other := Candidate{ID: "other", Service: "s", Slots: 2, Keyed: true}
 	answer(b, &now, &other, time.Millisecond, 1, 0)
-	for range 50 {
+	var hot Candidate
+	for i := range 10 {
+		hot = Candidate{ID: fmt.Sprint("hot", i), Service: "s", Slots: 2, Keyed: true}
+		refuse(b, &hot, 6)
 		refuse(b, &hot, 6)
 	}
 	is.True(b.Full(&hot))
