--- a/daemon/node.go
+++ b/daemon/node.go
@@ -26,7 +26,6 @@
 	"github.com/basiltally/basiltally/peer"
 	"github.com/basiltally/basiltally/placing"
 	"github.com/basiltally/basiltally/platform"
-	"github.com/basiltally/basiltally/quarantine"
 	"github.com/basiltally/basiltally/routing"
 	"github.com/basiltally/basiltally/shard"
 	"github.com/basiltally/basiltally/store"
@@ -174,14 +173,7 @@
 		n.evacuations = evacuation.New()
 		n.stalls = evacuation.NewStallGuard(s.Gateway.Evacuate/stallDivisor, boottime.Now)
 	}
-	var quiet func(string) bool
-	if n.evacuations != nil {
-		quiet = func(prefix string) bool { return prefix == platform.EvacuationPrefix }
-	}
-	n.feed = relayfeed.New(relayfeed.Options{
-		Direct: n.objects, Check: n.objects.Check, Logger: logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, Quiet: quiet,
-		MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) },
-	})
+	n.newFeed(s)
 	n.newDirectory(s)
 	memory := bodies.NewMemory(int64(float64(s.Gateway.MemoryMB) * bodyShare * (1 << 20)))
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -190,39 +182,9 @@
 	n.upstream = upstream.New(upstream.Options{
 		Headers: platform.TargetHeaders(), Registerer: n.registry, Memory: memory,
 	})
-	leases := shard.LeaseOptions{
-		LeaseDuration: min(s.Shard.LeaseDuration, s.Shard.MaxLeaseDuration), LongLeaseDuration: time.Duration(longLeaseShare * float64(s.Shard.MaxLeaseDuration)),
-	}
-	suspects := quarantine.New(quarantine.Options{
-		VM: s.Process.VM, MinCrashes: s.Gateway.QuarantineCrashes, Duration: s.Gateway.QuarantineTime, AmbiguousDuration: s.Gateway.QuarantineTime, Registerer: n.registry, Logger: logger,
-	})
-	n.crashes = gateway.NewCrashWatch(gateway.CrashWatchOptions{
-		Tracker: suspects, Directory: n.directory, Connected: n.upstream.Connected, Probe: n.upstream.Probe, OnRefused: n.targetRefused, EntryDelay: gateway.EntryDelay(s.Gateway.CheckIn), Registerer: n.registry, Logger: logger,
-	})
-	n.agent = shard.NewAgent(shard.AgentOptions{
-		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
-		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Cold: n.coldTarget(), Report: n.shardReport, Placement: n.keyPlacement(),
-		Registerer: n.registry, OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
-		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), RoleLease: s.Shard.RoleLease, Leases: leases, Logger: logger,
-	})
-	n.keyCounter.OnBusyOwner(n.agent.ReportBusyOwner)
-	n.eligibility = eligibility.New(eligibility.Options{
-		Directory: n.directory, VM: s.Peer.Listen, DrainTime: s.Gateway.DrainTime, WarmUp: n.warmUp, Registerer: n.registry, Logger: logger,
-		Evacuation: eligibility.EvacuationOptions{Set: n.evacuations, Stalls: n.stalls, Time: s.Gateway.Evacuate},
-	})
-	var byPriority *gateway.Overload
-	if s.Overload.on() {
-		byPriority = gateway.NewOverload(gateway.OverloadOptions{Registerer: n.registry, Logger: logger})
-	}
-	n.gateway = gateway.New(gateway.Options{
-		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: n.eligibility, Evacuations: n.evacuations, Shards: n.agent, Balancer: n.balancer, Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes, Overload: byPriority,
-		Registerer: n.registry, Logger: logger,
-	})
-	n.ingress = ingress.New(ingress.Options{
-		Address: s.Gateway.Listen, Handler: n.gateway, Limits: n.limits,
-		LameDuck: s.Gateway.LameDuck, StopLimit: s.Gateway.StopLimit - stopMargin, MaxConnections: callerConnections(logger), ConnectionMemory: int64(float64(s.Gateway.MemoryMB) * connectionShare * (1 << 20)), Memory: memory, Registerer: n.registry, Logger: logger,
-	})
+	n.newAgent(s)
+	n.newGateway(s)
+	n.newIngress(s, memory)
 	n.setBodyLimit()
 	n.directory.OnChange(n.targetsChanged)
 	return n
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -46,7 +46,8 @@
 		if !c.drawnForShare && !c.mayHaveRun {
 			c.drawnForShare = true
 			if entry.Share > 0 && rand.Float64() >= g.hotKeyShare(c, float64(entry.Share)/shard.WholeShare) {
-				return nil, g.noRoom(c, decisionHotKey, result.NoCapacity, hotKeyReturn, "the owner of the key, target %s, can serve %d of 1000 requests for it", t.ID, entry.Share)
+				return nil, g.noRoom(c, decisionHotKey, result.NoCapacity, hotKeyReturn,
+					"the owner of the key, target %s, can serve %d of 1000 requests for it", t.ID, entry.Share)
 			}
 		}
 		if v := g.opts.Eligibility.Decide(t.Incarnation()); !v.OK() {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -81,7 +81,8 @@
 // pendingReturns is a prometheus.Collector of the callers that were told to return.
 type pendingReturns struct{ overload *Overload }
 
-var pendingReturnsDesc = prometheus.NewDesc("basiltally_returns_pending", "Refused callers that were told to return and are not due yet, by service.", []string{"service"}, nil)
+var pendingReturnsDesc = prometheus.NewDesc("basiltally_returns_pending",
+	"Refused callers that were told to return and are not due yet, by service.", []string{"service"}, nil)
 
 // Describe implements prometheus.Collector.
 func (p pendingReturns) Describe(out chan<- *prometheus.Desc) { out <- pendingReturnsDesc }
@@ -128,10 +129,12 @@
 // refuseAt returns the error for a request that the policy does not admit at the target.
 func (o *Overload) refuseAt(c *call, t *fleet.Target, d overload.Decision) *result.Error {
 	if d.Late {
-		return o.refuse(c, decisionLate, d, result.NoCapacity, "target %s cannot answer before the deadline in %d ms: the expected wait in its queue is %d ms",
+		return o.refuse(c, decisionLate, d, result.NoCapacity,
+			"target %s cannot answer before the deadline in %d ms: the expected wait in its queue is %d ms",
 			t.ID, c.timeLeft().Milliseconds(), d.Wait.Milliseconds())
 	}
-	return o.refuse(c, decisionNoRoom, d, result.NoCapacity, "target %s cannot answer in time: the expected wait in its queue is %d ms, and requests of priority %d may wait %d ms",
+	return o.refuse(c, decisionNoRoom, d, result.NoCapacity,
+		"target %s cannot answer in time: the expected wait in its queue is %d ms, and requests of priority %d may wait %d ms",
 		t.ID, d.Wait.Milliseconds(), c.entry.Priority, d.Allowed.Milliseconds())
 }
 
@@ -236,7 +239,8 @@
 	var best *fleet.Target
 	var least overload.Decision
 	for _, t := range g.possibleTargets(c) {
-		d := g.opts.Overload.policy.Hopeless(g.opts.Overload.opts.Now(), overload.Request{Kind: c.overloadKind(), Expected: g.estimate(t), Limits: c.limits()})
+		request := overload.Request{Kind: c.overloadKind(), Expected: g.estimate(t), Limits: c.limits()}
+		d := g.opts.Overload.policy.Hopeless(g.opts.Overload.opts.Now(), request)
 		if d.Admit {
 			return nil
 		}
