shard: Log and measure when orders leave, how long their calls take and what the assigner does

The log had neither the instants at which an order was due, was sent and had ended, nor whether the assigner lacked processor, so that these hypotheses could not be told apart: orders that leave late, orders that arrive late, and a bound that ends early for another reason.

An order's line has waited_ms and took_ms now, two histograms have the same, and once a second a line states what the assigner did: its processor time, its longest step, plan and table, its orders and their longest times.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -82,6 +82,7 @@
 	targets  *targetStates
 	// nextTargets is the earliest instant of the next update with target states.
 	nextTargets time.Duration
+	activity    assignerActivity
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
@@ -149,7 +150,7 @@
 		agent: agent, term: term, predecessor: p, done: make(chan struct{}),
 		results: make(chan serviceResult), saves: make(chan saveResult), reports: make(chan *pb.ShardReport, 64),
 		services: map[string]*serviceState{}, targets: newTargetStates(),
-		followers: map[*follower]struct{}{}, tables: map[string]*Table{},
+		followers: map[*follower]struct{}{}, tables: map[string]*Table{}, activity: newAssignerActivity(boottime.Now()),
 	}
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	a.confirmedAt.Store(int64(confirmedAt))
@@ -182,13 +183,16 @@
 			return context.Cause(ctx)
 		case r := <-a.results:
 			if s := a.services[r.service]; s != nil {
-				s.leases.HandleResult(r.result, boottime.Now())
+				now := boottime.Now()
+				a.activity.addResult(r.result, now)
+				s.leases.HandleResult(r.result, now)
 			}
 		case r := <-a.saves:
 			a.handleSaved(r)
 		case r := <-a.reports:
 			// What follows from reports is done at the next tick: some hundred VMs send more than a
 			// thousand a second.
+			a.activity.reports++
 			a.applyReport(r)
 			continue
 		case <-tick.C:
@@ -203,7 +207,9 @@
 				a.broadcast(a.changedTargets(now), func() []*pb.TargetState { return a.targets.all(now) })
 			}
 		}
-		a.act(ctx, boottime.Now())
+		a.activity.steps++
+		timed(&a.activity.longestStep, func() { a.act(ctx, boottime.Now()) })
+		a.logActivity(boottime.Now())
 	}
 }
 
@@ -422,7 +428,7 @@
 		}
 		if !s.saving && (now >= s.nextPlan || a.hotSpotBegan(s, now)) {
 			s.nextPlan = now + planInterval
-			a.plan(ctx, s, now)
+			timed(&a.activity.longestPlan, func() { a.plan(ctx, s, now) })
 		}
 		s.leases.SetStoreOutage(outage, now)
 		if a.maySendOrders(now) {
@@ -438,8 +444,11 @@
 		}
 		if t := s.leases.TakeTable(now); t != nil {
 			s.nextTable = now + tableInterval(a.vmCount())
-			a.agent.publish(s.name, t)
-			a.broadcastTable(s.name, t)
+			a.activity.tables++
+			timed(&a.activity.longestTable, func() {
+				a.agent.publish(s.name, t)
+				a.broadcastTable(s.name, t)
+			})
 		}
 	}
 }
@@ -552,11 +561,15 @@
 	r := Result{Order: o}
 	if !a.maySendOrders(boottime.Now()) || ctx.Err() != nil {
 		r.Err = errors.WithMessage(ErrNotSent, "the role is not confirmed")
-	} else if o.Release {
+		return r
+	}
+	r.Sent = boottime.Now()
+	if o.Release {
 		r.Handover, r.Err = a.agent.opts.Orders.Release(ctx, o.To, o.Keys, o.Fence, o.Timeout)
 	} else {
 		r.Err = a.agent.opts.Orders.Grant(ctx, o.To, Grant{Keys: o.Keys, Fence: o.Fence, LeaseDuration: o.LeaseDuration, Handover: o.Handover}, o.Timeout)
 	}
+	r.Ended = boottime.Now()
 	return r
 }
 
@@ -569,6 +582,10 @@
 		"order", what, "service", service, "target", r.Order.To.ID, "from", r.Order.Keys.From,
 		"to", r.Order.Keys.To, "fence", r.Order.Fence, "term", a.term,
 	}
+	if r.Sent > 0 {
+		a.agent.metrics.observeOrder(what, r)
+		attrs = append(attrs, "waited_ms", (r.Sent - r.Order.DueAt).Milliseconds(), "took_ms", (r.Ended - r.Sent).Milliseconds())
+	}
 	if r.Err != nil {
 		a.agent.opts.Logger.Warn("order failed", append(attrs, "error", r.Err.Error())...)
 		return
--- a/shard/assignerspots.go
+++ b/shard/assignerspots.go
@@ -11,6 +11,8 @@
 type assignerMetrics struct {
 	moves, spotMoves *prometheus.CounterVec
 	spots            *prometheus.GaugeVec
+	// orderWait is the time from when an order was due until its call began, and orderCall how long the call took.
+	orderWait, orderCall *prometheus.HistogramVec
 }
 
 func newAssignerMetrics(r prometheus.Registerer) *assignerMetrics {
@@ -25,12 +27,31 @@
 			Name: "basiltally_hot_spots", Help: "Hot spots, runs of neighbouring keys whose request rate has risen at once.",
 		}, []string{"service"}),
 	}
+	m.orderWait = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "basiltally_order_wait_seconds", Help: "Time from when an order to a target was due until its call began.", Buckets: orderBuckets,
+	}, []string{"order"})
+	m.orderCall = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "basiltally_order_call_seconds", Help: "Duration of the call of an order to a target, by its outcome: ok or failed.", Buckets: orderBuckets,
+	}, []string{"order", "outcome"})
 	if r != nil {
-		r.MustRegister(m.moves, m.spotMoves, m.spots)
+		r.MustRegister(m.moves, m.spotMoves, m.spots, m.orderWait, m.orderCall)
 	}
 	return m
 }
 
+// orderBuckets are the bounds of the histograms of orders, in seconds.
+var orderBuckets = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2}
+
+// observeOrder adds the times of an order that was sent.
+func (m *assignerMetrics) observeOrder(order string, r Result) {
+	outcome := "ok"
+	if r.Err != nil {
+		outcome = "failed"
+	}
+	m.orderWait.WithLabelValues(order).Observe((r.Sent - r.Order.DueAt).Seconds())
+	m.orderCall.WithLabelValues(order, outcome).Observe((r.Ended - r.Sent).Seconds())
+}
+
 // hotSpotBegan looks for hot spots of a service whose targets have few slots. It reports whether one began, so that
 // a plan is due at once.
 func (a *assigner) hotSpotBegan(s *serviceState, now time.Duration) bool {
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -67,6 +67,9 @@
 	// Handover is what the former owner returned at its release. It is set for grants only.
 	Handover string
 	Timeout  time.Duration
+	// DueAt is the instant at which the order became due. The LeaseManager counts from it until when the target may hold
+	// the keys, while the order is under way.
+	DueAt time.Duration
 }
 
 // Result is the outcome of an order.
@@ -75,6 +78,8 @@
 	// Handover is what the target returned at a release.
 	Handover string
 	Err      error
+	// Sent and Ended are the instants at which the order's call began and ended. Both are zero if there was no call.
+	Sent, Ended time.Duration
 }
 
 // rangeState is a range of the record with the state of its leases.
@@ -441,7 +446,7 @@
 			continue
 		}
 		f.inFlight = true
-		orders = append(orders, Order{To: f.holder, Keys: s.keys, Fence: lm.newFence(), Release: true, Timeout: lm.opts.ReleaseTimeout})
+		orders = append(orders, Order{To: f.holder, Keys: s.keys, Fence: lm.newFence(), Release: true, Timeout: lm.opts.ReleaseTimeout, DueAt: now})
 	}
 	return orders
 }
@@ -457,6 +462,7 @@
 	lm.trackGrant(s, now+lm.opts.OrderTimeout+lm.maxLease(lease))
 	return Order{
 		To: s.owner, Keys: s.keys, Fence: s.fence, LeaseDuration: lease, Handover: s.handover, Timeout: lm.opts.OrderTimeout,
+		DueAt: now,
 	}, true
 }
 
