--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -103,6 +103,8 @@
 	disconnected, stopped bool
 	predecessor           predecessor
 	version               int
+	// linkBlockedUntil is the instant until which what the assigner sends waits in its link.
+	linkBlockedUntil time.Duration
 }
 
 type simulation struct {
@@ -120,7 +122,9 @@
 	// acquiredBy is the target that acquired the cell with that token.
 	acquiredBy [cells]Holder
 	faults     bool
-	grants     int
+	// backlogs makes the links of assigners fill up now and then.
+	backlogs bool
+	grants   int
 	// trace holds the log lines that are printed if the history fails.
 	trace []string
 }
@@ -237,6 +241,10 @@
 }
 
 func (w *simulation) act(a *simAssigner) {
+	if w.backlogs && w.now >= a.linkBlockedUntil && w.chance(0.01) {
+		a.linkBlockedUntil = w.now + w.between(50*time.Millisecond, 2*time.Second)
+		w.logf("term %d: the link is filled until %v", a.leases.term, a.linkBlockedUntil)
+	}
 	if !a.disconnected && a == w.assigners[len(w.assigners)-1] && w.chance(0.05) {
 		a.confirmed = w.now
 	}
@@ -312,6 +320,10 @@
 		w.after(time.Millisecond, done("", errors.WithMessage(ErrNotDone, "connection refused")))
 	case t.silent || w.chance(0.05):
 		w.after(o.Timeout, unanswered)
+	case w.now+o.Timeout < a.linkBlockedUntil:
+		// The end of the call does not recall the order from the link.
+		w.after(o.Timeout, unanswered)
+		w.after(a.linkBlockedUntil-w.now+w.between(time.Millisecond, 30*time.Millisecond), func() { w.arrive(a, t, o, ignoreAnswer, func() {}, true) })
 	case w.chance(0.08):
 		// The order is received, carried out late and never answered.
 		arrival, incarnation := w.now+w.between(time.Millisecond, 30*time.Millisecond), t.holder.Born
@@ -323,10 +335,13 @@
 		})
 	default:
 		lost := w.chance(0.05)
-		w.after(w.between(time.Millisecond, 30*time.Millisecond), func() { w.arrive(a, t, o, done, unanswered, lost) })
+		queued := max(a.linkBlockedUntil-w.now, 0)
+		w.after(queued+w.between(time.Millisecond, 30*time.Millisecond), func() { w.arrive(a, t, o, done, unanswered, lost) })
 	}
 }
 
+func ignoreAnswer(string, error) func() { return func() {} }
+
 func (w *simulation) arrive(a *simAssigner, t *simTarget, o Order, done func(string, error) func(), unanswered func(), lost bool) {
 	if t.down {
 		w.after(time.Millisecond, done("", errors.New("connection reset")))
@@ -391,6 +406,27 @@
 	}
 }
 
+// Guards against giving keys on while a grant that its owner has not answered still waits in the assigner's link.
+func TestFilledLinksHaveOneHolderPerKey(t *testing.T) {
+	grants := 0
+	for seed := range uint64(historyCount()) {
+		w := newSimulation(t, seed)
+		w.backlogs = true
+		func() {
+			defer func() {
+				if t.Failed() {
+					t.Logf("seed %d", seed)
+				}
+			}()
+			w.run(14 * time.Second)
+		}()
+		grants += w.grants
+	}
+	if grants < 50*historyCount() {
+		t.Fatalf("targets accepted only %d grants in %d histories", grants, historyCount())
+	}
+}
+
 func historyCount() int {
 	if testing.Short() {
 		return 300
