shard: Count a lease without an answer from when the link has passed its grant on

Cause: the bound of a lease whose grant had no answer counted from the end of the call, with a margin of 200 ms, since the end of the call resets its connection. The reset does not recall what waits in the link of the VM.

Change: a grant without an answer stays pending until a call that began after its end is answered, by any address: what was sent before has left the link by then. Its bound counts from that answer. An answered grant ends the earlier ones of the same keys, which the target refuses from then on. The confirmation of the role counts as such a call.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -431,6 +431,7 @@
 			timed(&a.activity.longestPlan, func() { a.plan(ctx, s, now) })
 		}
 		s.leases.SetStoreOutage(outage, now)
+		s.leases.ConfirmDelivery(time.Duration(a.confirmedAt.Load()), now)
 		if a.maySendOrders(now) {
 			for _, o := range s.leases.DueOrders(now) {
 				if !o.Release {
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -82,6 +82,9 @@
 	Sent, Ended time.Duration
 }
 
+// answered reports whether the target has answered the order.
+func (r Result) answered() bool { return r.Err == nil || errors.Is(r.Err, ErrFenced) }
+
 // rangeState is a range of the record with the state of its leases.
 type rangeState struct {
 	keys  KeyRange
@@ -154,6 +157,14 @@
 	storeOutage bool
 	// predecessorUntil is the last instant at which orders of the previous assigner may arrive.
 	predecessorUntil time.Duration
+	// unanswered are the grants whose calls have ended without an answer, and which may still be on their way.
+	unanswered []unansweredGrant
+}
+
+// unansweredGrant is a grant whose call ended without an answer.
+type unansweredGrant struct {
+	fence uint64
+	ended time.Duration
 }
 
 // fenceReserve is the number of fencing tokens that one write of the record reserves. When half of them are
@@ -459,7 +470,8 @@
 	s.inFlight = true
 	s.fence = lm.newFence()
 	lease := lm.leaseDuration()
-	lm.trackGrant(s, now+lm.opts.OrderTimeout+lm.maxLease(lease))
+	longest := lm.maxLease(lease)
+	lm.trackGrant(s, pendingGrant{fence: s.fence, longest: longest, expected: now + lm.opts.OrderTimeout + longest})
 	return Order{
 		To: s.owner, Keys: s.keys, Fence: s.fence, LeaseDuration: lease, Handover: s.handover, Timeout: lm.opts.OrderTimeout,
 		DueAt: now,
@@ -489,21 +501,21 @@
 // sent then until the next record is written.
 func (lm *LeaseManager) fencesExhausted() bool { return lm.nextFence >= lm.reserved }
 
-// trackGrant records until when the owner may hold a range by a grant that is about to
-// be sent, also in the proposal that is being written.
-func (lm *LeaseManager) trackGrant(s *rangeState, until time.Duration) {
-	s.bound.begin(s.fence, until)
+// trackGrant records a grant to the owner of a range that is about to be sent, also in the
+// proposal that is being written.
+func (lm *LeaseManager) trackGrant(s *rangeState, p pendingGrant) {
+	s.bound.begin(p)
 	for _, c := range lm.proposed {
 		if !c.keys.Overlaps(s.keys) {
 			continue
 		}
 		if sameTarget(c.owner, s.owner) {
-			c.bound.begin(s.fence, until)
+			c.bound.begin(p)
 			c.fence = max(c.fence, s.fence)
 		}
 		for _, f := range c.formerOwners {
 			if sameTarget(f.holder, s.owner) {
-				f.bound.begin(s.fence, until)
+				f.bound.begin(p)
 				f.fence = max(f.fence, s.fence)
 			}
 		}
@@ -519,6 +531,11 @@
 
 // HandleResult records the result of an order that DueOrders returned.
 func (lm *LeaseManager) HandleResult(r Result, now time.Duration) {
+	if r.answered() {
+		lm.ConfirmDelivery(r.Order.DueAt, now)
+	} else if !r.Order.Release && !errors.Is(r.Err, ErrNotDone) {
+		lm.unanswered = append(lm.unanswered, unansweredGrant{r.Order.Fence, now})
+	}
 	for _, ranges := range [][]*rangeState{lm.ranges, lm.proposed} {
 		for _, s := range ranges {
 			if !s.keys.Overlaps(r.Order.Keys) {
@@ -533,6 +550,38 @@
 	}
 }
 
+// ConfirmDelivery records that a call of this VM, to any address, which began at the instant sent or later has been
+// answered by now. All that the VM sent before has then left its link, so that grants whose calls had ended have arrived, or never
+// will. Until then they may wait in the link's queue: the end of a call does not recall what the VM has sent.
+func (lm *LeaseManager) ConfirmDelivery(sent, now time.Duration) {
+	// The calls are in the order of their ends.
+	n := 0
+	for n < len(lm.unanswered) && lm.unanswered[n].ended <= sent {
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	arrived := make(map[uint64]bool, n)
+	for _, u := range lm.unanswered[:n] {
+		arrived[u.fence] = true
+	}
+	lm.unanswered = slices.Delete(lm.unanswered, 0, n)
+	lm.endArrived(now, func(fence uint64) bool { return arrived[fence] })
+}
+
+// endArrived records that the grants with the selected fencing tokens have arrived by the instant, or never will.
+func (lm *LeaseManager) endArrived(by time.Duration, selects func(fence uint64) bool) {
+	for _, ranges := range [][]*rangeState{lm.ranges, lm.proposed} {
+		for _, s := range ranges {
+			s.bound.endArrived(by, selects)
+			for _, f := range s.formerOwners {
+				f.bound.endArrived(by, selects)
+			}
+		}
+	}
+}
+
 // handleRelease records the result of a release for a range that its keys overlap. A
 // former owner that has confirmed the release is dropped.
 func (lm *LeaseManager) handleRelease(s *rangeState, r Result, now time.Duration) {
@@ -560,20 +609,15 @@
 
 // handleGrant records the result of a grant for a range that its keys overlap.
 func (lm *LeaseManager) handleGrant(s *rangeState, r Result, now time.Duration) {
-	// If there was no answer, the target may have accepted the grant as late as now.
-	until := now + lm.maxLease(r.Order.LeaseDuration)
-	if errors.Is(r.Err, ErrNotDone) || errors.Is(r.Err, ErrFenced) {
-		until = 0
-	}
 	for _, f := range s.formerOwners {
 		if sameTarget(f.holder, r.Order.To) {
-			f.bound.end(r.Order.Fence, until)
+			lm.endGrant(&f.bound, r, now)
 		}
 	}
 	if !sameTarget(s.owner, r.Order.To) {
 		return
 	}
-	s.bound.end(r.Order.Fence, until)
+	lm.endGrant(&s.bound, r, now)
 	s.inFlight = false
 	s.next = now
 	if s.owner != r.Order.To || !r.Order.Keys.Contains(s.keys) {
@@ -582,6 +626,16 @@
 	lm.applyGrantResult(s, r, now)
 }
 
+// endGrant records the result of a grant in a bound of its target. A grant without an answer remains pending.
+func (lm *LeaseManager) endGrant(b *leaseBound, r Result, now time.Duration) {
+	switch {
+	case r.Err == nil:
+		b.end(r.Order.Fence, now+lm.maxLease(r.Order.LeaseDuration))
+	case errors.Is(r.Err, ErrNotDone) || errors.Is(r.Err, ErrFenced):
+		b.end(r.Order.Fence, 0)
+	}
+}
+
 // applyGrantResult updates the owner's state and schedules its next grant.
 func (lm *LeaseManager) applyGrantResult(s *rangeState, r Result, now time.Duration) {
 	switch {
@@ -590,6 +644,8 @@
 			lm.tableOutdated = true
 		}
 		s.held, s.lost, s.failures, s.bound.predecessor = true, false, 0, 0
+		// The target refuses the earlier grants from now on.
+		s.bound.endArrived(now, func(fence uint64) bool { return fence < r.Order.Fence })
 		s.handover = ""
 		s.next = now + lm.opts.RenewInterval
 		if r.Order.LeaseDuration < lm.leaseDuration() {
@@ -609,7 +665,7 @@
 			s.lost = true
 			lm.tableOutdated = true
 			lm.opts.Logger.Warn("owner does not answer renewals", "target", s.owner.ID, "from", s.keys.From,
-				"to", s.keys.To, "failures", s.failures, "held_for_ms", (s.bound.until() - now).Milliseconds(), "error", r.Err.Error())
+				"to", s.keys.To, "failures", s.failures, "held_for_ms", (s.bound.expected() - now).Milliseconds(), "error", r.Err.Error())
 		}
 	}
 }
@@ -732,10 +788,10 @@
 func (lm *LeaseManager) maxWait(s *rangeState, now time.Duration) time.Duration {
 	var wait time.Duration
 	for _, f := range s.formerOwners {
-		wait = max(wait, f.bound.until()-now)
+		wait = max(wait, f.bound.expected()-now)
 	}
 	if s.lost {
-		wait = max(wait, s.bound.until()-now)
+		wait = max(wait, s.bound.expected()-now)
 	}
 	return wait
 }
