shard: Leave entries whose wait has only run down out of the differences of tables

Cause: an entry without a holder states how long another owner will take. The difference of two tables compared entries with that time, which runs down, so that each table had all entries without a holder: to 294 VMs, more than the link of the assigner carries. Orders, polls and the confirmation of the role waited behind them.

Change: the time counts from the publication of a table, and who applies a difference lets it run on in the entries that he keeps. The gateway subtracts what has passed as well; it took the time as if the table had just come.

Evidence: TestDeltaOmitsEntriesWhoseWaitHasRunDown (without the line in deltaToProto: fails). A VM of an older build that applies such a difference takes a wait for longer than it is, until the entry changes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -94,7 +94,7 @@
 	}
 	f.directory = fleet.NewDirectory(fleet.DirectoryOptions{Now: func() time.Time { return time.Now().Add(-f.entryAge) }})
 	f.warmUp = warmUp(f)
-	table := &shard.Table{Version: shard.Version{Term: 1, Seq: 1}}
+	table := &shard.Table{Version: shard.Version{Term: 1, Seq: 1}, PublishedAt: boottime.Now()}
 	for i, h := range handlers {
 		id := fmt.Sprintf("t%d", i)
 		server := httptest.NewServer(f.record(id, h))
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/basiltally/basiltally/admission"
+	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/eligibility"
 	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/result"
@@ -150,8 +151,8 @@
 		return nil, nil
 	}
 	if !entry.Held {
-		if entry.Wait > time.Until(waitUntil) {
-			return nil, g.noOwner(c, entry.Wait)
+		if wait := table.WaitLeft(entry, boottime.Now()); wait > time.Until(waitUntil) {
+			return nil, g.noOwner(c, wait)
 		}
 		return nil, nil
 	}
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -277,7 +277,9 @@
 			a.opts.Logger.Error("could not decode record of ranges", "key", obj.Key, "error", err.Error())
 			continue
 		}
-		a.publish(obj.Key[len(RangePrefix):], TableFromRecord(r))
+		t := TableFromRecord(r)
+		t.PublishedAt = boottime.Now()
+		a.publish(obj.Key[len(RangePrefix):], t)
 	}
 }
 
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -177,7 +177,7 @@
 // difference to a table that this VM does not have.
 func (a *Agent) applyUpdate(u *pb.ShardUpdate) bool {
 	for _, m := range u.GetTables() {
-		t, ok := tableFromProto(m, a.Table(m.GetService()))
+		t, ok := tableFromProto(m, a.Table(m.GetService()), boottime.Now())
 		if !ok {
 			return false
 		}
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -773,7 +773,7 @@
 	}
 	lm.tableOutdated = false
 	lm.seq++
-	t := &Table{Version: Version{lm.term, lm.seq}}
+	t := &Table{Version: Version{lm.term, lm.seq}, PublishedAt: now}
 	for _, s := range lm.ranges {
 		e := Entry{Keys: s.keys, Owner: s.owner, Held: s.held && !s.lost, Share: s.share}
 		if !e.Held {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -138,6 +138,8 @@
 // Table maps keys to owners for the request path. It must not be changed once published.
 type Table struct {
 	Version Version
+	// PublishedAt is the instant of boottime.Now at which this VM published the table, from which Wait counts.
+	PublishedAt time.Duration
 	// Entries are sorted by key and do not overlap.
 	Entries []Entry
 }
@@ -149,13 +151,21 @@
 	// Held is set once the owner has confirmed its grant.
 	Held bool
 	// Wait is the longest time until another target may own the keys, if Held is false.
-	// It counts from the publication of the table and is zero if unknown.
+	// It counts from the publication of the table and is zero if unknown or over.
 	Wait time.Duration
 	// Share is the share of the requests for the keys, in thousandths, that the owner can serve. The
 	// VMs refuse the others. Zero means all.
 	Share int
 }
 
+// WaitLeft returns what is left of the entry's Wait at the instant of boottime.Now. It is zero if unknown or over.
+func (t *Table) WaitLeft(e *Entry, now time.Duration) time.Duration {
+	return e.waitAt(now - t.PublishedAt)
+}
+
+// waitAt returns the time that is left of Wait when the given time has passed.
+func (e Entry) waitAt(passed time.Duration) time.Duration { return max(e.Wait-passed, 0) }
+
 // Find returns the entry whose range contains the key, or nil if there is none.
 func (t *Table) Find(k Key) *Entry {
 	i, found := slices.BinarySearchFunc(t.Entries, k, func(e Entry, k Key) int {
--- a/shard/wire.go
+++ b/shard/wire.go
@@ -21,10 +21,12 @@
 }
 
 // deltaToProto returns a message with the difference of a table to base, an older table of
-// the same term.
+// the same term. An entry of which only the wait has run down is no difference: else each table would
+// have all entries without a holder.
 func deltaToProto(service string, base, t *Table) *pb.RangeTable {
 	known := make(map[Entry]bool, len(base.Entries))
 	for _, e := range base.Entries {
+		e.Wait = e.waitAt(t.PublishedAt - base.PublishedAt)
 		known[e] = true
 	}
 	var changed []Entry
@@ -66,22 +68,22 @@
 
 // tableFromProto returns the table that a message describes. If the message holds only a
 // difference, it applies to the known table; tableFromProto returns false if known is nil
-// or is not the table on which the difference is based.
-func tableFromProto(m *pb.RangeTable, known *Table) (*Table, bool) {
-	t := &Table{Version: Version{m.GetTerm(), m.GetSeq()}, Entries: entriesFromProto(m.GetEntries())}
+// or is not the table on which the difference is based. The table is published at the instant now.
+func tableFromProto(m *pb.RangeTable, known *Table, now time.Duration) (*Table, bool) {
+	t := &Table{Version: Version{m.GetTerm(), m.GetSeq()}, PublishedAt: now, Entries: entriesFromProto(m.GetEntries())}
 	if !m.GetDelta() {
 		return t, true
 	}
 	if known == nil || known.Version != (Version{m.GetTerm(), m.GetBaseSeq()}) {
 		return nil, false
 	}
-	t.Entries = patch(known.Entries, t.Entries)
+	t.Entries = patch(known.Entries, t.Entries, now-known.PublishedAt)
 	return t, true
 }
 
-// patch returns the entries with those replaced that overlap changed ones. Both arguments
-// and the result are sorted by key.
-func patch(entries, changed []Entry) []Entry {
+// patch returns the entries with those replaced that overlap changed ones. The given time has passed since the
+// entries were published. Both arguments and the result are sorted by key.
+func patch(entries, changed []Entry, passed time.Duration) []Entry {
 	out := make([]Entry, 0, len(entries)+len(changed))
 	out = append(out, changed...)
 	next := 0
@@ -90,6 +92,7 @@
 			next++
 		}
 		if next == len(changed) || !changed[next].Keys.Overlaps(e.Keys) {
+			e.Wait = e.waitAt(passed)
 			out = append(out, e)
 		}
 	}
--- a/shard/wire_test.go
+++ b/shard/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -34,21 +35,55 @@
 	known := randomTable(rng, 1)
 	for seq := uint64(2); seq < 500; seq++ {
 		next := randomTable(rng, seq)
-		got, ok := tableFromProto(deltaToProto("s", known, next), known)
+		got, ok := tableFromProto(deltaToProto("s", known, next), known, next.PublishedAt)
 		is.True(ok)
 		is.Equal(got, next)
 		known = next
 	}
 }
 
+// Each table once had all entries without a holder, since their waits had run down, and the tables filled the assigner's link.
+func TestDeltaOmitsEntriesWhoseWaitHasRunDown(t *testing.T) {
+	is := is.New(t)
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	const ranges = 64
+	var moves []Move
+	for i := range ranges {
+		id := fmt.Sprint("t", i)
+		moves = append(moves, Move{KeyRange{Key(i * 1024), Key(i*1024 + 1023)}, Holder{ID: id, Address: id}})
+	}
+	lm.Propose(moves, 0)
+	lm.FinishProposal(true)
+	now := time.Duration(0)
+	for range maxRenewalFailures {
+		for _, o := range lm.DueOrders(now) {
+			lm.HandleResult(Result{Order: o, Err: os.ErrDeadlineExceeded}, now+o.Timeout)
+		}
+		now += time.Second
+	}
+	first := lm.TakeTable(now)
+	is.Equal(countHeld(first), 0)
+	is.True(first.Entries[0].Wait > time.Second)
+	lm.tableOutdated = true
+	for passed := range 6 {
+		next := lm.TakeTable(now + time.Duration(passed)*time.Second)
+		m := deltaToProto("s", first, next)
+		is.Equal(len(m.GetEntries()), 0)
+		got, ok := tableFromProto(m, first, next.PublishedAt)
+		is.True(ok)
+		is.Equal(got, next)
+		lm.tableOutdated = true
+	}
+}
+
 func TestDeltaOnAnotherBaseIsRejected(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 1))
 	base, next := randomTable(rng, 1), randomTable(rng, 2)
 	m := deltaToProto("s", base, next)
-	_, ok := tableFromProto(m, randomTable(rng, 5))
+	_, ok := tableFromProto(m, randomTable(rng, 5), 0)
 	is.True(!ok)
-	_, ok = tableFromProto(m, nil)
+	_, ok = tableFromProto(m, nil, 0)
 	is.True(!ok)
 }
 
