shard: Hold a grant back while a proposal does not list its owner

What callers could see: two targets with the same keys.

Cause: whether a grant is missing from the proposal that is being written was concluded from the bound of its lease. The result of an old grant that comes after the proposal was made raises that bound, though the proposal does not list the owner as a former owner. The owner was then granted the keys, and once the proposal was written the next one as well, without a release.

Change: the proposal itself is asked whether it lists the owner.

Evidence: TestGrantDuringAProposalThatDoesNotListTheOwnerIsHeldBack; with the old comparison in its place, it fails.

--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -146,10 +146,6 @@
 	proposed []*rangeState
 	// proposedReserved is the value of reserved once the proposal is written.
 	proposedReserved uint64
-	// proposedMoves are the moves of the proposal.
-	proposedMoves []Move
-	// proposedAt is the instant at which the last proposal was made.
-	proposedAt time.Duration
 	// tableOutdated is set if something changed since the last table.
 	tableOutdated bool
 	// recordOutdated is set if the record in the store names former owners that no longer
@@ -281,7 +277,6 @@
 		ranges = lm.applyMove(ranges, m, now)
 	}
 	lm.proposed = lm.merge(ranges)
-	lm.proposedMoves, lm.proposedAt = moves, now
 	return lm.record(lm.proposed, lm.proposedReserved)
 }
 
@@ -298,7 +293,7 @@
 		}
 		lm.tableOutdated = true
 	}
-	lm.proposed, lm.proposedMoves = nil, nil
+	lm.proposed = nil
 }
 
 // ProposalPending reports whether a proposal is being written to the store.
@@ -529,7 +524,17 @@
 // written: the proposal moves the range away, and does not list the owner as a former
 // owner because the owner did not hold the range when the proposal was made.
 func (lm *LeaseManager) grantUntracked(s *rangeState) bool {
-	return s.bound.until() <= lm.proposedAt && slices.ContainsFunc(lm.proposedMoves, func(m Move) bool { return m.Keys.Overlaps(s.keys) })
+	first, _ := slices.BinarySearchFunc(lm.proposed, s.keys.From, func(c *rangeState, k Key) int { return cmp.Compare(c.keys.To, k) })
+	for _, c := range lm.proposed[first:] {
+		if c.keys.From > s.keys.To {
+			break
+		}
+		listed := func(f *formerOwner) bool { return sameTarget(f.holder, s.owner) }
+		if !sameTarget(c.owner, s.owner) && !slices.ContainsFunc(c.formerOwners, listed) {
+			return true
+		}
+	}
+	return false
 }
 
 // HandleResult records the result of an order that DueOrders returned.
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -70,6 +70,37 @@
 	is.Equal(len(lm.DueOrders(1300*time.Millisecond)), 0)
 }
 
+// The late result of an old grant made the range seem tracked by a proposal that did not list its owner: the next owner was
+// granted the keys without a release.
+func TestGrantDuringAProposalThatDoesNotListTheOwnerIsHeldBack(t *testing.T) {
+	is := is.New(t)
+	x, y, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}, Holder{ID: "z", Address: "z:1"}
+	const ms = time.Millisecond
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	one := func(now time.Duration, to Holder) Order {
+		orders := lm.DueOrders(now)
+		is.Equal(len(orders), 1)
+		is.Equal(orders[0].To, to)
+		return orders[0]
+	}
+	move := func(now time.Duration, to Holder) { lm.Propose([]Move{{AllKeys, to}}, now); lm.FinishProposal(true) }
+	move(0, x)
+	old := one(0, x) // Its result comes late.
+	move(0, y)
+	move(0, x)
+	lm.HandleResult(Result{Order: one(100*ms, x)}, 110*ms)
+	move(200*ms, y)
+	lm.HandleResult(Result{Order: one(200*ms, x)}, 210*ms)
+	lm.HandleResult(Result{Order: one(210*ms, y)}, 220*ms)
+	move(400*ms, x)
+	release := one(400*ms, y)
+	lm.Propose([]Move{{AllKeys, z}}, 700*ms) // Being written.
+	lm.HandleResult(Result{Order: release}, 710*ms)
+	is.Equal(len(lm.DueOrders(720*ms)), 0)
+	lm.HandleResult(Result{Order: old}, 800*ms)
+	is.Equal(len(lm.DueOrders(2000*ms)), 0)
+}
+
 // A superseded assigner renewed a lease at a target that had restarted, with a token below that of its successor.
 func TestNoOrderIsDueWhileThePredecessorActs(t *testing.T) {
 	is := is.New(t)
