shard: Release no range while a grant to its former owner is under way

What callers could see: two targets with the same keys.

Cause: a former owner that had answered a release was dropped, since it refuses older tokens from then on. If it restarts, it forgets them. A grant of this assigner that was waiting for a connection could then reach the new process.

Change: the release counts once no grant to the former owner may still arrive; until then it is sent again. The handover is kept.

Evidence: TestReleaseDoesNotEndAGrantUnderWay failed without the condition.

--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -591,7 +591,7 @@
 }
 
 // handleRelease records the result of a release for a range that its keys overlap. A
-// former owner that has confirmed the release is dropped.
+// former owner that has confirmed the release is dropped, unless a grant to it may still arrive.
 func (lm *LeaseManager) handleRelease(s *rangeState, r Result, now time.Duration) {
 	for _, f := range s.formerOwners {
 		if sameTarget(f.holder, r.Order.To) {
@@ -602,17 +602,21 @@
 	if r.Err != nil || !r.Order.Keys.Contains(s.keys) {
 		return
 	}
-	before := len(s.formerOwners)
+	before, released := len(s.formerOwners), false
 	s.formerOwners = slices.DeleteFunc(s.formerOwners, func(f *formerOwner) bool {
-		return !f.stillOwner && sameTarget(f.holder, r.Order.To) && r.Order.Fence > f.fence
+		if f.stillOwner || !sameTarget(f.holder, r.Order.To) || r.Order.Fence <= f.fence {
+			return false
+		}
+		released = true
+		// A grant that is under way could reach a later start of the target, which does not know the release's token.
+		return len(f.bound.pending) == 0
 	})
-	if len(s.formerOwners) == before {
-		return
-	}
-	lm.tableOutdated, lm.recordOutdated = true, true
-	if r.Handover != "" && r.Order.Keys == s.keys {
+	if released && r.Handover != "" && r.Order.Keys == s.keys {
 		s.handover = r.Handover
 	}
+	if len(s.formerOwners) != before {
+		lm.tableOutdated, lm.recordOutdated = true, true
+	}
 }
 
 // handleGrant records the result of a grant for a range that its keys overlap.
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -101,6 +101,32 @@
 	is.Equal(len(lm.DueOrders(2000*ms)), 0)
 }
 
+// A target that had answered a release and restarted at once took a grant that was under way meanwhile.
+func TestReleaseDoesNotEndAGrantUnderWay(t *testing.T) {
+	is := is.New(t)
+	x, y := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}
+	const ms = time.Millisecond
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	lm.Propose([]Move{{AllKeys, x}}, 0)
+	lm.FinishProposal(true)
+	grant := lm.DueOrders(0)[0]
+	lm.Propose([]Move{{AllKeys, y}}, 0)
+	lm.FinishProposal(true)
+	release := lm.DueOrders(10 * ms)[0]
+	is.True(release.Release)
+	lm.HandleResult(Result{Order: release, Handover: "h"}, 20*ms)
+	for _, o := range lm.DueOrders(200 * ms) {
+		is.True(o.Release) // No grant to y.
+		release = o
+	}
+	lm.HandleResult(Result{Order: grant}, 300*ms)
+	lm.HandleResult(Result{Order: release}, 310*ms)
+	next := lm.DueOrders(310 * ms)
+	is.Equal(len(next), 1)
+	is.Equal(next[0].To, y)
+	is.Equal(next[0].Handover, "h")
+}
+
 // A superseded assigner renewed a lease at a target that had restarted, with a token below that of its successor.
 func TestNoOrderIsDueWhileThePredecessorActs(t *testing.T) {
 	is := is.New(t)
