shard: Allow for orders of a silent assigner that wait in its link

What callers could see: two targets with the same keys after a take-over.

Cause: a successor counts the leases of a silent predecessor from the end of its role and one timeout, with a margin of 200 ms.

Change: a successor of an assigner that it has not seen stop adds 2 s to the bound; owners that live are renewed at once all the same, so that only the keys of targets lost together with the assigner wait longer. An assigner with a grant that has had no answer for 300 ms after its call ended, and none to a later call, sends short leases: those leave 6.6 s for late orders.

Evidence: TestLongLeasesAreNotSentThroughAFilledLink and TestLeasesOfASilentPredecessorMayArriveLate, each failed without its part.

--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -26,6 +26,9 @@
 	// Margin is added to the longest time that a lease may last, for an order's transit
 	// time and for rounding. Default 200 ms.
 	Margin time.Duration
+	// LinkWait is how long the orders of a previous assigner that has not been seen to stop may wait in the link of its VM,
+	// beyond their timeouts. Default 2 s.
+	LinkWait time.Duration
 	// OrderTimeout is the time limit of a grant. Default 800 ms. ReleaseTimeout is the time
 	// limit of a release, which waits for running work. Default 2 s.
 	OrderTimeout, ReleaseTimeout time.Duration
@@ -40,6 +43,7 @@
 	o.RenewInterval = cmp.Or(o.RenewInterval, o.LeaseDuration/3)
 	o.ClockError = cmp.Or(o.ClockError, 0.02)
 	o.Margin = cmp.Or(o.Margin, 200*time.Millisecond)
+	o.LinkWait = cmp.Or(o.LinkWait, 2*time.Second)
 	o.OrderTimeout = cmp.Or(o.OrderTimeout, 800*time.Millisecond)
 	o.ReleaseTimeout = cmp.Or(o.ReleaseTimeout, 2*time.Second)
 	o.RetryPause = cmp.Or(o.RetryPause, 100*time.Millisecond)
@@ -154,8 +158,9 @@
 	recordOutdated bool
 	// storeOutage is set while the store does not confirm the assigner's role.
 	storeOutage bool
-	// predecessorUntil is the last instant at which orders of the previous assigner may arrive.
-	predecessorUntil time.Duration
+	// predecessorUntil is the last instant at which calls of the previous assigner's orders may be under way, and
+	// predecessorLinkWait how much later these may arrive.
+	predecessorUntil, predecessorLinkWait time.Duration
 	// unanswered are the grants whose calls have ended without an answer, and which may still be on their way.
 	unanswered []unansweredGrant
 }
@@ -180,6 +185,9 @@
 	if r != nil {
 		lm.nextFence = r.NextFence
 		lm.predecessorUntil = max(predecessorUntil, now)
+		if predecessorUntil > now {
+			lm.predecessorLinkWait = lm.opts.LinkWait
+		}
 		predecessorBound := lm.predecessorBound()
 		for _, rr := range r.Ranges {
 			s := &rangeState{keys: rr.Keys, owner: rr.Owner, bound: leaseBound{predecessor: predecessorBound}, since: now}
@@ -196,7 +204,7 @@
 // predecessorBound returns the last instant at which a target may hold a range by an order of the
 // previous assigner.
 func (lm *LeaseManager) predecessorBound() time.Duration {
-	return lm.predecessorUntil + lm.maxLease(lm.opts.LongLeaseDuration)
+	return lm.predecessorUntil + lm.predecessorLinkWait + lm.maxLease(lm.opts.LongLeaseDuration)
 }
 
 // LimitPredecessor records that the previous assigner sends no order that arrives after the instant.
@@ -467,7 +475,7 @@
 	}
 	s.inFlight = true
 	s.fence = lm.newFence()
-	lease := lm.leaseDuration()
+	lease := lm.leaseDuration(now)
 	longest := lm.maxLease(lease)
 	lm.trackGrant(s, pendingGrant{fence: s.fence, longest: longest, expected: now + lm.opts.OrderTimeout + longest})
 	return Order{
@@ -477,13 +485,24 @@
 }
 
 // leaseDuration returns the duration of the leases that are granted now.
-func (lm *LeaseManager) leaseDuration() time.Duration {
-	if lm.storeOutage {
+func (lm *LeaseManager) leaseDuration(now time.Duration) time.Duration {
+	if lm.storeOutage && !lm.linkFilled(now) {
 		return lm.opts.LongLeaseDuration
 	}
 	return lm.opts.LeaseDuration
 }
 
+// filledLinkAge is the age of an unanswered grant from which this VM's link may be filled, if no later call was answered. It
+// is several round trips between regions.
+const filledLinkAge = 300 * time.Millisecond
+
+// linkFilled reports whether orders may wait in this VM's link. The store does not confirm the role then either, so that
+// it looks like an outage of the store. A successor counts the longest lease from the end of the role, which leaves room for
+// late orders only if their leases are short.
+func (lm *LeaseManager) linkFilled(now time.Duration) bool {
+	return len(lm.unanswered) > 0 && now-lm.unanswered[0].ended >= filledLinkAge
+}
+
 // newFence returns the fencing token for an order. No token is used twice, since a
 // renewal may reach a later incarnation of its target, which must not acquire keys with
 // a token of an earlier incarnation.
@@ -660,7 +679,7 @@
 		s.bound.endArrived(now, func(fence uint64) bool { return fence < r.Order.Fence })
 		s.handover = ""
 		s.next = now + lm.opts.RenewInterval
-		if r.Order.LeaseDuration < lm.leaseDuration() {
+		if r.Order.LeaseDuration < lm.leaseDuration(now) {
 			// The outage began while the renewal was in flight.
 			s.next = now
 		}
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -127,6 +128,41 @@
 	is.Equal(next[0].Handover, "h")
 }
 
+// An assigner whose link was filled took this for an outage of the store, and its long leases arrived when its successor
+// counted them as ended.
+func TestLongLeasesAreNotSentThroughAFilledLink(t *testing.T) {
+	is := is.New(t)
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	lm.Propose([]Move{{KeyRange{0, 99}, Holder{ID: "a", Address: "a:1"}}, {KeyRange{100, LastKey}, Holder{ID: "b", Address: "b:1"}}}, 0)
+	lm.FinishProposal(true)
+	answerOrders(lm, 0, "")
+	renewals := lm.DueOrders(time.Second)
+	is.Equal(len(renewals), 2)
+	now := time.Second + renewals[0].Timeout
+	lm.HandleResult(Result{Order: renewals[0], Err: os.ErrDeadlineExceeded}, now)
+	lm.SetStoreOutage(true, now+filledLinkAge)
+	short := lm.DueOrders(now + filledLinkAge)
+	is.Equal(len(short), 1)
+	is.Equal(short[0].LeaseDuration, 3*time.Second)
+	// The answer to an order that began after the unanswered one has ended shows that the link is free.
+	lm.HandleResult(Result{Order: short[0]}, now+filledLinkAge)
+	long := lm.DueOrders(now + filledLinkAge)
+	is.Equal(len(long), 1)
+	is.Equal(long[0].LeaseDuration, 9*time.Second)
+}
+
+// A long lease of a silent predecessor arrived late, out of the link of its VM, and outlasted what its successor counted.
+func TestLeasesOfASilentPredecessorMayArriveLate(t *testing.T) {
+	is := is.New(t)
+	holder := Holder{ID: "t", Address: "a", Born: 1}
+	record := &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{{Keys: AllKeys, Owner: holder}}}
+	const now, callsEnd, lease = time.Second, 4 * time.Second, 9 * time.Second
+	silent := NewLeaseManager(LeaseOptions{LongLeaseDuration: lease}, 2, record, now, callsEnd)
+	is.True(silent.ranges[0].bound.until() >= callsEnd+2*time.Second+lease*102/100)
+	settled := NewLeaseManager(LeaseOptions{LongLeaseDuration: lease}, 2, record, now, now)
+	is.True(settled.ranges[0].bound.until() <= now+lease*102/100+200*time.Millisecond)
+}
+
 // A superseded assigner renewed a lease at a target that had restarted, with a token below that of its successor.
 func TestNoOrderIsDueWhileThePredecessorActs(t *testing.T) {
 	is := is.New(t)
