shard: Send no order of a stopping assigner before its tokens are reserved

Cause: act waits until the record that reserves tokens is written; stepDown, which renews all owners, did not. Its grants had tokens that the next assigner uses again.

Change: both ask dueOrders, which has none before.

Evidence: TestStoppingAssignerSendsNoOrderWithoutReservedTokens failed before.

--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -296,3 +296,33 @@
 	is.True(a.takeReportSoon())
 	is.True(!a.takeReportSoon())
 }
+
+// countedOrders is an Orders that counts the orders and carries none out.
+type countedOrders struct{ sent atomic.Int64 }
+
+func (c *countedOrders) Grant(context.Context, Holder, Grant, time.Duration) error {
+	c.sent.Add(1)
+	return nil
+}
+
+func (c *countedOrders) Release(context.Context, Holder, KeyRange, uint64, time.Duration) (string, error) {
+	c.sent.Add(1)
+	return "", nil
+}
+
+func (c *countedOrders) CloseIdle(string) {}
+
+// A VM that stopped right after its take-over sent grants with tokens that its successor used again.
+func TestStoppingAssignerSendsNoOrderWithoutReservedTokens(t *testing.T) {
+	is := is.New(t)
+	orders := &countedOrders{}
+	agent := NewAgent(AgentOptions{VM: "a", Store: memstore.New(memstore.Options{}), Orders: orders})
+	record := &Record{Term: 1, NextFence: 100, Ranges: []RangeRecord{{Keys: AllKeys, Owner: Holder{ID: "t", Address: "t:1"}}}}
+	for _, written := range []bool{false, true} {
+		now := boottime.Now()
+		a := newAssigner(t.Context(), agent, 2, now, predecessor{})
+		a.services["s"] = &serviceState{name: "s", leases: NewLeaseManager(LeaseOptions{}, 2, record, now, now), saving: !written, written: written}
+		a.stepDown(t.Context())
+		is.Equal(orders.sent.Load() > 0, written)
+	}
+}
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -248,7 +248,7 @@
 	for _, s := range a.services {
 		s.leases.SetStoreOutage(true, now)
 		s.leases.RenewNow(now, func(Holder) bool { return true })
-		for _, o := range s.leases.DueOrders(now) {
+		for _, o := range s.dueOrders(now) {
 			if !o.Release {
 				sending.Go(func() { a.logOrder(s.name, a.sendOrder(ctx, o)) })
 			}
@@ -433,7 +433,7 @@
 		s.leases.SetStoreOutage(outage, now)
 		s.leases.ConfirmDelivery(time.Duration(a.confirmedAt.Load()), now)
 		if a.maySendOrders(now) {
-			for _, o := range s.leases.DueOrders(now) {
+			for _, o := range s.dueOrders(now) {
 				if !o.Release {
 					a.grants.Add(1)
 				}
@@ -454,6 +454,15 @@
 	}
 }
 
+// dueOrders returns the orders that are due, of which there are none before the record in the store reserves their
+// tokens.
+func (s *serviceState) dueOrders(now time.Duration) []Order {
+	if !s.written {
+		return nil
+	}
+	return s.leases.DueOrders(now)
+}
+
 // plan proposes the moves that are due and writes them to the store. Without moves, it
 // writes a record that is outdated.
 func (a *assigner) plan(ctx context.Context, s *serviceState, now time.Duration) {
