quarantine: Leave the list of quarantined requests unsent while it is equal

Cause: while any request was quarantined, each report of another suspect raised the version of the list, so that the assigner sent the equal list to all VMs and wrote it to the store.

Change: the version rises if the record of the list differs from the last one: crashes, releases and whole answers of its requests. Receivers conclude from these alone what is quarantined, and until when, so that an equal record told them nothing. A new follower still gets the list when it registers, and a successor sends and stores it once.

Evidence: TestListIsNotSentAgainForUnrelatedSuspects.

Limit, from the code: the whole answers that this VM itself counts between two doublings are sent with the next suspect, 120 times for each request at most.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -218,6 +218,66 @@
 	})
 }
 
+// Each report of an unrelated suspect sent the unchanged list to all VMs and wrote it to the store.
+func TestListIsNotSentAgainForUnrelatedSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, other := New(Options{VM: "one"}), New(Options{VM: "two"})
+		is.Equal(tr.ListedVersion(), uint64(0))
+		crashTarget(tr, "a", 1, crasher)
+		is.Equal(tr.ListedVersion(), uint64(0))
+		crashTarget(tr, "a", 2, crasher)
+		listed, version := tr.Listed()
+		is.True(version > 0 && len(listed.GetSuspects()) == 1)
+		for i := range 10 {
+			crashTarget(other, "z", uint64(10+i), Fingerprint{100 + byte(i)})
+			tr.Merge(other.TakeChanges())
+			crashTarget(tr, "y", uint64(10+i), Fingerprint{150 + byte(i)})
+		}
+		again, same := tr.Listed()
+		is.True(proto.Equal(again, listed))
+		is.Equal(same, version)
+
+		changed := func(what string, change func()) {
+			before, version := tr.Listed()
+			time.Sleep(time.Second)
+			change()
+			after, next := tr.Listed()
+			if proto.Equal(before, after) || next <= version {
+				t.Errorf("%s: version %d after %d, list %v after %v", what, next, version, after, before)
+			}
+			receiver := New(Options{VM: "three"})
+			receiver.Merge(after)
+			got, until := receiver.Quarantined(crasher)
+			want, wantUntil := tr.Quarantined(crasher)
+			is.Equal(got, want)
+			is.Equal(until, wantUntil)
+		}
+		changed("prolonged here", func() { crashTarget(tr, "a", 3, crasher) })
+		changed("prolonged by another VM", func() {
+			crashTarget(other, "b", 1, crasher)
+			tr.Merge(other.TakeChanges())
+		})
+		changed("whole answers on another VM", func() {
+			other.Started("c", crasher)
+			other.Finished("c", crasher, true)
+			tr.Merge(other.TakeChanges())
+		})
+		changed("another request", func() { crashTarget(tr, "d", 1, harmless); crashTarget(tr, "d", 2, harmless) })
+		changed("release", func() { tr.Release(crasher) })
+		changed("release on another VM", func() {
+			crashTarget(tr, "a", 4, crasher)
+			crashTarget(tr, "a", 5, crasher)
+			other.Release(crasher)
+			tr.Merge(other.TakeChanges())
+		})
+		changed("forgotten", func() {
+			time.Sleep(DefaultWindow)
+			crashTarget(tr, "e", 1, Fingerprint{3})
+		})
+	})
+}
+
 func TestBrokenConnectionAloneIsNoCrash(t *testing.T) {
 	is := is.New(t)
 	tr := New(Options{})
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -133,8 +133,9 @@
 	changed map[Fingerprint]struct{}
 	// ownVersion rises with each change that this VM itself has made.
 	ownVersion uint64
-	// listedVersion rises with each change of what Listed returns.
+	// listedVersion rises with each change of what Listed returns, and listed is what it returned then.
 	listedVersion uint64
+	listed        *pb.Quarantine
 	wake          chan struct{}
 	// quarantinedUntil is replaced at each change, so that Quarantined takes no lock.
 	quarantinedUntil atomic.Pointer[map[Fingerprint]time.Time]
@@ -168,6 +169,7 @@
 		running:  make(map[ownership.TargetID]map[Fingerprint]inFlight),
 		suspects: newSuspectSet(),
 		changed:  make(map[Fingerprint]struct{}),
+		listed:   new(pb.Quarantine),
 		wake:     make(chan struct{}, 1),
 	}
 	t.quarantinedUntil.Store(new(map[Fingerprint]time.Time))
@@ -398,7 +400,12 @@
 func (t *Tracker) Listed() (*pb.Quarantine, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspects.recordOf(func(_ Fingerprint, s *suspect) bool { return s.listed }), t.listedVersion
+	return t.listedRecord(), t.listedVersion
+}
+
+// listedRecord returns the record of the requests that are quarantined or were so lately. The caller must hold t.mu.
+func (t *Tracker) listedRecord() *pb.Quarantine {
+	return t.suspects.recordOf(func(_ Fingerprint, s *suspect) bool { return s.listed })
 }
 
 // ListedVersion returns the version of what Listed returns. It is zero before the first request is
@@ -429,7 +436,9 @@
 			t.opts.Logger.Warn("request quarantined", "fingerprint", hex.EncodeToString(e.Fingerprint[:]), "crashes", e.Crashes, "whole_runs", t.suspects.byFingerprint[e.Fingerprint].allWholeRuns(), "ambiguous", e.Ambiguous, "until", e.Until)
 		}
 	}
-	if len(quarantined) > 0 || len(earlier) > 0 {
+	// Receivers conclude from the record alone what is quarantined, and until when.
+	if listed := t.listedRecord(); !proto.Equal(listed, t.listed) {
+		t.listed = listed
 		t.listedVersion++
 	}
 	t.quarantinedUntil.Store(&quarantined)
