shard, eligibility: Send an unchanged limit of a target every 5 s, not at each answer that names it

What callers saw: nothing yet; found by reading, after the assigner's messages to 294 followers had filled its link (docs/incidents/2026-12-07-orders-in-a-full-link.md).

Cause: each answer that names a limit renews its instant, which decided whether the target's state is sent: every 600 ms to all VMs, with an equal limit. The VMs reported it at each report, four times a second; after a limit was lifted, each later answer was reported and sent as well, without end (from the code).

Change: a limit is sent at once if its value or its incarnation has changed, and an unchanged one 5 s after the last sending, if it was named since. A VM reports a change to the value that it knew at once, and what is unchanged once a second at most. A VM that hears no answers counts the 15 s of its memory from the answer (the age is sent), which is up to 2 s old at a sending and up to 8 s before the next one, if answers are frequent (from the code), so that the limit holds while answers name it, also 10 s apart. A late answer with an earlier limit is corrected by the next answer to a VM that took it.

TestUnchangedLimitIsNotReportedAtEachAnswer: 100 reports in 10 s before, 10 now.

Limit: a successor to the assigner, and an assigner that lost a report with its connection, know a limit up to 1 s later than before, from the next answer.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -106,8 +106,10 @@
 type state struct {
 	limit limit
 	pause pause
-	// unreported is set if the limit was stated since the last call of TakeStatements.
+	// unreported is set if the next call of TakeStatements is to return the limit. reportedAt is when the target had
+	// stated what the last one returned.
 	unreported bool
+	reportedAt time.Time
 }
 
 // New returns a Tracker that knows no statements.
@@ -270,7 +272,10 @@
 	}
 	t.observePauseLocked(known, s, request)
 	if s.LimitPerSecond > 0 || known.limit.named() {
-		known.unreported = t.mergeLimitLocked(known, s, "request", request) || known.unreported
+		before := known.limit.perSecond
+		if t.mergeLimitLocked(known, s, "request", request) && (s.LimitPerSecond != before || known.limit.statedAt.Sub(known.reportedAt) >= repeatInterval) {
+			known.unreported = true
+		}
 	}
 }
 
@@ -349,7 +354,8 @@
 	}
 }
 
-// TakeStatements returns what this VM itself was told since the last call.
+// TakeStatements returns what this VM itself was told since the last call: a change at once, an unchanged limit once a
+// second at most.
 func (t *Tracker) TakeStatements() []Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -359,7 +365,7 @@
 		if !s.unreported {
 			continue
 		}
-		s.unreported = false
+		s.unreported, s.reportedAt = false, s.limit.statedAt
 		out = append(out, Statement{Incarnation: i, LimitPerSecond: s.limit.perSecond, Age: now.Sub(s.limit.statedAt)})
 	}
 	return out
--- a/eligibility/limit.go
+++ b/eligibility/limit.go
@@ -11,6 +11,9 @@
 	// LimitMemory is how long a limit holds that the target has not named again. A VM that gets no
 	// share of a small limit learns from the others that it still holds.
 	LimitMemory = 15 * time.Second
+	// repeatInterval is the least time between two reports of a limit that the target names again, unchanged. A new
+	// assigner, or one that lost a report, knows the limit that much later.
+	repeatInterval = time.Second
 	// burstSeconds and burstRequests bound what all VMs together may send at once, beyond the
 	// limit's rate: burstSeconds times the limit, and burstRequests. A target allows in 4 s half
 	// as much again as its limit, and 5 requests; the rest of that covers requests on their way.
--- a/eligibility/limit_test.go
+++ b/eligibility/limit_test.go
@@ -167,6 +167,33 @@
 	is.Equal(len(b.TakeStatements()), 1) // Only what b itself was told: the limit of the start.
 }
 
+// Each answer that named an unchanged limit, or none after one was lifted, was reported to the assigner.
+func TestUnchangedLimitIsNotReportedAtEachAnswer(t *testing.T) {
+	is := is.New(t)
+	v := newVMs(1)
+	a := v.trackers[0]
+	for _, perSecond := range []float64{4, 5, 0} {
+		v.name(perSecond)
+		is.Equal(len(a.TakeStatements()), 1) // A change at once.
+		reports := 0
+		for range 100 {
+			v.now = v.now.Add(100 * time.Millisecond)
+			v.name(perSecond)
+			for _, s := range a.TakeStatements() {
+				is.Equal(s, eligibility.Statement{Incarnation: v.target, LimitPerSecond: perSecond})
+				reports++
+			}
+		}
+		is.Equal(reports, 10)
+	}
+	v.name(4)
+	is.Equal(len(a.TakeStatements()), 1)
+	v.now = v.now.Add(10 * time.Millisecond)
+	a.Merge([]eligibility.Statement{{Incarnation: v.target, LimitPerSecond: 6}}) // Of an answer that was late.
+	v.name(4)
+	is.Equal(len(a.TakeStatements()), 1)
+}
+
 // Callers that wait for the same share must not return all at once.
 func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -19,6 +19,9 @@
 	// refreshInterval is the interval at which the state of a target is sent although it has changed
 	// too little to matter.
 	refreshInterval = 10 * time.Second
+	// limitRefreshInterval is the least time between two sendings of a limit that a target names again, unchanged. With
+	// the time between two reports of it, it has to be less than LimitMemory, after which the VMs forget it.
+	limitRefreshInterval = eligibility.LimitMemory / 3
 	// A state is sent at once if its service time has changed by minServiceTimeChange, its share of
 	// failures by minFailureChange, or its load by minLoadChange while it is at least minBusyLoad:
 	// below that, requests hardly wait. Service times are compared as a share of the last one.
@@ -65,6 +68,8 @@
 	serviceTime time.Duration
 	failures    float64
 	load        uint32
+	limit       float64
+	limitBorn   int64
 	limitAt     time.Duration
 	leavingBorn int64
 }
@@ -150,7 +155,10 @@
 }
 
 func (s *targetState) current() sentState {
-	c := sentState{serviceTime: s.serviceTime, failures: s.failures, load: s.load, limitAt: s.limitAt}
+	c := sentState{
+		serviceTime: s.serviceTime, failures: s.failures, load: s.load,
+		limit: s.limit, limitBorn: s.limitBorn, limitAt: s.limitAt,
+	}
 	if s.leavingBorn != nil {
 		c.leavingBorn = *s.leavingBorn
 	}
@@ -163,7 +171,9 @@
 	switch {
 	case s.sentAt == 0 || now-s.sentAt >= refreshInterval:
 		return true
-	case c.limitAt != s.sent.limitAt || c.leavingBorn != s.sent.leavingBorn:
+	case c.limit != s.sent.limit || c.limitBorn != s.sent.limitBorn || c.leavingBorn != s.sent.leavingBorn:
+		return true
+	case c.limit > 0 && c.limitAt != s.sent.limitAt && now-s.sentAt >= limitRefreshInterval:
 		return true
 	case math.Abs(float64(c.serviceTime-s.sent.serviceTime)) >= minServiceTimeChange*float64(s.sent.serviceTime):
 		return true
