shard: Use half of the assigner's link at most for tables and target states

Change: what the assigner sends in bulk counts against an allowance of half of its link. A table waits for it for 1 s at most, target states for 2 s; the changes of that time share one message. New followers get all tables in turn, one in 25 ms at least, and no difference before; the states of all targets go to 12 of them with each update at least.

Fields table_bytes in 'assigner activity'.

--- a/daemon/node_parts.go
+++ b/daemon/node_parts.go
@@ -39,7 +39,7 @@
 		VM: s.Process.VM, Address: s.Peer.Listen, Seeds: s.Peer.Seeds, Store: n.objects, Peers: n.peers,
 		Orders: platform.NewOrders(), Directory: n.directory, Services: n.keyedServices, Cold: n.coldTarget(), Report: n.shardReport,
 		Placement: n.keyPlacement(), Registerer: n.registry, OnVMs: n.setVMs, OnTargets: n.mergeTargetStates, Feed: n.feed, Suspects: suspects,
-		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU),
+		RelayAbove: s.Shard.RelayAbove, StartSpread: s.Shard.StartSpread, TakeOverDelay: takeOverDelay(s.Gateway.LinkMbps, s.Gateway.CPU), LinkMbps: s.Gateway.LinkMbps,
 		RoleLease: s.Shard.RoleLease, Logger: n.logger, Leases: shard.LeaseOptions{
 			LeaseDuration:     min(s.Shard.LeaseDuration, s.Shard.MaxLeaseDuration),
 			LongLeaseDuration: time.Duration(longLeaseShare * float64(s.Shard.MaxLeaseDuration)),
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -62,6 +62,9 @@
 	// TakeOverDelay is how much longer than other VMs this VM waits before it takes over
 	// as assigner. A VM without a delay is preferred as assigner.
 	TakeOverDelay time.Duration
+	// LinkMbps is the bandwidth of this VM in Mbit/s. The assigner uses a share of it for tables and target states. Zero if
+	// unknown, which does not bound them.
+	LinkMbps float64
 	// RoleLease is how long the assigner may act after the store confirmed its role.
 	// Default 3 s.
 	RoleLease time.Duration
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -33,9 +33,16 @@
 	// 25 times a second takes the processor that the orders need.
 	minTableInterval   = 40 * time.Millisecond
 	tableIntervalPerVM = 500 * time.Microsecond
+	// maxTableInterval bounds how long a table waits for the link allowance.
+	maxTableInterval = time.Second
 	// targetsInterval is the least time between two updates with target states. These
-	// are the larger part of what the assigner sends.
-	targetsInterval = 600 * time.Millisecond
+	// are the larger part of what the assigner sends. maxTargetsInterval bounds how long one waits for the link allowance.
+	targetsInterval    = 600 * time.Millisecond
+	maxTargetsInterval = 2 * time.Second
+	// tablesPerTick and statesPerUpdate are the numbers of new followers that get all tables at each tick, and all
+	// target states with each update, also while the link allowance is used up.
+	tablesPerTick   = 1
+	statesPerUpdate = 12
 	// loadTimeConstant is the time constant of the keys' request rates. It is short enough
 	// to find a hot spot within half a second and long enough to average several reports.
 	loadTimeConstant = 700 * time.Millisecond
@@ -80,12 +87,15 @@
 
 	services map[string]*serviceState
 	targets  *targetStates
-	// nextTargets is the earliest instant of the next update with target states.
-	nextTargets time.Duration
+	// lastTargets is the instant of the last update with target states.
+	lastTargets time.Duration
 	activity    assignerActivity
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
+	// behind are the followers that wait for all tables, in the order in which they get them.
+	behind    []*follower
+	allowance linkAllowance
 	// tables and vms are the tables and the list of VMs last sent to the followers.
 	tables map[string]*Table
 	vms    []string
@@ -112,8 +122,8 @@
 	nextPlan time.Duration
 	// nextUpdate is the earliest instant of the next record without moves.
 	nextUpdate time.Duration
-	// nextTable is the earliest instant of the next table.
-	nextTable time.Duration
+	// lastTable is the instant of the last table.
+	lastTable time.Duration
 }
 
 type serviceResult struct {
@@ -137,6 +147,8 @@
 	reportSentAtMs uint64
 	// delaysTakeOver is set if it has a take-over delay, so that other VMs are preferred.
 	delaysTakeOver bool
+	// behind is set until all tables were sent to it.
+	behind bool
 	// targetsSent is set once the states of all targets were sent to it.
 	targetsSent bool
 	// relaying is set once store changes are relayed to it.
@@ -151,6 +163,7 @@
 		results: make(chan serviceResult), saves: make(chan saveResult), reports: make(chan *pb.ShardReport, 64),
 		services: map[string]*serviceState{}, targets: newTargetStates(),
 		followers: map[*follower]struct{}{}, tables: map[string]*Table{}, activity: newAssignerActivity(boottime.Now()),
+		allowance: newLinkAllowance(agent.opts.LinkMbps),
 	}
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	a.confirmedAt.Store(int64(confirmedAt))
@@ -202,6 +215,7 @@
 				a.applyReport(a.agent.opts.Report())
 			}
 			a.takeOverServices(ctx)
+			a.sendTablesToNewFollowers(now)
 			if now-lastUpdate >= updateInterval {
 				lastUpdate = now
 				a.broadcast(a.changedTargets(now), func() []*pb.TargetState { return a.targets.all(now) })
@@ -214,15 +228,22 @@
 }
 
 // changedTargets returns the target states that changed since the last call, or nil if
-// that was less than targetsInterval ago.
+// that was less than targetsInterval ago or the link allowance is used up.
 func (a *assigner) changedTargets(now time.Duration) []*pb.TargetState {
-	if now < a.nextTargets {
+	if passed := now - a.lastTargets; passed < targetsInterval || passed < maxTargetsInterval && !a.linkFree(now) {
 		return nil
 	}
-	a.nextTargets = now + targetsInterval
+	a.lastTargets = now
 	return a.targets.takeChanged(now)
 }
 
+// linkFree reports whether the link allowance is not used up.
+func (a *assigner) linkFree(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.allowance.free(now)
+}
+
 // stepDown prepares the take-over by a successor. It writes the outdated records and
 // renews all owners with the long lease duration, in case the store becomes unavailable
 // before another VM has taken the role over. Successors allow for such orders, which are
@@ -440,15 +461,15 @@
 				go a.sendAndReport(ctx, s.name, o)
 			}
 		}
-		if now < s.nextTable {
+		if passed := now - s.lastTable; passed < tableInterval(a.vmCount()) || passed < maxTableInterval && !a.linkFree(now) {
 			continue
 		}
 		if t := s.leases.TakeTable(now); t != nil {
-			s.nextTable = now + tableInterval(a.vmCount())
+			s.lastTable = now
 			a.activity.tables++
 			timed(&a.activity.longestTable, func() {
 				a.agent.publish(s.name, t)
-				a.broadcastTable(s.name, t)
+				a.activity.tableBytes += a.broadcastTable(s.name, t, now)
 			})
 		}
 	}
--- a/shard/assigneractivity.go
+++ b/shard/assigneractivity.go
@@ -15,6 +15,7 @@
 type assignerActivity struct {
 	since, processorAtStart time.Duration
 	steps, reports, tables  int
+	tableBytes              int
 	// longestStep, longestPlan and longestTable are the longest times that a step of run, a plan and the
 	// publication of a table took.
 	longestStep, longestPlan, longestTable time.Duration
@@ -59,7 +60,7 @@
 	}
 	a.agent.opts.Logger.Info("assigner activity", "term", a.term, "ms", (now - s.since).Milliseconds(),
 		"processor_ms", (processorTime() - s.processorAtStart).Milliseconds(), "vms", a.vmCount(), "ranges", ranges,
-		"steps", s.steps, "reports", s.reports, "tables", s.tables, "longest_step_ms", s.longestStep.Milliseconds(),
+		"steps", s.steps, "reports", s.reports, "tables", s.tables, "table_bytes", s.tableBytes, "longest_step_ms", s.longestStep.Milliseconds(),
 		"longest_plan_ms", s.longestPlan.Milliseconds(), "longest_table_ms", s.longestTable.Milliseconds(),
 		"grants", s.grants, "releases", s.releases, "failed", s.unanswered, "not_sent", s.notSent,
 		"longest_wait_ms", s.longestWait.Milliseconds(), "longest_call_ms", s.longestCall.Milliseconds(),
--- a/shard/followers.go
+++ b/shard/followers.go
@@ -44,7 +44,7 @@
 }
 
 // addFollower records the store revisions that a follower reports. At its first report
-// it registers the follower and sends it all tables.
+// it registers the follower and sends it all tables, or has it wait for them.
 func (a *assigner) addFollower(f *follower, r *pb.ShardReport) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -63,10 +63,51 @@
 	if suspects := a.agent.opts.Suspects; suspects != nil && suspects.ListedVersion() > 0 {
 		u.Suspects, _ = suspects.Listed()
 	}
-	for service, t := range a.tables {
-		u.Tables = append(u.Tables, tableToProto(service, t))
-	}
 	f.queue <- u
+	a.waitForTablesLocked(f)
+	a.sendTablesLocked(boottime.Now(), 0)
+}
+
+// waitForTablesLocked makes a follower wait for all tables, if there are any. Until then it gets no differences. The caller
+// holds mu.
+func (a *assigner) waitForTablesLocked(f *follower) {
+	if len(a.tables) == 0 || f.behind {
+		return
+	}
+	f.behind = true
+	a.behind = append(a.behind, f)
+}
+
+// sendTablesToNewFollowers sends all tables to followers that wait for them, as many as the link allowance permits.
+func (a *assigner) sendTablesToNewFollowers(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sendTablesLocked(now, tablesPerTick)
+}
+
+// sendTablesLocked sends all tables to followers that wait for them: to as many as the link allowance permits, and to
+// atLeast followers. The caller holds mu.
+func (a *assigner) sendTablesLocked(now time.Duration, atLeast int) {
+	var tables []*pb.RangeTable
+	size := 0
+	for ; len(a.behind) > 0 && (atLeast > 0 || a.allowance.free(now)); atLeast-- {
+		f := a.behind[0]
+		a.behind = a.behind[1:]
+		if _, ok := a.followers[f]; !ok {
+			continue
+		}
+		if tables == nil {
+			for service, t := range a.tables {
+				tables = append(tables, tableToProto(service, t))
+				size += proto.Size(tables[len(tables)-1])
+			}
+		}
+		f.behind = false
+		u := a.updateLocked()
+		u.Tables = tables
+		a.allowance.use(size, now)
+		a.enqueueLocked(f, u)
+	}
 }
 
 func (a *assigner) removeFollower(f *follower) {
@@ -158,24 +199,37 @@
 	return slices.Compact(vms)
 }
 
-// broadcastTable sends a table to all followers, as the difference to the last one if
-// there is one.
-func (a *assigner) broadcastTable(service string, t *Table) {
+// broadcastTable sends a table to all followers, as the difference to the last one if there is one; else they wait for all
+// tables. It returns the number of bytes of the differences.
+func (a *assigner) broadcastTable(service string, t *Table, now time.Duration) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	base := a.tables[service]
 	a.tables[service] = t
-	m := tableToProto(service, t)
+	common := a.updateLocked()
+	common.Vms = a.takeChangedVMsLocked()
+	difference, size := proto.Clone(common).(*pb.ShardUpdate), 0
 	if base != nil {
-		m = deltaToProto(service, base, t)
+		difference.Tables = []*pb.RangeTable{deltaToProto(service, base, t)}
+		size = proto.Size(difference)
 	}
-	u := a.updateLocked()
-	u.Tables = []*pb.RangeTable{m}
-	u.Vms = a.takeChangedVMsLocked()
+	sent := 0
 	for f := range a.followers {
-		a.enqueueLocked(f, u)
+		if base == nil {
+			a.waitForTablesLocked(f)
+		}
+		switch {
+		case !f.behind:
+			sent += size
+			a.enqueueLocked(f, difference)
+		case len(common.GetVms()) > 0:
+			a.enqueueLocked(f, common)
+		}
 	}
-	a.agent.setVMs(u.GetVms())
+	a.allowance.use(sent, now)
+	a.sendTablesLocked(now, 0)
+	a.agent.setVMs(common.GetVms())
+	return sent
 }
 
 // broadcast sends all followers an update with the role and the changed target states. Followers to
@@ -188,15 +242,22 @@
 	vms := a.takeChangedVMsLocked()
 	common.Suspects = a.takeChangedSuspectsLocked()
 	var allTargets []*pb.TargetState
+	now, newFollowers := boottime.Now(), 0
+	size, allSize := proto.Size(&pb.ShardUpdate{Targets: targets}), 0
 	for f := range a.followers {
 		u := proto.Clone(common).(*pb.ShardUpdate)
 		u.Targets, u.Vms = targets, vms
-		if !f.targetsSent {
+		if !f.targetsSent && (newFollowers < statesPerUpdate || a.allowance.free(now)) {
 			f.targetsSent = true
+			newFollowers++
 			if allTargets == nil {
 				allTargets = all()
+				allSize = proto.Size(&pb.ShardUpdate{Targets: allTargets})
 			}
 			u.Targets = allTargets
+			a.allowance.use(allSize, now)
+		} else {
+			a.allowance.use(size, now)
 		}
 		a.confirmFeedLocked(u, f)
 		a.enqueueLocked(f, u)
