store: Count a poll as waiting at the store once a later call is answered

Cause: the feed took a poll that had begun for one that waits at the store. A poll may wait in the link of its VM for seconds. Meanwhile ReadAge was 0, so that all followers of the assigner were told that they know all changes, and the target that had begun to leave counted as leaving from an instant after that, on all VMs. The answer to such a poll was taken for that of a change of the last 200 ms. A check counted from its end.

Change: a poll counts as waiting at the store from 200 ms (the time that a change may take to end a poll) after the answer to a call, to any address, that began after the poll was written to its connection. Before, changes may date from the last instant up to which this VM knew all. Such calls are all those of the store's client, orders, requests to targets, and reports that the assigner has returned. No call is added but one check (a tenth of a call) for a poll of an assigner with followers that finds no sign in 50 ms. A VM without any such call counts on its poll after 3 s.

Why it works: the link passes on what it is given in order, so that the answer to a later call shows that the poll has left. Until 200 ms after that, the answer to a change from before the poll's arrival may be on its way.

Not covered: a link that does not keep the order, a packet of the poll that is lost and sent again, calls to an address on the VM itself, and answers that wait on their way to the VM for more than 200 ms.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -181,6 +181,7 @@
 	}, func() float64 { return float64(memory.Used()) }))
 	n.upstream = upstream.New(upstream.Options{
 		Headers: platform.TargetHeaders(), Registerer: n.registry, Memory: memory,
+		Sending: n.feed.Sending,
 	})
 	n.newAgent(s)
 	n.newGateway(s)
--- a/daemon/node_parts.go
+++ b/daemon/node_parts.go
@@ -23,6 +23,7 @@
 		Direct: n.objects, Check: n.objects.Check, Logger: n.logger, FirstList: n.firstList, FirstReaderWait: firstReaderWait, Quiet: quiet,
 		MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) },
 	})
+	n.objects.OnSending(n.feed.Sending)
 }
 
 // newAgent creates the agent of the keys' owners and what it shares with the other VMs: the requests that crash targets.
--- a/shard/agent.go
+++ b/shard/agent.go
@@ -632,6 +632,13 @@
 	}
 }
 
+// confirmDelivery tells the feed if an order has been answered.
+func (a *Agent) confirmDelivery(r Result) {
+	if a.opts.Feed != nil && r.answered() {
+		a.opts.Feed.ConfirmDelivery(r.Sent)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -546,6 +546,7 @@
 // sendAndReport sends an order and passes its result to run.
 func (a *assigner) sendAndReport(ctx context.Context, service string, o Order) {
 	r := a.sendOrder(ctx, o)
+	a.agent.confirmDelivery(r)
 	if !o.Release {
 		a.grants.Done()
 	}
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -142,6 +142,8 @@
 	}
 	confirmedAt := time.Duration(0)
 	if sentAt := u.GetReportSentAtMs(); sentAt > 0 {
+		// The assigner has this VM's report of that instant.
+		a.opts.Feed.ConfirmDelivery(time.Duration(sentAt) * time.Millisecond)
 		confirmedAt = time.Duration(sentAt)*time.Millisecond - time.Duration(u.GetFeedAgeMs())*time.Millisecond
 	}
 	a.opts.Feed.SetReader(u.GetFeedFresh(), confirmedAt)
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -45,7 +45,8 @@
 	// MaxAnswerBytes bounds the body of an answer. Default 256 MiB.
 	MaxAnswerBytes int
 	// AbortOnCancel makes the end of a call's context close the connections of the Client. It is meant for a
-	// client that makes one long call at a time, which would otherwise go on until its timeout.
+	// client that makes one long call at a time, which would otherwise go on until its timeout. Such a client also
+	// tells store.OnSent.
 	AbortOnCancel bool
 	// ResetOnClose makes the close of a connection discard data that the network has not
 	// delivered yet, so that a call that timed out does not arrive later.
@@ -54,7 +55,8 @@
 
 // Client makes HTTP calls to one address.
 type Client struct {
-	opts Options
+	opts    Options
+	sending func() (answered func())
 
 	mu    sync.Mutex
 	conns *connPool
@@ -65,6 +67,10 @@
 	return &Client{opts: opts, conns: newConnPool(opts)}
 }
 
+// OnSending sets a function that is called before each call. What it returns, unless that is nil, is called once the call has been
+// answered, whatever the status. OnSending must be called before the first call.
+func (c *Client) OnSending(sending func() (answered func())) { c.sending = sending }
+
 // pool returns the connections for the next call.
 func (c *Client) pool() *connPool {
 	c.mu.Lock()
@@ -92,6 +98,8 @@
 	closed bool
 	// open holds the open connections if AbortOnCancel is set.
 	open map[*trackedConn]struct{}
+	// onSent is called, and cleared, at the next write to a connection. It may be nil.
+	onSent func()
 }
 
 func newConnPool(opts Options) *connPool {
@@ -114,6 +122,32 @@
 	pool *connPool
 }
 
+// Write implements net.Conn.
+func (t *trackedConn) Write(p []byte) (int, error) {
+	n, err := t.Conn.Write(p)
+	if err == nil {
+		t.pool.reportSent()
+	}
+	return n, err
+}
+
+// setOnSent sets what is called once the next request has been handed to the network.
+func (p *connPool) setOnSent(onSent func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onSent = onSent
+}
+
+func (p *connPool) reportSent() {
+	p.mu.Lock()
+	onSent := p.onSent
+	p.onSent = nil
+	p.mu.Unlock()
+	if onSent != nil {
+		onSent()
+	}
+}
+
 // Close implements net.Conn.
 func (t *trackedConn) Close() error {
 	t.pool.mu.Lock()
@@ -305,8 +339,11 @@
 		return nil, errors.WithMessage(errNotSent, "context ended")
 	}
 	pool := c.pool()
+	if c.opts.AbortOnCancel {
+		pool.setOnSent(store.OnSent(ctx))
+	}
 	if ctx.Done() == nil {
-		return pool.exchange(cl, timeout)
+		return c.exchange(pool, cl, timeout)
 	}
 	type outcome struct {
 		ans *Answer
@@ -314,7 +351,7 @@
 	}
 	done := make(chan outcome, 1)
 	go func() {
-		ans, err := pool.exchange(cl, timeout)
+		ans, err := c.exchange(pool, cl, timeout)
 		done <- outcome{ans, err}
 	}()
 	select {
@@ -340,6 +377,19 @@
 	return c.opts.Timeout
 }
 
+// exchange makes the call over the connections and reports its answer.
+func (c *Client) exchange(pool *connPool, cl Call, timeout time.Duration) (*Answer, error) {
+	var answered func()
+	if c.sending != nil {
+		answered = c.sending()
+	}
+	ans, err := pool.exchange(cl, timeout)
+	if err == nil && answered != nil {
+		answered()
+	}
+	return ans, err
+}
+
 // exchange sends the request and reads its answer, without retries.
 func (p *connPool) exchange(cl Call, timeout time.Duration) (*Answer, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -19,6 +19,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,7 +69,7 @@
 	TakeoverTimeout time.Duration
 	// MaxStaleness is how long ago the last confirmation of any reader may be until a VM that
 	// relies on readers lists the store, however often the reader changes. Default 1.6 s: a
-	// reader confirms each 300 ms, and its own knowledge is up to 500 ms old.
+	// reader confirms each 300 ms, and its own knowledge is up to 900 ms old.
 	MaxStaleness time.Duration
 	// FirstReaderWait is how long a VM that has started and read its first list of a prefix waits for a
 	// reader before it polls the store. It should cover the time in which a VM finds the assigner and
@@ -119,17 +120,23 @@
 	// reads has, for each prefix, what this VM itself has read from the store.
 	reads  map[string]*directReads
 	bounds map[string]*changeBounds
+	// awaitsDelivery is set while it is not known whether some poll has reached the store.
+	awaitsDelivery atomic.Bool
+	// ageAskedAt is when ReadAge was last called, or zero.
+	ageAskedAt time.Duration
 }
 
 // directReads is how up to date the reads of a prefix from the store are.
 type directReads struct {
-	// polling is the number of polls that wait at the store. It answers them at once when
+	// poll is the last poll that has no answer yet, or nil. Once it waits at the store, that answers it as soon as
 	// there is a change.
-	polling int
+	poll *openPoll
 	// completeAt is the instant up to which all changes were read and relayed.
 	completeAt time.Duration
-	// checkedAt is the instant of the last check that found no changes, or of the start of the poll.
+	// checkedAt is the end of the last check of the poll that found no changes, or the start of the poll.
 	checkedAt time.Duration
+	// aliveAt is the start of the last such check before which the poll waited at the store, or zero.
+	aliveAt time.Duration
 }
 
 // changeBounds bounds when the changes under a prefix were made.
@@ -150,6 +157,11 @@
 // maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
 const maxPollDelay = 200 * time.Millisecond
 
+// deliveryCheckAfter is how long a poll may be open without a sign that it has reached the store until a call is
+// made to find out. With it, the age that ReadAge returns in calm stays below 0.9 s: up to 0.5 s between two polls,
+// this time, the call and maxPollDelay.
+const deliveryCheckAfter = 50 * time.Millisecond
+
 const (
 	// quietRetryInterval is the time after which a list of a quiet prefix that failed is tried again although other prefixes
 	// still cannot be read, which may be for a reason of their own.
@@ -215,12 +227,15 @@
 	}
 	if f.opts.FirstList != nil && !f.listed(prefix) {
 		// It says nothing of how up to date this VM is; the poll that follows does.
+		start := f.opts.Now()
 		objects, at, err := f.opts.FirstList(ctx, prefix)
+		f.confirmAnswered(start, err)
 		f.recordList(prefix, objects, at, err)
 		return objects, at, err
 	}
 	start := f.opts.Now()
 	objects, at, err := f.opts.Direct.List(ctx, prefix)
+	f.confirmAnswered(start, err)
 	f.recordList(prefix, objects, at, err)
 	if err == nil {
 		f.setReadComplete(prefix, start)
@@ -390,18 +405,12 @@
 func (f *Feed) pollStore(ctx context.Context, prefix string, after store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f.addPolling(prefix, 1)
-	f.setChecked(prefix)
-	start, waiting := f.opts.Now(), true
-	endWait := func() {
-		if waiting {
-			waiting = false
-			f.addPolling(prefix, -1)
-		}
-	}
-	defer endWait()
+	poll := f.beginPoll(prefix)
+	defer f.endPoll(prefix, poll, 0)
 	answered := make(chan checked.Result, 1)
-	go func() { answered <- f.pollDirect(ctx, prefix, after, wait) }()
+	go func() { answered <- f.pollDirect(ctx, prefix, after, wait, poll) }()
+	undelivered := time.NewTimer(deliveryCheckAfter)
+	defer undelivered.Stop()
 	for {
 		covers, changed := f.covers(prefix, after)
 		if covers {
@@ -409,16 +418,19 @@
 		}
 		select {
 		case a := <-answered:
-			// Until the changes are relayed, this VM does not count as up to date.
-			endWait()
 			answeredAt := f.opts.Now()
+			// Until the changes are relayed, this VM does not count as up to date.
+			waited := f.endPoll(prefix, poll, answeredAt)
+			if !a.Lost {
+				f.confirmAnswered(poll.begun, a.Err)
+			}
 			if !errors.Is(a.Err, store.ErrCompacted) {
 				f.recordReadResult(prefix, a.Err)
 			}
 			if a.Err == nil {
 				f.record(Batch{Prefix: prefix, After: after, At: max(a.At, after), Events: a.Events})
-				if answeredAt-start > maxPollDelay && !a.Lost {
-					// A change before the poll would have ended it at once.
+				if waited && !a.Lost {
+					// A change before the poll's arrival would have ended it at once.
 					f.boundChanges(prefix, answeredAt-maxPollDelay)
 				} else {
 					f.boundChanges(prefix, 0)
@@ -426,28 +438,73 @@
 				f.setReadComplete(prefix, answeredAt)
 			}
 			return a.Events, a.At, a.Err
+		case <-undelivered.C:
+			switch f.nextDeliveryCheck(poll) {
+			case deliveryCheckLater:
+				undelivered.Reset(deliveryCheckAfter)
+			case deliveryCheckNow:
+				go f.checkDelivery(ctx, prefix, after)
+			}
 		case <-changed:
 		}
 	}
 }
 
 // pollDirect polls the store, and checks meanwhile that the store has not lost the poll.
-func (f *Feed) pollDirect(ctx context.Context, prefix string, after store.Version, wait time.Duration) checked.Result {
+func (f *Feed) pollDirect(ctx context.Context, prefix string, after store.Version, wait time.Duration, open *openPoll) checked.Result {
 	poll := func(ctx context.Context) ([]store.Event, store.Version, error) {
-		return f.opts.Direct.Poll(ctx, prefix, after, wait)
+		return f.opts.Direct.Poll(store.WithOnSent(ctx, func() { f.setSent(open) }), prefix, after, wait)
 	}
 	if f.opts.Check == nil || !f.checksPolls() {
 		events, at, err := poll(ctx)
 		return checked.Result{Events: events, At: at, Err: err}
 	}
+	var began time.Duration
 	check := func(ctx context.Context) ([]store.Event, store.Version, error) {
-		return f.opts.Check(ctx, prefix, after)
+		began = f.opts.Now()
+		events, at, err := f.opts.Check(ctx, prefix, after)
+		f.confirmAnswered(began, err)
+		return events, at, err
 	}
 	return checked.Poll(ctx, poll, check, checked.Options{
-		Prefix: prefix, Logger: f.opts.Logger, OnChecked: func() { f.setChecked(prefix) },
+		Prefix: prefix, Logger: f.opts.Logger, OnChecked: func() { f.setChecked(prefix, open, began) },
 	})
 }
 
+// deliveryCheck says when to find out whether a poll has reached the store.
+type deliveryCheck int
+
+const (
+	deliveryCheckNever deliveryCheck = iota
+	deliveryCheckLater
+	deliveryCheckNow
+)
+
+// nextDeliveryCheck says when to make a call of which the answer shows that the poll has left the link. None is needed if another
+// call has shown it, or if no other VM relies on what this one has read.
+func (f *Feed) nextDeliveryCheck(poll *openPoll) deliveryCheck {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Now()
+	switch {
+	case f.opts.Check == nil || poll.arrivedBy > 0 || now-poll.begun >= maxLinkWait:
+		return deliveryCheckNever
+	case now < poll.handedOver() || !f.isReader || f.ageAskedAt == 0 || now-f.ageAskedAt > time.Second:
+		return deliveryCheckLater
+	default:
+		return deliveryCheckNow
+	}
+}
+
+// checkDelivery makes a call of which only matters whether it is answered.
+func (f *Feed) checkDelivery(ctx context.Context, prefix string, after store.Version) {
+	ctx, cancel := context.WithTimeout(ctx, maxLinkWait)
+	defer cancel()
+	began := f.opts.Now()
+	_, _, err := f.opts.Check(ctx, prefix, after)
+	f.confirmAnswered(began, err)
+}
+
 // errReaderCovers reports that the reader covers a poll of the store, so that the poll is
 // no longer needed.
 var errReaderCovers = errors.New("relayfeed: the reader covers the poll")
@@ -537,11 +594,69 @@
 	return f.readerUsable && f.confirmedAt > 0 && f.opts.Now()-f.confirmedAt < f.opts.MaxStaleness
 }
 
-// addPolling adds n to the number of polls of the prefix that wait at the store.
-func (f *Feed) addPolling(prefix string, n int) {
+// beginPoll records that a poll of the prefix begins.
+func (f *Feed) beginPoll(prefix string) *openPoll {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Now()
+	poll, r := &openPoll{begun: now}, f.readsLocked(prefix)
+	r.poll, r.checkedAt, r.aliveAt = poll, now, 0
+	f.awaitsDelivery.Store(true)
+	return poll
+}
+
+// endPoll records that the poll has ended. It reports whether the poll waited at the store at the instant. It may be
+// called again.
+func (f *Feed) endPoll(prefix string, poll *openPoll, at time.Duration) (waited bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readsLocked(prefix).polling += n
+	if r := f.readsLocked(prefix); r.poll == poll {
+		r.poll = nil
+	}
+	return poll.waitsAtStore(at)
+}
+
+// setSent records that the poll has been handed to the network.
+func (f *Feed) setSent(poll *openPoll) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	poll.sent = f.opts.Now()
+}
+
+// Sending is called before this VM makes a call, to any address. What it returns is called once the call has been
+// answered; nil is no call. It shows whether a poll that was sent before still waits in the link of the VM.
+func (f *Feed) Sending() (answered func()) {
+	if !f.awaitsDelivery.Load() {
+		return nil
+	}
+	began := f.opts.Now()
+	return func() { f.ConfirmDelivery(began) }
+}
+
+// ConfirmDelivery records that a call of this VM, to any address, which began at the instant began or later has been
+// answered. All that the VM sent before has then left its link.
+func (f *Feed) ConfirmDelivery(began time.Duration) {
+	if !f.awaitsDelivery.Load() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, awaits := f.opts.Now(), false
+	for _, r := range f.reads {
+		if r.poll != nil {
+			r.poll.confirmDelivery(began, now)
+			awaits = awaits || r.poll.arrivedBy == 0
+		}
+	}
+	f.awaitsDelivery.Store(awaits)
+}
+
+// confirmAnswered records that a call to the store, which began at the instant, has ended with the error. An error may
+// mean that there was no answer.
+func (f *Feed) confirmAnswered(began time.Duration, err error) {
+	if err == nil || errors.Is(err, store.ErrCompacted) {
+		f.ConfirmDelivery(began)
+	}
 }
 
 // checksPolls reports whether this VM checks its polls. A VM that follows a reader polls only until the next reader
@@ -552,11 +667,18 @@
 	return f.isReader || !f.relayed
 }
 
-// setChecked records that a poll of the prefix has just begun, or that a check found that it has missed nothing.
-func (f *Feed) setChecked(prefix string) {
+// setChecked records that a check of the poll, which began at the instant, found that the poll has missed nothing.
+func (f *Feed) setChecked(prefix string, poll *openPoll, began time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readsLocked(prefix).checkedAt = f.opts.Now()
+	r := f.readsLocked(prefix)
+	if r.poll != poll {
+		return
+	}
+	r.checkedAt = f.opts.Now()
+	if poll.waitsAtStore(began) {
+		r.aliveAt = began
+	}
 }
 
 // setReadComplete records that all changes up to the instant were read and relayed.
@@ -621,21 +743,25 @@
 
 // ReadAge returns the longest time since which changes may exist that this VM has not read
 // from the store and relayed, over all prefixes. It returns false while a prefix was not
-// read yet.
+// read yet. While polls wait at the store, it leaves out the changes of the last maxPollDelay, of which the store
+// may not have told yet.
 func (f *Feed) ReadAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, age := f.opts.Now(), time.Duration(0)
+	f.ageAskedAt = now
 	for _, r := range f.reads {
-		switch {
-		case r.polling > 0 && (f.opts.Check == nil || now-r.checkedAt <= maxCheckAge):
-		case r.polling > 0:
-			age = max(age, now-r.checkedAt)
-		case r.completeAt == 0:
+		known := r.completeAt
+		if r.poll != nil && r.poll.waitsAtStore(now) {
+			known = max(known, r.aliveAt)
+			if f.opts.Check == nil || now-r.checkedAt <= maxCheckAge {
+				known = now
+			}
+		}
+		if known == 0 {
 			return 0, false
-		default:
-			age = max(age, now-r.completeAt)
 		}
+		age = max(age, now-known)
 	}
 	return age, len(f.reads) > 0
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -32,6 +32,9 @@
 	// Memory bounds the memory that bodies take. An answer whose body finds no room is given up.
 	// Default: up to 256 MiB, of this Client alone.
 	Memory *bodies.Memory
+	// Sending is called before a request is sent. What it returns, unless that is nil, is called once the request
+	// has been answered. Sending may be nil.
+	Sending func() (answered func())
 	// Registerer is where the metrics are registered. Nil registers none.
 	Registerer prometheus.Registerer
 }
@@ -128,7 +131,14 @@
 			return nil, &Failure{Cause: err}
 		}
 	}
+	var answered func()
+	if c.opts.Sending != nil {
+		answered = c.opts.Sending()
+	}
 	a, keep, err := cn.exchange(ctx, &c.opts.Headers, r)
+	if err == nil && answered != nil {
+		answered()
+	}
 	var f *Failure
 	if errors.As(err, &f) && f.Reset && cn.requests == 1 && ctx.Err() == nil {
 		c.pauseConnecting(address)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -581,3 +581,27 @@
 	is.NoErr((<-accepted).Close())
 	is.True(c.AnyEnded(address, time.Second)) // The end may arrive a moment later.
 }
+
+// Guards against a request without an answer as a sign that what the VM sent before has arrived.
+func TestOnlyAnsweredRequestsAreReported(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, answerInTurn(validAnswer), answerInTurn())
+	began, answered := 0, 0
+	c := New(Options{Sending: func() func() {
+		began++
+		if began == 1 {
+			return nil
+		}
+		return func() { answered++ }
+	}, Headers: testHeaders})
+	_, f := do(t, c, tg, request("1"))
+	is.True(f == nil)
+	c.CloseIdle(tg.address)
+	_, f = do(t, c, tg, request("2"))
+	is.True(f != nil)
+	is.Equal([]int{began, answered}, []int{2, 0})
+	tg = startTarget(t, answerInTurn(validAnswer))
+	_, f = do(t, c, tg, request("3"))
+	is.True(f == nil)
+	is.Equal([]int{began, answered}, []int{3, 1})
+}
