shard: End a grant in the parts of a merged range that it does not cover

What callers could see: keys without an owner, or not renewed, for the rest of the assigner's term.

Cause: a range that is merged while a renewal of its half is under way takes the grant over. If it is split again before the answer, the answer covers a part only. The others kept the grant as under way: not renewed (on as well), and since never released, as the bound stays open.

Change: a result ends its grant in the ranges that it does not overlap.

Evidence: TestSplitRangesAreGrantedAfterAMerge, without the change: three of three cases fail.

--- a/shard/leasebound.go
+++ b/shard/leasebound.go
@@ -48,6 +48,11 @@
 // begin records a grant that is about to be sent.
 func (b *leaseBound) begin(p pendingGrant) { b.pending = append(b.pending, p) }
 
+// isPending reports whether the grant may still arrive.
+func (b *leaseBound) isPending(fence uint64) bool {
+	return slices.ContainsFunc(b.pending, func(p pendingGrant) bool { return p.fence == fence })
+}
+
 // end records that a grant can no longer arrive, by which the target holds the range until the instant at most.
 func (b *leaseBound) end(fence uint64, until time.Duration) {
 	b.ended = max(b.ended, until)
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -566,6 +566,7 @@
 	for _, ranges := range [][]*rangeState{lm.ranges, lm.proposed} {
 		for _, s := range ranges {
 			if !s.keys.Overlaps(r.Order.Keys) {
+				s.forgetGrant(r.Order.Fence)
 				continue
 			}
 			if r.Order.Release {
@@ -577,6 +578,17 @@
 	}
 }
 
+// forgetGrant ends a grant that does not cover the range, as in a part of a merged range that has been split again.
+func (s *rangeState) forgetGrant(fence uint64) {
+	if s.bound.isPending(fence) {
+		s.inFlight = false
+	}
+	s.bound.end(fence, 0)
+	for _, f := range s.formerOwners {
+		f.bound.end(fence, 0)
+	}
+}
+
 // ConfirmDelivery records that a call of this VM, to any address, which began at the instant sent or later has been
 // answered by now. All that the VM sent before has then left its link, so that grants whose calls had ended have arrived, or never
 // will. Until then they may wait in the link's queue: the end of a call does not recall what the VM has sent.
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -163,6 +163,61 @@
 	is.True(settled.ranges[0].bound.until() <= now+lease*102/100+200*time.Millisecond)
 }
 
+// renewedTogether returns a LeaseManager that has merged two ranges of one owner while the renewal of the lower one is
+// under way, and that renewal.
+func renewedTogether(t *testing.T) (*LeaseManager, Order) {
+	is := is.New(t)
+	const ms = time.Millisecond
+	x, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "z", Address: "z:1"}
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	lm.Propose([]Move{{KeyRange{0, 99}, x}, {KeyRange{100, 199}, x}, {KeyRange{200, LastKey}, z}}, 0)
+	lm.FinishProposal(true)
+	for i, o := range lm.DueOrders(0) {
+		lm.HandleResult(Result{Order: o}, min(time.Duration(1+i*600), 600)*ms)
+	}
+	renewals := lm.DueOrders(1010 * ms)
+	is.Equal(len(renewals), 1)
+	lm.Propose([]Move{{KeyRange{300, 300}, x}}, 1020*ms) // Any write merges neighbours.
+	lm.FinishProposal(true)
+	is.Equal(lm.ranges[0].keys, KeyRange{0, 199})
+	return lm, renewals[0]
+}
+
+// A grant that covers a part of a merged range stayed under way in the rest after another split: that had no owner, or was
+// not renewed, for the rest of the term.
+func TestSplitRangesAreGrantedAfterAMerge(t *testing.T) {
+	high, y := KeyRange{100, 199}, Holder{ID: "y", Address: "y:1"}
+	for name, split := range map[string]func(*LeaseManager){
+		"upper part moved": func(lm *LeaseManager) { lm.Propose([]Move{{high, y}}, 1200*time.Millisecond); lm.FinishProposal(true) },
+		"lower part moved": func(lm *LeaseManager) {
+			lm.Propose([]Move{{KeyRange{0, 99}, y}}, 1200*time.Millisecond)
+			lm.FinishProposal(true)
+		},
+		"hot key": func(lm *LeaseManager) { lm.SetShares(map[Key]int{150: 500}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lm, renewal := renewedTogether(t)
+			split(lm)
+			lm.HandleResult(Result{Order: renewal}, 1400*time.Millisecond)
+			granted := map[Key]int{}
+			for now := 1400 * time.Millisecond; now < 30*time.Second; now += 50 * time.Millisecond {
+				for _, o := range lm.DueOrders(now) {
+					if !o.Release {
+						granted[o.Keys.From]++
+					}
+					lm.HandleResult(Result{Order: o, Handover: "h"}, now+5*time.Millisecond)
+				}
+			}
+			for _, s := range lm.ranges {
+				is.True(s.held)
+				is.Equal(len(s.formerOwners), 0)
+				is.True(granted[s.keys.From] >= 20)
+			}
+		})
+	}
+}
+
 // A superseded assigner renewed a lease at a target that had restarted, with a token below that of its successor.
 func TestNoOrderIsDueWhileThePredecessorActs(t *testing.T) {
 	is := is.New(t)
