shard: Leave a grant pending while its call is under way, though a later one is answered

What callers could see: two targets with the same keys.

Cause: an answered grant ended the bounds of all earlier grants of the range, since the target refuses them from then on. One whose call was still under way, as after a move away and back, could reach a later start of the target, which does not know the token, and nothing counted it.

Change: only grants whose calls have ended are ended by a later answer. With that, no path is known by which the bound of a range rises while a proposal does not list its owner; TestGrantDuringAProposalThatDoesNotListTheOwnerIsHeldBack raises it directly now, and checks in addition what is granted after the proposal.

--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -687,8 +687,8 @@
 			lm.tableOutdated = true
 		}
 		s.held, s.lost, s.failures, s.bound.predecessor = true, false, 0, 0
-		// The target refuses the earlier grants from now on.
-		s.bound.endArrived(now, func(fence uint64) bool { return fence < r.Order.Fence })
+		// The target refuses earlier grants from now on. One that is still under way could reach a later start of it.
+		s.bound.endArrived(now, func(fence uint64) bool { return fence < r.Order.Fence && lm.callEnded(fence) })
 		s.handover = ""
 		s.next = now + lm.opts.RenewInterval
 		if r.Order.LeaseDuration < lm.leaseDuration(now) {
@@ -713,6 +713,11 @@
 	}
 }
 
+// callEnded reports whether the call of a pending grant has ended without an answer.
+func (lm *LeaseManager) callEnded(fence uint64) bool {
+	return slices.ContainsFunc(lm.unanswered, func(u unansweredGrant) bool { return u.fence == fence })
+}
+
 // RenewNow makes the renewals due now of all owners for which the function returns true.
 func (lm *LeaseManager) RenewNow(now time.Duration, which func(Holder) bool) {
 	for _, s := range lm.ranges {
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -71,35 +71,22 @@
 	is.Equal(len(lm.DueOrders(1300*time.Millisecond)), 0)
 }
 
-// The late result of an old grant made the range seem tracked by a proposal that did not list its owner: the next owner was
-// granted the keys without a release.
+// A bound that rose after a proposal was made made the range seem tracked by it, though it did not list the owner: the next
+// owner was granted the keys without a release.
 func TestGrantDuringAProposalThatDoesNotListTheOwnerIsHeldBack(t *testing.T) {
 	is := is.New(t)
-	x, y, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}, Holder{ID: "z", Address: "z:1"}
-	const ms = time.Millisecond
+	x, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "z", Address: "z:1"}
 	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
-	one := func(now time.Duration, to Holder) Order {
-		orders := lm.DueOrders(now)
-		is.Equal(len(orders), 1)
-		is.Equal(orders[0].To, to)
-		return orders[0]
-	}
-	move := func(now time.Duration, to Holder) { lm.Propose([]Move{{AllKeys, to}}, now); lm.FinishProposal(true) }
-	move(0, x)
-	old := one(0, x) // Its result comes late.
-	move(0, y)
-	move(0, x)
-	lm.HandleResult(Result{Order: one(100*ms, x)}, 110*ms)
-	move(200*ms, y)
-	lm.HandleResult(Result{Order: one(200*ms, x)}, 210*ms)
-	lm.HandleResult(Result{Order: one(210*ms, y)}, 220*ms)
-	move(400*ms, x)
-	release := one(400*ms, y)
-	lm.Propose([]Move{{AllKeys, z}}, 700*ms) // Being written.
-	lm.HandleResult(Result{Order: release}, 710*ms)
-	is.Equal(len(lm.DueOrders(720*ms)), 0)
-	lm.HandleResult(Result{Order: old}, 800*ms)
-	is.Equal(len(lm.DueOrders(2000*ms)), 0)
+	lm.Propose([]Move{{AllKeys, x}}, 0)
+	lm.FinishProposal(true)
+	lm.Propose([]Move{{AllKeys, z}}, time.Second) // Being written.
+	is.Equal(len(lm.DueOrders(time.Second)), 0)
+	lm.ranges[0].bound.end(0, 5*time.Second)
+	is.Equal(len(lm.DueOrders(2*time.Second)), 0)
+	lm.FinishProposal(true)
+	orders := lm.DueOrders(2 * time.Second)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].To, z)
 }
 
 // A target that had answered a release and restarted at once took a grant that was under way meanwhile.
@@ -218,6 +205,35 @@
 	}
 }
 
+// An order that was answered late, after the call of a grant had ended, seemed to show that the grant had left the link.
+func TestOnlyCallsAfterTheEndOfAGrantShowItsArrival(t *testing.T) {
+	is := is.New(t)
+	x, y, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}, Holder{ID: "z", Address: "z:1"}
+	const ms = time.Millisecond
+	low, high := KeyRange{0, 99}, KeyRange{100, LastKey}
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	lm.Propose([]Move{{low, x}, {high, y}}, 0)
+	lm.FinishProposal(true)
+	answerOrders(lm, 0, "")
+	lm.Propose([]Move{{low, z}}, 900*ms)
+	lm.FinishProposal(true)
+	release := lm.DueOrders(900 * ms)
+	is.Equal(len(release), 1)
+	renewal := lm.DueOrders(1000 * ms)
+	is.Equal(len(renewal), 1)
+	is.Equal(renewal[0].To, y)
+	lm.HandleResult(Result{Order: renewal[0], Err: os.ErrDeadlineExceeded}, 1800*ms)
+	lm.HandleResult(Result{Order: release[0]}, 1850*ms)
+	is.Equal(lm.ranges[1].bound.until(), unbounded)
+	for _, o := range lm.DueOrders(1900 * ms) {
+		if o.To == z {
+			lm.HandleResult(Result{Order: o}, 1950*ms)
+		}
+	}
+	bound := lm.ranges[1].bound
+	is.Equal(bound.ended, 1950*ms+lm.maxLease(3*time.Second))
+}
+
 // A superseded assigner renewed a lease at a target that had restarted, with a token below that of its successor.
 func TestNoOrderIsDueWhileThePredecessorActs(t *testing.T) {
 	is := is.New(t)
