shard: Count the confirmation of the role from when it is known, and the write of a move as an answered call

Cause: the instant by which a grant had arrived was taken from the begin of the step, before the plan; a confirmation can come after it. And only orders and the confirmation showed that the link is free, not the writes of records, as the design says.

Change: the confirmation counts as of now, and a written or refused record for all services.

Evidence: TestConfirmationDuringAStepCountsFromWhenItIsKnown fails without it, and without the call. TestOnlyCallsAfterTheEndOfAGrantShowItsArrival holds the rule itself: if any answer ended the bound, it fails, while the histories would pass.

--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -326,3 +326,21 @@
 		is.Equal(orders.sent.Load() > 0, written)
 	}
 }
+
+// A confirmation of the role that came while a step planned ended the bound of a grant as of the begin of the step.
+func TestConfirmationDuringAStepCountsFromWhenItIsKnown(t *testing.T) {
+	is := is.New(t)
+	agent := NewAgent(AgentOptions{VM: "a", Store: memstore.New(memstore.Options{}), Orders: &countedOrders{}})
+	began := boottime.Now() - 399*time.Millisecond
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, began, began)
+	lm.Propose([]Move{{AllKeys, Holder{ID: "t", Address: "t:1"}}}, began-time.Second)
+	lm.FinishProposal(true)
+	grant := lm.DueOrders(began - time.Second)
+	is.Equal(len(grant), 1)
+	lm.HandleResult(Result{Order: grant[0], Err: context.DeadlineExceeded}, began-200*time.Millisecond)
+	confirmed := boottime.Now()
+	a := newAssigner(t.Context(), agent, 1, confirmed, predecessor{})
+	a.services["s"] = &serviceState{name: "s", leases: lm, load: NewLoad(loadTimeConstant), written: true, nextPlan: began + time.Hour}
+	a.act(t.Context(), began)
+	is.True(lm.ranges[0].bound.ended >= confirmed+lm.maxLease(3*time.Second))
+}
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -135,6 +135,8 @@
 	service string
 	version store.Version
 	err     error
+	// began is the instant at which the write began.
+	began time.Duration
 }
 
 // follower is a VM that follows this assigner.
@@ -388,9 +390,10 @@
 		// The write continues until its outcome is known, even if the assigner has stopped.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Minute)
 		defer cancel()
+		began := boottime.Now()
 		version, err := a.write(ctx, s.name, r, version)
 		select {
-		case a.saves <- saveResult{s.name, version, err}:
+		case a.saves <- saveResult{s.name, version, err, began}:
 		case <-a.done:
 		}
 	}(s.version)
@@ -411,6 +414,11 @@
 
 // handleSaved records the result of save. After a conflict, another VM is the assigner.
 func (a *assigner) handleSaved(r saveResult) {
+	if r.err == nil || errors.Is(r.err, store.ErrConflict) {
+		for _, s := range a.services {
+			s.leases.ConfirmDelivery(r.began, boottime.Now())
+		}
+	}
 	s := a.services[r.service]
 	s.saving = false
 	if s.leases.ProposalPending() {
@@ -452,7 +460,7 @@
 			timed(&a.activity.longestPlan, func() { a.plan(ctx, s, now) })
 		}
 		s.leases.SetStoreOutage(outage, now)
-		s.leases.ConfirmDelivery(time.Duration(a.confirmedAt.Load()), now)
+		s.leases.ConfirmDelivery(time.Duration(a.confirmedAt.Load()), boottime.Now())
 		if a.maySendOrders(now) {
 			for _, o := range s.dueOrders(now) {
 				if !o.Release {
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -143,11 +143,46 @@
 	is := is.New(t)
 	holder := Holder{ID: "t", Address: "a", Born: 1}
 	record := &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{{Keys: AllKeys, Owner: holder}}}
-	const now, callsEnd, lease = time.Second, 4 * time.Second, 9 * time.Second
-	silent := NewLeaseManager(LeaseOptions{LongLeaseDuration: lease}, 2, record, now, callsEnd)
-	is.True(silent.ranges[0].bound.until() >= callsEnd+2*time.Second+lease*102/100)
-	settled := NewLeaseManager(LeaseOptions{LongLeaseDuration: lease}, 2, record, now, now)
-	is.True(settled.ranges[0].bound.until() <= now+lease*102/100+200*time.Millisecond)
+	const callsEnd, lease = 4 * time.Second, 9 * time.Second
+	for _, read := range []time.Duration{time.Second, callsEnd - 1, callsEnd, callsEnd + 100*time.Millisecond, callsEnd + time.Second} {
+		lm := NewLeaseManager(LeaseOptions{LongLeaseDuration: lease}, 2, record, read, callsEnd)
+		lm.AllowLateOrders()
+		is.True(lm.ranges[0].bound.until() >= callsEnd+2*time.Second+lease*102/100)
+		// What shows that the predecessor has stopped came behind its orders.
+		if stopped := callsEnd - 500*time.Millisecond; read < stopped {
+			lm.LimitPredecessor(stopped)
+			is.Equal(lm.ranges[0].bound.until(), stopped+lm.maxLease(lease))
+		}
+	}
+}
+
+// An order that was answered late, after the call of a grant had ended, seemed to show that the grant had left the link.
+func TestOnlyCallsAfterTheEndOfAGrantShowItsArrival(t *testing.T) {
+	is := is.New(t)
+	x, y, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}, Holder{ID: "z", Address: "z:1"}
+	const ms = time.Millisecond
+	low, high := KeyRange{0, 99}, KeyRange{100, LastKey}
+	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+	lm.Propose([]Move{{low, x}, {high, y}}, 0)
+	lm.FinishProposal(true)
+	answerOrders(lm, 0, "")
+	lm.Propose([]Move{{low, z}}, 900*ms)
+	lm.FinishProposal(true)
+	release := lm.DueOrders(900 * ms)
+	is.Equal(len(release), 1)
+	renewal := lm.DueOrders(1000 * ms)
+	is.Equal(len(renewal), 1)
+	is.Equal(renewal[0].To, y)
+	lm.HandleResult(Result{Order: renewal[0], Err: os.ErrDeadlineExceeded}, 1800*ms)
+	lm.HandleResult(Result{Order: release[0]}, 1850*ms)
+	is.Equal(lm.ranges[1].bound.until(), unbounded)
+	for _, o := range lm.DueOrders(1900 * ms) {
+		if o.To == z {
+			lm.HandleResult(Result{Order: o}, 1950*ms)
+		}
+	}
+	bound := lm.ranges[1].bound
+	is.Equal(bound.ended, 1950*ms+lm.maxLease(3*time.Second))
 }
 
 // renewedTogether returns a LeaseManager that has merged two ranges of one owner while the renewal of the lower one is
@@ -205,35 +240,6 @@
 	}
 }
 
-// An order that was answered late, after the call of a grant had ended, seemed to show that the grant had left the link.
-func TestOnlyCallsAfterTheEndOfAGrantShowItsArrival(t *testing.T) {
-	is := is.New(t)
-	x, y, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}, Holder{ID: "z", Address: "z:1"}
-	const ms = time.Millisecond
-	low, high := KeyRange{0, 99}, KeyRange{100, LastKey}
-	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
-	lm.Propose([]Move{{low, x}, {high, y}}, 0)
-	lm.FinishProposal(true)
-	answerOrders(lm, 0, "")
-	lm.Propose([]Move{{low, z}}, 900*ms)
-	lm.FinishProposal(true)
-	release := lm.DueOrders(900 * ms)
-	is.Equal(len(release), 1)
-	renewal := lm.DueOrders(1000 * ms)
-	is.Equal(len(renewal), 1)
-	is.Equal(renewal[0].To, y)
-	lm.HandleResult(Result{Order: renewal[0], Err: os.ErrDeadlineExceeded}, 1800*ms)
-	lm.HandleResult(Result{Order: release[0]}, 1850*ms)
-	is.Equal(lm.ranges[1].bound.until(), unbounded)
-	for _, o := range lm.DueOrders(1900 * ms) {
-		if o.To == z {
-			lm.HandleResult(Result{Order: o}, 1950*ms)
-		}
-	}
-	bound := lm.ranges[1].bound
-	is.Equal(bound.ended, 1950*ms+lm.maxLease(3*time.Second))
-}
-
 // A superseded assigner renewed a lease at a target that had restarted, with a token below that of its successor.
 func TestNoOrderIsDueWhileThePredecessorActs(t *testing.T) {
 	is := is.New(t)
