shard: Tell a silent predecessor by its sign, not by when its record is read

Cause: the 2 s for orders in the link of a silent predecessor were left out if its bound had passed before the record was read, as happens to VMs that wait 0.8 s before they take over. After a testimony they were counted, though the report comes behind the orders on the same link. And the orders of an earlier start of the same process were counted as of before the write of the role, behind which they leave.

Change: the predecessor says whether it was seen to stop; a testimony ends the addition; a settled one counts until the role is written.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -492,7 +492,7 @@
 // it resigns or the context ends.
 func (a *Agent) takeOver(ctx context.Context, old role, version store.Version, v vacancy) {
 	start := boottime.Now()
-	// A later start of a process finds none of its orders in flight: their connections were reset with its end.
+	// The orders of an earlier start of this process may still wait in the link, before the write of the role.
 	settled := v.sign == evidence.Testimony || v.sign == evidence.Resignation && old.Settled
 	p := newPredecessor(old, v.actsUntil, a.opts.Leases.OrderTimeout, settled, start)
 	r := role{VM: a.opts.VM, Incarnation: a.incarnation, Address: a.opts.Address, Term: old.Term + 1}
@@ -503,6 +503,9 @@
 		pause(ctx, mathrand.N(searchInterval))
 		return
 	}
+	if settled {
+		p.until = max(p.until, boottime.Now())
+	}
 	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "reason", v.reason, "sign", v.sign.String(),
 		"orders_in_ms", max(p.until-boottime.Now(), 0).Milliseconds())
 	active := newAssigner(ctx, a, r.Term, start, p)
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -377,6 +377,9 @@
 	}
 	s.version = obj.Version
 	s.leases = NewLeaseManager(a.agent.opts.Leases, a.term, record, boottime.Now(), a.predecessor.until)
+	if a.predecessor.silent {
+		s.leases.AllowLateOrders()
+	}
 	a.save(ctx, s, s.leases.Record())
 	a.agent.opts.Logger.Info("took over the ranges of a service", "service", s.name, "ranges", len(s.leases.OwnedRanges()))
 	return nil
--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -186,6 +186,7 @@
 	lm := NewLeaseManager(LeaseOptions{
 		LeaseDuration: 2 * time.Second, OrderTimeout: simOrderTimeout, ReleaseTimeout: 600 * time.Millisecond,
 	}, w.term, w.record, w.now, p.until)
+	lm.AllowLateOrders()
 	w.version++
 	w.record = lm.Record()
 	w.logf("term %d begins", w.term)
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -26,8 +26,8 @@
 	// Margin is added to the longest time that a lease may last, for an order's transit
 	// time and for rounding. Default 200 ms.
 	Margin time.Duration
-	// LinkWait is how long the orders of a previous assigner that has not been seen to stop may wait in the link of its VM,
-	// beyond their timeouts. Default 2 s.
+	// LinkWait is how long the orders of a silent assigner may wait in the link of its VM after their calls have ended.
+	// Default 2 s.
 	LinkWait time.Duration
 	// OrderTimeout is the time limit of a grant. Default 800 ms. ReleaseTimeout is the time
 	// limit of a release, which waits for running work. Default 2 s.
@@ -159,7 +159,7 @@
 	// storeOutage is set while the store does not confirm the assigner's role.
 	storeOutage bool
 	// predecessorUntil is the last instant at which calls of the previous assigner's orders may be under way, and
-	// predecessorLinkWait how much later these may arrive.
+	// predecessorLinkWait how much later the orders may arrive.
 	predecessorUntil, predecessorLinkWait time.Duration
 	// unanswered are the grants whose calls have ended without an answer, and which may still be on their way.
 	unanswered []unansweredGrant
@@ -185,9 +185,6 @@
 	if r != nil {
 		lm.nextFence = r.NextFence
 		lm.predecessorUntil = max(predecessorUntil, now)
-		if predecessorUntil > now {
-			lm.predecessorLinkWait = lm.opts.LinkWait
-		}
 		predecessorBound := lm.predecessorBound()
 		for _, rr := range r.Ranges {
 			s := &rangeState{keys: rr.Keys, owner: rr.Owner, bound: leaseBound{predecessor: predecessorBound}, since: now}
@@ -207,12 +204,25 @@
 	return lm.predecessorUntil + lm.predecessorLinkWait + lm.maxLease(lm.opts.LongLeaseDuration)
 }
 
-// LimitPredecessor records that the previous assigner sends no order that arrives after the instant.
+// AllowLateOrders adds LinkWait to the bounds of the leases of the previous assigner. It is called before the first order if
+// that assigner has not been seen to stop.
+func (lm *LeaseManager) AllowLateOrders() {
+	lm.predecessorLinkWait = lm.opts.LinkWait
+	for _, s := range lm.ranges {
+		s.bound.predecessor = lm.predecessorBound()
+		for _, f := range s.formerOwners {
+			f.bound.predecessor = lm.predecessorBound()
+		}
+	}
+}
+
+// LimitPredecessor records that the previous assigner sends no order that arrives after the instant: what showed that it has
+// stopped came behind its orders on its link.
 func (lm *LeaseManager) LimitPredecessor(until time.Duration) {
 	if until >= lm.predecessorUntil {
 		return
 	}
-	lm.predecessorUntil = until
+	lm.predecessorUntil, lm.predecessorLinkWait = until, 0
 	bound := lm.predecessorBound()
 	for _, ranges := range [][]*rangeState{lm.ranges, lm.proposed} {
 		for _, s := range ranges {
--- a/shard/predecessor.go
+++ b/shard/predecessor.go
@@ -16,6 +16,9 @@
 	until time.Duration
 	// earlierUntil is the same for the assigners before the predecessor.
 	earlierUntil time.Duration
+	// silent is set unless all these assigners were seen to stop. Their orders may wait in the links of their VMs until
+	// later.
+	silent bool
 }
 
 // newPredecessor returns the predecessor that wrote the role r. It may act until the instant. Unless it has
@@ -25,7 +28,9 @@
 		orderTimeout = 0
 	}
 	earlier := now + time.Duration(r.EarlierActsForMs)*time.Millisecond
-	return predecessor{vm: r.VM, term: r.Term, until: max(actsUntil+orderTimeout, earlier), earlierUntil: earlier}
+	return predecessor{
+		vm: r.VM, term: r.Term, until: max(actsUntil+orderTimeout, earlier), earlierUntil: earlier, silent: !settled || earlier > now,
+	}
 }
 
 // testifies reports whether the report shows that the predecessor no longer acts: its VM reports to
