shard: Serve as many new followers a tick as the link allowance permits

What callers could see: VMs that use tables of the former term for up to 7.3 s after a take-over (measured in review: 294 followers, 989 ranges).

Cause: after the first message of a tick the allowance was used up, so that one follower got its tables each 25 ms.

Change: what a tick may use is taken ahead, for states of all targets what an update may use. Followers that have left take no turn.

Evidence: TestNewFollowersDoNotFillTheLink asks that all have their tables after 2 s; without the change it fails. The rate stays bounded as before.

--- a/shard/followers.go
+++ b/shard/followers.go
@@ -90,7 +90,7 @@
 func (a *assigner) sendTablesLocked(now time.Duration, atLeast int) {
 	var tables []*pb.RangeTable
 	size := 0
-	for ; len(a.behind) > 0 && (atLeast > 0 || a.allowance.free(now)); atLeast-- {
+	for len(a.behind) > 0 && (atLeast > 0 || a.allowance.free(now+assignerTick)) {
 		f := a.behind[0]
 		a.behind = a.behind[1:]
 		if _, ok := a.followers[f]; !ok {
@@ -102,6 +102,7 @@
 				size += proto.Size(tables[len(tables)-1])
 			}
 		}
+		atLeast--
 		f.behind = false
 		u := a.updateLocked()
 		u.Tables = tables
@@ -247,7 +248,7 @@
 	for f := range a.followers {
 		u := proto.Clone(common).(*pb.ShardUpdate)
 		u.Targets, u.Vms = targets, vms
-		if !f.targetsSent && (newFollowers < statesPerUpdate || a.allowance.free(now)) {
+		if !f.targetsSent && (newFollowers < statesPerUpdate || a.allowance.free(now+updateInterval)) {
 			f.targetsSent = true
 			newFollowers++
 			if allTargets == nil {
--- a/shard/linkallowance_test.go
+++ b/shard/linkallowance_test.go
@@ -82,6 +82,9 @@
 				}
 			}
 		}
+		if at == now+2*time.Second {
+			is.Equal(len(tables), len(followers)) // They use the tables of the former term until then.
+		}
 		if step%40 == 39 {
 			is.True(8*inSecond <= int(1.2*bulkLinkShare*200e6))
 			inSecond = 0
