--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -71,8 +71,7 @@
 	is.Equal(len(lm.DueOrders(1300*time.Millisecond)), 0)
 }
 
-// A bound that rose after a proposal was made made the range seem tracked by it, though it did not list the owner: the next
-// owner was granted the keys without a release.
+// A range seemed tracked by a proposal that did not list its owner, and the next owner got the keys without a release.
 func TestGrantDuringAProposalThatDoesNotListTheOwnerIsHeldBack(t *testing.T) {
 	is := is.New(t)
 	x, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "z", Address: "z:1"}
@@ -115,8 +114,7 @@
 	is.Equal(next[0].Handover, "h")
 }
 
-// An assigner whose link was filled took this for an outage of the store, and its long leases arrived when its successor
-// counted them as ended.
+// An assigner took its filled link for an outage of the store, and its long leases outlasted what its successor counted.
 func TestLongLeasesAreNotSentThroughAFilledLink(t *testing.T) {
 	is := is.New(t)
 	lm := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
@@ -205,8 +203,7 @@
 	return lm, renewals[0]
 }
 
-// A grant that covers a part of a merged range stayed under way in the rest after another split: that had no owner, or was
-// not renewed, for the rest of the term.
+// After a merge and a split, the part that a grant did not cover had no owner, or was not renewed, for the rest of the term.
 func TestSplitRangesAreGrantedAfterAMerge(t *testing.T) {
 	high, y := KeyRange{100, 199}, Holder{ID: "y", Address: "y:1"}
 	for name, split := range map[string]func(*LeaseManager){
--- a/shard/linkallowance_test.go
+++ b/shard/linkallowance_test.go
@@ -56,8 +56,7 @@
 	return t
 }
 
-// After a take-over all VMs once got all tables at the same time, behind which orders waited in the link for longer than
-// their timeouts.
+// After a take-over all VMs got all tables at once, behind which orders waited in the link for longer than their timeouts.
 func TestNewFollowersDoNotFillTheLink(t *testing.T) {
 	is := is.New(t)
 	now := boottime.Now()
