--- a/shard/assigneractivity.go
+++ b/shard/assigneractivity.go
@@ -19,7 +19,7 @@
 	// longestStep, longestPlan and longestTable are the longest times that a step of run, a plan and the
 	// publication of a table took.
 	longestStep, longestPlan, longestTable time.Duration
-	grants, releases, unanswered, notSent  int
+	grants, releases, failed, notSent      int
 	// longestWait is the longest time from when an order was due until its call began, longestCall the longest
 	// call, and longestResultWait the longest time from the end of a call until its result was recorded.
 	longestWait, longestCall, longestResultWait time.Duration
@@ -41,7 +41,7 @@
 		s.grants++
 	}
 	if r.Err != nil {
-		s.unanswered++
+		s.failed++
 	}
 	s.longestWait = max(s.longestWait, r.Sent-r.Order.DueAt)
 	s.longestCall = max(s.longestCall, r.Ended-r.Sent)
@@ -62,7 +62,7 @@
 		"processor_ms", (processorTime() - s.processorAtStart).Milliseconds(), "vms", a.vmCount(), "ranges", ranges,
 		"steps", s.steps, "reports", s.reports, "tables", s.tables, "table_bytes", s.tableBytes, "longest_step_ms", s.longestStep.Milliseconds(),
 		"longest_plan_ms", s.longestPlan.Milliseconds(), "longest_table_ms", s.longestTable.Milliseconds(),
-		"grants", s.grants, "releases", s.releases, "failed", s.unanswered, "not_sent", s.notSent,
+		"grants", s.grants, "releases", s.releases, "failed", s.failed, "not_sent", s.notSent,
 		"longest_wait_ms", s.longestWait.Milliseconds(), "longest_call_ms", s.longestCall.Milliseconds(),
 		"longest_result_wait_ms", s.longestResultWait.Milliseconds(), "confirmed_ms_ago", a.confirmedAgo().Milliseconds())
 	*s = newAssignerActivity(now)
