--- a/shard/predecessor.go
+++ b/shard/predecessor.go
@@ -12,7 +12,7 @@
 type predecessor struct {
 	vm   string
 	term uint64
-	// until is the last instant at which orders of any earlier assigner may be in flight.
+	// until is the last instant at which calls of orders of any earlier assigner may be under way.
 	until time.Duration
 	// earlierUntil is the same for the assigners before the predecessor.
 	earlierUntil time.Duration
