store: Give versions an era, and let memstore come back from an older copy

A version now has the era in its upper bits, so that versions only rise; stores that state no era keep the versions that they had.

--- a/store/memstore/memstore.go
+++ b/store/memstore/memstore.go
@@ -22,6 +22,8 @@
 type Options struct {
 	// History is the number of past events kept for watches. Default DefaultHistory.
 	History int
+	// Era is the era in which the Store begins.
+	Era store.Era
 }
 
 // Store is an object store in memory. It implements store.Store and store.VMLister.
@@ -51,7 +53,8 @@
 		opts.History = DefaultHistory
 	}
 	return &Store{
-		history: opts.History,
+		history:  opts.History,
+		revision: store.NewVersion(opts.Era, 0), compacted: store.NewVersion(opts.Era, 0),
 		objects: make(map[string]store.Object),
 		changed: make(chan struct{}),
 	}
@@ -219,14 +222,34 @@
 	s.wake()
 }
 
-// checkVersion returns ErrConflict if the object's version is not the expected one. s.mu
-// must be held.
+// StepBack makes the store come back from an older copy: it is restored, its era rises, and the revisions since the copy are
+// given out again.
+func (s *Store) StepBack(older Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.revision.Era() + 1
+	s.objects = copyObjects(older.objects)
+	for key, obj := range s.objects {
+		obj.Version = store.NewVersion(era, obj.Version.Revision())
+		s.objects[key] = obj
+	}
+	s.revision = store.NewVersion(era, older.revision.Revision())
+	s.events = nil
+	s.compacted = s.revision
+	s.wake()
+}
+
+// checkVersion returns ErrConflict if the object's version is not the expected one, and ErrSteppedBack if that is of another
+// era. s.mu must be held.
 func (s *Store) checkVersion(key string, expected store.Version) error {
+	if expected != 0 && expected.Era() != s.revision.Era() {
+		return errors.Wrapf(store.ErrSteppedBack, "%s: expected version %s", key, expected)
+	}
 	current := s.objects[key].Version
-	if current == expected {
+	if current == expected || current == 0 && expected.Revision() == 0 {
 		return nil
 	}
-	return errors.Wrapf(store.ErrConflict, "%s: version is %d, expected %d", key, current, expected)
+	return errors.Wrapf(store.ErrConflict, "%s: version is %s, expected %s", key, current, expected)
 }
 
 // record appends an event, advances the revision and wakes the watches. s.mu must be held.
@@ -252,7 +275,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after < s.compacted || after > s.revision {
-		return nil, nil, errors.Wrapf(store.ErrCompacted, "watch after revision %d", after)
+		return nil, nil, errors.Wrapf(store.ErrCompacted, "watch after revision %s", after)
 	}
 	start, _ := slices.BinarySearchFunc(s.events, after+1, func(e store.Event, v store.Version) int {
 		return int(e.Version) - int(v)
--- a/store/store.go
+++ b/store/store.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,10 +15,45 @@
 // MaxValueBytes is the largest value that the object API accepts.
 const MaxValueBytes = 1 << 20
 
-// Version is the store-wide revision at which an object was last written.
-// Versions increase with each write. Zero means that the object does not exist.
+// Version is the store-wide revision at which an object was last written, in an era of the store. Versions increase
+// with each write, also across eras. A version with the revision zero means that the object does not exist.
 type Version uint64
 
+// Era counts how often the store has come back from an older copy. Revisions of an earlier era are given out again, and
+// what was written since the copy is gone. It is zero for a store that does not state its era.
+type Era uint16
+
+// revisionBits is the number of bits of a Version that hold the revision. The higher bits hold the era, so that versions of a
+// later era are larger.
+const revisionBits = 48
+
+// NewVersion returns the version of a revision, which must be less than 1<<48, in an era.
+func NewVersion(era Era, revision uint64) Version {
+	return Version(era)<<revisionBits | Version(revision)
+}
+
+// Era returns the era in which the version was given out.
+func (v Version) Era() Era { return Era(v >> revisionBits) }
+
+// Revision returns the store's revision, which is unique within the era only.
+func (v Version) Revision() uint64 { return uint64(v) & (1<<revisionBits - 1) }
+
+// String returns the revision, after the era and a slash if there is one.
+func (v Version) String() string {
+	if v.Era() == 0 {
+		return strconv.FormatUint(v.Revision(), 10)
+	}
+	return strconv.FormatUint(uint64(v.Era()), 10) + "/" + strconv.FormatUint(v.Revision(), 10)
+}
+
+// LogValue implements slog.LogValuer.
+func (v Version) LogValue() slog.Value {
+	if v.Era() == 0 {
+		return slog.Uint64Value(v.Revision())
+	}
+	return slog.StringValue(v.String())
+}
+
 // Object is a value with its key and version.
 type Object struct {
 	Key     string
@@ -44,6 +81,9 @@
 	// ErrCompacted reports that the store no longer has all changes after the version. The
 	// objects must be listed again.
 	ErrCompacted = errors.New("store: version was compacted")
+	// ErrSteppedBack reports a write whose expected version is of an earlier era than the store, or whose answer is. The
+	// write may have been done, and may be lost. The object must be read again.
+	ErrSteppedBack = errors.New("store: the store has come back from an older copy")
 	// ErrTooLarge reports a value over MaxValueBytes.
 	ErrTooLarge = errors.New("store: value is too large")
 )
@@ -55,9 +95,9 @@
 	// List returns the objects whose keys have the prefix, in key order, and
 	// the revision of the store that the list reflects.
 	List(ctx context.Context, prefix string) ([]Object, Version, error)
-	// Put writes a value if the object's version equals expected. An expected version of
-	// zero creates the object. Put returns the new version, or ErrConflict, ErrTooLarge,
-	// ErrUnavailable or ErrUnknown.
+	// Put writes a value if the object's version equals expected. An expected version with the
+	// revision zero creates the object; if it has an era, only in that one. Put returns the new version, or ErrConflict,
+	// ErrTooLarge, ErrUnavailable, ErrUnknown or ErrSteppedBack.
 	Put(ctx context.Context, key string, value []byte, expected Version) (Version, error)
 	// Delete removes an object if its version equals expected.
 	Delete(ctx context.Context, key string, expected Version) error
