shard: Log which role and records an assigner takes over, and which role it finds after a conflict

The users' record can't tell a store that comes back from an older copy from a predecessor that was counted wrong: no line names the term, the tokens and the revision that a take-over starts from, nor the role that an assigner finds when its confirmation conflicts. Each take-over, each service that is taken over and each conflict now state them. go test -short ./shard (tests of roles) passes.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -506,8 +506,8 @@
 	if settled {
 		p.until = max(p.until, boottime.Now())
 	}
-	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "reason", v.reason, "sign", v.sign.String(),
-		"orders_in_ms", max(p.until-boottime.Now(), 0).Milliseconds())
+	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "its_term", old.Term, "revision", version,
+		"reason", v.reason, "sign", v.sign.String(), "orders_in_ms", max(p.until-boottime.Now(), 0).Milliseconds())
 	active := newAssigner(ctx, a, r.Term, start, p)
 	a.mu.Lock()
 	a.active, a.following = active, ""
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -315,6 +315,7 @@
 			// A slow write confirms the role as of its start, so the next one comes sooner.
 			interval = max(a.agent.opts.RoleLease/3-(boottime.Now()-start), 0)
 		case errors.Is(err, store.ErrConflict):
+			a.logConflict(ctx, version)
 			a.stop(errSuperseded)
 			return
 		default:
@@ -325,6 +326,17 @@
 	}
 }
 
+// logConflict logs which role is in the store in place of the one that this VM confirmed last, at the revision confirmed.
+func (a *assigner) logConflict(ctx context.Context, confirmed store.Version) {
+	found, version, err := readRole(ctx, a.agent.opts.Store)
+	if err != nil {
+		a.agent.opts.Logger.Warn("the role in the store has changed and could not be read", "term", a.term, "revision", confirmed, "error", err.Error())
+		return
+	}
+	a.agent.opts.Logger.Warn("the role in the store has changed", "term", a.term, "revision", confirmed, "found_vm", found.VM, "found_term", found.Term,
+		"found_beat", found.Beat, "found_revision", version)
+}
+
 // releaseRole gives the role up in the store, unless another VM has it already.
 func (a *assigner) releaseRole(ctx context.Context, version store.Version) {
 	if errors.Is(context.Cause(ctx), errSuperseded) {
@@ -381,7 +393,11 @@
 		s.leases.AllowLateOrders()
 	}
 	a.save(ctx, s, s.leases.Record())
-	a.agent.opts.Logger.Info("took over the ranges of a service", "service", s.name, "ranges", len(s.leases.OwnedRanges()))
+	attrs := []any{"service", s.name, "ranges", len(s.leases.OwnedRanges()), "revision", s.version}
+	if record != nil {
+		attrs = append(attrs, "its_term", record.Term, "next_fence", record.NextFence)
+	}
+	a.agent.opts.Logger.Info("took over the ranges of a service", attrs...)
 	return nil
 }
 
