shard: Let a LeaseManager distrust a record from an older copy of the store

What callers saw: two targets ran requests for the same keys. Cause: a successor takes the owners, the reserved tokens and the term from the record in the store; when the store comes back from an older copy, all of them go back.

A record states the era up to which its owners are known. DistrustRecord makes the LeaseManager grant nothing until every target that may hold keys has confirmed a release of all keys, or can hold none by an order of an earlier assigner; until then records keep the earlier era, so that a further successor distrusts them too. The first token of a term counts one reserve for each term since the record's, also for terms that were lost.

--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/basiltally/basiltally/store"
 )
 
 // LeaseOptions configures a LeaseManager. Instants are on a clock that does not stop
@@ -161,6 +163,13 @@
 	// predecessorUntil is the last instant at which calls of the previous assigner's orders may be under way, and
 	// predecessorLinkWait how much later the orders may arrive.
 	predecessorUntil, predecessorLinkWait time.Duration
+	// era is the present era of the store, and recordEra the one up to which the owners in the record are known.
+	era, recordEra store.Era
+	// distrusted are the targets that may hold any key, because the record came from an older copy of the store. While there are
+	// any, nothing is granted.
+	distrusted []*formerOwner
+	// unknownHolders is set while further targets, which are not known, may hold any key by an order of an earlier assigner.
+	unknownHolders bool
 	// unanswered are the grants whose calls have ended without an answer, and which may still be on their way.
 	unanswered []unansweredGrant
 }
@@ -175,15 +184,26 @@
 // used, the next write is due; the other half is enough for the renewals during any outage of the store.
 const fenceReserve = 1 << 20
 
+// firstFence returns the first fencing token of a term, given the term and the next token of the record. Each term since has reserved
+// tokens, also if its record was lost with an earlier era of the store.
+func firstFence(term, recordTerm, nextFence uint64) uint64 {
+	if term <= recordTerm {
+		return nextFence
+	}
+	return nextFence + (term-recordTerm-1)*fenceReserve
+}
+
 // NewLeaseManager returns a LeaseManager that takes over the record at the instant now.
 // A nil record holds no ranges. The previous assigner may send orders until the instant
 // predecessorUntil. Until then no order is due: a target that restarts would accept an order of the
 // previous assigner, whose tokens are lower, after one of this LeaseManager. Before the first order,
 // the record that Record returns must be written to the store, because it reserves the fencing tokens.
 func NewLeaseManager(opts LeaseOptions, term uint64, r *Record, now, predecessorUntil time.Duration) *LeaseManager {
-	lm := &LeaseManager{opts: opts.withDefaults(), term: term, nextFence: 1, tableOutdated: true}
-	if r != nil {
-		lm.nextFence = r.NextFence
+	lm := &LeaseManager{opts: opts.withDefaults(), term: term, tableOutdated: true}
+	if r == nil {
+		lm.nextFence = firstFence(term, 0, 1)
+	} else {
+		lm.nextFence = firstFence(term, r.Term, r.NextFence)
 		lm.predecessorUntil = max(predecessorUntil, now)
 		predecessorBound := lm.predecessorBound()
 		for _, rr := range r.Ranges {
@@ -204,6 +224,70 @@
 	return lm.predecessorUntil + lm.predecessorLinkWait + lm.maxLease(lm.opts.LongLeaseDuration)
 }
 
+// BeginEra makes later records and tables those of a term and an era of the store. The next table is due.
+func (lm *LeaseManager) BeginEra(term uint64, era store.Era) {
+	lm.term, lm.era = term, era
+	if !lm.isClearing() {
+		lm.recordEra = era
+	}
+	lm.tableOutdated, lm.recordOutdated = true, true
+}
+
+// DistrustRecord is called after BeginEra and before the first order if the record comes from an older copy of the store, of the
+// given era: since then, keys may have got other owners. Nothing is granted until each of the targets has confirmed to have
+// released all keys, or can hold none by an order of an earlier assigner. If there may be other targets that hold keys, that
+// time is waited out. Until then, records are made as of the earlier era.
+func (lm *LeaseManager) DistrustRecord(holders []Holder, complete bool, of store.Era) {
+	lm.unknownHolders, lm.recordEra = !complete, of
+	for _, h := range holders {
+		lm.distrusted = append(lm.distrusted, &formerOwner{holder: h})
+	}
+	for _, s := range lm.ranges {
+		s.formerOwners = nil // They are among the holders.
+	}
+}
+
+// isClearing reports whether targets may hold any key because of DistrustRecord.
+func (lm *LeaseManager) isClearing() bool { return len(lm.distrusted) > 0 || lm.unknownHolders }
+
+// clear returns the releases that are due of the targets that may hold any key. It returns false if there are none any more.
+func (lm *LeaseManager) clear(now time.Duration) (orders []Order, active bool) {
+	if now > lm.predecessorBound() {
+		lm.distrusted, lm.unknownHolders = nil, false
+	}
+	if !lm.isClearing() {
+		if lm.recordEra != lm.era {
+			lm.recordEra, lm.recordOutdated = lm.era, true
+		}
+		return nil, false
+	}
+	for _, f := range lm.distrusted {
+		if o, ok := lm.release(f, AllKeys, now); ok {
+			orders = append(orders, o)
+		}
+	}
+	return orders, true
+}
+
+// finishClearing records the result of the release of all keys by a target. It may own ranges again, with the state that it handed over.
+func (lm *LeaseManager) finishClearing(r Result, now time.Duration) {
+	i := slices.IndexFunc(lm.distrusted, func(f *formerOwner) bool { return sameTarget(f.holder, r.Order.To) })
+	if i < 0 {
+		return
+	}
+	f := lm.distrusted[i]
+	f.inFlight, f.next = false, now+lm.opts.RetryPause
+	if r.Err != nil || r.Order.Keys != AllKeys {
+		return
+	}
+	lm.distrusted = slices.Delete(lm.distrusted, i, i+1)
+	for _, s := range lm.ranges {
+		if sameTarget(s.owner, f.holder) {
+			s.handover, s.bound.predecessor = r.Handover, 0
+		}
+	}
+}
+
 // AllowLateOrders adds LinkWait to the bounds of the leases of the previous assigner. It is called before the first order if
 // that assigner has not been seen to stop.
 func (lm *LeaseManager) AllowLateOrders() {
@@ -264,7 +348,7 @@
 func (lm *LeaseManager) RecordOutdated() bool { return lm.recordOutdated }
 
 func (lm *LeaseManager) record(ranges []*rangeState, reserved uint64) *Record {
-	r := &Record{Term: lm.term, NextFence: reserved}
+	r := &Record{Term: lm.term, NextFence: reserved, Era: lm.recordEra}
 	for _, s := range ranges {
 		rr := RangeRecord{Keys: s.keys, Owner: s.owner}
 		for _, f := range s.formerOwners {
@@ -447,7 +531,10 @@
 	if lm.PredecessorActs(now) {
 		return nil
 	}
-	var orders []Order
+	orders, active := lm.clear(now)
+	if active {
+		return orders
+	}
 	for _, s := range lm.ranges {
 		orders = append(orders, lm.releases(s, now)...)
 		if len(s.formerOwners) == 0 {
@@ -469,15 +556,22 @@
 	}
 	var orders []Order
 	for _, f := range s.formerOwners {
-		if f.inFlight || now < f.next || lm.fencesExhausted() {
-			continue
+		if o, ok := lm.release(f, s.keys, now); ok {
+			orders = append(orders, o)
 		}
-		f.inFlight = true
-		orders = append(orders, Order{To: f.holder, Keys: s.keys, Fence: lm.newFence(), Release: true, Timeout: lm.opts.ReleaseTimeout, DueAt: now})
 	}
 	return orders
 }
 
+// release returns the release of the keys that is due of a former owner, or false if none is.
+func (lm *LeaseManager) release(f *formerOwner, keys KeyRange, now time.Duration) (Order, bool) {
+	if f.inFlight || now < f.next || lm.fencesExhausted() {
+		return Order{}, false
+	}
+	f.inFlight = true
+	return Order{To: f.holder, Keys: keys, Fence: lm.newFence(), Release: true, Timeout: lm.opts.ReleaseTimeout, DueAt: now}, true
+}
+
 // grant returns the grant that is due for a range, or false if none is.
 func (lm *LeaseManager) grant(s *rangeState, now time.Duration) (Order, bool) {
 	if s.inFlight || now < s.next || s.lost || lm.grantUntracked(s) || lm.fencesExhausted() {
@@ -573,6 +667,9 @@
 	} else if !r.Order.Release && !errors.Is(r.Err, ErrNotDone) {
 		lm.unanswered = append(lm.unanswered, unansweredGrant{r.Order.Fence, now})
 	}
+	if r.Order.Release {
+		lm.finishClearing(r, now)
+	}
 	for _, ranges := range [][]*rangeState{lm.ranges, lm.proposed} {
 		for _, s := range ranges {
 			if !s.keys.Overlaps(r.Order.Keys) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/basiltally/basiltally/store"
 )
 
 // Key is a key that callers send.
@@ -94,6 +96,9 @@
 	// NextFence is larger than every fencing token that the assigner uses.
 	NextFence uint64        `json:"next_fence"`
 	Ranges    []RangeRecord `json:"ranges"`
+	// Era is the era of the store up to which the owners are known. In a later era, the record comes from an older copy: other
+	// targets may own the keys, and higher tokens may have been used.
+	Era store.Era `json:"era,omitempty"`
 }
 
 // RangeRecord is the stored form of a range with its owner.
