shard: Keep one assigner through a step back of the store

What callers saw: two targets ran requests for the same keys, and keys without an owner for seconds. Cause: the role goes back with the store. The living assigner took the conflict for a successor and stopped; another VM took over at once from the older role, with a term and tokens that had been used, while the first one could still act; records of moved keys named the earlier owners.

- The role states the store's era.
One of an earlier era says nothing of who is the assigner now.
- The assigner writes its role and its records again in the new era, with a term above all that may be lost, as long as its own lease of the role lasts.
No other assigner can have sent orders by then: a successor sends its first one only after a confirmation of its role that follows the end of the predecessor.
The confirmation is made at that instant, so that it costs one write.
- A VM that takes over from an older role waits until any assigner of the earlier era has lost its role, counted from when it first saw the present era, and then has all targets that it knows of the last 20 s release all keys.
If it has not run that long, it waits for the longest lease instead.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -146,6 +146,10 @@
 	lastConfirmation roleConfirmation
 	// knownTerm is the highest term of an assigner that this VM has read, been told or had itself.
 	knownTerm uint64
+	// era is the latest era of the store in which this VM has read the role, first at eraSince.
+	era      store.Era
+	eraSince time.Duration
+	holders  holderMemory
 	// announcements receives the address of an assigner that has announced itself.
 	announcements chan string
 	// cancelFollow ends the stream to the assigner that this VM follows.
@@ -204,6 +208,7 @@
 		next[name] = table
 	}
 	next[service] = t
+	a.holders.addTable(service, t, boottime.Now())
 	a.tables.Store(&next)
 	close(a.changed)
 	a.changed = make(chan struct{})
@@ -235,6 +240,7 @@
 			a.readTables(ctx)
 		}
 	})
+	parts.Go(func() { a.rememberHolders(ctx) })
 	s := assignerSearch{agent: a}
 	for ctx.Err() == nil {
 		s.step(ctx)
@@ -299,7 +305,7 @@
 // the role over or waits.
 func (s *assignerSearch) step(ctx context.Context) {
 	a := s.agent
-	r, version, err := readRole(ctx, a.opts.Store)
+	r, version, err := a.readRole(ctx)
 	if err != nil {
 		a.opts.Logger.Info("could not read the assigner's role", "error", err.Error())
 		a.followThroughPeer(ctx)
@@ -318,17 +324,52 @@
 	if v.role != nil {
 		r, version = *v.role, v.version
 	}
+	if wait := a.restorableFor(r, version); wait > 0 {
+		a.followThroughPeer(ctx)
+		a.awaitSearch(ctx, min(wait, searchInterval))
+		return
+	}
 	if delay := a.takeOverDelay(); delay > 0 && !s.vacantAfter(ctx, delay, version) {
 		return
 	}
 	a.takeOver(ctx, r, version, v)
 }
 
+// readRole is like the function readRole, and records since when this VM knows the store's era.
+func (a *Agent) readRole(ctx context.Context) (role, store.Version, error) {
+	r, version, err := readRole(ctx, a.opts.Store)
+	if err == nil {
+		a.learnEra(version.Era())
+	}
+	return r, version, err
+}
+
+// BeginEra tells the Agent that the store has come back from an older copy, as shown by an answer of the era. If this VM is the
+// assigner, it writes its role again.
+func (a *Agent) BeginEra(era store.Era) {
+	a.learnEra(era)
+	a.mu.Lock()
+	active := a.active
+	a.mu.Unlock()
+	if active != nil {
+		active.confirmSoon()
+	}
+}
+
+// learnEra records that the store has come to an era by now.
+func (a *Agent) learnEra(era store.Era) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if era > a.era || a.eraSince == 0 {
+		a.era, a.eraSince = era, boottime.Now()
+	}
+}
+
 // vacantAfter waits, so that a preferred VM can take the role over first. It reports whether
 // the role in the store still has the version afterwards.
 func (s *assignerSearch) vacantAfter(ctx context.Context, delay time.Duration, version store.Version) bool {
 	pause(ctx, delay)
-	_, now, err := readRole(ctx, s.agent.opts.Store)
+	_, now, err := s.agent.readRole(ctx)
 	return err == nil && now == version && ctx.Err() == nil && !s.agent.resigned.Load()
 }
 
@@ -338,13 +379,18 @@
 	a.mu.Lock()
 	vms := len(a.peers)
 	a.mu.Unlock()
+	a.awaitSearch(ctx, searchInterval+mathrand.N(searchInterval+time.Duration(vms)*searchSpreadPerVM)+a.takeOverDelay())
+}
+
+// awaitSearch is awaitNextSearch with a pause of the given length.
+func (a *Agent) awaitSearch(ctx context.Context, length time.Duration) {
 	select {
 	case <-ctx.Done():
 	case address := <-a.announcements:
 		if err := a.follow(ctx, address); err != nil {
 			a.opts.Logger.Info("stopped following the announced assigner", "address", address, "error", err.Error())
 		}
-	case <-time.After(searchInterval + mathrand.N(searchInterval+time.Duration(vms)*searchSpreadPerVM) + a.takeOverDelay()):
+	case <-time.After(length):
 	}
 }
 
@@ -382,7 +428,7 @@
 // ends, it returns why this VM may take the role over. The reason is empty if it may not.
 func (s *assignerSearch) checkVacancy(ctx context.Context, r role, version store.Version) vacancy {
 	a := s.agent
-	if version == 0 || r.VM == "" {
+	if version.Revision() == 0 || r.VM == "" {
 		return s.vacant("no VM is the assigner", r, evidence.Resignation)
 	}
 	if r.VM == a.opts.VM && r.Incarnation != a.incarnation {
@@ -404,7 +450,7 @@
 	if errors.Is(err, errUnconfirmed) {
 		// The store answers this VM but no longer the assigner: the role in the store
 		// still has the beat that the assigner last reported as confirmed.
-		now, nowVersion, err := readRole(ctx, a.opts.Store)
+		now, nowVersion, err := a.readRole(ctx)
 		if err == nil && a.confirmedLast(now) {
 			v := s.vacant("the store does not confirm the assigner", now, evidence.Silence)
 			v.role, v.version = &now, nowVersion
@@ -452,7 +498,8 @@
 // releaseEarlierRole gives up the role that an earlier start of this VM had, so that
 // other VMs can take it over.
 func (a *Agent) releaseEarlierRole(ctx context.Context, r role, version store.Version) {
-	if _, err := putRole(ctx, a.opts.Store, role{Term: r.Term, EarlierActsForMs: r.EarlierActsForMs, Settled: true}, version); err != nil {
+	given := role{Term: r.Term, EarlierActsForMs: r.EarlierActsForMs, Settled: true, Era: r.Era, RecordsPending: r.RecordsPending}
+	if _, err := putRole(ctx, a.opts.Store, given, version); err != nil {
 		a.opts.Logger.Info("could not give up the role of an earlier start", "term", r.Term, "error", err.Error())
 		return
 	}
@@ -484,7 +531,7 @@
 // unchanged reports whether the role in the store still has the version that was last
 // read. It returns false if the store does not answer.
 func (s *assignerSearch) unchanged(ctx context.Context) bool {
-	_, version, err := readRole(ctx, s.agent.opts.Store)
+	_, version, err := s.agent.readRole(ctx)
 	return err == nil && version == s.seen
 }
 
@@ -492,12 +539,10 @@
 // it resigns or the context ends.
 func (a *Agent) takeOver(ctx context.Context, old role, version store.Version, v vacancy) {
 	start := boottime.Now()
-	// The orders of an earlier start of this process may still wait in the link, before the write of the role.
-	settled := v.sign == evidence.Testimony || v.sign == evidence.Resignation && old.Settled
-	p := newPredecessor(old, v.actsUntil, a.opts.Leases.OrderTimeout, settled, start)
-	r := role{VM: a.opts.VM, Incarnation: a.incarnation, Address: a.opts.Address, Term: old.Term + 1}
+	p, settled := a.predecessorOf(old, version, v, start)
+	r := old.next(a.opts.VM, a.incarnation, a.opts.Address, version)
 	r.setEarlier(p.until, start)
-	version, err := putRole(ctx, a.opts.Store, r, version)
+	written, err := putRole(ctx, a.opts.Store, r, version)
 	if err != nil {
 		a.opts.Logger.Info("could not take over as assigner", "term", r.Term, "reason", v.reason, "error", err.Error())
 		pause(ctx, mathrand.N(searchInterval))
@@ -507,8 +552,11 @@
 		p.until = max(p.until, boottime.Now())
 	}
 	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "its_term", old.Term, "revision", version,
+		"from_older_copy", old.fromOlderCopy(version), "records_pending", r.RecordsPending,
 		"reason", v.reason, "sign", v.sign.String(), "orders_in_ms", max(p.until-boottime.Now(), 0).Milliseconds())
+	version = written
 	active := newAssigner(ctx, a, r.Term, start, p)
+	active.recordsPending.Store(r.RecordsPending)
 	a.mu.Lock()
 	a.active, a.following = active, ""
 	a.knownTerm = max(a.knownTerm, r.Term)
@@ -527,6 +575,34 @@
 	a.opts.Logger.Info("no longer the assigner", "term", r.Term, "reason", err.Error())
 }
 
+// restorableFor returns how long an assigner that this VM doesn't know may still write its role again, if the role comes from an
+// older copy of the store.
+func (a *Agent) restorableFor(r role, version store.Version) time.Duration {
+	if version.Revision() == 0 || !r.fromOlderCopy(version) {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.eraSince + a.opts.RoleLease - boottime.Now()
+}
+
+// predecessorOf returns the predecessor that wrote the role, of which this VM observed the vacancy, and whether it has settled. Of a role from an older copy of the
+// store it is not known who was the assigner since; it was so in an earlier era, which had ended when this VM first saw
+// the present one.
+func (a *Agent) predecessorOf(old role, version store.Version, v vacancy, now time.Duration) (p predecessor, settled bool) {
+	if old.fromOlderCopy(version) {
+		a.mu.Lock()
+		actsUntil := max(v.actsUntil, a.eraSince+a.opts.RoleLease)
+		a.mu.Unlock()
+		p = newPredecessor(old, actsUntil, a.opts.Leases.OrderTimeout, false, now)
+		p.vm = ""
+		return p, false
+	}
+	// The orders of an earlier start of this process may still wait in the link, before the write of the role.
+	settled = v.sign == evidence.Testimony || v.sign == evidence.Resignation && old.Settled
+	return newPredecessor(old, v.actsUntil, a.opts.Leases.OrderTimeout, settled, now), settled
+}
+
 // announce notifies the other VMs that this VM is the assigner. VMs that the store refuses,
 // and an assigner that has been superseded, would not find this out from the store.
 func (a *Agent) announce(ctx context.Context, term uint64) {
@@ -585,7 +661,7 @@
 	active, cancelFollow := a.active, a.cancelFollow
 	known := a.lastConfirmation.term
 	if active != nil {
-		known = active.term
+		known = active.term.Load()
 	}
 	a.mu.Unlock()
 	if term <= known {
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -59,13 +59,25 @@
 	followerQueueSize = 16
 )
 
+// errSteppedBack is the reason for giving up the role when the store has come back from an older copy and the lease of the
+// role has ended since.
+var errSteppedBack = errors.New("shard: the store has come back from an older copy")
+
+// restorePause is the pause between two attempts to write the role again.
+const restorePause = 50 * time.Millisecond
+
 // errStopping is the reason for giving up the role when the VM stops.
 var errStopping = errors.New("shard: the VM is stopping")
 
 // assigner is the state of this VM as the assigner during one term.
 type assigner struct {
 	agent *Agent
-	term  uint64
+	// term rises when this VM writes its role again in a later era of the store.
+	term atomic.Uint64
+	// era is the era of the store for which the role was last written.
+	era atomic.Uint32
+	// recordsPending is set while records of ranges in the store may be those of an older copy.
+	recordsPending atomic.Bool
 	// confirmedAt is the start of the last successful write of the role, in nanoseconds
 	// of boottime.Now.
 	confirmedAt atomic.Int64
@@ -75,9 +87,13 @@
 	predecessor predecessor
 	// predecessorUntil is predecessor.until in nanoseconds, for confirmRole.
 	predecessorUntil atomic.Int64
-	stop             context.CancelCauseFunc
-	ctx              context.Context
-	done             chan struct{}
+	// orderableFrom is that of the predecessor, in nanoseconds.
+	orderableFrom atomic.Int64
+	// confirm has a value if the role is to be confirmed early.
+	confirm chan struct{}
+	stop    context.CancelCauseFunc
+	ctx     context.Context
+	done    chan struct{}
 
 	// grants counts the grants in flight.
 	grants  sync.WaitGroup
@@ -109,8 +125,14 @@
 	leases  *LeaseManager
 	load    *Load
 	version store.Version
-	// written is set once the record in the store has this assigner's term.
+	// written is set once the record in the store has had this assigner's term.
 	written bool
+	// era is the era of the store that leases knows of.
+	era store.Era
+	// trusted is set once the record in the store has the owners of that era.
+	trusted bool
+	// reread is set if the version of the record in the store has to be read again before the next write.
+	reread bool
 	// saving is set while a record is being written.
 	saving bool
 	// fewSlots is set if the targets have few slots. Hot spots are sought then, last at spotsSought, and spots are
@@ -133,8 +155,10 @@
 
 type saveResult struct {
 	service string
-	version store.Version
-	err     error
+	// era is the era of the store for which the record was written, and recordEra the one up to which it has the owners.
+	era, recordEra store.Era
+	version        store.Version
+	err            error
 	// began is the instant at which the write began.
 	began time.Duration
 }
@@ -161,15 +185,17 @@
 
 func newAssigner(ctx context.Context, agent *Agent, term uint64, confirmedAt time.Duration, p predecessor) *assigner {
 	a := &assigner{
-		agent: agent, term: term, predecessor: p, done: make(chan struct{}),
+		agent: agent, predecessor: p, done: make(chan struct{}), confirm: make(chan struct{}, 1),
 		results: make(chan serviceResult), saves: make(chan saveResult), reports: make(chan *pb.ShardReport, 64),
 		services: map[string]*serviceState{}, targets: newTargetStates(),
 		followers: map[*follower]struct{}{}, tables: map[string]*Table{}, activity: newAssignerActivity(boottime.Now()),
 		allowance: newLinkAllowance(agent.opts.LinkMbps),
 	}
 	a.ctx, a.stop = context.WithCancelCause(ctx)
+	a.term.Store(term)
 	a.confirmedAt.Store(int64(confirmedAt))
 	a.predecessorUntil.Store(int64(p.until))
+	a.orderableFrom.Store(int64(p.orderableFrom()))
 	return a
 }
 
@@ -179,6 +205,7 @@
 	ctx := a.ctx
 	defer close(a.done)
 	defer a.stop(nil)
+	a.era.Store(uint32(r.Era))
 	go a.confirmRole(ctx, r, version)
 	if suspects := a.agent.opts.Suspects; suspects != nil {
 		keeper := suspectsKeeper{agent: a.agent, tracker: suspects}
@@ -217,6 +244,7 @@
 				a.applyReport(a.agent.opts.Report())
 			}
 			a.takeOverServices(ctx)
+			a.noteRecordsWritten()
 			a.sendTablesToNewFollowers(now)
 			if now-lastUpdate >= updateInterval {
 				lastUpdate = now
@@ -287,64 +315,143 @@
 	<-a.done
 }
 
-// maySendOrders reports whether the store has confirmed the role within the role lease.
+// maySendOrders reports whether the store has confirmed the role within the role lease, and late enough after the predecessor.
 func (a *assigner) maySendOrders(now time.Duration) bool {
-	return now < time.Duration(a.confirmedAt.Load())+a.agent.opts.RoleLease
+	confirmed := time.Duration(a.confirmedAt.Load())
+	return now < confirmed+a.agent.opts.RoleLease && confirmed >= time.Duration(a.orderableFrom.Load())
 }
 
 // confirmRole renews the role in the store at intervals until the context ends or
 // another VM supersedes this one. When run has ended, it gives the role up.
 func (a *assigner) confirmRole(ctx context.Context, r role, version store.Version) {
-	interval := a.agent.opts.RoleLease / 3
+	interval := a.confirmInterval(boottime.Now())
 	for {
-		pause(ctx, interval)
+		select {
+		case <-ctx.Done():
+		case <-a.confirm:
+		case <-time.After(interval):
+		}
 		if ctx.Err() != nil {
 			<-a.done
-			a.releaseRole(ctx, version)
+			a.releaseRole(ctx, r, version)
 			return
 		}
 		start := boottime.Now()
 		r.Beat++
+		r.RecordsPending = a.recordsPending.Load()
 		r.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
 		written, err := putRole(ctx, a.agent.opts.Store, r, version)
 		switch {
 		case err == nil:
 			version = written
-			a.beat.Store(r.Beat)
-			a.confirmedAt.Store(int64(start))
+			a.recordRole(r, start)
 			// A slow write confirms the role as of its start, so the next one comes sooner.
-			interval = max(a.agent.opts.RoleLease/3-(boottime.Now()-start), 0)
-		case errors.Is(err, store.ErrConflict):
+			interval = a.confirmInterval(start)
+		case errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrSteppedBack):
 			a.logConflict(ctx, version)
-			a.stop(errSuperseded)
-			return
+			restored, at, err := a.restoreRole(ctx, r)
+			if ctx.Err() != nil {
+				continue
+			}
+			if err != nil {
+				a.stop(err)
+				return
+			}
+			r, version, interval = restored, at, 0
 		default:
-			a.agent.opts.Logger.Warn("could not confirm the role", "term", a.term, "error", err.Error(),
+			a.agent.opts.Logger.Warn("could not confirm the role", "term", a.term.Load(), "error", err.Error(),
 				"confirmed_ms_ago", (boottime.Now() - time.Duration(a.confirmedAt.Load())).Milliseconds())
 			interval = searchInterval
 		}
 	}
 }
 
+// confirmSoon makes the next confirmation of the role due now.
+func (a *assigner) confirmSoon() {
+	select {
+	case a.confirm <- struct{}{}:
+	default: // It is due already.
+	}
+}
+
+// confirmInterval returns the time until the next confirmation, after one that began at the instant. The one that permits the
+// first orders is due as soon as the predecessor no longer acts.
+func (a *assigner) confirmInterval(began time.Duration) time.Duration {
+	now := boottime.Now()
+	interval := max(began+a.agent.opts.RoleLease/3-now, 0)
+	if from := time.Duration(a.orderableFrom.Load()); from > began {
+		interval = min(interval, max(from-now, 0))
+	}
+	return interval
+}
+
+// restoreRole writes the role again if the one in the store comes from an older copy, with a term above all that were lost. It
+// does so only while this VM's own lease of the role lasts: until then no other assigner can have sent orders, whatever the
+// store has lost. It returns the role and its version, errSuperseded if another VM has the role, or errSteppedBack if the
+// lease has ended.
+func (a *assigner) restoreRole(ctx context.Context, r role) (role, store.Version, error) {
+	for ctx.Err() == nil {
+		start := boottime.Now()
+		if start >= time.Duration(a.confirmedAt.Load())+a.agent.opts.RoleLease {
+			return r, 0, errSteppedBack
+		}
+		found, version, err := a.agent.readRole(ctx)
+		if err == nil && !found.fromOlderCopy(version) {
+			if found.VM != r.VM || found.Incarnation != r.Incarnation {
+				return r, version, errSuperseded
+			}
+			// An earlier write was done after all. Other VMs count the lease from then, so the next write confirms the role.
+			if found.RecordsPending {
+				a.recordsPending.Store(true)
+			}
+			return found, version, nil
+		}
+		if err == nil {
+			next := r.next(r.VM, r.Incarnation, r.Address, version)
+			next.Term, next.Beat = max(next.Term, nextTerm(found.Term, found.Era, version.Era())), r.Beat+1
+			next.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
+			if version, err = putRole(ctx, a.agent.opts.Store, next, version); err == nil {
+				a.agent.opts.Logger.Warn("wrote the role again: the store has come back from an older copy", "term", next.Term, "earlier_term", r.Term,
+					"found_term", found.Term, "found_vm", found.VM, "revision", version)
+				a.recordRole(next, start)
+				a.recordsPending.Store(true)
+				return next, version, nil
+			}
+		}
+		a.agent.opts.Logger.Info("could not write the role again", "term", r.Term, "error", err.Error())
+		pause(ctx, restorePause)
+	}
+	return r, 0, context.Cause(ctx)
+}
+
+// recordRole records that the store has confirmed the role by a write that began at the instant, perhaps in a later era.
+func (a *assigner) recordRole(r role, began time.Duration) {
+	a.term.Store(r.Term)
+	a.era.Store(uint32(r.Era)) // After the term, which run reads once it sees the era.
+	a.beat.Store(r.Beat)
+	a.confirmedAt.Store(int64(began))
+	a.agent.learnTerm(r.Term)
+}
+
 // logConflict logs which role is in the store in place of the one that this VM confirmed last, at the revision confirmed.
 func (a *assigner) logConflict(ctx context.Context, confirmed store.Version) {
 	found, version, err := readRole(ctx, a.agent.opts.Store)
 	if err != nil {
-		a.agent.opts.Logger.Warn("the role in the store has changed and could not be read", "term", a.term, "revision", confirmed, "error", err.Error())
+		a.agent.opts.Logger.Warn("the role in the store has changed and could not be read", "term", a.term.Load(), "revision", confirmed, "error", err.Error())
 		return
 	}
-	a.agent.opts.Logger.Warn("the role in the store has changed", "term", a.term, "revision", confirmed, "found_vm", found.VM, "found_term", found.Term,
+	a.agent.opts.Logger.Warn("the role in the store has changed", "term", a.term.Load(), "revision", confirmed, "found_vm", found.VM, "found_term", found.Term,
 		"found_beat", found.Beat, "found_revision", version)
 }
 
-// releaseRole gives the role up in the store, unless another VM has it already.
-func (a *assigner) releaseRole(ctx context.Context, version store.Version) {
-	if errors.Is(context.Cause(ctx), errSuperseded) {
+// releaseRole gives the role r up in the store, unless another VM has it already.
+func (a *assigner) releaseRole(ctx context.Context, r role, version store.Version) {
+	if cause := context.Cause(ctx); errors.Is(cause, errSuperseded) || errors.Is(cause, errSteppedBack) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	given := role{Term: a.term, Settled: true}
+	given := role{Term: r.Term, Settled: true, Era: r.Era, RecordsPending: a.recordsPending.Load()}
 	given.setEarlier(time.Duration(a.predecessorUntil.Load()), boottime.Now())
 	if _, err := putRole(ctx, a.agent.opts.Store, given, version); err != nil {
 		a.agent.opts.Logger.Info("could not give up the role", "error", err.Error())
@@ -378,8 +485,10 @@
 	defer cancel()
 	obj, err := a.agent.opts.Store.Get(ctx, RangePrefix+s.name)
 	var record *Record
+	era := store.Era(a.era.Load())
 	switch {
 	case errors.Is(err, store.ErrNotFound):
+		obj.Version = store.NewVersion(era, 0)
 	case err != nil:
 		return err
 	default:
@@ -387,11 +496,26 @@
 			return err
 		}
 	}
-	s.version = obj.Version
-	s.leases = NewLeaseManager(a.agent.opts.Leases, a.term, record, boottime.Now(), a.predecessor.until)
+	if obj.Version.Era() != era {
+		return errors.Wrapf(store.ErrSteppedBack, "%s at revision %s", RangePrefix+s.name, obj.Version)
+	}
+	now := boottime.Now()
+	s.version, s.era = obj.Version, era
+	distrusted := record == nil && a.recordsPending.Load() || record != nil && record.Era != era
+	if distrusted && record == nil {
+		record = &Record{NextFence: 1}
+	}
+	s.leases = NewLeaseManager(a.agent.opts.Leases, a.term.Load(), record, now, a.predecessor.until)
+	s.leases.BeginEra(a.term.Load(), era)
 	if a.predecessor.silent {
 		s.leases.AllowLateOrders()
 	}
+	if distrusted {
+		holders, complete := a.agent.possibleHolders(s.name, record, now)
+		s.leases.DistrustRecord(holders, complete, record.Era)
+		a.agent.opts.Logger.Warn("the record of ranges comes from an older copy: targets release all keys first", "service", s.name,
+			"era", era, "targets", len(holders), "all_known", complete)
+	}
 	a.save(ctx, s, s.leases.Record())
 	attrs := []any{"service", s.name, "ranges", len(s.leases.OwnedRanges()), "revision", s.version}
 	if record != nil {
@@ -405,30 +529,64 @@
 func (a *assigner) save(ctx context.Context, s *serviceState, r *Record) {
 	s.saving = true
 	r.Nonce = newNonce()
-	go func(version store.Version) {
+	go func(version store.Version, era store.Era, reread bool) {
 		// The write continues until its outcome is known, even if the assigner has stopped.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Minute)
 		defer cancel()
 		began := boottime.Now()
-		version, err := a.write(ctx, s.name, r, version)
+		var err error
+		if reread {
+			version, err = a.replaceableVersion(ctx, s.name, r, era)
+		}
+		if err == nil {
+			version, err = a.write(ctx, s.name, r, version)
+		}
 		select {
-		case a.saves <- saveResult{s.name, version, err, began}:
+		case a.saves <- saveResult{s.name, era, r.Era, version, err, began}:
 		case <-a.done:
 		}
-	}(s.version)
+	}(s.version, s.era, s.reread)
+}
+
+// replaceableVersion returns the version of the record in the store, which the record r of the era replaces: it comes from an older
+// copy, or is this assigner's own. It returns store.ErrConflict for the record of another assigner.
+func (a *assigner) replaceableVersion(ctx context.Context, service string, r *Record, era store.Era) (store.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	obj, err := a.agent.opts.Store.Get(ctx, RangePrefix+service)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.NewVersion(era, 0), nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if obj.Version.Era() != era {
+		return 0, errors.Wrap(store.ErrSteppedBack, RangePrefix+service)
+	}
+	found, err := DecodeRecord(obj.Value)
+	if err == nil && (found.Term > r.Term || found.Term < r.Term && found.Era == era) {
+		return 0, errors.Wrap(store.ErrConflict, RangePrefix+service)
+	}
+	return obj.Version, nil // A malformed record is replaced.
 }
 
 // write writes a record if the stored one has the expected version. It returns the new
-// version.
+// version. If the stored one comes from an older copy, it returns store.ErrSteppedBack.
 func (a *assigner) write(ctx context.Context, service string, r *Record, expected store.Version) (store.Version, error) {
 	data, err := r.Encode()
 	if err != nil {
 		return 0, err
 	}
-	return putUntilResolved(ctx, a.agent.opts.Store, RangePrefix+service, data, expected, func(found []byte) bool {
+	version, err := putUntilResolved(ctx, a.agent.opts.Store, RangePrefix+service, data, expected, func(found []byte) bool {
 		stored, err := DecodeRecord(found)
 		return err == nil && stored.Nonce == r.Nonce
 	})
+	if errors.Is(err, store.ErrConflict) && expected.Era() > 0 {
+		if _, replaceableErr := a.replaceableVersion(ctx, service, r, expected.Era()); replaceableErr == nil {
+			return 0, errors.WithMessage(store.ErrSteppedBack, err.Error())
+		}
+	}
+	return version, err
 }
 
 // handleSaved records the result of save. After a conflict, another VM is the assigner.
@@ -446,10 +604,12 @@
 	switch {
 	case r.err == nil:
 		s.version = r.version
-		s.written = true
-	case errors.Is(r.err, store.ErrConflict):
+		s.written, s.reread = true, s.reread && r.era != s.era
+		s.trusted = r.era == s.era && r.recordEra == s.era
+	case errors.Is(r.err, store.ErrConflict) && r.era == s.era:
 		a.stop(errSuperseded)
 	default:
+		s.reread = s.reread || errors.Is(r.err, store.ErrSteppedBack)
 		s.nextPlan = boottime.Now() + planRetryPause/2 + mathrand.N(planRetryPause)
 		s.leases.recordOutdated = true
 		a.agent.opts.Logger.Warn("could not write record of ranges", "service", r.service, "error", r.err.Error())
@@ -462,19 +622,22 @@
 	// the store shows only as time without a confirmation.
 	outage := float64(a.confirmedAgo()) > outageShare*float64(a.agent.opts.RoleLease)
 	for _, s := range a.services {
+		a.beginEra(s)
 		if s.saving && !s.written {
 			continue
 		}
-		if !s.written {
+		if !s.written || s.reread && !s.saving {
 			if now >= s.nextPlan {
 				a.save(ctx, s, s.leases.Record())
 			}
+		}
+		if !s.written {
 			continue
 		}
 		if s.leases.PredecessorActs(now) {
 			continue
 		}
-		if !s.saving && (now >= s.nextPlan || a.hotSpotBegan(s, now)) {
+		if !s.saving && !s.reread && (now >= s.nextPlan || a.hotSpotBegan(s, now)) {
 			s.nextPlan = now + planInterval
 			timed(&a.activity.longestPlan, func() { a.plan(ctx, s, now) })
 		}
@@ -503,6 +666,45 @@
 	}
 }
 
+// beginEra makes the records of a service those of the era for which the role was last written. The one in the store is then to be
+// replaced; what the LeaseManager knows holds on. If this assigner had not written the record yet, the predecessor may have
+// changed it since it was read, so that the service is taken over anew.
+func (a *assigner) beginEra(s *serviceState) {
+	era := store.Era(a.era.Load())
+	if s.era == era {
+		return
+	}
+	if !s.written {
+		if !s.saving {
+			delete(a.services, s.name)
+		}
+		return
+	}
+	s.era, s.reread, s.trusted, s.nextPlan = era, true, false, 0
+	s.leases.BeginEra(a.term.Load(), era)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	// Differences are to tables of the same term.
+	delete(a.tables, s.name)
+}
+
+// noteRecordsWritten notes for the next confirmation of the role if the records of all services were written in its era.
+func (a *assigner) noteRecordsWritten() {
+	if !a.recordsPending.Load() {
+		return
+	}
+	names, ok := a.agent.opts.Services()
+	if !ok {
+		return
+	}
+	for _, name := range names {
+		if s := a.services[name]; s == nil || !s.trusted || s.era != store.Era(a.era.Load()) {
+			return
+		}
+	}
+	a.recordsPending.Store(false)
+}
+
 // dueOrders returns the orders that are due, of which there are none before the record in the store reserves their
 // tokens.
 func (s *serviceState) dueOrders(now time.Duration) []Order {
@@ -646,7 +848,7 @@
 	}
 	attrs := []any{
 		"order", what, "service", service, "target", r.Order.To.ID, "from", r.Order.Keys.From,
-		"to", r.Order.Keys.To, "fence", r.Order.Fence, "term", a.term,
+		"to", r.Order.Keys.To, "fence", r.Order.Fence, "term", a.term.Load(),
 	}
 	if r.Sent > 0 {
 		a.agent.metrics.observeOrder(what, r)
@@ -691,9 +893,10 @@
 
 // limitPredecessor passes on that the predecessor has stopped.
 func (a *assigner) limitPredecessor(now time.Duration) {
-	a.agent.opts.Logger.Info("the previous assigner no longer acts", "vm", a.predecessor.vm, "its_term", a.predecessor.term, "term", a.term,
+	a.agent.opts.Logger.Info("the previous assigner no longer acts", "vm", a.predecessor.vm, "its_term", a.predecessor.term, "term", a.term.Load(),
 		"sign", evidence.Testimony.String(), "orders_in_ms", (a.predecessor.until - now).Milliseconds())
 	a.predecessorUntil.Store(int64(a.predecessor.until))
+	a.orderableFrom.Store(int64(a.predecessor.orderableFrom()))
 	for _, s := range a.services {
 		s.leases.LimitPredecessor(a.predecessor.until)
 	}
--- a/shard/assigneractivity.go
+++ b/shard/assigneractivity.go
@@ -58,7 +58,7 @@
 	for _, service := range a.services {
 		ranges += len(service.leases.ranges)
 	}
-	a.agent.opts.Logger.Info("assigner activity", "term", a.term, "ms", (now - s.since).Milliseconds(),
+	a.agent.opts.Logger.Info("assigner activity", "term", a.term.Load(), "ms", (now - s.since).Milliseconds(),
 		"processor_ms", (processorTime() - s.processorAtStart).Milliseconds(), "vms", a.vmCount(), "ranges", ranges,
 		"steps", s.steps, "reports", s.reports, "tables", s.tables, "table_bytes", s.tableBytes, "longest_step_ms", s.longestStep.Milliseconds(),
 		"longest_plan_ms", s.longestPlan.Milliseconds(), "longest_table_ms", s.longestTable.Milliseconds(),
--- a/shard/assignerspots.go
+++ b/shard/assignerspots.go
@@ -72,13 +72,13 @@
 	for _, h := range s.spots {
 		if !slices.ContainsFunc(known, sameSpot(h)) {
 			a.agent.opts.Logger.Info("hot spot found", "service", s.name, "from", h.Keys.From, "to", h.Keys.To,
-				"rate", s.load.ExpectedRate(h, now), "age_ms", (now - h.Since).Milliseconds(), "term", a.term)
+				"rate", s.load.ExpectedRate(h, now), "age_ms", (now - h.Since).Milliseconds(), "term", a.term.Load())
 		}
 	}
 	for _, h := range known {
 		if !slices.ContainsFunc(s.spots, sameSpot(h)) {
 			a.agent.opts.Logger.Info("hot spot ended", "service", s.name, "from", h.Keys.From, "to", h.Keys.To,
-				"highest_rate", h.highest, "age_ms", (now - h.Since).Milliseconds(), "term", a.term)
+				"highest_rate", h.highest, "age_ms", (now - h.Since).Milliseconds(), "term", a.term.Load())
 		}
 	}
 	a.agent.metrics.spots.WithLabelValues(s.name).Set(float64(len(s.spots)))
@@ -90,7 +90,7 @@
 	for _, m := range moves {
 		inSpot := slices.ContainsFunc(s.spots, func(h HotSpot) bool { return h.Keys.Contains(m.Keys) })
 		a.agent.opts.Logger.Info("assigning range to owner", "service", s.name, "from", m.Keys.From, "to", m.Keys.To,
-			"owner", m.To.ID, "rate", s.load.Rate(m.Keys), "hot_spot", inSpot, "term", a.term)
+			"owner", m.To.ID, "rate", s.load.Rate(m.Keys), "hot_spot", inSpot, "term", a.term.Load())
 		if inSpot {
 			spotMoves++
 			targets[m.To.ID] = true
@@ -101,6 +101,6 @@
 	if spotMoves > 0 {
 		oldest := slices.MinFunc(s.spots, func(a, b HotSpot) int { return int(a.Since - b.Since) })
 		a.agent.opts.Logger.Info("spreading hot spots", "service", s.name, "moves", spotMoves, "targets", len(targets),
-			"age_ms", (now - oldest.Since).Milliseconds(), "term", a.term)
+			"age_ms", (now - oldest.Since).Milliseconds(), "term", a.term.Load())
 	}
 }
--- a/shard/followers.go
+++ b/shard/followers.go
@@ -120,7 +120,7 @@
 // updateLocked returns an update without tables. The caller holds mu.
 func (a *assigner) updateLocked() *pb.ShardUpdate {
 	return &pb.ShardUpdate{
-		Term: a.term, Beat: a.beat.Load(),
+		Term: a.term.Load(), Beat: a.beat.Load(),
 		ConfirmedMsAgo: uint32(a.confirmedAgo().Milliseconds()), FeedFresh: a.feedFreshLocked(),
 		Willing: a.preferredVMsLocked(),
 	}
--- a/shard/predecessor.go
+++ b/shard/predecessor.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// orderableFrom returns the earliest instant of a confirmation of the role that permits orders; zero if any does. A predecessor that
+// was not seen to stop may write its role again after the store has come back from an older copy, until its own lease of the role
+// has ended. A successor whose confirmations are all older than that has lost its role with the store.
+func (p *predecessor) orderableFrom() time.Duration {
+	if !p.silent {
+		return 0
+	}
+	return p.until
+}
+
 // testifies reports whether the report shows that the predecessor no longer acts: its VM reports to
 // another assigner, and knows of the term in which it acted.
 func (p *predecessor) testifies(r *pb.ShardReport) bool {
@@ -46,6 +56,6 @@
 	if until >= p.until {
 		return false
 	}
-	p.until = until
+	p.until, p.silent = until, p.earlierUntil > by
 	return true
 }
--- a/shard/role.go
+++ b/shard/role.go
@@ -11,7 +11,9 @@
 )
 
 // RoleKey is the store key under which the assigner's role is stored.
-const RoleKey = "basiltally-roles/assigner"
+const RoleKey = rolePrefix + "assigner"
+
+const rolePrefix = "basiltally-roles/"
 
 // RangePrefix is the prefix of the store keys of the records of ranges. The rest of the
 // key is the name of the service.
@@ -33,6 +35,34 @@
 	EarlierActsForMs uint64 `json:"earlier_acts_for_ms,omitempty"`
 	// Settled is set if the assigner has stepped down and no order of it is in flight.
 	Settled bool `json:"settled,omitempty"`
+	// Era is the era of the store for which the role was written. In a later era, the role comes from an older copy.
+	Era store.Era `json:"era,omitempty"`
+	// RecordsPending is set while records of ranges in the store may still be those of an older copy.
+	RecordsPending bool `json:"records_pending,omitempty"`
+}
+
+// fromOlderCopy reports whether the role, which was read at the version, says nothing of the assigners of the present era: it
+// was written in an earlier one, or there is none.
+func (r *role) fromOlderCopy(version store.Version) bool { return r.Era != version.Era() }
+
+// next returns the role of the VM's next term, which begins from the role r in the store.
+func (r *role) next(vm, incarnation, address string, version store.Version) role {
+	return role{
+		VM: vm, Incarnation: incarnation, Address: address, Term: nextTerm(r.Term, r.Era, version.Era()), Era: version.Era(),
+		RecordsPending: r.RecordsPending || r.fromOlderCopy(version),
+	}
+}
+
+// lostTerms is larger than the number of terms that can begin between a copy of the store and its return.
+const lostTerms = 1 << 16
+
+// nextTerm returns the term that follows a term of an era. In a later era it is above all terms that were lost with the
+// earlier ones.
+func nextTerm(term uint64, of, era store.Era) uint64 {
+	if era > of {
+		term += uint64(era-of) * lostTerms
+	}
+	return term + 1
 }
 
 // setEarlier sets EarlierActsForMs for a write at the instant now, if orders of earlier assigners may
@@ -52,14 +82,15 @@
 // errSuperseded reports that another VM has become the assigner.
 var errSuperseded = errors.New("shard: another VM is the assigner")
 
-// readRole returns the role in the store and its version. Both are zero if no role has
-// been written yet.
+// readRole returns the role in the store and its version. If there is none, the role is zero and the version has
+// only an era.
 func readRole(ctx context.Context, s store.Store) (role, store.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	obj, err := s.Get(ctx, RoleKey)
 	if errors.Is(err, store.ErrNotFound) {
-		return role{}, 0, nil
+		_, at, err := s.List(ctx, rolePrefix)
+		return role{}, store.NewVersion(at.Era(), 0), err
 	}
 	if err != nil {
 		return role{}, 0, err
@@ -76,8 +107,8 @@
 // is done once or never. isOurs reports whether a stored value is the one written.
 //
 // It returns the new version, store.ErrConflict if another writer came first,
-// store.ErrUnavailable if the write certainly was not done, and store.ErrUnknown if the
-// context ended while the outcome was unknown.
+// store.ErrUnavailable if the write certainly was not done, store.ErrUnknown if the
+// context ended while the outcome was unknown, and store.ErrSteppedBack if the store has come back from an older copy.
 func putUntilResolved(ctx context.Context, s store.Store, key string, value []byte, expected store.Version, isOurs func([]byte) bool) (store.Version, error) {
 	unknown := false
 	for {
@@ -85,6 +116,8 @@
 		switch {
 		case err == nil:
 			return version, nil
+		case errors.Is(err, store.ErrSteppedBack):
+			return 0, err
 		case errors.Is(err, store.ErrConflict):
 			if !unknown {
 				return 0, err
--- a/shard/stepback_fakes_test.go
+++ b/shard/stepback_fakes_test.go
@@ -211,6 +211,13 @@
 	}
 }
 
+// forgetLapses forgets the times without a holder up to now.
+func (p *probedTargets) forgetLapses() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lapses = nil
+}
+
 // probedOrders sends the orders of one VM to the targets.
 type probedOrders struct {
 	vm      string
--- a/shard/stepback_test.go
+++ b/shard/stepback_test.go
@@ -322,6 +322,7 @@
 	f.awaitOwners(b, "t1")
 	f.addTarget("t2")
 	f.awaitOwners(b, "t1", "t2")
+	f.targets.forgetLapses() // From the loss of the first assigner until the second one may act.
 	return b, a.store.written[RoleKey], a.store.written[RangePrefix+stepBackService]
 }
 
