shard: Add four more tests with a store that steps back, which fail

A silent target, two take-overs in a row, a short cut of the assigner and a VM that starts at the step back.

--- a/shard/stepback_fakes_test.go
+++ b/shard/stepback_fakes_test.go
@@ -59,10 +59,12 @@
 	lapses []string
 	// brokenAt is the instant of the first of these orders.
 	brokenAt time.Duration
+	// unreachable maps a VM to the target that its orders do not reach.
+	unreachable map[string]string
 }
 
 func newProbedTargets() *probedTargets {
-	return &probedTargets{leases: map[string]*[probedKeys]probedLease{}, senders: map[uint64]string{}, broken: map[string][]string{}}
+	return &probedTargets{leases: map[string]*[probedKeys]probedLease{}, senders: map[uint64]string{}, broken: map[string][]string{}, unreachable: map[string]string{}}
 }
 
 func (p *probedTargets) breach(rule, format string, args ...any) {
@@ -171,6 +173,13 @@
 	return targets, vms
 }
 
+// setUnreachable keeps the VM's orders from reaching a target.
+func (p *probedTargets) setUnreachable(vm, target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreachable[vm] = target
+}
+
 // ordersOf returns the orders of a VM.
 func (p *probedTargets) ordersOf(vm string) []sentOrder {
 	p.mu.Lock()
@@ -217,11 +226,29 @@
 	targets *probedTargets
 }
 
-func (o probedOrders) Grant(_ context.Context, to Holder, g Grant, _ time.Duration) error {
+// reach returns an error once the timeout has passed if the VM's orders do not reach the target.
+func (o probedOrders) reach(target Holder, timeout time.Duration) error {
+	o.targets.mu.Lock()
+	unreachable := o.targets.unreachable[o.vm] == target.ID
+	o.targets.mu.Unlock()
+	if unreachable {
+		time.Sleep(timeout)
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (o probedOrders) Grant(_ context.Context, to Holder, g Grant, timeout time.Duration) error {
+	if err := o.reach(to, timeout); err != nil {
+		return err
+	}
 	return o.targets.grant(o.vm, to, g)
 }
 
-func (o probedOrders) Release(_ context.Context, from Holder, keys KeyRange, fence uint64, _ time.Duration) (string, error) {
+func (o probedOrders) Release(_ context.Context, from Holder, keys KeyRange, fence uint64, timeout time.Duration) (string, error) {
+	if err := o.reach(from, timeout); err != nil {
+		return "", err
+	}
 	return "", o.targets.release(o.vm, from, keys, fence)
 }
 
@@ -328,6 +355,7 @@
 	targets   *probedTargets
 	directory *fleet.Directory
 	roleLease time.Duration
+	leases    LeaseOptions
 	// isolated keeps the VMs from connecting to each other.
 	isolated atomic.Bool
 	vms      []*stepBackVM
@@ -343,7 +371,7 @@
 	t.Helper()
 	f := &stepBackFleet{
 		t: t, store: memstore.New(memstore.Options{}), targets: newProbedTargets(), directory: fleet.NewDirectory(fleet.DirectoryOptions{}),
-		roleLease: roleLease,
+		roleLease: roleLease, leases: stepBackLeases,
 	}
 	for _, id := range targets {
 		f.addTarget(id)
@@ -351,8 +379,10 @@
 	return f
 }
 
-func (f *stepBackFleet) addTarget(id string) {
-	f.directory.Put(&fleet.Target{ID: id, Service: stepBackService, Address: id + ":1", Born: 1, State: fleet.Ready, Slots: 6})
+func (f *stepBackFleet) addTarget(id string) { f.putTarget(id, fleet.Ready) }
+
+func (f *stepBackFleet) putTarget(id string, state fleet.State) {
+	f.directory.Put(&fleet.Target{ID: id, Service: stepBackService, Address: id + ":1", Born: 1, State: state, Slots: 6})
 }
 
 // start starts a VM, which is stopped at the end of the test.
@@ -377,7 +407,7 @@
 	vm.agent = NewAgent(AgentOptions{
 		VM: name, Address: server.Addr(), Seeds: seeds, Store: vm.store, Peers: peers, Orders: probedOrders{name, f.targets},
 		Directory: f.directory, RoleLease: f.roleLease, ReportInterval: 100 * time.Millisecond, StartSpread: time.Millisecond,
-		FirstTableDelay: 50 * time.Millisecond, Leases: stepBackLeases,
+		FirstTableDelay: 50 * time.Millisecond, Leases: f.leases,
 		Services: func() ([]string, bool) { return []string{stepBackService}, true }, Report: func() *pb.ShardReport { return &pb.ShardReport{} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -427,6 +457,22 @@
 	})
 }
 
+// awaitServed waits until the VM of the role in the store has granted each key, to the owner in the record in the store.
+func (f *stepBackFleet) awaitServed() {
+	f.t.Helper()
+	f.await("an assigner has granted all keys", setUpTime, func() bool {
+		held, vms := f.targets.holders()
+		r, _ := f.role()
+		record, _ := f.record()
+		for i, target := range held {
+			if target == "" || vms[i] != r.VM || record == nil || recordHolder(record, probedKey(i)) != target {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // recordHolder returns the owner of a key in the record if there are no former ones, or an empty string.
 func recordHolder(r *Record, k Key) string {
 	for _, rr := range r.Ranges {
--- a/shard/stepback_test.go
+++ b/shard/stepback_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basiltally/basiltally/boottime"
+	"github.com/basiltally/basiltally/fleet"
 	"github.com/basiltally/basiltally/store"
 	"github.com/basiltally/basiltally/store/memstore"
 )
@@ -98,6 +99,98 @@
 	}
 }
 
+// The same, if the target that the older record does not name does not answer the successor: its lease from the assigner must
+// end before another one gets its keys.
+func TestTakeOverFromAnOlderRoleWaitsForTheLeasesOfASilentTarget(t *testing.T) {
+	t.Parallel()
+	f := newStepBackFleet(t, 600*time.Millisecond, "t1")
+	f.leases.LongLeaseDuration = 1500 * time.Millisecond
+	f.isolated.Store(true)
+	f.putEarlierRecord()
+	f.putRole(role{Term: earlierTerm, Settled: true})
+	older := f.store.Snapshot()
+	a := f.start("a")
+	f.awaitOwners(a, "t1")
+	f.addTarget("t2")
+	f.awaitOwners(a, "t1", "t2")
+	r, _ := f.role()
+
+	a.store.setCut(true)
+	f.targets.setUnreachable("b", "t2")
+	f.putTarget("t2", fleet.Draining)
+	f.store.StepBack(older)
+	b := f.start("b")
+	f.awaitOwners(b, "t1")
+	f.checkTakeOver(a, r.Term, b)
+	f.targets.check(t)
+}
+
+// The same, when the store steps back again to that copy after the first take-over.
+func TestSecondTakeOverFromAnOlderRoleUsesNoTermOrTokenOfTheFirst(t *testing.T) {
+	t.Parallel()
+	f := newStepBackFleet(t, 600*time.Millisecond, "t1")
+	f.isolated.Store(true)
+	f.putEarlierRecord()
+	f.putRole(role{Term: earlierTerm, Settled: true})
+	older := f.store.Snapshot()
+	last := f.start("a")
+	f.awaitOwners(last, "t1")
+	f.addTarget("t2")
+	f.awaitOwners(last, "t1", "t2")
+	for _, name := range []string{"b", "c"} {
+		r, _ := f.role()
+		last.store.setCut(true)
+		f.store.StepBack(older)
+		next := f.start(name)
+		f.awaitOwners(next, "t1", "t2")
+		f.checkTakeOver(last, r.Term, next)
+		last = next
+	}
+	f.targets.check(t)
+}
+
+// The same, if the assigner reaches the store again while it may still act.
+func TestAssignerThatMissesAStepBackForAMomentIsTheOnlyOne(t *testing.T) {
+	t.Parallel()
+	f := newStepBackFleet(t, 900*time.Millisecond, "t1")
+	f.isolated.Store(true)
+	f.putEarlierRecord()
+	f.putRole(role{Term: earlierTerm, Settled: true})
+	older := f.store.Snapshot()
+	a := f.start("a")
+	f.awaitOwners(a, "t1")
+	f.addTarget("t2")
+	f.awaitOwners(a, "t1", "t2")
+
+	a.store.setCut(true)
+	since := f.stepBack(older)
+	f.start("b")
+	time.Sleep(100 * time.Millisecond)
+	a.store.setCut(false)
+	f.awaitLeasesEnded(since)
+	f.awaitServed()
+	f.targets.check(t)
+}
+
+// A VM that starts when the store has just come back without any role is not the only one that acts.
+func TestVMThatStartsAtAStepBackToAnEmptyStoreLeavesTheKeysToOneAssigner(t *testing.T) {
+	t.Parallel()
+	f := newStepBackFleet(t, 900*time.Millisecond, "t1")
+	empty := f.store.Snapshot()
+	a := f.inTouch()
+	f.moveSome(a)
+	since := f.stepBack(empty)
+	f.start("c")
+	f.awaitLeasesEnded(since)
+	f.awaitServed()
+	f.targets.check(t)
+}
+
+// awaitLeasesEnded waits until all leases of an assigner whose role was confirmed last at the instant would have ended.
+func (f *stepBackFleet) awaitLeasesEnded(since time.Duration) {
+	time.Sleep(since + f.roleLease + f.leases.LeaseDuration + f.leases.RenewInterval - boottime.Now())
+}
+
 // inTouch starts a VM that is the assigner, which it returns, and one that follows it.
 func (f *stepBackFleet) inTouch() *stepBackVM {
 	f.t.Helper()
@@ -178,7 +271,7 @@
 // instant would have ended.
 func (f *stepBackFleet) checkServed(assigner *stepBackVM, since time.Duration) {
 	f.t.Helper()
-	time.Sleep(since + f.roleLease + stepBackLeases.LeaseDuration + stepBackLeases.RenewInterval - boottime.Now())
+	f.awaitLeasesEnded(since)
 	f.targets.check(f.t)
 	f.targets.checkHeld(f.t)
 	if r, _ := f.role(); r.VM != assigner.name {
