follow: Treat a list of a later era as one after an outage

What callers saw: after the store came back from an older copy, targets whose entries were written since the copy counted as gone at once, although they write them again within about two seconds. Cause: StoreLost and StoreRestored were called only for failed calls, and a list of an earlier era replaced a later one.

--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -21,9 +21,9 @@
 	Replace(objects []store.Object)
 	// Change receives the changes since the last call of Replace or Change, in order.
 	Change(events []store.Event)
-	// StoreLost is called when the store no longer answers.
+	// StoreLost is called when the store no longer answers, and when it has come back from an older copy.
 	StoreLost()
-	// StoreRestored is called when the store answers again, before the list is read.
+	// StoreRestored is called when the store answers again, before Replace receives the list.
 	StoreRestored()
 }
 
@@ -101,6 +101,11 @@
 		return err
 	}
 	f.recordSuccess()
+	if at.Era() > f.known.Era() {
+		// The changes may leave out what the consumer has learned beside them.
+		f.listed = false
+		return nil
+	}
 	f.known = max(f.known, at)
 	if len(events) > 0 {
 		f.opts.Consumer.Change(events)
@@ -115,6 +120,16 @@
 	if err != nil {
 		return err
 	}
+	if at.Era() < f.known.Era() {
+		return errors.WithMessagef(store.ErrUnavailable, "the list is of revision %s, and %s is known", at, f.known)
+	}
+	if f.known != 0 && at.Era() > f.known.Era() {
+		f.opts.Logger.Info("the list is from an older copy of the store; entries may be missing", "prefix", f.opts.Prefix, "revision", at, "known", f.known)
+		if !f.lost {
+			f.lost = true
+			f.opts.Consumer.StoreLost()
+		}
+	}
 	f.recordSuccess()
 	f.listed, f.known = true, at
 	f.opts.Consumer.Replace(objects)
