relayfeed: List again where an older copy of the store bypasses what is known

What callers saw: after the store came back from an older copy, a VM that follows the reader could keep an entry that no longer exists, such as that of a target, for good. Cause: the reader lists the store and relays the difference to what it knew. It leaves out what only the follower knew, from a list of its own before or after the step back. Also, a list of an earlier era replaced a later one, and a poll that the store's client refuses without a call counted as a sign that other polls had left the link.

--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -39,6 +39,16 @@
 	Reset bool
 }
 
+// bypasses reports whether the batch leads to a later era past the revision. It is then the difference of two lists, and leaves
+// out what a VM has learned by the revision beside them.
+func (b Batch) bypasses(revision store.Version) bool {
+	return b.After.Era() != b.At.Era() && b.After < revision && revision < b.At
+}
+
+func anyBypasses(batches []Batch, revision store.Version) bool {
+	return slices.ContainsFunc(batches, func(b Batch) bool { return b.bypasses(revision) })
+}
+
 // Options configures a Feed.
 type Options struct {
 	// Direct reads the store.
@@ -236,6 +246,9 @@
 	start := f.opts.Now()
 	objects, at, err := f.opts.Direct.List(ctx, prefix)
 	f.confirmAnswered(start, err)
+	if known := f.knownRevision(prefix); err == nil && at.Era() < known.Era() {
+		objects, at, err = nil, 0, errors.WithMessagef(store.ErrUnavailable, "%s: the list is of revision %s, and %s is known", prefix, at, known)
+	}
 	f.recordList(prefix, objects, at, err)
 	if err == nil {
 		f.setReadComplete(prefix, start)
@@ -284,6 +297,16 @@
 	return f.logs[prefix] != nil
 }
 
+// knownRevision returns the revision up to which this VM knows the changes, or zero.
+func (f *Feed) knownRevision(prefix string) store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.logs[prefix]; l != nil {
+		return l.at
+	}
+	return 0
+}
+
 // recordList records the result of a list from the store.
 func (f *Feed) recordList(prefix string, objects []store.Object, at store.Version, err error) {
 	f.recordReadResult(prefix, err)
@@ -527,7 +550,7 @@
 // coversLocked reports whether the stream has all changes after a revision. s may be nil.
 // Feed.mu must be held.
 func (s *stream) coversLocked(after store.Version) bool {
-	return s != nil && after >= s.resetAt && after >= s.from
+	return s != nil && after >= s.resetAt && after >= s.from && !anyBypasses(s.batches, after)
 }
 
 // relayState is what the reader can provide for a poll.
@@ -652,9 +675,9 @@
 }
 
 // confirmAnswered records that a call to the store, which began at the instant, has ended with the error. An error may
-// mean that there was no answer.
+// mean that there was no answer. A poll from an earlier era may not have been sent.
 func (f *Feed) confirmAnswered(began time.Duration, err error) {
-	if err == nil || errors.Is(err, store.ErrCompacted) {
+	if err == nil || errors.Is(err, store.ErrCompacted) && !errors.Is(err, store.ErrSteppedBack) {
 		f.ConfirmDelivery(began)
 	}
 }
@@ -877,7 +900,7 @@
 	var out []Batch
 	for prefix, l := range f.logs {
 		b := Batch{Prefix: prefix, After: l.at, At: l.at}
-		if after, ok := known[prefix]; ok && after >= l.base && after <= l.at {
+		if after, ok := known[prefix]; ok && after >= l.base && after <= l.at && !anyBypasses(l.batches, after) {
 			if events := l.eventsSince(after); len(events) <= f.opts.MaxCatchUpEvents {
 				b.After, b.Events = after, events
 			}
