standin/platform: Let the stand-in store come back from an older copy

The users' store may come back from a copy some seconds old.

Copy and StepBack restore the content, the history and the revisions, and raise the era, which all answers state. Polls that wait are cut, or get 410 from a revision that the copy does not have. What Put and Delete wrote since is written again within a given time, each object at a random moment of its own; the system's writes are not.

--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -72,7 +72,13 @@
 	compacted uint64
 	// changed is closed and replaced when the waiting polls must look again.
 	changed chan struct{}
-	fault   Fault
+	// era is the number of steps back so far, plus one.
+	era uint64
+	// outside holds the kinds that Put and Delete have written. They belong to the operator and the targets.
+	outside map[string]bool
+	// rewrites holds the objects that are to be written again after a step back.
+	rewrites map[objectKey]rewrite
+	fault    Fault
 	// faultChanged is closed and replaced when the fault changes.
 	faultChanged chan struct{}
 	calls        int
@@ -80,7 +86,10 @@
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{rev: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{}), faultChanged: make(chan struct{})}
+	return &Store{
+		rev: 1, era: 1, objects: map[string]map[string]Object{}, outside: map[string]bool{}, rewrites: map[objectKey]rewrite{},
+		changed: make(chan struct{}), faultChanged: make(chan struct{}),
+	}
 }
 
 // SetFault replaces the fault in force.
@@ -132,13 +141,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteOutsideLocked(kind, name)
 	s.writeLocked(kind, name, data)
 }
 
-// Delete removes an object, if it exists.
+// Delete removes an object, if it exists, as operators and targets do.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteOutsideLocked(kind, name)
 	s.deleteLocked(kind, name)
 }
 
@@ -182,6 +193,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.stateEraLocked(w)
+	s.mu.Unlock()
 	if !s.admit(w, r) {
 		return
 	}
@@ -232,6 +246,7 @@
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind][name]
+	s.stateEraLocked(w)
 	s.mu.Unlock()
 	if !ok {
 		reply(w, http.StatusNotFound, nil)
@@ -249,6 +264,7 @@
 		}
 	}
 	rev := s.rev
+	s.stateEraLocked(w)
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b Object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
 	more := len(items) > pageItems
@@ -259,7 +275,7 @@
 }
 
 // poll answers with the events of a kind after a revision, and waits up to wait_ms
-// milliseconds for the first one.
+// milliseconds for the first one. A step back cuts the polls that wait from a revision that the copy has.
 func (s *Store) poll(w http.ResponseWriter, r *http.Request, kind string) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, waitErr := strconv.Atoi(r.URL.Query().Get("wait_ms"))
@@ -268,9 +284,13 @@
 		return
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	begun := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		compacted, fault, changed, rev := after < s.compacted, s.fault, s.changed, s.rev
+		s.stateEraLocked(w)
+		gone, fault, changed, rev, era := after < s.compacted || after > s.rev, s.fault, s.changed, s.rev, s.era
 		events := []event{}
 		for _, e := range s.events {
 			if e.kind == kind && e.rev > after {
@@ -284,10 +304,13 @@
 		if fault != NoFault && fault != LoseAnswers {
 			panic(http.ErrAbortHandler)
 		}
-		if compacted {
+		if gone {
 			reply(w, http.StatusGone, nil)
 			return
 		}
+		if era != begun {
+			panic(http.ErrAbortHandler)
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at_rev": rev})
 			return
@@ -313,6 +336,7 @@
 	}
 	s.mu.Lock()
 	status, o := s.conditionalWriteLocked(r, kind, name, body)
+	s.stateEraLocked(w)
 	loseAnswer := s.fault == LoseAnswers
 	s.mu.Unlock()
 	if loseAnswer {
