shard: Count the first confirmation of the role from the begin of the take-over

What callers saw: an assigner that had just taken over lost the role again within a second, and its successor waited up to 3.4 s before it sent orders. Cause: the first confirmation came a third of the role's lease after the end of the write that took over. That write may be repeated for seconds through an outage, and the lease counts from its begin, so that the followers saw the role unconfirmed for more than half of the lease. TestRoleOfASlowTakeOverIsConfirmedInTime fails without the change (no write within half of the interval).

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -324,7 +324,8 @@
 // confirmRole renews the role in the store at intervals until the context ends or
 // another VM supersedes this one. When run has ended, it gives the role up.
 func (a *assigner) confirmRole(ctx context.Context, r role, version store.Version) {
-	interval := a.confirmInterval(boottime.Now())
+	// The write that took the role over may have been slow.
+	interval := a.confirmInterval(time.Duration(a.confirmedAt.Load()))
 	for {
 		select {
 		case <-ctx.Done():
--- a/shard/assigner_test.go
+++ b/shard/assigner_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/basiltally/basiltally/boottime"
+	"github.com/basiltally/basiltally/store/memstore"
 )
 
 // sentGrants is an Orders whose targets accept every grant that has time left.
@@ -57,3 +58,27 @@
 	is.NoErr(a.sendOrder(t.Context(), timely).Err)
 	is.Equal(len(sent), 1)
 }
+
+// A role whose take-over was a slow write was confirmed so late that another VM took it over again.
+func TestRoleOfASlowTakeOverIsConfirmedInTime(t *testing.T) {
+	is := is.New(t)
+	stored := memstore.New(memstore.Options{})
+	r := role{VM: "a", Term: 1}
+	version, err := putRole(t.Context(), stored, r, 0)
+	is.NoErr(err)
+	agent := NewAgent(AgentOptions{VM: "a", Store: stored, RoleLease: time.Minute})
+	a := newAssigner(t.Context(), agent, 1, boottime.Now()-20*time.Second, predecessor{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.confirmRole(a.ctx, r, version)
+	}()
+	soon, cancel := context.WithTimeout(t.Context(), 10*time.Second) // Half of the interval.
+	defer cancel()
+	events, err := stored.Watch(soon, rolePrefix, version)
+	is.NoErr(err)
+	is.Equal(len(events), 1)
+	close(a.done)
+	a.stop(errSuperseded)
+	<-ended
+}
