daemon: Log and measure the eras of the store

What operators saw: nothing told that the store had come back from an older copy. Result: one line for each era and the metric basiltally_store_era. A test shows also that a VM's configuration does not go back with the store.

--- a/daemon/node_parts.go
+++ b/daemon/node_parts.go
@@ -24,6 +24,7 @@
 		MaxBatchBytes: maxBatchBytes(s.Gateway.LinkMbps), OnBatch: func(b relayfeed.Batch) { n.agent.RelayBatch(b) },
 	})
 	n.objects.OnSending(n.feed.Sending)
+	n.observeEras()
 }
 
 // newAgent creates the agent of the keys' owners and what it shares with the other VMs: the requests that crash targets.
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,8 @@
 	// regions and evacuate are the settings of the VMs that are started next.
 	regions  []string
 	evacuate time.Duration
+	// storeEra is the era that the store states; zero if it states none.
+	storeEra atomic.Int64
 	// refuseEvacuations is set while the store refuses all calls for evacuations.
 	refuseEvacuations atomic.Bool
 	// coldPerSecond is what the services state of cold targets; zero if they state nothing. warmUp is set for the VMs.
@@ -178,6 +181,9 @@
 				return
 			}
 		}
+		if era := b.storeEra.Load(); era > 0 {
+			w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		}
 		b.store.ServeHTTP(w, r)
 	}))
 	b.storeProxies = append(b.storeProxies, proxy)
--- /dev/null
+++ b/daemon/stepback_test.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// storeEraMetric returns the value of the metric, or -1 if there is none.
+func (n *testNode) storeEraMetric(is *is.I) float64 {
+	metrics, err := n.process.registry.Gather()
+	is.NoErr(err)
+	for _, m := range metrics {
+		if m.GetName() == "basiltally_store_era" {
+			return m.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	return -1
+}
+
+func TestErasOfTheStoreAreLoggedAndMeasured(t *testing.T) {
+	is := is.New(t)
+	b := newTestPlatform(t)
+	b.storeEra.Store(4)
+	n := b.startReadyNode("vm1")
+	is.Equal(n.storeEraMetric(is), 4.0)
+	b.storeEra.Store(6)
+	b.eventually("the later era is known", func() bool { return n.storeEraMetric(is) == 6 })
+	is.Equal(b.log.count("era of the store is known"), 1)
+	is.Equal(b.log.count("the store has come back from an older copy"), 1)
+	is.Equal(b.log.count("era=6 previous=4"), 1)
+}
+
+// An older copy of the store has an older configuration, or none.
+func TestConfigurationDoesNotGoBackWithTheStore(t *testing.T) {
+	is := is.New(t)
+	b := newTestPlatform(t)
+	b.storeEra.Store(1)
+	b.putConfig(3, "keyed")
+	n := b.startReadyNode("vm1")
+	b.putConfig(2, "keyed")
+	b.storeEra.Store(2)
+	b.eventually("the older configuration is read", func() bool { return b.log.count("configuration ignored: its version is not newer") > 0 })
+	is.Equal(n.process.routes.Load().Config.Version, uint64(3))
+	b.store.Delete("config", "main")
+	b.storeEra.Store(3)
+	b.eventually("the era without a configuration is known", func() bool { return b.log.count("era=3") > 0 })
+	b.putConfig(4, "keyed")
+	b.eventually("a newer configuration is in force", func() bool { return n.process.routes.Load().Config.Version == 4 })
+	is.Equal(b.log.count(`msg="configuration in force"`), 2)
+}
