fleet: Keep a target that has left from returning as ready

What callers saw: a target that had announced that it leaves, and whose entry was removed, would get requests again when an older copy of the store lists it as ready. Cause: only the incarnations in the directory were remembered as draining. Evidence: without the change stepback_test.go:31: ready != draining Result: it counts as draining since it first said so, until it is removed again. go test -race ./fleet passes.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -323,6 +323,14 @@
 	if since, ok := d.stated[t.Incarnation()]; ok {
 		next.leaveSince(since)
 	}
+	if dropped, ok := d.left[t.Incarnation()]; ok {
+		// A store that has come back from an older copy may list it as ready.
+		since, known := d.departed[t.Incarnation()]
+		if !known {
+			since = dropped
+		}
+		next.leaveSince(since)
+	}
 	if old != nil && old.SameIncarnation(t) {
 		next.FirstSeen = old.FirstSeen
 		if old.State == Draining {
