shard: Keep the requests that crash targets again after a step back of the store

What callers saw: if all VMs lost their memory after the store had come back from an older copy, requests that crash targets ran again. Cause: the assigner wrote its list only when it changed. Evidence: without the change suspects_stepback_test.go:51: 0 != 2 Result: the list is read and written again, once, as soon as the VM's feed has read an object list of the later era. go test -race ./shard -run 'KeptAgain|Suspects|Crash' passes.

--- a/shard/suspects.go
+++ b/shard/suspects.go
@@ -111,6 +111,8 @@
 	// is stored.
 	read  bool
 	saved uint64
+	// era is the store's latest era that this VM has seen. What was stored in an earlier one may be gone.
+	era store.Era
 }
 
 // run keeps the requests until the context ends.
@@ -123,8 +125,12 @@
 	}
 }
 
-// step reads the stored requests if it has not yet, and writes the list if it has changed.
+// step reads the stored requests if it has not yet, and writes the list if it has changed. It does both again once the store
+// has come back from an older copy.
 func (k *suspectsKeeper) step(ctx context.Context) error {
+	if feed := k.agent.opts.Feed; feed != nil && feed.Era() > k.era {
+		k.read, k.saved, k.era = false, 0, feed.Era()
+	}
 	if !k.read {
 		if err := k.load(ctx); err != nil {
 			return err
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -890,6 +890,17 @@
 	return known
 }
 
+// Era returns the latest era of the store of which this VM has read objects.
+func (f *Feed) Era() store.Era {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var era store.Era
+	for _, l := range f.logs {
+		era = max(era, l.at.Era())
+	}
+	return era
+}
+
 // BatchesSince returns one batch per prefix with the changes that a VM lacks, given the
 // revision of each prefix up to which the VM knows the changes. If the changes it lacks are not
 // kept here or are more than MaxCatchUpEvents, the batch is empty and starts at the current
