standin/soak: Play a store that comes back from an older copy, and chosen disturbances only

"step back": the store refuses calls or is silent for 0 to 0.7 s and comes back from a copy 0.5 to 4.5 s older. What the operator and the targets wrote is written again within 0 to 2 s. It excuses what another outage of the store does, and nothing of "one owner" and "rising tokens".

--only plays the named disturbances only. The statements of targets and the request that crashes them, which come from sources of their own, have names too.

--- a/cmd/basiltally-soak/main.go
+++ b/cmd/basiltally-soak/main.go
@@ -25,6 +25,7 @@
 	Callers  int           `help:"Number of callers of each VM." default:"3"`
 	Length   time.Duration `help:"Time during which new disturbances are started." default:"12s"`
 	HardLoad bool          `help:"Add evacuations, cold and slow targets, restricted routes, slow callers and a hostile target."`
+	Only     []string      `help:"Names of the disturbances to play, as the log has them, \"statements\" and \"crashing request\" included; default: all."`
 	Binaries string        `help:"Directory of the built programs." default:"bin" type:"existingdir"`
 }
 
@@ -39,7 +40,8 @@
 	failed := 0
 	for _, seed := range seeds {
 		broken, err := soak.Run(ctx, seed, soak.Options{
-			Binaries: cli.Binaries, Nodes: cli.Nodes, Targets: cli.Targets, Callers: cli.Callers, Length: cli.Length, HardLoad: cli.HardLoad, Out: os.Stdout,
+			Binaries: cli.Binaries, Nodes: cli.Nodes, Targets: cli.Targets, Callers: cli.Callers, Length: cli.Length, HardLoad: cli.HardLoad,
+			Only: cli.Only, Out: os.Stdout,
 		})
 		k.FatalIfErrorf(err)
 		for _, b := range broken {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -61,6 +61,11 @@
 	LoseAnswers
 )
 
+// String returns the name of the fault.
+func (f Fault) String() string {
+	return [...]string{"no fault", "unavailable", "hang", "swallow", "reset", "lose answers"}[f]
+}
+
 // Store is a fake of the platform's object store. It is an http.Handler.
 type Store struct {
 	mu  sync.Mutex
--- a/standin/soak/disturb.go
+++ b/standin/soak/disturb.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/basiltally/basiltally/standin/platform"
 )
 
@@ -29,6 +33,12 @@
 	maxDisturbance = 4 * time.Second
 	// meanDisturbanceGap is the mean pause between the starts of two disturbances.
 	meanDisturbanceGap = 900 * time.Millisecond
+	// minCopyAge is the least age of the copy from which the store comes back; maxDisturbance bounds what is added.
+	minCopyAge = 500 * time.Millisecond
+	// maxWrittenAgain bounds how long after a step back the operator and the targets write again what it has undone.
+	maxWrittenAgain = 2 * time.Second
+	// stepBackEvery is the mean number of disturbances in a seed with steps back of which one is a step back.
+	stepBackEvery = 5
 	// configCheckInterval is the pause between two checks of the nodes' configuration.
 	configCheckInterval = 250 * time.Millisecond
 )
@@ -74,6 +84,42 @@
 	}},
 }
 
+// stepBack is drawn apart from the others, so that these stay the same for a seed.
+var stepBack = disturbance{"step back", func(s *soak, p *disturbanceParams) { s.stepBack(p) }}
+
+// Names of what also disturbs the system, from sources of its own.
+const (
+	statementsName      = "statements"
+	crashingRequestName = "crashing request"
+)
+
+// checkNames returns an error if a name is not that of a disturbance.
+func checkNames(names []string) error {
+	known := []string{stepBack.name, statementsName, crashingRequestName}
+	for _, d := range disturbances {
+		known = append(known, d.name)
+	}
+	for _, name := range names {
+		if !slices.Contains(known, name) {
+			return errors.Errorf("there is no disturbance %q; there are: %s", name, strings.Join(known, ", "))
+		}
+	}
+	return nil
+}
+
+// plays reports whether Options.Only admits the disturbance.
+func (s *soak) plays(name string) bool {
+	return len(s.opts.Only) == 0 || slices.Contains(s.opts.Only, name)
+}
+
+// drawn returns the disturbances of which each is drawn equally often: with Options.Only those, else all but the step back.
+func (s *soak) drawn() []disturbance {
+	if len(s.opts.Only) == 0 {
+		return disturbances
+	}
+	return slices.DeleteFunc(append(slices.Clone(disturbances), stepBack), func(d disturbance) bool { return !s.plays(d.name) })
+}
+
 // runDisturbances starts random disturbances, which may overlap, for Options.Length, and
 // returns when all are over.
 func (s *soak) runDisturbances(ctx context.Context) {
@@ -86,22 +132,30 @@
 	for i := range s.targets {
 		busy[i] = &sync.Mutex{}
 	}
-	running.Go(func() { s.runStatements(ctx, s.seed, busy) })
+	if s.plays(statementsName) {
+		running.Go(func() { s.runStatements(ctx, s.seed, busy) })
+	}
 	if s.hard != nil {
 		s.hard.busy = busy
 		running.Go(func() { s.hard.run(ctx) })
 		go s.hard.refreshEntries(ctx)
 	}
-	if s.seed%2 == 0 {
+	if s.seed%2 == 0 && s.plays(crashingRequestName) {
 		crashing := &crashingRequest{soak: s, busy: busy, rng: rand.New(rand.NewPCG(s.seed, 3))}
 		s.crashing.Store(crashing)
 		sending, stopSending := context.WithCancel(ctx)
 		running.Go(func() { crashing.run(sending) })
 		defer stopSending()
 	}
-	for end := time.Now().Add(s.opts.Length); time.Now().Before(end) && ctx.Err() == nil; {
+	// A third of the seeds has steps back, none of those kept from before.
+	drawn, stepsBack := s.drawn(), len(s.opts.Only) == 0 && s.seed%3 == 1
+	steps := rand.New(rand.NewPCG(s.seed, 5))
+	for end := time.Now().Add(s.opts.Length); len(drawn) > 0 && time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(time.Duration(s.rng.ExpFloat64() * float64(meanDisturbanceGap)))
-		d := disturbances[s.rng.IntN(len(disturbances))]
+		d := drawn[s.rng.IntN(len(drawn))]
+		if stepsBack && steps.IntN(stepBackEvery) == 0 {
+			d = stepBack
+		}
 		p := &disturbanceParams{
 			node: s.rng.IntN(len(s.nodes)), target: s.rng.IntN(len(s.targets)), kind: s.rng.IntN(1 << 10),
 			length: time.Duration(s.rng.Int64N(int64(maxDisturbance))),
@@ -199,6 +253,28 @@
 	s.hard.noteStoreFault(-1)
 }
 
+// stepBack makes the store refuse calls or not answer them, and come back from an older copy. The operator and the targets
+// write again what they had written since; the outage lasts until then. Steps back may overlap, so that the copy may be from
+// before another one.
+func (s *soak) stepBack(p *disturbanceParams) {
+	older := s.store.Copy()
+	time.Sleep(minCopyAge + p.length)
+	away := time.Duration(p.kind%8) * 100 * time.Millisecond
+	fault := []platform.Fault{platform.Reset, platform.Unavailable, platform.Hang, platform.Swallow}[p.kind/8%4]
+	within := maxWrittenAgain * time.Duration(p.kind/32) / 31
+	s.noteStoreDisturbed()
+	s.hard.noteStoreFault(1)
+	s.store.SetFault(fault)
+	time.Sleep(away)
+	s.store.StepBack(older, within, rand.New(rand.NewPCG(s.seed, uint64(5000+p.kind))))
+	s.store.SetFault(platform.NoFault)
+	s.noteStoreDisturbed()
+	s.logf("step back by %v, after %v away (%v), written again within %v", minCopyAge+p.length+away, away, fault, within)
+	time.Sleep(within)
+	s.noteStoreDisturbed()
+	s.hard.noteStoreFault(-1)
+}
+
 // restartTarget stops a target without a leaving notice and starts it again under the
 // same id.
 func (s *soak) restartTarget(p *disturbanceParams) { s.restart(s.targets[p.target], p.length) }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -40,6 +40,8 @@
 	// HardLoad adds evacuations, cold and slow targets, restricted routes, slow callers and a hostile
 	// target. The other disturbances of a seed stay the same.
 	HardLoad bool
+	// Only holds the names of the disturbances that are played. The default is all.
+	Only []string
 	// Dir is the directory of settings and logs. The default is a new directory among the
 	// system's temporary files, which is kept if a promise was broken.
 	Dir string
@@ -132,9 +134,12 @@
 }
 
 // Run runs a soak with the disturbances of the seed and returns the broken promises. It
-// fails if the programs cannot be started or do not serve within startLimit.
+// fails if Options.Only has an unknown name, the programs cannot be started or do not serve within startLimit.
 func Run(ctx context.Context, seed uint64, o Options) ([]string, error) {
 	o = o.withDefaults()
+	if err := checkNames(o.Only); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &soak{opts: o, seed: seed, stated: map[string]*statements{}, rng: rand.New(rand.NewPCG(seed, 1)), checker: newChecker(), targetLinks: map[string]*proxy{}, version: 1}
