daemon: Tell the agent of a later era of the store at once

The assigner found out at its next confirmation of the role, up to a second later. Any answer of the store shows it now, and the role is written again at once.

--- a/daemon/node_era.go
+++ b/daemon/node_era.go
@@ -6,7 +6,7 @@
 	"github.com/basiltally/basiltally/store"
 )
 
-// observeEras logs each era of the store and keeps a metric of the latest one.
+// observeEras logs each era of the store, keeps a metric of the latest one and tells the agent.
 func (n *nodeProcess) observeEras() {
 	latest := prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "basiltally_store_era", Help: "Latest era of the store, which rises when the store comes back from an older copy; zero if it states none.",
@@ -14,6 +14,7 @@
 	n.registry.MustRegister(latest)
 	n.objects.OnEra(func(era, previous store.Era) {
 		latest.Set(float64(era))
+		n.agent.BeginEra(era)
 		if era == previous {
 			n.logger.Info("era of the store is known", "era", era)
 			return
