shard: Add a failing test of updates in the middle of a confirmation

What callers may see: a successor whose first orders overlap with the last ones of the assigner, and whose leases count up to one confirmation (1 s, after an outage up to 3 s) too short. It takes an assigner that is lost right after such an update.

Cause: confirmRole stores the beat before the instant from which it counts. An update between the two names the new beat with the old age, and actsUntil trusts it because the beat is that of the role in the store.

--- a/shard/otherpaths_test.go
+++ b/shard/otherpaths_test.go
@@ -1,13 +1,17 @@
 package shard
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/basiltally/basiltally/boottime"
 	"github.com/basiltally/basiltally/store"
+	"github.com/basiltally/basiltally/store/memstore"
 )
 
 // A move whose write had no answer counted as not made, and the former owner got the keys again, unknown to a successor.
@@ -39,3 +43,61 @@
 		}
 	}
 }
+
+// beatStore records the instant at which the write of each beat of the role ended.
+type beatStore struct {
+	store.Store
+	mu    sync.Mutex
+	ended []time.Duration
+}
+
+func (s *beatStore) Put(ctx context.Context, key string, value []byte, v store.Version) (store.Version, error) {
+	version, err := s.Store.Put(ctx, key, value, v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = append(s.ended, boottime.Now())
+	return version, err
+}
+
+// endOf returns the instant at which the write of the beat had ended.
+func (s *beatStore) endOf(beat uint64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended[beat]
+}
+
+// An update that left in the middle of a confirmation named the new beat with the age of the old one, from which a successor
+// counted the end of the role too early.
+func TestUpdatesNameNoBeatWithTheAgeOfTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	stored := &beatStore{Store: memstore.New(memstore.Options{})}
+	agent := NewAgent(AgentOptions{VM: "a", Store: stored, RoleLease: 3 * time.Millisecond})
+	r := role{VM: "a", Term: 1}
+	start := boottime.Now()
+	version, err := putRole(t.Context(), stored, r, 0)
+	is.NoErr(err)
+	a := newAssigner(t.Context(), agent, 1, start, predecessor{})
+	go a.confirmRole(a.ctx, r, version)
+	defer func() {
+		a.stop(errSuperseded)
+		close(a.done)
+	}()
+	var readers sync.WaitGroup
+	end := time.Now().Add(2 * time.Second)
+	for range 4 {
+		readers.Go(func() {
+			for last := uint64(0); time.Now().Before(end) && !t.Failed(); {
+				beat := a.beat.Load()
+				confirmedAt := time.Duration(a.confirmedAt.Load())
+				if beat == last {
+					continue
+				}
+				last = beat
+				if ended := stored.endOf(beat - 1); confirmedAt < ended {
+					t.Errorf("beat %d counts from %v before the write of beat %d had ended", beat, ended-confirmedAt, beat-1)
+				}
+			}
+		})
+	}
+	readers.Wait()
+}
