shard: Add a failing test of a take-over that is confirmed too late

What callers see: after an outage of the store the role changes hands twice, and no order is sent for 3 s more.

Cause: the role counts from the start of the write, which is repeated through the outage, while the first confirmation comes a third of the role lease after its end. confirmRole allows for slow confirmations but not for a slow take-over.

Fails on: the role, 900ms old when it was taken, is confirmed 1.001290728s later.

--- a/shard/otherpaths_test.go
+++ b/shard/otherpaths_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basiltally/basiltally/boottime"
+	"github.com/basiltally/basiltally/pb"
 	"github.com/basiltally/basiltally/store"
 	"github.com/basiltally/basiltally/store/memstore"
 )
@@ -49,9 +52,23 @@
 	store.Store
 	mu    sync.Mutex
 	ended []time.Duration
+	// slow is how long the first write takes.
+	slow time.Duration
+	// began is the instant at which the write of the second beat began.
+	began atomic.Int64
 }
 
 func (s *beatStore) Put(ctx context.Context, key string, value []byte, v store.Version) (store.Version, error) {
+	var r role
+	if err := json.Unmarshal(value, &r); err != nil {
+		return 0, err
+	}
+	if r.Beat == 0 {
+		time.Sleep(s.slow)
+	}
+	if r.Beat == 1 {
+		s.began.Store(int64(boottime.Now()))
+	}
 	version, err := s.Store.Put(ctx, key, value, v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,3 +118,29 @@
 	}
 	readers.Wait()
 }
+
+// An assigner whose take-over took long, as at the end of an outage, confirmed its role so late that another VM took it over.
+func TestSlowTakeOverIsConfirmedAtOnce(t *testing.T) {
+	is := is.New(t)
+	const roleLease = 3 * time.Second
+	stored := &beatStore{Store: memstore.New(memstore.Options{}), slow: callTimeout * 9 / 10}
+	agent := NewAgent(AgentOptions{
+		VM: "a", Address: "127.0.0.1:1", Store: stored, RoleLease: roleLease,
+		Services: func() ([]string, bool) { return nil, false }, Report: func() *pb.ShardReport { return &pb.ShardReport{} },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	taken := make(chan struct{})
+	go func() {
+		defer close(taken)
+		agent.takeOver(ctx, role{}, 0, vacancy{reason: "no VM is the assigner"})
+	}()
+	for end := time.Now().Add(10 * time.Second); stored.began.Load() == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	waited := time.Duration(stored.began.Load()) - stored.endOf(0)
+	cancel()
+	<-taken
+	if waited > roleLease/6 {
+		t.Fatalf("the role, %v old when it was taken, is confirmed %v later", stored.slow, waited)
+	}
+}
