relayfeed: Do not rely on a reader that is in an earlier era

What callers saw: a VM that had read a later era missed all changes that a reader in an earlier one sent, for as long as that confirmed its relay. A reader of an earlier build, whose versions have no era, would never catch up. Cause: revisions of the earlier era compare as older than what the VM knows.

--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -547,10 +547,11 @@
 	return true, f.changed
 }
 
-// coversLocked reports whether the stream has all changes after a revision. s may be nil.
+// coversLocked reports whether the stream has all changes after a revision. A reader that has only read an earlier era does not
+// have them. s may be nil.
 // Feed.mu must be held.
 func (s *stream) coversLocked(after store.Version) bool {
-	return s != nil && after >= s.resetAt && after >= s.from && !anyBypasses(s.batches, after)
+	return s != nil && after >= s.resetAt && after >= s.from && after.Era() <= s.at.Era() && !anyBypasses(s.batches, after)
 }
 
 // relayState is what the reader can provide for a poll.
