daemon: Keep an evacuation that an older copy of the store lacks for 2 s

What callers saw: requests went back to a data centre that is being evacuated, until the operator's entry was written again; it then counted as a new evacuation. Cause: a list without the entry ended the evacuation, also after a step back. Evidence: without the change stepback_test.go:80: not true: evacuated("dc1") && evacuated("dc2") && evacuated("dc3") Result: it stays in force, with its first instant, and ends after 2 s if its entry stays missing. go test -race ./daemon -run 'Evacuat|StepBack|OutdatedList|Stall|RepeatedEvents' passes.

--- a/daemon/node_evacuations.go
+++ b/daemon/node_evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,8 +27,17 @@
 	listed bool
 	// newest is the highest revision of an entry that was applied.
 	newest store.Version
+	// era is that of the last list. missing has the evacuations in force that a list of a later era lacked. They end at
+	// missingUntil.
+	era          store.Era
+	missing      map[string]struct{}
+	missingUntil time.Time
 }
 
+// evacuationGrace is how long an evacuation stays in force that the store lacks after it has come back from an older copy. The
+// operator's entries are written again meanwhile.
+const evacuationGrace = 2 * time.Second
+
 func newEvacuationConsumer(n *nodeProcess) *evacuationConsumer {
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "basiltally_evacuated_data_centres", Help: "Data centres that are being evacuated, as this VM knows.",
@@ -42,11 +52,11 @@
 func (c *evacuationConsumer) Replace(objects []store.Object) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.replaceLocked(objects)
+	c.replaceLocked(objects, c.process.feed.KnownRevisions()[platform.EvacuationPrefix].Era())
 }
 
-// replaceLocked is Replace. c.mu must be held.
-func (c *evacuationConsumer) replaceLocked(objects []store.Object) {
+// replaceLocked is Replace for a list of an era. c.mu must be held.
+func (c *evacuationConsumer) replaceLocked(objects []store.Object, era store.Era) {
 	set, now := c.process.evacuations, time.Now()
 	revisions := make(map[string]store.Version, len(objects))
 	names := make([]string, 0, len(objects))
@@ -54,6 +64,14 @@
 		names = append(names, dataCentre(o))
 		revisions[dataCentre(o)] = o.Version
 		c.newest = max(c.newest, o.Version)
+		delete(c.missing, dataCentre(o))
+	}
+	if c.listed && era > c.era {
+		c.keepMissing(names, now)
+	}
+	c.era = max(c.era, era)
+	for dc := range c.missing {
+		names = append(names, dc)
 	}
 	// The entries in the first list may have been made at any time.
 	at := time.Time{}
@@ -74,6 +92,37 @@
 	}
 }
 
+// keepMissing keeps the evacuations in force that are not listed for evacuationGrace. c.mu must be held.
+func (c *evacuationConsumer) keepMissing(listed []string, now time.Time) {
+	c.missing = make(map[string]struct{})
+	for _, dc := range c.process.evacuations.DataCentres() {
+		if !slices.Contains(listed, dc) {
+			c.missing[dc] = struct{}{}
+			c.process.logger.Info("evacuation missing in an older copy of the store; keeping it for the grace period", "data_centre", dc)
+		}
+	}
+	if len(c.missing) > 0 {
+		c.missingUntil = now.Add(evacuationGrace)
+		time.AfterFunc(evacuationGrace, c.endMissing)
+	}
+}
+
+// endMissing ends the evacuations whose entries did not return within the grace period.
+func (c *evacuationConsumer) endMissing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if now.Before(c.missingUntil) {
+		return
+	}
+	for dc := range c.missing {
+		if since, ok := c.process.evacuations.End(dc, now); ok {
+			c.ended(dc, 0, since, now)
+		}
+	}
+	clear(c.missing)
+}
+
 // Change implements follow.Consumer. Only the last event of a data centre counts: a batch may hold events
 // that are known already, and an evacuation that they seem to end and begin again would be given more time.
 func (c *evacuationConsumer) Change(events []store.Event) {
@@ -98,6 +147,7 @@
 		if last[dc] != i {
 			continue
 		}
+		delete(c.missing, dc)
 		if e.Deleted {
 			if since, ok := set.End(dc, now); ok {
 				c.ended(dc, e.Version, since, now)
@@ -192,7 +242,7 @@
 	if c.process.feed.KnownRevisions()[platform.EvacuationPrefix] > at {
 		return false
 	}
-	c.replaceLocked(objects)
+	c.replaceLocked(objects, at.Era())
 	return true
 }
 
--- a/daemon/stepback_test.go
+++ b/daemon/stepback_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/basiltally/basiltally/platform"
+	"github.com/basiltally/basiltally/store"
 )
 
 // storeEraMetric returns the value of the metric, or -1 if there is none.
@@ -49,3 +52,40 @@
 	b.eventually("a newer configuration is in force", func() bool { return n.process.routes.Load().Config.Version == 4 })
 	is.Equal(b.log.count(`msg="configuration in force"`), 2)
 }
+
+// An older copy of the store may lack an evacuation that the operator writes again some moments later.
+func TestEvacuationMissingAfterAStepBackIsKeptForTheGrace(t *testing.T) {
+	is := is.New(t)
+	b := newEvacuationTest(t, 24)
+	set := b.startReadyNode("vm1").process.evacuations
+	c := &evacuationConsumer{process: b.nodes[0].process, listed: true}
+	entry := func(dc string, version store.Version) store.Object {
+		return store.Object{Key: platform.EvacuationPrefix + dc, Version: version}
+	}
+	list := func(era store.Era, dataCentres ...string) {
+		at := store.NewVersion(era, 1000)
+		var objects []store.Object
+		for _, dc := range dataCentres {
+			objects = append(objects, entry(dc, at))
+		}
+		is.True(c.replaceUnlessOutdated(objects, at))
+	}
+	evacuated := func(dc string) bool {
+		_, ok := set.Since(dc)
+		return ok
+	}
+	list(1, "dc1", "dc2", "dc3")
+	since, _ := set.Since("dc2")
+	list(2)
+	is.True(evacuated("dc1") && evacuated("dc2") && evacuated("dc3"))
+	list(2, "dc2")
+	is.True(evacuated("dc1") && evacuated("dc2") && evacuated("dc3"))
+	c.Change([]store.Event{{Object: entry("dc3", store.NewVersion(2, 1001)), Deleted: true}}) // The operator ended it.
+	is.True(!evacuated("dc3"))
+	b.eventually("an evacuation that stays missing ends", func() bool { return !evacuated("dc1") })
+	is.True(evacuated("dc2"))
+	again, _ := set.Since("dc2")
+	is.Equal(again, since)
+	list(2) // Not after a step back.
+	is.True(!evacuated("dc2"))
+}
