shard: Record from when a beat of the role counts before the beat itself

What callers may see: a successor whose first orders overlap with the last ones of the assigner, whose role it counts up to one confirmation too short. Cause: an update that left between the two named the new beat with the age of the one before, and actsUntil trusts it because that beat is in the store. TestSlowTakeOverIsConfirmedAtOnce passes since the first confirmation counts from the begin of the take-over.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -427,10 +427,11 @@
 
 // recordRole records that the store has confirmed the role by a write that began at the instant, perhaps in a later era.
 func (a *assigner) recordRole(r role, began time.Duration) {
+	// An update in between names the earlier beat, or one that is not in the store: no VM counts its age.
+	a.confirmedAt.Store(int64(began))
+	a.beat.Store(r.Beat)
 	a.term.Store(r.Term)
 	a.era.Store(uint32(r.Era)) // After the term, which run reads once it sees the era.
-	a.beat.Store(r.Beat)
-	a.confirmedAt.Store(int64(began))
 	a.agent.learnTerm(r.Term)
 }
 
