shard: Write a move of unknown outcome again instead of dropping it

What callers may see: two targets with the same keys. Cause: a proposal whose write had no answer for a minute, or was answered across a step back of the store, counted as not made. The store may have its record all the same, which leaves out an owner whose lease had ended; dropping the proposal let that owner have a grant, which a successor would not know of. The proposal now stays pending, which grants nothing that it does not list, and is written again at the version that the store has.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -600,7 +600,9 @@
 	}
 	s := a.services[r.service]
 	s.saving = false
-	if s.leases.ProposalPending() {
+	// The store may have the record, or get it late, so that no other one may be acted on.
+	unknown := errors.Is(r.err, store.ErrUnknown) || errors.Is(r.err, store.ErrSteppedBack)
+	if s.leases.ProposalPending() && !unknown && (r.err == nil || !s.reread) {
 		s.leases.FinishProposal(r.err == nil)
 	}
 	switch {
@@ -611,7 +613,7 @@
 	case errors.Is(r.err, store.ErrConflict) && r.era == s.era:
 		a.stop(errSuperseded)
 	default:
-		s.reread = s.reread || errors.Is(r.err, store.ErrSteppedBack)
+		s.reread = s.reread || unknown
 		s.nextPlan = boottime.Now() + planRetryPause/2 + mathrand.N(planRetryPause)
 		s.leases.recordOutdated = true
 		a.agent.opts.Logger.Warn("could not write record of ranges", "service", r.service, "error", r.err.Error())
@@ -630,7 +632,7 @@
 		}
 		if !s.written || s.reread && !s.saving {
 			if now >= s.nextPlan {
-				a.save(ctx, s, s.leases.Record())
+				a.save(ctx, s, s.recordInForce())
 			}
 		}
 		if !s.written {
@@ -707,6 +709,14 @@
 	a.recordsPending.Store(false)
 }
 
+// recordInForce returns the record to be written in place of one of unknown outcome, or of an older copy.
+func (s *serviceState) recordInForce() *Record {
+	if s.leases.ProposalPending() {
+		return s.leases.Proposal()
+	}
+	return s.leases.Record()
+}
+
 // dueOrders returns the orders that are due, of which there are none before the record in the store reserves their
 // tokens.
 func (s *serviceState) dueOrders(now time.Duration) []Order {
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -398,6 +398,9 @@
 	lm.proposed = nil
 }
 
+// Proposal returns the record of the proposal that is being written, to be written again.
+func (lm *LeaseManager) Proposal() *Record { return lm.record(lm.proposed, lm.proposedReserved) }
+
 // ProposalPending reports whether a proposal is being written to the store.
 func (lm *LeaseManager) ProposalPending() bool { return lm.proposed != nil }
 
