shard: Leave the record of a higher term to its assigner

What callers may see: two targets with the same keys, without any step back. An assigner that has been superseded, and does not know it yet, reads the record late, when its successor has written it, and writes its own over it. If its own predecessor then reports that it has stopped, it moves keys at once; the successor knows neither these moves nor the tokens, and notices only at its next write of the record.

takeOverService compares the record's term with its own, gives the role up and takes a higher term next time. TestSupersededAssignerLeavesTheRecordToItsSuccessor fails without it ("not true: a.takeOverService(...) != nil").

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -501,6 +501,11 @@
 	if obj.Version.Era() != era {
 		return errors.Wrapf(store.ErrSteppedBack, "%s at revision %s", RangePrefix+s.name, obj.Version)
 	}
+	if record != nil && record.Term >= a.term.Load() {
+		a.agent.learnTerm(record.Term)
+		a.stop(errSuperseded)
+		return errors.Wrapf(errSuperseded, "%s is of term %d", RangePrefix+s.name, record.Term)
+	}
 	now := boottime.Now()
 	s.version, s.era = obj.Version, era
 	distrusted := record == nil && a.recordsPending.Load() || record != nil && record.Era != era
