shard: Close four gaps around a role from an older copy

- The lease was checked before the role was read, not after: the store may step back in between.
- An assigner that had not been permitted any order yet wrote its role again although another one that did so might act: it gives the role up now, and takes it over anew.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -324,7 +324,7 @@
 	if v.role != nil {
 		r, version = *v.role, v.version
 	}
-	if wait := a.restorableFor(r, version); wait > 0 {
+	if wait := a.restorableFor(r, version, v.seenAt); wait > 0 {
 		a.followThroughPeer(ctx)
 		a.awaitSearch(ctx, min(wait, searchInterval))
 		return
@@ -417,11 +417,13 @@
 	// role and version are set if the role was read a second time.
 	role    *role
 	version store.Version
+	// seenAt is the instant at which the version of the role was first read.
+	seenAt time.Duration
 }
 
 // vacant returns the vacancy of the role r, of whose holder the sign was observed.
 func (s *assignerSearch) vacant(reason string, r role, sign evidence.Sign) vacancy {
-	return vacancy{reason: reason, sign: sign, actsUntil: s.actsUntil(r, sign)}
+	return vacancy{reason: reason, sign: sign, actsUntil: s.actsUntil(r, sign), seenAt: s.seenAt}
 }
 
 // checkVacancy follows the assigner named by the role r, if there is one. When following
@@ -453,7 +455,7 @@
 		now, nowVersion, err := a.readRole(ctx)
 		if err == nil && a.confirmedLast(now) {
 			v := s.vacant("the store does not confirm the assigner", now, evidence.Silence)
-			v.role, v.version = &now, nowVersion
+			v.role, v.version, v.seenAt = &now, nowVersion, boottime.Now()
 			return v
 		}
 	}
@@ -528,6 +530,13 @@
 	a.knownTerm = max(a.knownTerm, term)
 }
 
+// highestTerm returns the highest term of an assigner that this VM knows.
+func (a *Agent) highestTerm() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.knownTerm
+}
+
 // unchanged reports whether the role in the store still has the version that was last
 // read. It returns false if the store does not answer.
 func (s *assignerSearch) unchanged(ctx context.Context) bool {
@@ -540,7 +549,7 @@
 func (a *Agent) takeOver(ctx context.Context, old role, version store.Version, v vacancy) {
 	start := boottime.Now()
 	p, settled := a.predecessorOf(old, version, v, start)
-	r := old.next(a.opts.VM, a.incarnation, a.opts.Address, version)
+	r := old.next(a.opts.VM, a.incarnation, a.opts.Address, version, a.highestTerm())
 	r.setEarlier(p.until, start)
 	written, err := putRole(ctx, a.opts.Store, r, version)
 	if err != nil {
@@ -575,26 +584,29 @@
 	a.opts.Logger.Info("no longer the assigner", "term", r.Term, "reason", err.Error())
 }
 
-// restorableFor returns how long an assigner that this VM doesn't know may still write its role again, if the role comes from an
-// older copy of the store.
-func (a *Agent) restorableFor(r role, version store.Version) time.Duration {
+// restorableFor returns how long an assigner that this VM doesn't know may still write its role again, if the role, which was first read
+// at the instant seenAt, comes from an older copy of the store.
+func (a *Agent) restorableFor(r role, version store.Version, seenAt time.Duration) time.Duration {
 	if version.Revision() == 0 || !r.fromOlderCopy(version) {
 		return 0
 	}
+	return a.unknownActsUntil(seenAt) - boottime.Now()
+}
+
+// unknownActsUntil returns the last instant at which an assigner may act that the role in the store, which was first read at the
+// instant seenAt, does not name. It had the role in an earlier era, which had ended when this VM first saw the present one,
+// or in the present one, before a late write of an earlier era replaced it.
+func (a *Agent) unknownActsUntil(seenAt time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.eraSince + a.opts.RoleLease - boottime.Now()
+	return max(a.eraSince, seenAt) + a.opts.RoleLease
 }
 
-// predecessorOf returns the predecessor that wrote the role, of which this VM observed the vacancy, and whether it has settled. Of a role from an older copy of the
-// store it is not known who was the assigner since; it was so in an earlier era, which had ended when this VM first saw
-// the present one.
+// predecessorOf returns the predecessor that wrote the role, of which this VM observed the vacancy, and whether it has settled. Of a role
+// from an older copy of the store it is not known who was the assigner since.
 func (a *Agent) predecessorOf(old role, version store.Version, v vacancy, now time.Duration) (p predecessor, settled bool) {
 	if old.fromOlderCopy(version) {
-		a.mu.Lock()
-		actsUntil := max(v.actsUntil, a.eraSince+a.opts.RoleLease)
-		a.mu.Unlock()
-		p = newPredecessor(old, actsUntil, a.opts.Leases.OrderTimeout, false, now)
+		p = newPredecessor(old, max(v.actsUntil, a.unknownActsUntil(v.seenAt)), a.opts.Leases.OrderTimeout, false, now)
 		p.vm = ""
 		return p, false
 	}
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -59,8 +59,8 @@
 	followerQueueSize = 16
 )
 
-// errSteppedBack is the reason for giving up the role when the store has come back from an older copy and the lease of the
-// role has ended since.
+// errSteppedBack is the reason for giving up the role when the store has come back from an older copy and this VM may not send
+// orders, or not any more.
 var errSteppedBack = errors.New("shard: the store has come back from an older copy")
 
 // restorePause is the pause between two attempts to write the role again.
@@ -387,16 +387,14 @@
 }
 
 // restoreRole writes the role again if the one in the store comes from an older copy, with a term above all that were lost. It
-// does so only while this VM's own lease of the role lasts: until then no other assigner can have sent orders, whatever the
-// store has lost. It returns the role and its version, errSuperseded if another VM has the role, or errSteppedBack if the
-// lease has ended.
+// does so only while this VM may send orders: until then no other assigner can have sent any, whatever the store has lost. It
+// returns the role and its version, errSuperseded if another VM has the role, or errSteppedBack if this one may not send
+// orders.
 func (a *assigner) restoreRole(ctx context.Context, r role) (role, store.Version, error) {
 	for ctx.Err() == nil {
-		start := boottime.Now()
-		if start >= time.Duration(a.confirmedAt.Load())+a.agent.opts.RoleLease {
-			return r, 0, errSteppedBack
-		}
 		found, version, err := a.agent.readRole(ctx)
+		// The store may have stepped back right before its answer.
+		start := boottime.Now()
 		if err == nil && !found.fromOlderCopy(version) {
 			if found.VM != r.VM || found.Incarnation != r.Incarnation {
 				return r, version, errSuperseded
@@ -407,9 +405,12 @@
 			}
 			return found, version, nil
 		}
+		if !a.maySendOrders(start) {
+			return r, 0, errSteppedBack
+		}
 		if err == nil {
-			next := r.next(r.VM, r.Incarnation, r.Address, version)
-			next.Term, next.Beat = max(next.Term, nextTerm(found.Term, found.Era, version.Era())), r.Beat+1
+			next := found.next(r.VM, r.Incarnation, r.Address, version, a.agent.highestTerm())
+			next.Term, next.Beat = max(next.Term, nextTerm(r.Term, r.Era, version.Era())), r.Beat+1
 			next.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
 			if version, err = putRole(ctx, a.agent.opts.Store, next, version); err == nil {
 				a.agent.opts.Logger.Warn("wrote the role again: the store has come back from an older copy", "term", next.Term, "earlier_term", r.Term,
--- a/shard/assigner_test.go
+++ b/shard/assigner_test.go
@@ -82,3 +82,21 @@
 	a.stop(errSuperseded)
 	<-ended
 }
+
+// An assigner that had been superseded without knowing took the record of its successor over and moved keys, unknown to it.
+func TestSupersededAssignerLeavesTheRecordToItsSuccessor(t *testing.T) {
+	for _, term := range []uint64{6, 7} {
+		is := is.New(t)
+		stored := memstore.New(memstore.Options{})
+		data, err := (&Record{Term: term, NextFence: 100, Ranges: []RangeRecord{{Keys: AllKeys, Owner: Holder{ID: "t", Address: "t:1"}}}}).Encode()
+		is.NoErr(err)
+		written, err := stored.Put(t.Context(), RangePrefix+"s", data, 0)
+		is.NoErr(err)
+		agent := NewAgent(AgentOptions{VM: "a", Store: stored})
+		a := newAssigner(t.Context(), agent, 6, boottime.Now(), predecessor{})
+		is.True(a.takeOverService(a.ctx, &serviceState{name: "s"}) != nil)
+		is.Equal(context.Cause(a.ctx), errSuperseded)
+		is.Equal(agent.highestTerm(), term) // The next take-over is above it.
+		is.Equal(stored.Revision(), written)
+	}
+}
--- a/shard/role.go
+++ b/shard/role.go
@@ -45,10 +45,11 @@
 // was written in an earlier one, or there is none.
 func (r *role) fromOlderCopy(version store.Version) bool { return r.Era != version.Era() }
 
-// next returns the role of the VM's next term, which begins from the role r in the store.
-func (r *role) next(vm, incarnation, address string, version store.Version) role {
+// next returns the role of the VM's next term, which begins from the role r in the store. It is above the highest known term: a late write
+// of an earlier era may have replaced the role of a later term.
+func (r *role) next(vm, incarnation, address string, version store.Version, known uint64) role {
 	return role{
-		VM: vm, Incarnation: incarnation, Address: address, Term: nextTerm(r.Term, r.Era, version.Era()), Era: version.Era(),
+		VM: vm, Incarnation: incarnation, Address: address, Term: max(nextTerm(r.Term, r.Era, version.Era()), known+1), Era: version.Era(),
 		RecordsPending: r.RecordsPending || r.fromOlderCopy(version),
 	}
 }
