store: Confirm to other VMs only what the last check of a poll has shown

Cause: ReadAge was 0 while a poll waited at the store and a check of it had been answered within 2.5 s. A store that stops answering the assigner's VM was noticed by the first check without an answer, up to 2.1 s later. Until then the assigner confirmed to all VMs that they were up to date, so that neither the 1.6 s after which they list the store nor the instant from which the time to leave of a target counts were what they seem. feedFreshLimit alone ended that: 1.7 s after the last confirmation of the role, + 0.3 s to the next update, + 0.7 s, + a list.

Change: an open poll shows up to the start of its last answered check that there are no changes, and nothing later. A poll on which other VMs rely is checked 50 ms after it began and each 0.5 s, so that the age stays below 0.9 s in calm and while the store takes 0.3 s to answer. These checks count for those of package checked, and for the one that showed that a poll had left the link. A check costs a tenth of a call; it is one more a second and prefix, on the assigner only, above relay_above.

--- a/store/relayfeed/delivery.go
+++ b/store/relayfeed/delivery.go
@@ -9,6 +9,8 @@
 	// maxLinkWait is the time after which a poll that has not failed counts as having reached the store, though no
 	// other call has shown it. A VM that follows no reader and serves no requests may make no other calls.
 	maxLinkWait = 3 * time.Second
+	// maxPollWait is longer than any poll.
+	maxPollWait = time.Minute
 )
 
 // openPoll is a poll of the store without an answer yet. It may wait in the link of this VM before it waits at the
@@ -18,6 +20,9 @@
 	begun, sent time.Duration
 	// arrivedBy is an instant by which the poll had left the link, or zero while that is not known.
 	arrivedBy time.Duration
+	// checkedAt is the start of the last check, and openChecks the number of those that have not ended.
+	checkedAt  time.Duration
+	openChecks int
 }
 
 // confirmDelivery records that a call of this VM, to any address, which began at the instant began has been answered by
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -133,9 +133,7 @@
 	poll *openPoll
 	// completeAt is the instant up to which all changes were read and relayed.
 	completeAt time.Duration
-	// checkedAt is the end of the last check of the poll that found no changes, or the start of the poll.
-	checkedAt time.Duration
-	// aliveAt is the start of the last such check before which the poll waited at the store, or zero.
+	// aliveAt is the start of the last check of the poll that found no changes, or zero.
 	aliveAt time.Duration
 }
 
@@ -150,17 +148,21 @@
 	undeliveredAfter time.Duration
 }
 
-// maxCheckAge is the age of the last check of a waiting poll from which the poll no longer shows that there are
-// no changes. It covers the pause between two checks and the time that one may take.
-const maxCheckAge = 2500 * time.Millisecond
-
 // maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
 const maxPollDelay = 200 * time.Millisecond
 
-// deliveryCheckAfter is how long a poll may be open without a sign that it has reached the store until a call is
-// made to find out. With it, the age that ReadAge returns in calm stays below 0.9 s: up to 0.5 s between two polls,
-// this time, the call and maxPollDelay.
-const deliveryCheckAfter = 50 * time.Millisecond
+const (
+	// firstCheckAfter is how long a poll on which other VMs rely is open until its first check. With it, the age that
+	// ReadAge returns in calm stays below 0.9 s: up to 0.5 s between two polls, this time, the check and maxPollDelay.
+	firstCheckAfter = 50 * time.Millisecond
+	// checkInterval is the time between the starts of two checks of such a poll. With an update of the reader each
+	// 300 ms and a report each 250 ms it has to stay below MaxStaleness, also while the store takes 0.3 s to answer.
+	checkInterval = 500 * time.Millisecond
+	// checkTimeout bounds such a check, and maxOpenChecks how many of a poll are open at once: the VM's other calls to
+	// the store share their connections with them.
+	checkTimeout  = time.Second
+	maxOpenChecks = 2
+)
 
 const (
 	// quietRetryInterval is the time after which a list of a quiet prefix that failed is tried again although other prefixes
@@ -409,8 +411,8 @@
 	defer f.endPoll(prefix, poll, 0)
 	answered := make(chan checked.Result, 1)
 	go func() { answered <- f.pollDirect(ctx, prefix, after, wait, poll) }()
-	undelivered := time.NewTimer(deliveryCheckAfter)
-	defer undelivered.Stop()
+	check := time.NewTimer(f.untilCheck(poll))
+	defer check.Stop()
 	for {
 		covers, changed := f.covers(prefix, after)
 		if covers {
@@ -438,15 +440,13 @@
 				f.setReadComplete(prefix, answeredAt)
 			}
 			return a.Events, a.At, a.Err
-		case <-undelivered.C:
-			switch f.nextDeliveryCheck(poll) {
-			case deliveryCheckLater:
-				undelivered.Reset(deliveryCheckAfter)
-			case deliveryCheckNow:
-				go f.checkDelivery(ctx, prefix, after)
+		case <-check.C:
+			if f.beginCheck(poll) {
+				go f.checkPoll(ctx, prefix, after, poll)
 			}
 		case <-changed:
 		}
+		check.Reset(f.untilCheck(poll))
 	}
 }
 
@@ -461,6 +461,9 @@
 	}
 	var began time.Duration
 	check := func(ctx context.Context) ([]store.Event, store.Version, error) {
+		if f.checkedLately(prefix, open) {
+			return nil, after, nil
+		}
 		began = f.opts.Now()
 		events, at, err := f.opts.Check(ctx, prefix, after)
 		f.confirmAnswered(began, err)
@@ -471,38 +474,46 @@
 	})
 }
 
-// deliveryCheck says when to find out whether a poll has reached the store.
-type deliveryCheck int
-
-const (
-	deliveryCheckNever deliveryCheck = iota
-	deliveryCheckLater
-	deliveryCheckNow
-)
-
-// nextDeliveryCheck says when to make a call of which the answer shows that the poll has left the link. None is needed if another
-// call has shown it, or if no other VM relies on what this one has read.
-func (f *Feed) nextDeliveryCheck(poll *openPoll) deliveryCheck {
+// untilCheck returns the time until a poll is to be checked, which is long if no other VM relies on what this one has read.
+func (f *Feed) untilCheck(poll *openPoll) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Now()
 	switch {
-	case f.opts.Check == nil || poll.arrivedBy > 0 || now-poll.begun >= maxLinkWait:
-		return deliveryCheckNever
-	case now < poll.handedOver() || !f.isReader || f.ageAskedAt == 0 || now-f.ageAskedAt > time.Second:
-		return deliveryCheckLater
+	case f.opts.Check == nil || !f.isReader || !f.ageAskedLocked(now):
+		return maxPollWait
+	case now < poll.handedOver() || poll.openChecks >= maxOpenChecks:
+		return firstCheckAfter
 	default:
-		return deliveryCheckNow
+		return max(poll.begun+firstCheckAfter, poll.checkedAt+checkInterval) - now
 	}
 }
 
-// checkDelivery makes a call of which only matters whether it is answered.
-func (f *Feed) checkDelivery(ctx context.Context, prefix string, after store.Version) {
-	ctx, cancel := context.WithTimeout(ctx, maxLinkWait)
+// beginCheck reports whether a poll is to be checked now, and if so counts the check.
+func (f *Feed) beginCheck(poll *openPoll) bool {
+	if f.untilCheck(poll) > 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	poll.checkedAt = f.opts.Now()
+	poll.openChecks++
+	return true
+}
+
+// checkPoll checks a poll on which other VMs rely. What to do about a poll that the store has lost is left to checked.Poll.
+func (f *Feed) checkPoll(ctx context.Context, prefix string, after store.Version, poll *openPoll) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	began := f.opts.Now()
-	_, _, err := f.opts.Check(ctx, prefix, after)
+	events, _, err := f.opts.Check(ctx, prefix, after)
 	f.confirmAnswered(began, err)
+	if err == nil && len(events) == 0 {
+		f.setChecked(prefix, poll, began)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	poll.openChecks--
 }
 
 // errReaderCovers reports that the reader covers a poll of the store, so that the poll is
@@ -600,7 +611,7 @@
 	defer f.mu.Unlock()
 	now := f.opts.Now()
 	poll, r := &openPoll{begun: now}, f.readsLocked(prefix)
-	r.poll, r.checkedAt, r.aliveAt = poll, now, 0
+	r.poll, r.aliveAt = poll, 0
 	f.awaitsDelivery.Store(true)
 	return poll
 }
@@ -671,13 +682,9 @@
 func (f *Feed) setChecked(prefix string, poll *openPoll, began time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := f.readsLocked(prefix)
-	if r.poll != poll {
-		return
-	}
-	r.checkedAt = f.opts.Now()
-	if poll.waitsAtStore(began) {
-		r.aliveAt = began
+	poll.checkedAt = max(poll.checkedAt, began)
+	if r := f.readsLocked(prefix); r.poll == poll && began >= poll.handedOver() {
+		r.aliveAt = max(r.aliveAt, began)
 	}
 }
 
@@ -743,18 +750,23 @@
 
 // ReadAge returns the longest time since which changes may exist that this VM has not read
 // from the store and relayed, over all prefixes. It returns false while a prefix was not
-// read yet. While polls wait at the store, it leaves out the changes of the last maxPollDelay, of which the store
-// may not have told yet.
+// read yet. A poll that waits at the store shows up to the start of its last check that there are no changes. The store may
+// have stopped answering this VM since. Without Options.Check, it shows it up to now, apart from the changes of the last
+// maxPollDelay.
 func (f *Feed) ReadAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, age := f.opts.Now(), time.Duration(0)
+	if !f.ageAskedLocked(now) {
+		// The checks of the polls that are open begin.
+		f.wakeLocked()
+	}
 	f.ageAskedAt = now
 	for _, r := range f.reads {
 		known := r.completeAt
 		if r.poll != nil && r.poll.waitsAtStore(now) {
 			known = max(known, r.aliveAt)
-			if f.opts.Check == nil || now-r.checkedAt <= maxCheckAge {
+			if f.opts.Check == nil {
 				known = now
 			}
 		}
@@ -766,6 +778,20 @@
 	return age, len(f.reads) > 0
 }
 
+// checkedLately reports whether the last check of the poll is so recent that another one need not be made.
+func (f *Feed) checkedLately(prefix string, poll *openPoll) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.readsLocked(prefix)
+	return r.poll == poll && r.aliveAt > 0 && f.opts.Now()-r.aliveAt <= checkInterval
+}
+
+// ageAskedLocked reports whether ReadAge was called within the last second, as it is while other VMs rely on this one. f.mu
+// must be held.
+func (f *Feed) ageAskedLocked(now time.Duration) bool {
+	return f.ageAskedAt > 0 && now-f.ageAskedAt <= time.Second
+}
+
 // recordReadResult records whether a read of the prefix from the store succeeded.
 func (f *Feed) recordReadResult(prefix string, err error) {
 	f.mu.Lock()
