daemon: Wait after a stall for as long as the assigner's confirmation may take

With the setting evacuate, a VM that has stood still refuses requests until it knows all evacuations, by the assigner's confirmation or else by a list 0.5 s later. Since a confirmation may be 0.5 s older than before, so that up to a list for each VM came on top: TestVMServesAgainAfterAStall failed with -race

evacuation_test.go:205: not true: calls <= 1 // The assigner. evacuation_test.go:203: fault 0: calls by VM [1 10 1] before, [2 12 2] after

A VM that follows the assigner now waits 1.3 s: 0.55 s of age, 0.25 s to a report, 0.3 s to an update and two ticks. It goes on as soon as the confirmation is there. Other VMs wait 0.5 s as before.

The test passes 3 of 3 with -race -run 'Stall|Evacuat'.

--- a/daemon/node_evacuations.go
+++ b/daemon/node_evacuations.go
@@ -134,11 +134,22 @@
 	stallDivisor = 4
 	// stallInterval is the interval at which the process notes that it runs.
 	stallInterval = 100 * time.Millisecond
-	// stallRelayWait is how long a VM that has stood still waits for the assigner, or the answer to its
-	// own poll, to confirm that it knows all changes. It then reads the list from the store.
-	stallRelayWait = 500 * time.Millisecond
+	// stallPollWait is how long a VM that has stood still waits for the answer to its own poll to show that it knows all
+	// changes. It then reads the list from the store.
+	stallPollWait = 500 * time.Millisecond
+	// stallRelayWait is the same for a VM that follows the assigner. It covers the age of what that confirms, a report
+	// and an update.
+	stallRelayWait = 1300 * time.Millisecond
 )
 
+// stallWait returns how long this VM waits after it has stood still until it reads the list.
+func (c *evacuationConsumer) stallWait() time.Duration {
+	if c.process.feed.HasReader() {
+		return stallRelayWait
+	}
+	return stallPollWait
+}
+
 // watchStalls notices that the process has stood still, and finds out what has changed meanwhile, until
 // the context ends.
 func (c *evacuationConsumer) watchStalls(ctx context.Context) error {
@@ -161,7 +172,7 @@
 			c.process.logger.Info("evacuations are known again after the process stood still", "source", "feed")
 		case c.process.feed.KnownAt(platform.EvacuationPrefix) >= resumed:
 			known = resumed
-		case read != resumed && boottime.Now()-resumed >= stallRelayWait:
+		case read != resumed && boottime.Now()-resumed >= c.stallWait():
 			read = resumed
 			go c.readAfterStall(ctx, resumed)
 		}
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -686,11 +686,7 @@
 
 // checksPolls reports whether this VM checks its polls. A VM that follows a reader polls only until the next reader
 // covers it, and its checks, like those of some hundred others, would be calls that the store cannot bear.
-func (f *Feed) checksPolls() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.isReader || !f.relayed
-}
+func (f *Feed) checksPolls() bool { return !f.HasReader() }
 
 // setChecked records that a check of the poll, which began at the instant, found that the poll has missed nothing.
 func (f *Feed) setChecked(prefix string, poll *openPoll, began time.Duration) {
@@ -762,6 +758,13 @@
 	return known
 }
 
+// HasReader reports whether this VM has followed a reader and is not the reader itself.
+func (f *Feed) HasReader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.relayed && !f.isReader
+}
+
 // ReadAge returns the longest time since which changes may exist that this VM has not read
 // from the store and relayed, over all prefixes. It returns false while a prefix was not
 // read yet. A poll that waits at the store shows up to the start of its last check that there are no changes. The store may
