store: Check the poll that a new reader began as a follower

What callers saw: nothing that was reported.

Cause: whether a poll is checked was decided when it began. A VM that has lost its reader does not check its polls; if the store loses one and the VM becomes the reader, that poll was waited for until its own end, up to 25 s later. The reader did not confirm anything meanwhile, so that all other VMs read the store themselves.

Change: the decision is made before each check.

TestNewReaderChecksThePollThatItBeganAsAFollower fails without it:

relayfeed_test.go:691: err: context deadline exceeded

--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -465,13 +465,13 @@
 	poll := func(ctx context.Context) ([]store.Event, store.Version, error) {
 		return f.opts.Direct.Poll(store.WithOnSent(ctx, func() { f.setSent(open) }), prefix, after, wait)
 	}
-	if f.opts.Check == nil || !f.checksPolls() {
+	if f.opts.Check == nil {
 		events, at, err := poll(ctx)
 		return pollResult{Result: checked.Result{Events: events, At: at, Err: err}}
 	}
 	var began time.Duration
 	check := func(ctx context.Context) ([]store.Event, store.Version, error) {
-		if f.checkedLately(prefix, open) {
+		if !f.checksPolls() || f.checkedLately(prefix, open) {
 			return nil, after, nil
 		}
 		began = f.opts.Now()
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -673,6 +673,27 @@
 	})
 }
 
+// Guards against an assigner that knows no changes for 25 s, because the store has lost the poll that it began as a follower.
+func TestNewReaderChecksThePollThatItBeganAsAFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		lossy := &losingStore{countingStore: p.store}
+		feed := relayfeed.New(relayfeed.Options{Direct: lossy, Check: lossy.check, Now: p.now})
+		feed.SetReader(true, p.now())
+		feed.ForgetReader()
+		_, at, err := feed.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		lossy.losing.Store(true)
+		time.AfterFunc(3*time.Second, feed.BecomeReader)
+		time.AfterFunc(4*time.Second, func() { p.put("a/1") })
+		began := time.Now()
+		events, _, err := feed.Poll(t.Context(), prefix, at, 25*time.Second)
+		p.is.NoErr(err)
+		p.is.Equal(len(events), 1)
+		p.is.True(time.Since(began) <= 5200*time.Millisecond)
+	})
+}
+
 // failingStore counts the lists of each prefix. Those of the prefixes in failing fail.
 type failingStore struct {
 	*memstore.Store
