Tell how old what a VM knew of the targets was at a send

* `request` and `attempt` have `known_ms_ago`, read right before the first byte; basiltally_targets_known_age_seconds is its distribution.
* `target entry added or changed` of a leaving target has `leaving_ms`.
* `listed the objects` has `took_ms`; `changes may be missing` the age.
* `assigner activity` has `longest_feed_age_ms`, the greatest age that was confirmed.

TestKnownAgo and TestRequestsTellTheAgeOfTheTargets are new.

--- a/daemon/node_parts.go
+++ b/daemon/node_parts.go
@@ -61,7 +61,8 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		Headers: platform.CallerHeaders(), TargetHeaders: platform.TargetHeaders(), Routes: n.routes.Load,
-		Directory: n.directory, Eligibility: n.eligibility, Evacuations: n.evacuations, Shards: n.agent, Balancer: n.balancer,
+		TargetsKnownAgo: func() (time.Duration, bool) { return n.feed.KnownAgo(platform.TargetPrefix) },
+		Directory:       n.directory, Eligibility: n.eligibility, Evacuations: n.evacuations, Shards: n.agent, Balancer: n.balancer,
 		Upstream: n.upstream, Budget: n.budget, KeyCounter: n.keyCounter, Crashes: n.crashes, Overload: byPriority,
 		Registerer: n.registry, Logger: n.logger,
 	})
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -339,8 +339,14 @@
 	delete(d.departed, next.Incarnation())
 	d.version++
 	d.targets[t.ID] = &next
-	d.opts.Logger.Info("target entry added or changed", "target", t.ID, "service", t.Service, "address", t.Address,
-		"state", t.State.String(), "born", t.Born, "data_centre", t.DataCentre, "slots", t.Slots, "known", old != nil)
+	attrs := []any{
+		"target", t.ID, "service", t.Service, "address", t.Address,
+		"state", t.State.String(), "born", t.Born, "data_centre", t.DataCentre, "slots", t.Slots, "known", old != nil,
+	}
+	if !next.LeavingSince.IsZero() {
+		attrs = append(attrs, "leaving_ms", now.Sub(next.LeavingSince).Milliseconds())
+	}
+	d.opts.Logger.Info("target entry added or changed", attrs...)
 }
 
 func (d *Directory) remove(id string) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,6 +41,9 @@
 	failedAnswer *upstream.Answer
 	// tried holds the IDs of the targets that were chosen for the request, the latest last.
 	tried []string
+	// knownAgo is the age of what was known of the targets when the request was sent last, in nanoseconds, or zero if it
+	// was not sent or that is unknown.
+	knownAgo atomic.Int64
 	// cause is why the latest target was chosen, a value of the metric label "cause".
 	cause        string
 	tableVersion shard.Version
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -126,7 +126,10 @@
 	if s == stepDone {
 		return
 	}
-	attrs := []any{"id", c.id, "target", t.ID, "outcome", stepNames[s], "attempt", len(c.tried), "left_ms", c.timeLeft().Milliseconds()}
+	attrs := []any{
+		"id", c.id, "target", t.ID, "outcome", stepNames[s], "attempt", len(c.tried), "left_ms", c.timeLeft().Milliseconds(),
+		"known_ms_ago", time.Duration(c.knownAgo.Load()).Milliseconds(),
+	}
 	if err != nil {
 		attrs = append(attrs, "error", err.Error(), "fingerprint", hex.EncodeToString(c.content[:]))
 	} else {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	// Routes returns the current routes, or nil while none are known.
 	Routes    func() *routing.Table
 	Directory *fleet.Directory
+	// TargetsKnownAgo returns the time since the instant up to which Directory has all changes, or false if that is unknown.
+	// Nil does not tell it.
+	TargetsKnownAgo func() (time.Duration, bool)
 	// Eligibility decides whether a request may be sent to a target.
 	Eligibility *eligibility.Tracker
 	// Evacuations has the data centres that are being evacuated. Nil has none.
@@ -113,6 +116,7 @@
 	duration *telemetry.ClassHistogram
 	results  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
+	knownAgo prometheus.Histogram
 	traffic  *trafficCounter
 	// malformedLoggedAt is when a malformed statement was last logged, in nanoseconds since the
 	// Unix epoch.
@@ -140,8 +144,12 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "basiltally_attempts_total", Help: "Exchanges with targets by outcome.",
 		}, []string{"outcome"}),
+		knownAgo: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "basiltally_targets_known_age_seconds", Buckets: []float64{0.3, 0.6, 1, 1.5, 2, 2.5, 3, 5, 10},
+			Help: "Time since this VM knew all changes of the targets' entries, when a request was sent.",
+		}),
 	}
-	opts.Registerer.MustRegister(g.results, g.attempts)
+	opts.Registerer.MustRegister(g.results, g.attempts, g.knownAgo)
 	g.traffic = newTrafficCounter(opts.Registerer, opts.Balancer)
 	return g
 }
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"bytes"
+	"log/slog"
 	"net/http"
 	"slices"
 	"strings"
@@ -8,8 +10,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/basiltally/basiltally/fleet"
+	"github.com/basiltally/basiltally/gateway"
 	"github.com/basiltally/basiltally/ingress"
 )
 
@@ -115,3 +119,25 @@
 	is.Equal(f.send("/safe/x", "1").Status, 200)
 	is.Equal(f.requestsReceived(), 2)
 }
+
+// Guards against a record of a late request that does not tell how old the VM's knowledge was.
+func TestRequestsTellTheAgeOfTheTargets(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, false, answerOK)
+	var log bytes.Buffer
+	registry := prometheus.NewRegistry()
+	f.opts.Registerer, f.opts.Logger = registry, slog.New(slog.NewTextHandler(&log, nil))
+	f.opts.TargetsKnownAgo = func() (time.Duration, bool) { return 1200 * time.Millisecond, true }
+	f.gateway = gateway.New(f.opts)
+	is.Equal(f.send("/safe/x", "").Status, 200)
+	is.True(strings.Contains(log.String(), "known_ms_ago=1200"))
+	families, err := registry.Gather()
+	is.NoErr(err)
+	for _, m := range families {
+		if m.GetName() == "basiltally_targets_known_age_seconds" {
+			is.Equal(m.GetMetric()[0].GetHistogram().GetSampleSum(), 1.2)
+			return
+		}
+	}
+	t.Error("the age is not counted")
+}
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -34,6 +34,12 @@
 	if v := g.opts.Eligibility.TakeAt(t, g.placement(c, c.service.Keyed)); !v.OK() {
 		return v
 	}
+	if g.opts.TargetsKnownAgo != nil {
+		if ago, ok := g.opts.TargetsKnownAgo(); ok {
+			g.knownAgo.Observe(ago.Seconds())
+			c.knownAgo.Store(int64(ago))
+		}
+	}
 	return nil
 }
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -66,7 +66,7 @@
 		attrs = append(attrs, "key", c.key, "term", c.tableVersion.Term, "seq", c.tableVersion.Seq)
 	}
 	if len(c.tried) > 0 {
-		attrs = append(attrs, "target", c.tried[len(c.tried)-1])
+		attrs = append(attrs, "target", c.tried[len(c.tried)-1], "known_ms_ago", time.Duration(c.knownAgo.Load()).Milliseconds())
 	}
 	if e != nil {
 		attrs = append(attrs, "reason", e.Detail, "retry_after_ms", e.RetryAfter.Milliseconds(), "may_have_run", c.mayHaveRun, "gone", c.ctx.Err() != nil)
--- a/shard/assigneractivity.go
+++ b/shard/assigneractivity.go
@@ -23,6 +23,8 @@
 	// longestWait is the longest time from when an order was due until its call began, longestCall the longest
 	// call, and longestResultWait the longest time from the end of a call until its result was recorded.
 	longestWait, longestCall, longestResultWait time.Duration
+	// longestFeedAge is the greatest age of what this VM has read of the store, as confirmed to followers.
+	longestFeedAge time.Duration
 }
 
 func newAssignerActivity(now time.Duration) assignerActivity {
@@ -64,7 +66,7 @@
 		"longest_plan_ms", s.longestPlan.Milliseconds(), "longest_table_ms", s.longestTable.Milliseconds(),
 		"grants", s.grants, "releases", s.releases, "failed", s.failed, "not_sent", s.notSent,
 		"longest_wait_ms", s.longestWait.Milliseconds(), "longest_call_ms", s.longestCall.Milliseconds(),
-		"longest_result_wait_ms", s.longestResultWait.Milliseconds(), "confirmed_ms_ago", a.confirmedAgo().Milliseconds())
+		"longest_result_wait_ms", s.longestResultWait.Milliseconds(), "confirmed_ms_ago", a.confirmedAgo().Milliseconds(), "longest_feed_age_ms", s.longestFeedAge.Milliseconds())
 	*s = newAssignerActivity(now)
 }
 
--- a/shard/followers.go
+++ b/shard/followers.go
@@ -276,6 +276,7 @@
 	}
 	if age, ok := a.agent.opts.Feed.ReadAge(); ok {
 		u.ReportSentAtMs, u.FeedAgeMs = f.reportSentAtMs, uint32(age.Milliseconds())
+		a.activity.longestFeedAge = max(a.activity.longestFeedAge, age)
 	}
 }
 
--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -111,10 +111,12 @@
 
 // list reads the complete list and gives it to the consumer.
 func (f *Follower) list(ctx context.Context) error {
+	began := time.Now()
 	objects, at, err := f.opts.Feed.List(ctx, f.opts.Prefix)
 	if err != nil {
 		return err
 	}
+	f.opts.Logger.Info("listed the objects", "prefix", f.opts.Prefix, "objects", len(objects), "revision", at, "took_ms", time.Since(began).Milliseconds())
 	f.recordSuccess()
 	f.listed, f.known = true, at
 	f.opts.Consumer.Replace(objects)
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -379,7 +379,8 @@
 			f.boundChanges(prefix, 0)
 			return b.Events, b.At, nil
 		case relayReset:
-			return nil, 0, errors.WithMessagef(store.ErrCompacted, "%s: changes from the reader of the store may be missing", prefix)
+			ago, _ := f.KnownAgo(prefix)
+			return nil, 0, errors.WithMessagef(store.ErrCompacted, "%s: changes from the reader of the store of the last %d ms may be missing", prefix, ago.Milliseconds())
 		case relayNotCovered:
 			events, at, err := f.pollStore(ctx, prefix, after, wait)
 			if !errors.Is(err, errReaderCovers) {
@@ -765,6 +766,22 @@
 	return f.relayed && !f.isReader
 }
 
+// KnownAgo returns the time since the instant up to which List and Poll have returned all changes under the prefix, as far as
+// this VM can tell. It returns false while none is known.
+func (f *Feed) KnownAgo(prefix string) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, r := f.opts.Now(), f.readsLocked(prefix)
+	known := max(r.completeAt, f.freshAt)
+	if b := f.boundsLocked(prefix); b.undelivered {
+		known = b.undeliveredAfter
+	}
+	if r.poll != nil && r.poll.waitsAtStore(now) {
+		known = max(known, r.aliveAt)
+	}
+	return now - known, known > 0
+}
+
 // ReadAge returns the longest time since which changes may exist that this VM has not read
 // from the store and relayed, over all prefixes. It returns false while a prefix was not
 // read yet. A poll that waits at the store shows up to the start of its last check that there are no changes. The store may
--- a/store/relayfeed/relayfeed_test.go
+++ b/store/relayfeed/relayfeed_test.go
@@ -831,3 +831,39 @@
 		p.is.True(time.Since(began) <= 3*time.Second)
 	})
 }
+
+// The age of what a VM knows must be that of the oldest change that it may lack, in each way in which it follows the store.
+func TestKnownAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFeeds(t)
+		known := func(f *relayfeed.Feed) time.Duration {
+			ago, ok := f.KnownAgo(prefix)
+			p.is.True(ok)
+			return ago
+		}
+		_, at := p.poll(p.follower.KnownRevisions()[prefix])
+		p.is.Equal(known(p.follower), time.Second) // That of the confirmation.
+		p.confirm()
+		p.is.Equal(known(p.follower), time.Duration(0))
+		time.Sleep(400 * time.Millisecond)
+		p.put("a/1")
+		p.read()
+		p.confirm()
+		p.is.Equal(known(p.follower), 400*time.Millisecond) // The change is not returned yet.
+		p.poll(at)
+		p.is.Equal(known(p.follower), time.Duration(0))
+		lossy := &losingStore{countingStore: p.store}
+		alone := relayfeed.New(relayfeed.Options{Direct: lossy, Check: lossy.check, Now: p.now})
+		_, ok := alone.KnownAgo(prefix)
+		p.is.True(!ok)
+		_, at, err := alone.List(t.Context(), prefix)
+		p.is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		var polls sync.WaitGroup
+		polls.Go(func() { _, _, _ = alone.Poll(ctx, prefix, at, time.Minute) })
+		time.Sleep(10*time.Second + time.Millisecond)
+		p.is.Equal(known(alone), time.Millisecond) // That of the last check.
+		cancel()
+		polls.Wait()
+	})
+}
