--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -238,8 +238,8 @@
 	is := is.New(t)
 	b := newEvacuationTest(t, 24)
 	n := b.startReadyNode("vm1")
-	c := &evacuationConsumer{process: n.process, listed: true}
 	outdated := n.process.feed.KnownRevisions()[platform.EvacuationPrefix]
+	c := &evacuationConsumer{process: n.process, listed: true, era: outdated.Era()}
 	b.store.Put(standin.KindEvacuations, "dc1", map[string]any{})
 	b.eventually("the evacuation is known", n.process.evacuations.Any)
 	is.True(!c.replaceUnlessOutdated(nil, outdated))
