store: Keep the bound of changes that came from the reader while a list was read

Cause: a follower notes, when the reader sends changes, up to when it knew all changes then; they were made after that. A list cleared the note, also if it had begun before these changes and did not have them. They were returned next, and counted as made after the instant of the reader's latest confirmation.

Change: the note stays while the reader has sent changes that are later than what List or Poll has returned.

Evidence: TestRandomSilencesAndDelaysHideNoChange plays 60 histories of silences of the store toward the reader, of delays of up to 1.5 s to the follower and of lists of 1 s.

--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -726,7 +726,10 @@
 	if b.undelivered {
 		known = b.undeliveredAfter
 	}
-	b.changedAfter, b.undelivered = max(after, known), false
+	b.changedAfter = max(after, known)
+	// While a list was read, the reader may have sent changes that it does not have.
+	s, l := f.streams[prefix], f.logs[prefix]
+	b.undelivered = b.undelivered && s != nil && l != nil && s.at > l.at
 }
 
 func (f *Feed) boundsLocked(prefix string) *changeBounds {
--- a/store/relayfeed/silence_test.go
+++ b/store/relayfeed/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -161,3 +162,91 @@
 		}
 	})
 }
+
+// Guards against silences toward the reader and delays of what it sends after which a change is known late, or taken for a later one.
+func TestRandomSilencesAndDelaysHideNoChange(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			p := newFeeds(t)
+			silent := &linkStore{countingStore: p.store}
+			follower := relayfeed.New(relayfeed.Options{Direct: &slowListStore{p.store, time.Second}, Now: p.now})
+			// Updates reach the follower in order, each after the present delay.
+			var delay atomic.Int64
+			type update struct {
+				due   time.Time
+				apply func()
+			}
+			updates := make(chan update, 1000)
+			send := func(f func()) { updates <- update{time.Now().Add(time.Duration(delay.Load())), f} }
+			reader := relayfeed.New(relayfeed.Options{Direct: silent, Check: silent.check, Now: p.now, OnBatch: func(b relayfeed.Batch) {
+				send(func() { follower.Receive(b) })
+			}})
+			reader.BecomeReader()
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			defer running.Wait()
+			defer cancel()
+			running.Go(func() {
+				for {
+					select {
+					case u := <-updates:
+						time.Sleep(time.Until(u.due))
+						u.apply()
+					case <-ctx.Done():
+						return
+					}
+				}
+			})
+			run := func(feed *relayfeed.Feed) *keysSeen {
+				c := newKeysSeen(feed)
+				running.Go(func() {
+					_ = follow.New(follow.Options{Feed: feed, Prefix: prefix, Consumer: c, Settle: 500 * time.Millisecond}).Run(ctx)
+				})
+				return c
+			}
+			run(reader)
+			time.Sleep(time.Second)
+			seen := run(follower)
+			running.Go(func() {
+				for ctx.Err() == nil {
+					if age, ok := reader.ReadAge(); ok {
+						reader.ConfirmDelivery(p.now())
+						healthy, at := reader.Healthy(), p.now()-270*time.Millisecond-age
+						send(func() { follower.SetReader(healthy, at) })
+					}
+					time.Sleep(300 * time.Millisecond)
+				}
+			})
+			made := map[string]time.Time{}
+			for i := range 300 {
+				switch rng.IntN(12) {
+				case 0:
+					silent.silent.Store(true)
+				case 1, 2:
+					silent.silent.Store(false)
+				case 3:
+					delay.Store(int64(time.Duration(rng.IntN(1500)) * time.Millisecond))
+				case 4, 5:
+					delay.Store(0)
+				case 6, 7:
+					key := fmt.Sprintf("a/%d", i+1)
+					p.put(key)
+					made[key] = time.Now()
+				}
+				time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+			}
+			time.Sleep(10 * time.Second)
+			for key, at := range made {
+				known, ago := seen.seen(key)
+				took := known.Sub(at)
+				if known.IsZero() || took > 2900*time.Millisecond {
+					t.Errorf("seed %d: the follower knows a change after %v", seed, took)
+				}
+				if ago < took {
+					t.Errorf("seed %d: a change %v ago counts as made %v ago at most", seed, took, ago)
+				}
+			}
+		})
+	}
+}
