store: Keep that bound also if the changes were discarded with the reader

If the list has begun before these changes, they are returned by a poll, and counted as made after the instant up to which the reader had confirmed to have sent them. The note now stays until their revision has been returned.

The histories now lose the reader and find it again, and TestRandomSilencesAndDelaysHideNoChange fails without this change:

--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -146,6 +146,8 @@
 	// They were made after undeliveredAfter.
 	undelivered      bool
 	undeliveredAfter time.Duration
+	// undeliveredUpTo is the revision of the last of them.
+	undeliveredUpTo store.Version
 }
 
 // maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
@@ -334,6 +336,10 @@
 			next.awaitReaderUntil = f.opts.Now() + f.opts.FirstReaderWait
 		}
 		f.logs[prefix] = next
+		if l != nil {
+			// The revisions of what is undelivered do not compare with those of the list.
+			f.boundsLocked(prefix).undelivered = false
+		}
 		return Batch{Prefix: prefix, After: at, At: at, Reset: true}
 	}
 	l.reliesOnReader = false
@@ -607,7 +613,7 @@
 		}
 	}
 	if out.At == after {
-		f.boundsLocked(prefix).undelivered = false
+		f.boundsLocked(prefix).deliveredUpTo(after)
 		return Batch{}, relayPending, f.changed, staleIn
 	}
 	s.from, s.batches = out.At, nil
@@ -727,9 +733,15 @@
 		known = b.undeliveredAfter
 	}
 	b.changedAfter = max(after, known)
-	// While a list was read, the reader may have sent changes that it does not have.
-	s, l := f.streams[prefix], f.logs[prefix]
-	b.undelivered = b.undelivered && s != nil && l != nil && s.at > l.at
+	if l := f.logs[prefix]; l != nil {
+		b.deliveredUpTo(l.at)
+	}
+}
+
+// deliveredUpTo records that List or Poll has returned the changes up to a revision. While a list was read, the reader may
+// have sent changes that it does not have, and ForgetReader may have discarded them since.
+func (b *changeBounds) deliveredUpTo(at store.Version) {
+	b.undelivered = b.undelivered && at < b.undeliveredUpTo
 }
 
 func (f *Feed) boundsLocked(prefix string) *changeBounds {
@@ -1007,8 +1019,11 @@
 	defer f.mu.Unlock()
 	s := f.streams[b.Prefix]
 	gap := s != nil && b.After > s.at
-	if bounds := f.boundsLocked(b.Prefix); !bounds.undelivered && (len(b.Events) > 0 || b.Reset || gap) {
-		bounds.undelivered, bounds.undeliveredAfter = true, max(f.readsLocked(b.Prefix).completeAt, f.freshAt)
+	if bounds := f.boundsLocked(b.Prefix); len(b.Events) > 0 || b.Reset || gap {
+		if !bounds.undelivered {
+			bounds.undelivered, bounds.undeliveredAfter = true, max(f.readsLocked(b.Prefix).completeAt, f.freshAt)
+		}
+		bounds.undeliveredUpTo = max(bounds.undeliveredUpTo, b.At)
 	}
 	switch {
 	case s != nil && !b.Reset && b.After <= s.at:
--- a/store/relayfeed/silence_test.go
+++ b/store/relayfeed/silence_test.go
@@ -163,9 +163,10 @@
 	})
 }
 
-// Guards against silences toward the reader and delays of what it sends after which a change is known late, or taken for a later one.
+// Guards against silences toward the reader, delays of what it sends and its loss, after which a change is known late or counts as
+// a later one.
 func TestRandomSilencesAndDelaysHideNoChange(t *testing.T) {
-	for seed := range uint64(60) {
+	for seed := uint64(200); seed < 260; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 7))
 			p := newFeeds(t)
@@ -173,6 +174,8 @@
 			follower := relayfeed.New(relayfeed.Options{Direct: &slowListStore{p.store, time.Second}, Now: p.now})
 			// Updates reach the follower in order, each after the present delay.
 			var delay atomic.Int64
+			var usable atomic.Bool
+			usable.Store(true)
 			type update struct {
 				due   time.Time
 				apply func()
@@ -213,7 +216,7 @@
 					if age, ok := reader.ReadAge(); ok {
 						reader.ConfirmDelivery(p.now())
 						healthy, at := reader.Healthy(), p.now()-270*time.Millisecond-age
-						send(func() { follower.SetReader(healthy, at) })
+						send(func() { follower.SetReader(healthy && usable.Load(), at) })
 					}
 					time.Sleep(300 * time.Millisecond)
 				}
@@ -229,6 +232,16 @@
 					delay.Store(int64(time.Duration(rng.IntN(1500)) * time.Millisecond))
 				case 4, 5:
 					delay.Store(0)
+				case 8:
+					usable.Store(rng.IntN(2) == 0)
+				case 9:
+					// The follower follows the reader anew, after some time.
+					known := follower.KnownRevisions()
+					send(follower.ForgetReader)
+					delay.Store(int64(time.Duration(rng.IntN(700)) * time.Millisecond))
+					for _, b := range reader.BatchesSince(known) {
+						send(func() { follower.Receive(b) })
+					}
 				case 6, 7:
 					key := fmt.Sprintf("a/%d", i+1)
 					p.put(key)
