--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -156,6 +156,8 @@
 	// They were made after undeliveredAfter.
 	undelivered      bool
 	undeliveredAfter time.Duration
+	// undeliveredUpTo is the revision of the last of them.
+	undeliveredUpTo store.Version
 }
 
 // maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
@@ -357,6 +359,10 @@
 			next.awaitReaderUntil = f.opts.Now() + f.opts.FirstReaderWait
 		}
 		f.logs[prefix] = next
+		if l != nil {
+			// The revisions of what is undelivered do not compare with those of the list.
+			f.boundsLocked(prefix).undelivered = false
+		}
 		return Batch{Prefix: prefix, After: at, At: at, Reset: true}
 	}
 	l.reliesOnReader = false
@@ -631,7 +637,7 @@
 		}
 	}
 	if out.At == after {
-		f.boundsLocked(prefix).undelivered = false
+		f.boundsLocked(prefix).deliveredUpTo(after)
 		return Batch{}, relayPending, f.changed, staleIn
 	}
 	s.from, s.batches = out.At, nil
@@ -750,7 +756,16 @@
 	if b.undelivered {
 		known = b.undeliveredAfter
 	}
-	b.changedAfter, b.undelivered = max(after, known), false
+	b.changedAfter = max(after, known)
+	if l := f.logs[prefix]; l != nil {
+		b.deliveredUpTo(l.at)
+	}
+}
+
+// deliveredUpTo records that List or Poll has returned the changes up to a revision. While a list was read, the reader may
+// have sent changes that it does not have, and ForgetReader may have discarded them since.
+func (b *changeBounds) deliveredUpTo(at store.Version) {
+	b.undelivered = b.undelivered && at < b.undeliveredUpTo
 }
 
 func (f *Feed) boundsLocked(prefix string) *changeBounds {
@@ -1039,8 +1054,11 @@
 	defer f.mu.Unlock()
 	s := f.streams[b.Prefix]
 	gap := s != nil && b.After > s.at
-	if bounds := f.boundsLocked(b.Prefix); !bounds.undelivered && (len(b.Events) > 0 || b.Reset || gap) {
-		bounds.undelivered, bounds.undeliveredAfter = true, max(f.readsLocked(b.Prefix).completeAt, f.freshAt)
+	if bounds := f.boundsLocked(b.Prefix); len(b.Events) > 0 || b.Reset || gap {
+		if !bounds.undelivered {
+			bounds.undelivered, bounds.undeliveredAfter = true, max(f.readsLocked(b.Prefix).completeAt, f.freshAt)
+		}
+		bounds.undeliveredUpTo = max(bounds.undeliveredUpTo, b.At)
 	}
 	switch {
 	case s != nil && !b.Reset && b.After <= s.at:
