shard: Add a test of a take-over that waits for the targets' releases alone

Nothing played a VM that knows all targets. Without the deletion in finishClearing, all earlier tests of steps back pass and this one fails:

review_test.go:164: b has granted all keys after 5.503058172s

--- a/shard/review_test.go
+++ b/shard/review_test.go
@@ -138,3 +138,31 @@
 	is.Equal(version, store.Version(0))
 	is.True(errors.Is(err, store.ErrSteppedBack))
 }
+
+// A VM that knows all targets waits for their releases, and not for the longest lease that they might have.
+func TestTakeOverFromAnOlderRoleByAVMThatKnowsAllTargetsWaitsForTheirReleasesOnly(t *testing.T) {
+	t.Parallel()
+	f := newStepBackFleet(t, 600*time.Millisecond, "t1")
+	f.leases.LongLeaseDuration = 4 * time.Second
+	f.isolated.Store(true)
+	f.putEarlierRecord()
+	f.putRole(role{Term: earlierTerm, Settled: true})
+	older := f.store.Snapshot()
+	a := f.start("a")
+	f.awaitOwners(a, "t1")
+	f.addTarget("t2")
+	f.awaitOwners(a, "t1", "t2")
+	r, _ := f.role()
+	a.store.setCut(true)
+	since := f.stepBack(older)
+	b := f.start("b")
+	b.agent.mu.Lock()
+	b.agent.holders.since = boottime.Now() - 3*holderMemoryAge
+	b.agent.mu.Unlock()
+	f.awaitOwners(b, "t1", "t2")
+	if took := boottime.Now() - since; took > 3*time.Second {
+		t.Errorf("b has granted all keys after %v", took)
+	}
+	f.checkTakeOver(a, r.Term, b)
+	f.targets.check(t)
+}
