--- a/shard/agent.go
+++ b/shard/agent.go
@@ -565,7 +565,6 @@
 		"reason", v.reason, "sign", v.sign.String(), "orders_in_ms", max(p.until-boottime.Now(), 0).Milliseconds())
 	version = written
 	active := newAssigner(ctx, a, r.Term, start, p)
-	active.recordsPending.Store(r.RecordsPending)
 	a.mu.Lock()
 	a.active, a.following = active, ""
 	a.knownTerm = max(a.knownTerm, r.Term)
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -74,10 +74,7 @@
 	agent *Agent
 	// term rises when this VM writes its role again in a later era of the store.
 	term atomic.Uint64
-	// era is the era of the store for which the role was last written.
-	era atomic.Uint32
-	// recordsPending is set while records of ranges in the store may be those of an older copy.
-	recordsPending atomic.Bool
+	era  roleEra
 	// confirmedAt is the start of the last successful write of the role, in nanoseconds
 	// of boottime.Now.
 	confirmedAt atomic.Int64
@@ -129,6 +126,9 @@
 	written bool
 	// era is the era of the store that leases knows of.
 	era store.Era
+	// distrusted is the record that was taken over if it comes from an older copy, until the targets that may hold keys are
+	// known. It has no ranges if there was none.
+	distrusted *Record
 	// trusted is set once the record in the store has the owners of that era.
 	trusted bool
 	// reread is set if the version of the record in the store has to be read again before the next write.
@@ -205,7 +205,7 @@
 	ctx := a.ctx
 	defer close(a.done)
 	defer a.stop(nil)
-	a.era.Store(uint32(r.Era))
+	a.era.set(r.Era, r.RecordsPending)
 	go a.confirmRole(ctx, r, version)
 	if suspects := a.agent.opts.Suspects; suspects != nil {
 		keeper := suspectsKeeper{agent: a.agent, tracker: suspects}
@@ -339,7 +339,7 @@
 		}
 		start := boottime.Now()
 		r.Beat++
-		r.RecordsPending = a.recordsPending.Load()
+		_, r.RecordsPending = a.era.get()
 		r.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
 		written, err := putRole(ctx, a.agent.opts.Store, r, version)
 		switch {
@@ -351,14 +351,13 @@
 		case errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrSteppedBack):
 			a.logConflict(ctx, version)
 			restored, at, err := a.restoreRole(ctx, r)
-			if ctx.Err() != nil {
-				continue
-			}
-			if err != nil {
+			switch {
+			case err == nil:
+				r, version, interval = restored, at, 0
+			case ctx.Err() == nil:
 				a.stop(err)
 				return
 			}
-			r, version, interval = restored, at, 0
 		default:
 			a.agent.opts.Logger.Warn("could not confirm the role", "term", a.term.Load(), "error", err.Error(),
 				"confirmed_ms_ago", (boottime.Now() - time.Duration(a.confirmedAt.Load())).Milliseconds())
@@ -400,9 +399,7 @@
 				return r, version, errSuperseded
 			}
 			// An earlier write was done after all. Other VMs count the lease from then, so the next write confirms the role.
-			if found.RecordsPending {
-				a.recordsPending.Store(true)
-			}
+			a.era.set(found.Era, found.RecordsPending)
 			return found, version, nil
 		}
 		if !a.maySendOrders(start) {
@@ -416,7 +413,6 @@
 				a.agent.opts.Logger.Warn("wrote the role again: the store has come back from an older copy", "term", next.Term, "earlier_term", r.Term,
 					"found_term", found.Term, "found_vm", found.VM, "revision", version)
 				a.recordRole(next, start)
-				a.recordsPending.Store(true)
 				return next, version, nil
 			}
 		}
@@ -426,13 +422,13 @@
 	return r, 0, context.Cause(ctx)
 }
 
-// recordRole records that the store has confirmed the role by a write that began at the instant, perhaps in a later era.
+// recordRole records that the store has confirmed the role by a write that began at the instant.
 func (a *assigner) recordRole(r role, began time.Duration) {
 	// An update in between names the earlier beat, or one that is not in the store: no VM counts its age.
 	a.confirmedAt.Store(int64(began))
 	a.beat.Store(r.Beat)
-	a.term.Store(r.Term)
-	a.era.Store(uint32(r.Era)) // After the term, which run reads once it sees the era.
+	a.term.Store(r.Term) // Before the era, with which run reads it.
+	a.era.set(r.Era, r.RecordsPending)
 	a.agent.learnTerm(r.Term)
 }
 
@@ -454,7 +450,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	given := role{Term: r.Term, Settled: true, Era: r.Era, RecordsPending: a.recordsPending.Load()}
+	given := role{Term: r.Term, Settled: true, Era: r.Era}
+	_, given.RecordsPending = a.era.get()
 	given.setEarlier(time.Duration(a.predecessorUntil.Load()), boottime.Now())
 	if _, err := putRole(ctx, a.agent.opts.Store, given, version); err != nil {
 		a.agent.opts.Logger.Info("could not give up the role", "error", err.Error())
@@ -488,10 +485,14 @@
 	defer cancel()
 	obj, err := a.agent.opts.Store.Get(ctx, RangePrefix+s.name)
 	var record *Record
-	era := store.Era(a.era.Load())
+	era, pending := a.era.get()
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		obj.Version = store.NewVersion(era, 0)
+		_, at, err := a.agent.opts.Store.List(ctx, RangePrefix)
+		if err != nil {
+			return err
+		}
+		obj.Version = store.NewVersion(at.Era(), 0)
 	case err != nil:
 		return err
 	default:
@@ -509,8 +510,8 @@
 	}
 	now := boottime.Now()
 	s.version, s.era = obj.Version, era
-	distrusted := record == nil && a.recordsPending.Load() || record != nil && record.Era != era
-	if distrusted && record == nil {
+	distrusted, lost := record != nil && record.Era != era, record == nil && pending
+	if lost {
 		record = &Record{NextFence: 1}
 	}
 	s.leases = NewLeaseManager(a.agent.opts.Leases, a.term.Load(), record, now, a.predecessor.until)
@@ -518,11 +519,9 @@
 	if a.predecessor.silent {
 		s.leases.AllowLateOrders()
 	}
-	if distrusted {
-		holders, complete := a.agent.possibleHolders(s.name, record, now)
-		s.leases.DistrustRecord(holders, complete, record.Era)
-		a.agent.opts.Logger.Warn("the record of ranges comes from an older copy: targets release all keys first", "service", s.name,
-			"era", era, "targets", len(holders), "all_known", complete)
+	if distrusted || lost {
+		s.leases.DistrustRecord(record.Era)
+		s.distrusted = record
 	}
 	a.save(ctx, s, s.leases.Record())
 	attrs := []any{"service", s.name, "ranges", len(s.leases.OwnedRanges()), "revision", s.version}
@@ -647,6 +646,7 @@
 		if s.leases.PredecessorActs(now) {
 			continue
 		}
+		a.findPossibleHolders(s, now)
 		if !s.saving && !s.reread && (now >= s.nextPlan || a.hotSpotBegan(s, now)) {
 			s.nextPlan = now + planInterval
 			timed(&a.activity.longestPlan, func() { a.plan(ctx, s, now) })
@@ -680,7 +680,7 @@
 // replaced; what the LeaseManager knows holds on. If this assigner had not written the record yet, the predecessor may have
 // changed it since it was read, so that the service is taken over anew.
 func (a *assigner) beginEra(s *serviceState) {
-	era := store.Era(a.era.Load())
+	era, _ := a.era.get()
 	if s.era == era {
 		return
 	}
@@ -698,9 +698,25 @@
 	delete(a.tables, s.name)
 }
 
+// findPossibleHolders finds the targets that may hold keys of a service whose record comes from an older copy. By the end of the
+// predecessor's role, the entries of targets that run are in the store again.
+func (a *assigner) findPossibleHolders(s *serviceState, now time.Duration) {
+	if s.distrusted == nil {
+		return
+	}
+	holders, complete := a.agent.possibleHolders(s.name, s.distrusted, now)
+	// A copy without the record is from the first seconds of the service, whose targets are all listed.
+	complete = complete || len(s.distrusted.Ranges) == 0
+	s.distrusted = nil
+	s.leases.SetPossibleHolders(holders, complete)
+	a.agent.opts.Logger.Warn("the record of ranges comes from an older copy: targets release all keys first", "service", s.name,
+		"era", s.era, "targets", len(holders), "all_known", complete)
+}
+
 // noteRecordsWritten notes for the next confirmation of the role if the records of all services were written in its era.
 func (a *assigner) noteRecordsWritten() {
-	if !a.recordsPending.Load() {
+	era, pending := a.era.get()
+	if !pending {
 		return
 	}
 	names, ok := a.agent.opts.Services()
@@ -708,11 +724,11 @@
 		return
 	}
 	for _, name := range names {
-		if s := a.services[name]; s == nil || !s.trusted || s.era != store.Era(a.era.Load()) {
+		if s := a.services[name]; s == nil || !s.trusted || s.era != era {
 			return
 		}
 	}
-	a.recordsPending.Store(false)
+	a.era.finish(era)
 }
 
 // recordInForce returns the record to be written in place of one of unknown outcome, or of an older copy.
--- a/shard/holders.go
+++ b/shard/holders.go
@@ -15,14 +15,18 @@
 	holderMemoryAge = 20 * time.Second
 	// rememberInterval is the interval at which the targets in the directory are remembered.
 	rememberInterval = time.Second
+	// maxRememberGap is the longest time between two looks at the directory that hides no target: an entry of a target that has got
+	// keys stays listed for longer.
+	maxRememberGap = 2500 * time.Millisecond
 )
 
 // holderMemory remembers the targets that may have been granted keys of late, by service. The records in the store may have lost
 // them, and their entries may be gone. The zero holderMemory remembers none.
 type holderMemory struct {
-	// since is the instant from which no target was missed; zero if none was added yet.
-	since    time.Duration
-	lastSeen map[string]map[Holder]time.Duration
+	// since is the instant from which no target was missed; zero if none was added yet. lastLook is that of the last look at
+	// the directory.
+	since, lastLook time.Duration
+	lastSeen        map[string]map[Holder]time.Duration
 }
 
 // add remembers targets of a service as of the instant.
@@ -71,9 +75,10 @@
 func (a *Agent) remember(service string, holders []Holder, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.holders.since == 0 && len(holders) > 0 {
+	if a.holders.since == 0 && len(holders) > 0 || now-a.holders.lastLook > maxRememberGap {
 		a.holders.since = now
 	}
+	a.holders.lastLook = now
 	a.holders.add(service, holders, now)
 }
 
@@ -87,15 +92,12 @@
 }
 
 // possibleHolders returns the targets that may hold keys of a service if its record comes from an older copy of the store, and whether
-// there can be no others. Without any record, the copy is from the first seconds of the service, whose targets are all listed.
+// there can be no others.
 func (a *Agent) possibleHolders(service string, r *Record, now time.Duration) (holders []Holder, complete bool) {
 	a.remember(service, a.listedHolders(service), now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	holders, complete = a.holders.holdersOf(service, now)
-	if r == nil {
-		return holders, true
-	}
 	for _, rr := range r.Ranges {
 		holders = append(holders, rr.Owner)
 		holders = append(holders, rr.FormerOwners...)
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -234,19 +234,25 @@
 }
 
 // DistrustRecord is called after BeginEra and before the first order if the record comes from an older copy of the store, of the
-// given era: since then, keys may have got other owners. Nothing is granted until each of the targets has confirmed to have
-// released all keys, or can hold none by an order of an earlier assigner. If there may be other targets that hold keys, that
-// time is waited out. Until then, records are made as of the earlier era.
-func (lm *LeaseManager) DistrustRecord(holders []Holder, complete bool, of store.Era) {
-	lm.unknownHolders, lm.recordEra = !complete, of
-	for _, h := range holders {
-		lm.distrusted = append(lm.distrusted, &formerOwner{holder: h})
-	}
+// given era: since then, keys may have got other owners. Nothing is granted until the targets that may hold keys, which
+// SetPossibleHolders states, have released all keys. Until then, records are made as of the earlier era.
+func (lm *LeaseManager) DistrustRecord(of store.Era) {
+	lm.unknownHolders, lm.recordEra = true, of
 	for _, s := range lm.ranges {
 		s.formerOwners = nil // They are among the holders.
 	}
 }
 
+// SetPossibleHolders sets the targets that may hold any key after DistrustRecord, once the previous assigner no longer acts. Nothing is
+// granted until each of them has confirmed to have released all keys, or can hold none by an order of an earlier assigner. If
+// there may be others, that time is waited out.
+func (lm *LeaseManager) SetPossibleHolders(holders []Holder, complete bool) {
+	lm.unknownHolders = !complete
+	for _, h := range holders {
+		lm.distrusted = append(lm.distrusted, &formerOwner{holder: h})
+	}
+}
+
 // isClearing reports whether targets may hold any key because of DistrustRecord.
 func (lm *LeaseManager) isClearing() bool { return len(lm.distrusted) > 0 || lm.unknownHolders }
 
--- a/shard/role.go
+++ b/shard/role.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,6 +55,26 @@
 	}
 }
 
+// roleEra is the era of the store for which a role was last written, and whether records of ranges may still be those of an older
+// copy. It may be used by several goroutines.
+type roleEra struct{ bits atomic.Uint32 }
+
+func (e *roleEra) set(era store.Era, recordsPending bool) {
+	bits := uint32(era) << 1
+	if recordsPending {
+		bits |= 1
+	}
+	e.bits.Store(bits)
+}
+
+func (e *roleEra) get() (era store.Era, recordsPending bool) {
+	bits := e.bits.Load()
+	return store.Era(bits >> 1), bits&1 != 0
+}
+
+// finish records that no records are pending any more, if the era is still the same.
+func (e *roleEra) finish(era store.Era) { e.bits.CompareAndSwap(uint32(era)<<1|1, uint32(era)<<1) }
+
 // lostTerms is larger than the number of terms that can begin between a copy of the store and its return.
 const lostTerms = 1 << 16
 
@@ -115,6 +136,8 @@
 	for {
 		version, err := putOnce(ctx, s, key, value, expected)
 		switch {
+		case err == nil && version.Era() != expected.Era():
+			return 0, errors.Wrap(store.ErrSteppedBack, key)
 		case err == nil:
 			return version, nil
 		case errors.Is(err, store.ErrSteppedBack):
@@ -124,6 +147,9 @@
 				return 0, err
 			}
 			version, ours, readErr := readBack(ctx, s, key, isOurs)
+			if readErr == nil && version.Era() != expected.Era() {
+				return 0, errors.Wrap(store.ErrSteppedBack, key)
+			}
 			if readErr == nil && ours {
 				return version, nil
 			}
