shard: Name the parts of a take-over in a later era for what they do

No change of behaviour but the term in the line of an assigner that ends, which is now the one that it had last.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -305,7 +305,7 @@
 // the role over or waits.
 func (s *assignerSearch) step(ctx context.Context) {
 	a := s.agent
-	r, version, err := a.readRole(ctx)
+	r, version, err := a.readRoleAndEra(ctx)
 	if err != nil {
 		a.opts.Logger.Info("could not read the assigner's role", "error", err.Error())
 		a.followThroughPeer(ctx)
@@ -335,8 +335,8 @@
 	a.takeOver(ctx, r, version, v)
 }
 
-// readRole is like the function readRole, and records since when this VM knows the store's era.
-func (a *Agent) readRole(ctx context.Context) (role, store.Version, error) {
+// readRoleAndEra is readRole, and records since when this VM knows the store's era.
+func (a *Agent) readRoleAndEra(ctx context.Context) (role, store.Version, error) {
 	r, version, err := readRole(ctx, a.opts.Store)
 	if err == nil {
 		a.learnEra(version.Era())
@@ -369,7 +369,7 @@
 // the role in the store still has the version afterwards.
 func (s *assignerSearch) vacantAfter(ctx context.Context, delay time.Duration, version store.Version) bool {
 	pause(ctx, delay)
-	_, now, err := s.agent.readRole(ctx)
+	_, now, err := s.agent.readRoleAndEra(ctx)
 	return err == nil && now == version && ctx.Err() == nil && !s.agent.resigned.Load()
 }
 
@@ -452,7 +452,7 @@
 	if errors.Is(err, errUnconfirmed) {
 		// The store answers this VM but no longer the assigner: the role in the store
 		// still has the beat that the assigner last reported as confirmed.
-		now, nowVersion, err := a.readRole(ctx)
+		now, nowVersion, err := a.readRoleAndEra(ctx)
 		if err == nil && a.confirmedLast(now) {
 			v := s.vacant("the store does not confirm the assigner", now, evidence.Silence)
 			v.role, v.version, v.seenAt = &now, nowVersion, boottime.Now()
@@ -540,7 +540,7 @@
 // unchanged reports whether the role in the store still has the version that was last
 // read. It returns false if the store does not answer.
 func (s *assignerSearch) unchanged(ctx context.Context) bool {
-	_, version, err := s.agent.readRole(ctx)
+	_, version, err := s.agent.readRoleAndEra(ctx)
 	return err == nil && version == s.seen
 }
 
@@ -561,7 +561,7 @@
 		p.until = max(p.until, boottime.Now())
 	}
 	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "its_term", old.Term, "revision", version,
-		"from_older_copy", old.fromOlderCopy(version), "records_pending", r.RecordsPending,
+		"of_earlier_era", old.ofEarlierEra(version), "records_pending", r.RecordsPending,
 		"reason", v.reason, "sign", v.sign.String(), "orders_in_ms", max(p.until-boottime.Now(), 0).Milliseconds())
 	version = written
 	active := newAssigner(ctx, a, r.Term, start, p)
@@ -580,13 +580,13 @@
 	a.mu.Lock()
 	a.active = nil
 	a.mu.Unlock()
-	a.opts.Logger.Info("no longer the assigner", "term", r.Term, "reason", err.Error())
+	a.opts.Logger.Info("no longer the assigner", "term", active.term.Load(), "reason", err.Error())
 }
 
 // restorableFor returns how long an assigner that this VM doesn't know may still write its role again, if the role, which was first read
 // at the instant seenAt, comes from an older copy of the store.
 func (a *Agent) restorableFor(r role, version store.Version, seenAt time.Duration) time.Duration {
-	if version.Revision() == 0 || !r.fromOlderCopy(version) {
+	if version.Revision() == 0 || !r.ofEarlierEra(version) {
 		return 0
 	}
 	return a.unknownActsUntil(seenAt) - boottime.Now()
@@ -604,7 +604,7 @@
 // predecessorOf returns the predecessor that wrote the role, of which this VM observed the vacancy, and whether it has settled. Of a role
 // from an older copy of the store it is not known who was the assigner since.
 func (a *Agent) predecessorOf(old role, version store.Version, v vacancy, now time.Duration) (p predecessor, settled bool) {
-	if old.fromOlderCopy(version) {
+	if old.ofEarlierEra(version) {
 		p = newPredecessor(old, max(v.actsUntil, a.unknownActsUntil(v.seenAt)), a.opts.Leases.OrderTimeout, false, now)
 		p.vm = ""
 		return p, false
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -391,10 +391,10 @@
 // orders.
 func (a *assigner) restoreRole(ctx context.Context, r role) (role, store.Version, error) {
 	for ctx.Err() == nil {
-		found, version, err := a.agent.readRole(ctx)
+		found, version, err := a.agent.readRoleAndEra(ctx)
 		// The store may have stepped back right before its answer.
 		start := boottime.Now()
-		if err == nil && !found.fromOlderCopy(version) {
+		if err == nil && !found.ofEarlierEra(version) {
 			if found.VM != r.VM || found.Incarnation != r.Incarnation {
 				return r, version, errSuperseded
 			}
@@ -424,7 +424,7 @@
 
 // recordRole records that the store has confirmed the role by a write that began at the instant.
 func (a *assigner) recordRole(r role, began time.Duration) {
-	// An update in between names the earlier beat, or one that is not in the store: no VM counts its age.
+	// In this order, an update in between pairs an earlier beat with a later confirmation, so that VMs wait longer, never shorter.
 	a.confirmedAt.Store(int64(began))
 	a.beat.Store(r.Beat)
 	a.term.Store(r.Term) // Before the era, with which run reads it.
@@ -549,7 +549,7 @@
 			version, err = a.write(ctx, s.name, r, version)
 		}
 		select {
-		case a.saves <- saveResult{s.name, era, r.Era, version, err, began}:
+		case a.saves <- saveResult{service: s.name, era: era, recordEra: r.Era, version: version, err: err, began: began}:
 		case <-a.done:
 		}
 	}(s.version, s.era, s.reread)
--- a/shard/follow.go
+++ b/shard/follow.go
@@ -97,7 +97,7 @@
 // checkAssigner reads the store. It returns errUnconfirmed if the store answers this
 // VM, so that only the assigner is cut off from it, and else nil.
 func (a *Agent) checkAssigner(ctx context.Context) error {
-	if _, _, err := a.readRole(ctx); err != nil {
+	if _, _, err := a.readRoleAndEra(ctx); err != nil {
 		return nil //nolint:nilerr // The store does not answer this VM either: the assigner keeps its role.
 	}
 	return errUnconfirmed
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -236,8 +236,8 @@
 // DistrustRecord is called after BeginEra and before the first order if the record comes from an older copy of the store, of the
 // given era: since then, keys may have got other owners. Nothing is granted until the targets that may hold keys, which
 // SetPossibleHolders states, have released all keys. Until then, records are made as of the earlier era.
-func (lm *LeaseManager) DistrustRecord(of store.Era) {
-	lm.unknownHolders, lm.recordEra = true, of
+func (lm *LeaseManager) DistrustRecord(recordEra store.Era) {
+	lm.unknownHolders, lm.recordEra = true, recordEra
 	for _, s := range lm.ranges {
 		s.formerOwners = nil // They are among the holders.
 	}
@@ -256,8 +256,8 @@
 // isClearing reports whether targets may hold any key because of DistrustRecord.
 func (lm *LeaseManager) isClearing() bool { return len(lm.distrusted) > 0 || lm.unknownHolders }
 
-// clear returns the releases that are due of the targets that may hold any key. It returns false if there are none any more.
-func (lm *LeaseManager) clear(now time.Duration) (orders []Order, active bool) {
+// dueClearing returns the releases that are due of the targets that may hold any key. It returns false if there are none any more.
+func (lm *LeaseManager) dueClearing(now time.Duration) (orders []Order, active bool) {
 	if now > lm.predecessorBound() {
 		lm.distrusted, lm.unknownHolders = nil, false
 	}
@@ -540,7 +540,7 @@
 	if lm.PredecessorActs(now) {
 		return nil
 	}
-	orders, active := lm.clear(now)
+	orders, active := lm.dueClearing(now)
 	if active {
 		return orders
 	}
--- a/shard/role.go
+++ b/shard/role.go
@@ -42,16 +42,16 @@
 	RecordsPending bool `json:"records_pending,omitempty"`
 }
 
-// fromOlderCopy reports whether the role, which was read at the version, says nothing of the assigners of the present era: it
-// was written in an earlier one, or there is none.
-func (r *role) fromOlderCopy(version store.Version) bool { return r.Era != version.Era() }
+// ofEarlierEra reports whether the role, which was read at the version, was written for an earlier era of the store. It then says
+// nothing of who is the assigner. No role at a store that states an era is one of an earlier era too: the copy may lack it.
+func (r *role) ofEarlierEra(version store.Version) bool { return r.Era != version.Era() }
 
 // next returns the role of the VM's next term, which begins from the role r in the store. It is above the highest known term: a late write
 // of an earlier era may have replaced the role of a later term.
 func (r *role) next(vm, incarnation, address string, version store.Version, known uint64) role {
 	return role{
 		VM: vm, Incarnation: incarnation, Address: address, Term: max(nextTerm(r.Term, r.Era, version.Era()), known+1), Era: version.Era(),
-		RecordsPending: r.RecordsPending || r.fromOlderCopy(version),
+		RecordsPending: r.RecordsPending || r.ofEarlierEra(version),
 	}
 }
 
