shard: Add random histories with a store that steps back, which fail

Three VMs take the role over from each other while the store comes back from older copies, also twice in a row and to before the first record. Calls are late or lost, also writes that are done in the next era, where revisions are given out again. Beside the checks of the other histories: a term and a token have one assigner, and no assigner sends an order after a later one has begun to.

The model repeats what agent.go and assigner.go do with the store; role, predecessor, predecessorOf, LeaseManager, the memory of holders and evidence are the real code. The other histories keep their draws and checks.

--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -105,7 +105,9 @@
 	// role lease ends, unless it is stopped.
 	disconnected, stopped bool
 	predecessor           predecessor
-	version               int
+	// orderableFrom is the earliest instant of a confirmation that permits orders.
+	orderableFrom time.Duration
+	version       int
 	// linkBlockedUntil is the instant until which what the assigner sends waits in its link.
 	linkBlockedUntil time.Duration
 	// stalledUntil is the end of a stall, in which the assigner handles no results and sends no orders that become due.
@@ -114,7 +116,7 @@
 
 // maySendOrders reports whether an order that begins now is sent.
 func (a *simAssigner) maySendOrders(now time.Duration) bool {
-	return !a.stopped && now < a.confirmed+simRoleLease
+	return !a.stopped && now < a.confirmed+simRoleLease && a.confirmed >= a.orderableFrom
 }
 
 type simulation struct {
@@ -136,7 +138,9 @@
 	backlogs bool
 	// starved makes the assigners' orders leave late and their results wait, as on a VM whose processor is overloaded.
 	starved bool
-	grants  int
+	// onSend is called with each order before it is sent. It may be nil.
+	onSend func(*simAssigner, Order)
+	grants int
 	// trace holds the log lines that are printed if the history fails.
 	trace []string
 }
@@ -154,6 +158,13 @@
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
+	w := newSimulatedTargets(t, seed)
+	w.startAssigner()
+	return w
+}
+
+// newSimulatedTargets returns a simulation without an assigner.
+func newSimulatedTargets(t *testing.T, seed uint64) *simulation {
 	w := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 7)), faults: true}
 	for i := range 4 {
 		w.targets = append(w.targets, &simTarget{
@@ -161,7 +172,6 @@
 			clockSlowness: 1 + 0.02*w.rng.Float64(),
 		})
 	}
-	w.startAssigner()
 	return w
 }
 
@@ -237,6 +247,10 @@
 		w.assigners[len(w.assigners)-1].disconnected = true
 		w.after(w.between(10*time.Millisecond, 3*time.Second), w.startAssigner)
 	}
+	w.injectTargetFaults()
+}
+
+func (w *simulation) injectTargetFaults() {
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	switch {
 	case w.chance(0.003):
@@ -267,6 +281,11 @@
 	if w.chance(0.03) {
 		w.setShares(a)
 	}
+	w.sendDue(a)
+}
+
+// sendDue sends the orders that are due, if the assigner may send any.
+func (w *simulation) sendDue(a *simAssigner) {
 	if !a.maySendOrders(w.now) {
 		return
 	}
@@ -334,9 +353,9 @@
 	a.leases.SetShares(shares)
 }
 
-// proposeMoves proposes random moves, in place of those of a plan, and moves the cells
-// whose owner has restarted to its later incarnation.
-func (w *simulation) proposeMoves(a *simAssigner) {
+// propose proposes random moves, in place of those of a plan, and moves the cells
+// whose owner has restarted to its later incarnation. It returns the record to be written, or nil.
+func (w *simulation) propose(a *simAssigner) *Record {
 	var moves []Move
 	for range 1 + w.rng.IntN(3) {
 		from := w.rng.IntN(cells)
@@ -352,12 +371,21 @@
 	}
 	r := a.leases.Propose(moves, w.now)
 	if r == nil {
-		return
+		return nil
 	}
 	for _, m := range moves {
 		from, to := cellRange(m.Keys)
 		w.logf("term %d: proposes to move cells %d-%d to %v", a.leases.term, from, to, m.To)
 	}
+	return r
+}
+
+// proposeMoves proposes random moves and writes them to the store.
+func (w *simulation) proposeMoves(a *simAssigner) {
+	r := w.propose(a)
+	if r == nil {
+		return
+	}
 	ok := !a.disconnected && a.version == w.version && !w.chance(0.1)
 	if ok {
 		w.version++
@@ -374,6 +402,9 @@
 
 // send delivers an order to its target, or injects one of the faults of the connection.
 func (w *simulation) send(a *simAssigner, o Order) {
+	if w.onSend != nil {
+		w.onSend(a, o)
+	}
 	t := w.targets[slices.IndexFunc(w.targets, func(t *simTarget) bool { return t.holder.Address == o.To.Address })]
 	done := func(handover string, err error) func() {
 		return func() { w.handleResult(a, Result{Order: o, Handover: handover, Err: err}) }
