--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -59,8 +59,8 @@
 	followerQueueSize = 16
 )
 
-// errSteppedBack is the reason for giving up the role when the store has come back from an older copy and the lease of the
-// role has ended since.
+// errSteppedBack is the reason for giving up the role when the store has come back from an older copy and this VM may not send
+// orders, or not any more.
 var errSteppedBack = errors.New("shard: the store has come back from an older copy")
 
 // restorePause is the pause between two attempts to write the role again.
@@ -387,16 +387,14 @@
 }
 
 // restoreRole writes the role again if the one in the store comes from an older copy, with a term above all that were lost. It
-// does so only while this VM's own lease of the role lasts: until then no other assigner can have sent orders, whatever the
-// store has lost. It returns the role and its version, errSuperseded if another VM has the role, or errSteppedBack if the
-// lease has ended.
+// does so only while this VM may send orders: until then no other assigner can have sent any, whatever the store has lost. It
+// returns the role and its version, errSuperseded if another VM has the role, or errSteppedBack if this one may not send
+// orders.
 func (a *assigner) restoreRole(ctx context.Context, r role) (role, store.Version, error) {
 	for ctx.Err() == nil {
-		start := boottime.Now()
-		if start >= time.Duration(a.confirmedAt.Load())+a.agent.opts.RoleLease {
-			return r, 0, errSteppedBack
-		}
 		found, version, err := a.agent.readRole(ctx)
+		// The store may have stepped back right before its answer.
+		start := boottime.Now()
 		if err == nil && !found.fromOlderCopy(version) {
 			if found.VM != r.VM || found.Incarnation != r.Incarnation {
 				return r, version, errSuperseded
@@ -407,9 +405,12 @@
 			}
 			return found, version, nil
 		}
+		if !a.maySendOrders(start) {
+			return r, 0, errSteppedBack
+		}
 		if err == nil {
-			next := r.next(r.VM, r.Incarnation, r.Address, version)
-			next.Term, next.Beat = max(next.Term, nextTerm(found.Term, found.Era, version.Era())), r.Beat+1
+			next := found.next(r.VM, r.Incarnation, r.Address, version, a.agent.highestTerm())
+			next.Term, next.Beat = max(next.Term, nextTerm(r.Term, r.Era, version.Era())), r.Beat+1
 			next.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
 			if version, err = putRole(ctx, a.agent.opts.Store, next, version); err == nil {
 				a.agent.opts.Logger.Warn("wrote the role again: the store has come back from an older copy", "term", next.Term, "earlier_term", r.Term,
@@ -427,10 +428,11 @@
 
 // recordRole records that the store has confirmed the role by a write that began at the instant, perhaps in a later era.
 func (a *assigner) recordRole(r role, began time.Duration) {
+	// An update in between names the earlier beat, or one that is not in the store: no VM counts its age.
+	a.confirmedAt.Store(int64(began))
+	a.beat.Store(r.Beat)
 	a.term.Store(r.Term)
 	a.era.Store(uint32(r.Era)) // After the term, which run reads once it sees the era.
-	a.beat.Store(r.Beat)
-	a.confirmedAt.Store(int64(began))
 	a.agent.learnTerm(r.Term)
 }
 
@@ -500,6 +502,11 @@
 	if obj.Version.Era() != era {
 		return errors.Wrapf(store.ErrSteppedBack, "%s at revision %s", RangePrefix+s.name, obj.Version)
 	}
+	if record != nil && record.Term >= a.term.Load() {
+		a.agent.learnTerm(record.Term)
+		a.stop(errSuperseded)
+		return errors.Wrapf(errSuperseded, "%s is of term %d", RangePrefix+s.name, record.Term)
+	}
 	now := boottime.Now()
 	s.version, s.era = obj.Version, era
 	distrusted := record == nil && a.recordsPending.Load() || record != nil && record.Era != era
@@ -599,7 +606,9 @@
 	}
 	s := a.services[r.service]
 	s.saving = false
-	if s.leases.ProposalPending() {
+	// The store may have the record, or get it late, so that no other one may be acted on.
+	unknown := errors.Is(r.err, store.ErrUnknown) || errors.Is(r.err, store.ErrSteppedBack)
+	if s.leases.ProposalPending() && !unknown && (r.err == nil || !s.reread) {
 		s.leases.FinishProposal(r.err == nil)
 	}
 	switch {
@@ -610,7 +619,7 @@
 	case errors.Is(r.err, store.ErrConflict) && r.era == s.era:
 		a.stop(errSuperseded)
 	default:
-		s.reread = s.reread || errors.Is(r.err, store.ErrSteppedBack)
+		s.reread = s.reread || unknown
 		s.nextPlan = boottime.Now() + planRetryPause/2 + mathrand.N(planRetryPause)
 		s.leases.recordOutdated = true
 		a.agent.opts.Logger.Warn("could not write record of ranges", "service", r.service, "error", r.err.Error())
@@ -629,7 +638,7 @@
 		}
 		if !s.written || s.reread && !s.saving {
 			if now >= s.nextPlan {
-				a.save(ctx, s, s.leases.Record())
+				a.save(ctx, s, s.recordInForce())
 			}
 		}
 		if !s.written {
@@ -706,6 +715,14 @@
 	a.recordsPending.Store(false)
 }
 
+// recordInForce returns the record to be written in place of one of unknown outcome, or of an older copy.
+func (s *serviceState) recordInForce() *Record {
+	if s.leases.ProposalPending() {
+		return s.leases.Proposal()
+	}
+	return s.leases.Record()
+}
+
 // dueOrders returns the orders that are due, of which there are none before the record in the store reserves their
 // tokens.
 func (s *serviceState) dueOrders(now time.Duration) []Order {
--- a/store/relayfeed/relayfeed.go
+++ b/store/relayfeed/relayfeed.go
@@ -143,9 +143,7 @@
 	poll *openPoll
 	// completeAt is the instant up to which all changes were read and relayed.
 	completeAt time.Duration
-	// checkedAt is the end of the last check of the poll that found no changes, or the start of the poll.
-	checkedAt time.Duration
-	// aliveAt is the start of the last such check before which the poll waited at the store, or zero.
+	// aliveAt is the start of the last check of the poll that found no changes, or zero.
 	aliveAt time.Duration
 }
 
@@ -160,17 +158,21 @@
 	undeliveredAfter time.Duration
 }
 
-// maxCheckAge is the age of the last check of a waiting poll from which the poll no longer shows that there are
-// no changes. It covers the pause between two checks and the time that one may take.
-const maxCheckAge = 2500 * time.Millisecond
-
 // maxPollDelay is the longest time that the store takes to answer a poll once there is a change.
 const maxPollDelay = 200 * time.Millisecond
 
-// deliveryCheckAfter is how long a poll may be open without a sign that it has reached the store until a call is
-// made to find out. With it, the age that ReadAge returns in calm stays below 0.9 s: up to 0.5 s between two polls,
-// this time, the call and maxPollDelay.
-const deliveryCheckAfter = 50 * time.Millisecond
+const (
+	// firstCheckAfter is how long a poll on which other VMs rely is open until its first check. With it, the age that
+	// ReadAge returns in calm stays below 0.9 s: up to 0.5 s between two polls, this time, the check and maxPollDelay.
+	firstCheckAfter = 50 * time.Millisecond
+	// checkInterval is the time between the starts of two checks of such a poll. With an update of the reader each
+	// 300 ms and a report each 250 ms it has to stay below MaxStaleness, also while the store takes 0.3 s to answer.
+	checkInterval = 500 * time.Millisecond
+	// checkTimeout bounds such a check, and maxOpenChecks how many of a poll are open at once: the VM's other calls to
+	// the store share their connections with them.
+	checkTimeout  = time.Second
+	maxOpenChecks = 2
+)
 
 const (
 	// quietRetryInterval is the time after which a list of a quiet prefix that failed is tried again although other prefixes
@@ -400,7 +402,8 @@
 			f.boundChanges(prefix, 0)
 			return b.Events, b.At, nil
 		case relayReset:
-			return nil, 0, errors.WithMessagef(store.ErrCompacted, "%s: changes from the reader of the store may be missing", prefix)
+			ago, _ := f.KnownAgo(prefix)
+			return nil, 0, errors.WithMessagef(store.ErrCompacted, "%s: changes from the reader of the store of the last %d ms may be missing", prefix, ago.Milliseconds())
 		case relayNotCovered:
 			events, at, err := f.pollStore(ctx, prefix, after, wait)
 			if !errors.Is(err, errReaderCovers) {
@@ -430,10 +433,10 @@
 	defer cancel()
 	poll := f.beginPoll(prefix)
 	defer f.endPoll(prefix, poll, 0)
-	answered := make(chan checked.Result, 1)
+	answered := make(chan pollResult, 1)
 	go func() { answered <- f.pollDirect(ctx, prefix, after, wait, poll) }()
-	undelivered := time.NewTimer(deliveryCheckAfter)
-	defer undelivered.Stop()
+	check := time.NewTimer(f.untilCheck(poll))
+	defer check.Stop()
 	for {
 		covers, changed := f.covers(prefix, after)
 		if covers {
@@ -458,74 +461,97 @@
 				} else {
 					f.boundChanges(prefix, 0)
 				}
-				f.setReadComplete(prefix, answeredAt)
+				if a.Lost {
+					f.setReadComplete(prefix, a.checkBegan)
+				} else {
+					f.setReadComplete(prefix, answeredAt)
+				}
 			}
 			return a.Events, a.At, a.Err
-		case <-undelivered.C:
-			switch f.nextDeliveryCheck(poll) {
-			case deliveryCheckLater:
-				undelivered.Reset(deliveryCheckAfter)
-			case deliveryCheckNow:
-				go f.checkDelivery(ctx, prefix, after)
+		case <-check.C:
+			if f.beginCheck(poll) {
+				go f.checkPoll(ctx, prefix, after, poll)
 			}
 		case <-changed:
 		}
+		check.Reset(f.untilCheck(poll))
 	}
 }
 
+// pollResult is the result of a poll of the store. If that was lost, it is that of a check, which began at checkBegan.
+type pollResult struct {
+	checked.Result
+	checkBegan time.Duration
+}
+
 // pollDirect polls the store, and checks meanwhile that the store has not lost the poll.
-func (f *Feed) pollDirect(ctx context.Context, prefix string, after store.Version, wait time.Duration, open *openPoll) checked.Result {
+func (f *Feed) pollDirect(ctx context.Context, prefix string, after store.Version, wait time.Duration, open *openPoll) pollResult {
 	poll := func(ctx context.Context) ([]store.Event, store.Version, error) {
 		return f.opts.Direct.Poll(store.WithOnSent(ctx, func() { f.setSent(open) }), prefix, after, wait)
 	}
-	if f.opts.Check == nil || !f.checksPolls() {
+	if f.opts.Check == nil {
 		events, at, err := poll(ctx)
-		return checked.Result{Events: events, At: at, Err: err}
+		return pollResult{Result: checked.Result{Events: events, At: at, Err: err}}
 	}
 	var began time.Duration
 	check := func(ctx context.Context) ([]store.Event, store.Version, error) {
+		if !f.checksPolls() || f.checkedLately(prefix, open) {
+			return nil, after, nil
+		}
 		began = f.opts.Now()
 		events, at, err := f.opts.Check(ctx, prefix, after)
 		f.confirmAnswered(began, err)
 		return events, at, err
 	}
-	return checked.Poll(ctx, poll, check, checked.Options{
+	r := pollResult{Result: checked.Poll(ctx, poll, check, checked.Options{
 		Prefix: prefix, Logger: f.opts.Logger, OnChecked: func() { f.setChecked(prefix, open, began) },
-	})
+	})}
+	if r.Lost {
+		r.checkBegan = began
+	}
+	return r
 }
 
-// deliveryCheck says when to find out whether a poll has reached the store.
-type deliveryCheck int
-
-const (
-	deliveryCheckNever deliveryCheck = iota
-	deliveryCheckLater
-	deliveryCheckNow
-)
-
-// nextDeliveryCheck says when to make a call of which the answer shows that the poll has left the link. None is needed if another
-// call has shown it, or if no other VM relies on what this one has read.
-func (f *Feed) nextDeliveryCheck(poll *openPoll) deliveryCheck {
+// untilCheck returns the time until a poll is to be checked, which is long if no other VM relies on what this one has read.
+func (f *Feed) untilCheck(poll *openPoll) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Now()
 	switch {
-	case f.opts.Check == nil || poll.arrivedBy > 0 || now-poll.begun >= maxLinkWait:
-		return deliveryCheckNever
-	case now < poll.handedOver() || !f.isReader || f.ageAskedAt == 0 || now-f.ageAskedAt > time.Second:
-		return deliveryCheckLater
+	case f.opts.Check == nil || !f.isReader || !f.ageAskedLocked(now):
+		return maxPollWait
+	case now < poll.handedOver() || poll.openChecks >= maxOpenChecks:
+		return firstCheckAfter
 	default:
-		return deliveryCheckNow
+		return max(poll.begun+firstCheckAfter, poll.checkedAt+checkInterval) - now
+	}
+}
+
+// beginCheck reports whether a poll is to be checked now, and if so counts the check.
+func (f *Feed) beginCheck(poll *openPoll) bool {
+	if f.untilCheck(poll) > 0 {
+		return false
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	poll.checkedAt = f.opts.Now()
+	poll.openChecks++
+	return true
 }
 
-// checkDelivery makes a call of which only matters whether it is answered.
-func (f *Feed) checkDelivery(ctx context.Context, prefix string, after store.Version) {
-	ctx, cancel := context.WithTimeout(ctx, maxLinkWait)
+// checkPoll checks a poll on which other VMs rely. What to do about a poll that the store has lost is left to checked.Poll.
+func (f *Feed) checkPoll(ctx context.Context, prefix string, after store.Version, poll *openPoll) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	began := f.opts.Now()
-	_, _, err := f.opts.Check(ctx, prefix, after)
+	events, _, err := f.opts.Check(ctx, prefix, after)
 	f.confirmAnswered(began, err)
+	if err == nil && len(events) == 0 {
+		f.setChecked(prefix, poll, began)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	poll.openChecks--
 }
 
 // errReaderCovers reports that the reader covers a poll of the store, so that the poll is
@@ -547,10 +573,11 @@
 	return true, f.changed
 }
 
-// coversLocked reports whether the stream has all changes after a revision. s may be nil.
+// coversLocked reports whether the stream has all changes after a revision. A reader that has only read an earlier era does not
+// have them. s may be nil.
 // Feed.mu must be held.
 func (s *stream) coversLocked(after store.Version) bool {
-	return s != nil && after >= s.resetAt && after >= s.from && !anyBypasses(s.batches, after)
+	return s != nil && after >= s.resetAt && after >= s.from && after.Era() <= s.at.Era() && !anyBypasses(s.batches, after)
 }
 
 // relayState is what the reader can provide for a poll.
@@ -623,7 +650,7 @@
 	defer f.mu.Unlock()
 	now := f.opts.Now()
 	poll, r := &openPoll{begun: now}, f.readsLocked(prefix)
-	r.poll, r.checkedAt, r.aliveAt = poll, now, 0
+	r.poll, r.aliveAt = poll, 0
 	f.awaitsDelivery.Store(true)
 	return poll
 }
@@ -684,23 +711,15 @@
 
 // checksPolls reports whether this VM checks its polls. A VM that follows a reader polls only until the next reader
 // covers it, and its checks, like those of some hundred others, would be calls that the store cannot bear.
-func (f *Feed) checksPolls() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.isReader || !f.relayed
-}
+func (f *Feed) checksPolls() bool { return !f.HasReader() }
 
 // setChecked records that a check of the poll, which began at the instant, found that the poll has missed nothing.
 func (f *Feed) setChecked(prefix string, poll *openPoll, began time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := f.readsLocked(prefix)
-	if r.poll != poll {
-		return
-	}
-	r.checkedAt = f.opts.Now()
-	if poll.waitsAtStore(began) {
-		r.aliveAt = began
+	poll.checkedAt = max(poll.checkedAt, began)
+	if r := f.readsLocked(prefix); r.poll == poll && began >= poll.handedOver() {
+		r.aliveAt = max(r.aliveAt, began)
 	}
 }
 
@@ -764,20 +783,48 @@
 	return known
 }
 
+// HasReader reports whether this VM has followed a reader and is not the reader itself.
+func (f *Feed) HasReader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.relayed && !f.isReader
+}
+
+// KnownAgo returns the time since the instant up to which List and Poll have returned all changes under the prefix, as far as
+// this VM can tell. It returns false while none is known.
+func (f *Feed) KnownAgo(prefix string) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, r := f.opts.Now(), f.readsLocked(prefix)
+	known := max(r.completeAt, f.freshAt)
+	if b := f.boundsLocked(prefix); b.undelivered {
+		known = b.undeliveredAfter
+	}
+	if r.poll != nil && r.poll.waitsAtStore(now) {
+		known = max(known, r.aliveAt)
+	}
+	return now - known, known > 0
+}
+
 // ReadAge returns the longest time since which changes may exist that this VM has not read
 // from the store and relayed, over all prefixes. It returns false while a prefix was not
-// read yet. While polls wait at the store, it leaves out the changes of the last maxPollDelay, of which the store
-// may not have told yet.
+// read yet. A poll that waits at the store shows up to the start of its last check that there are no changes. The store may
+// have stopped answering this VM since. Without Options.Check, it shows it up to now, apart from the changes of the last
+// maxPollDelay.
 func (f *Feed) ReadAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, age := f.opts.Now(), time.Duration(0)
+	if !f.ageAskedLocked(now) {
+		// The checks of the polls that are open begin.
+		f.wakeLocked()
+	}
 	f.ageAskedAt = now
 	for _, r := range f.reads {
 		known := r.completeAt
 		if r.poll != nil && r.poll.waitsAtStore(now) {
 			known = max(known, r.aliveAt)
-			if f.opts.Check == nil || now-r.checkedAt <= maxCheckAge {
+			if f.opts.Check == nil {
 				known = now
 			}
 		}
@@ -789,6 +836,20 @@
 	return age, len(f.reads) > 0
 }
 
+// checkedLately reports whether the last check of the poll is so recent that another one need not be made.
+func (f *Feed) checkedLately(prefix string, poll *openPoll) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.readsLocked(prefix)
+	return r.poll == poll && r.aliveAt > 0 && f.opts.Now()-r.aliveAt <= checkInterval
+}
+
+// ageAskedLocked reports whether ReadAge was called within the last second, as it is while other VMs rely on this one. f.mu
+// must be held.
+func (f *Feed) ageAskedLocked(now time.Duration) bool {
+	return f.ageAskedAt > 0 && now-f.ageAskedAt <= time.Second
+}
+
 // recordReadResult records whether a read of the prefix from the store succeeded.
 func (f *Feed) recordReadResult(prefix string, err error) {
 	f.mu.Lock()
