shard: Follow the code in the histories with a store that steps back

The model calls role.next with the known term, unknownActsUntil, confirmedLast and recordInForce, and repeats the rest. VMs learn terms from updates only while they follow and run.

--- a/shard/history_stepback_test.go
+++ b/shard/history_stepback_test.go
@@ -273,8 +273,9 @@
 		}
 		vm.agent.learnTerm(r.Term)
 		// An Agent waits longer, which only the living assigner needs, to write its role again.
-		if version.Revision() > 0 && r.fromOlderCopy(version) && w.now < vm.agent.eraSince+simRoleLease && w.chance(0.6) {
-			w.after(vm.agent.eraSince+simRoleLease-w.now, func() { w.search(vm) })
+		restorable := vm.agent.unknownActsUntil(vm.seenAt)
+		if version.Revision() > 0 && r.fromOlderCopy(version) && w.now < restorable && w.chance(0.6) {
+			w.after(restorable-w.now, func() { w.search(vm) })
 			return
 		}
 		w.takeOver(vm, r, version)
@@ -283,7 +284,7 @@
 
 // takeOver is takeOver of Agent.
 func (w *stepBackSimulation) takeOver(vm *simVM, old role, version store.Version) {
-	v := vacancy{sign: evidence.Silence}
+	v := vacancy{sign: evidence.Silence, seenAt: vm.seenAt}
 	switch {
 	case version.Revision() == 0 || old.VM == "":
 		v.sign = evidence.Resignation
@@ -291,13 +292,13 @@
 		v.sign = evidence.Testimony
 	}
 	confirmed := vm.seenAt
-	if c := vm.agent.lastConfirmation; c.term == old.Term && c.beat == old.Beat {
-		confirmed = min(confirmed, c.confirmedAt)
+	if vm.agent.confirmedLast(old) {
+		confirmed = min(confirmed, vm.agent.lastConfirmation.confirmedAt)
 	}
 	v.actsUntil = evidence.ActsUntil(v.sign, confirmed, simRoleLease, w.now)
 	start := w.now
 	p, settled := vm.agent.predecessorOf(old, version, v, start)
-	r := old.next(vm.agent.opts.VM, vm.agent.incarnation, "", version)
+	r := old.next(vm.agent.opts.VM, vm.agent.incarnation, "", version, vm.agent.highestTerm())
 	r.setEarlier(p.until, start)
 	vm.searching = true
 	w.put(vm, RoleKey, r, version, false, func(written store.Version, err error) {
@@ -423,34 +424,29 @@
 
 // restore is restoreRole.
 func (w *stepBackSimulation) restore(a *stepBackAssigner, r role) {
-	start := w.now
-	again := func() { w.after(restorePause, func() { w.restore(a, r) }) }
-	switch {
-	case a.stopped || w.ended:
-		return
-	case w.now < a.vm.frozenUntil:
-		again()
-		return
-	case start >= a.confirmed+simRoleLease:
-		w.stop(a, "the store has stepped back")
+	if a.stopped || w.ended {
 		return
 	}
+	again := func() { w.after(restorePause, func() { w.restore(a, r) }) }
 	w.read(a.vm, RoleKey, func(value any, version store.Version, ok bool) {
+		start := w.now
 		found, _ := value.(role)
 		switch {
 		case a.stopped:
-		case !ok:
-			again()
-		case !found.fromOlderCopy(version):
+		case ok && !found.fromOlderCopy(version):
 			if found.VM != r.VM || found.Incarnation != r.Incarnation {
 				w.stop(a, "superseded")
 				return
 			}
 			a.recordsPending = a.recordsPending || found.RecordsPending
 			a.stored, a.roleVersion, a.confirming, a.nextConfirm = found, version, false, w.now
+		case !a.maySendOrders(start):
+			w.stop(a, "the store has stepped back")
+		case !ok:
+			again()
 		default:
-			next := r.next(r.VM, r.Incarnation, r.Address, version)
-			next.Term, next.Beat = max(next.Term, nextTerm(found.Term, found.Era, version.Era())), r.Beat+1
+			next := found.next(r.VM, r.Incarnation, r.Address, version, a.vm.agent.highestTerm())
+			next.Term, next.Beat = max(next.Term, nextTerm(r.Term, r.Era, version.Era())), r.Beat+1
 			next.setEarlier(a.predecessor.until, start)
 			w.put(a.vm, RoleKey, next, version, false, func(version store.Version, err error) {
 				switch {
@@ -477,6 +473,11 @@
 			return
 		}
 		record, _ := value.(*Record)
+		if record != nil && record.Term >= a.role.Term {
+			a.vm.agent.learnTerm(record.Term)
+			w.stop(a, "superseded, as the record shows")
+			return
+		}
 		a.era, a.recordVersion = a.role.Era, version
 		distrusted := record == nil && a.recordsPending || record != nil && record.Era != a.era
 		holders, complete := w.possibleHolders(a.vm, record)
@@ -584,7 +585,8 @@
 // handleSaved is that of the assigner.
 func (w *stepBackSimulation) handleSaved(a *stepBackAssigner, r *Record, era store.Era, version store.Version, err error) {
 	a.saving = false
-	if a.leases.ProposalPending() {
+	unknown := errors.Is(err, store.ErrSteppedBack)
+	if a.leases.ProposalPending() && !unknown && (err == nil || !a.reread) {
 		a.leases.FinishProposal(err == nil)
 	}
 	switch {
@@ -595,7 +597,7 @@
 	case errors.Is(err, store.ErrConflict) && era == a.era:
 		w.stop(a, "superseded, as its record shows")
 	default:
-		a.reread = a.reread || errors.Is(err, store.ErrSteppedBack)
+		a.reread = a.reread || unknown
 		a.nextPlan = w.now + planRetryPause
 		a.leases.recordOutdated = true
 	}
@@ -610,7 +612,7 @@
 		w.confirm(a)
 	}
 	for _, vm := range w.vms {
-		if vm != a.vm && w.chance(0.03) {
+		if vm.active == nil && w.now >= vm.frozenUntil && w.chance(0.03) {
 			vm.agent.lastConfirmation = roleConfirmation{a.role.Term, a.role.Beat, a.confirmed}
 			vm.agent.learnTerm(a.role.Term)
 		}
@@ -625,7 +627,7 @@
 		return
 	}
 	if !a.saving && (!a.written || a.reread) && w.now >= a.nextPlan {
-		w.save(a, a.leases.Record())
+		w.save(a, (&serviceState{leases: a.leases}).recordInForce())
 	}
 	if !a.written || a.leases.PredecessorActs(w.now) {
 		return
