--- a/shard/history_stepback_test.go
+++ b/shard/history_stepback_test.go
@@ -63,6 +63,7 @@
 	reading, written, trusted, reread, saving bool
 	era                                       store.Era
 	recordVersion                             store.Version
+	distrusted                                *Record
 	nextPlan                                  time.Duration
 }
 
@@ -274,7 +275,7 @@
 		vm.agent.learnTerm(r.Term)
 		// An Agent waits longer, which only the living assigner needs, to write its role again.
 		restorable := vm.agent.unknownActsUntil(vm.seenAt)
-		if version.Revision() > 0 && r.fromOlderCopy(version) && w.now < restorable && w.chance(0.6) {
+		if version.Revision() > 0 && r.ofEarlierEra(version) && w.now < restorable && w.chance(0.6) {
 			w.after(restorable-w.now, func() { w.search(vm) })
 			return
 		}
@@ -433,7 +434,7 @@
 		found, _ := value.(role)
 		switch {
 		case a.stopped:
-		case ok && !found.fromOlderCopy(version):
+		case ok && !found.ofEarlierEra(version):
 			if found.VM != r.VM || found.Incarnation != r.Incarnation {
 				w.stop(a, "superseded")
 				return
@@ -479,9 +480,8 @@
 			return
 		}
 		a.era, a.recordVersion = a.role.Era, version
-		distrusted := record == nil && a.recordsPending || record != nil && record.Era != a.era
-		holders, complete := w.possibleHolders(a.vm, record)
-		if distrusted && record == nil {
+		distrusted, lost := record != nil && record.Era != a.era, record == nil && a.recordsPending
+		if lost {
 			record = &Record{NextFence: 1}
 		}
 		a.leases = NewLeaseManager(LeaseOptions{
@@ -491,8 +491,9 @@
 		if a.predecessor.silent {
 			a.leases.AllowLateOrders()
 		}
-		if distrusted {
-			a.leases.DistrustRecord(holders, complete, record.Era)
+		if distrusted || lost {
+			a.leases.DistrustRecord(record.Era)
+			a.distrusted = record
 			w.distrusted++
 		}
 		w.save(a, a.leases.Record())
@@ -512,21 +513,18 @@
 // possibleHolders is that of Agent. A VM that does not run long misses some targets.
 func (w *stepBackSimulation) possibleHolders(vm *simVM, r *Record) ([]Holder, bool) {
 	holders, complete := vm.agent.holders.holdersOf(stepBackService, w.now)
+	lost := len(r.Ranges) == 0
 	for _, t := range w.targets {
-		if r == nil || w.chance(0.5) {
+		if lost || w.chance(0.5) {
 			holders = append(holders, t.holder)
 		}
 	}
-	if r == nil {
-		complete = true
-		r = &Record{}
-	}
 	for _, rr := range r.Ranges {
 		holders = append(append(holders, rr.Owner), rr.FormerOwners...)
 	}
 	holders = latestIncarnations(holders)
 	slices.SortFunc(holders, func(a, b Holder) int { return cmp.Compare(a.ID, b.ID) })
-	return holders, complete
+	return holders, complete || lost
 }
 
 // save is that of the assigner.
@@ -632,6 +630,10 @@
 	if !a.written || a.leases.PredecessorActs(w.now) {
 		return
 	}
+	if a.distrusted != nil {
+		a.leases.SetPossibleHolders(w.possibleHolders(a.vm, a.distrusted))
+		a.distrusted = nil
+	}
 	if a.trusted && a.era == a.role.Era {
 		a.recordsPending = false
 	}
