--- a/shard/history_stepback_test.go
+++ b/shard/history_stepback_test.go
@@ -734,16 +734,15 @@
 // After the store had come back from an older copy, two targets held the same keys.
 func TestRandomHistoriesWithAnOlderCopyHaveOneHolderPerKey(t *testing.T) {
 	var grants, stepBacks, restored, takeOvers, distrusted int
-	for seed := range uint64(historyCount()) {
+	seed := uint64(0)
+	defer func() {
+		if t.Failed() {
+			t.Logf("seed %d", seed)
+		}
+	}()
+	for ; seed < uint64(historyCount()); seed++ {
 		w := newStepBackSimulation(t, seed)
-		func() {
-			defer func() {
-				if t.Failed() {
-					t.Logf("seed %d", seed)
-				}
-			}()
-			w.run(20 * time.Second)
-		}()
+		w.run(20 * time.Second)
 		grants, stepBacks, restored, takeOvers, distrusted = grants+w.grants, stepBacks+w.stepBacks, restored+w.restored, takeOvers+w.takeOvers, distrusted+w.distrusted
 	}
 	t.Logf("%d grants, %d step backs, %d roles written again, %d take-overs, %d records distrusted", grants, stepBacks, restored, takeOvers, distrusted)
