--- a/shard/stepback_test.go
+++ b/shard/stepback_test.go
@@ -99,8 +99,7 @@
 	}
 }
 
-// The same, if the target that the older record does not name does not answer the successor: its lease from the assigner must
-// end before another one gets its keys.
+// A target that the older record does not name, and that does not answer the successor, held keys that another one was granted.
 func TestTakeOverFromAnOlderRoleWaitsForTheLeasesOfASilentTarget(t *testing.T) {
 	t.Parallel()
 	f := newStepBackFleet(t, 600*time.Millisecond, "t1")
@@ -125,7 +124,7 @@
 	f.targets.check(t)
 }
 
-// The same, when the store steps back again to that copy after the first take-over.
+// A second step back to the same copy gave the term and the tokens of the first take-over out again.
 func TestSecondTakeOverFromAnOlderRoleUsesNoTermOrTokenOfTheFirst(t *testing.T) {
 	t.Parallel()
 	f := newStepBackFleet(t, 600*time.Millisecond, "t1")
@@ -149,7 +148,7 @@
 	f.targets.check(t)
 }
 
-// The same, if the assigner reaches the store again while it may still act.
+// An assigner that was cut off for the moment of the step back and the VM that took over from the older role both sent orders.
 func TestAssignerThatMissesAStepBackForAMomentIsTheOnlyOne(t *testing.T) {
 	t.Parallel()
 	f := newStepBackFleet(t, 900*time.Millisecond, "t1")
@@ -296,7 +295,7 @@
 	f.checkServed(a, since)
 }
 
-// The same, from a copy in which the assigner has no role, or no record.
+// A copy without the assigner's role, or without its record, made another VM take over, or the targets lose their keys.
 func TestAssignerServesOnWhenTheStoreStepsBackToBeforeItsFirstWrites(t *testing.T) {
 	t.Parallel()
 	for _, key := range []string{RoleKey, RangePrefix + stepBackService} {
@@ -319,7 +318,7 @@
 	}
 }
 
-// The same, when the store comes back from a still older copy right after.
+// The targets lost their keys, or another VM took over, when the store came back from a still older copy right after.
 func TestAssignerServesOnWhenTheStoreStepsBackTwice(t *testing.T) {
 	t.Parallel()
 	for name, between := range map[string]bool{"at once": false, "once the first is over": true} {
@@ -434,7 +433,7 @@
 	f.checkServed(b, since)
 }
 
-// The same for a write of the assigner itself, which has written its role in the new era since.
+// An assigner that had written its role in the new era took its own late write of the earlier one for that of another VM.
 func TestOwnRoleThatIsWrittenLateFromTheEraBeforeDoesNotEndTheRole(t *testing.T) {
 	t.Parallel()
 	f := newStepBackFleet(t, 1800*time.Millisecond, "t1")
@@ -452,7 +451,7 @@
 	f.checkServed(a, since)
 }
 
-// The same for a record, while the assigner acts that it would replace.
+// A record of the earlier era that was written late ended the role of the assigner whose record it replaced.
 func TestRecordThatIsWrittenLateFromTheEraBeforeIsReplaced(t *testing.T) {
 	t.Parallel()
 	f := newStepBackFleet(t, 900*time.Millisecond, "t1")
@@ -466,7 +465,7 @@
 	f.checkServed(b, since)
 }
 
-// The same for a record, when a successor reads it.
+// A successor acted on a record of the earlier era that was written late, and used the tokens of its predecessor.
 func TestSuccessorDoesNotActOnARecordThatIsWrittenLateFromTheEraBefore(t *testing.T) {
 	t.Parallel()
 	f := newStepBackFleet(t, 900*time.Millisecond, "t1")
