eligibility: Hold a limit until the target names none

A target that named a limit got far more than it as soon as the VMs without a share had heard nothing of it for 15 s, as while there is no assigner: each of them forgot the limit and sent again until its next answer.

The rule counts from the first naming for as long as the target names the limit; silence is not a statement that there is none.

A limit now holds until an answer, or another VM's report, names none. A VM with a share learns that from its own requests. The VMs without one try in turns of 4 s by their ranks, one request each, after 15 s without news; a burst of all VMs leaves 0.8 s of the limit and 2 requests for that.

TestLimitEndsWhenTheTargetNamesNoneOrIsNotHeardOf demanded that a silent minute ends a limit, which is what broke the rule. In its place the limit has to hold over that minute and to end at the next answer without one, and TestVMsWithoutAShareTryOneAfterTheOther bounds what is sent in the silence and demands that each VM gets its turn.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -227,7 +227,7 @@
 	if wait := s.pause.wait(now); wait > 0 {
 		return Verdict{Reason: Paused, RetryIn: wait}
 	}
-	if s.limit.active(now) {
+	if s.limit.active() {
 		if wait := s.limit.wait(now); wait > 0 {
 			return Verdict{Reason: Limited, RetryIn: wait}
 		}
@@ -238,8 +238,8 @@
 // take counts a request that is sent.
 func (s *state) take(now time.Time) {
 	s.pause.take(now)
-	if s.limit.active(now) {
-		s.limit.tokens--
+	if s.limit.active() {
+		s.limit.take(now)
 	}
 }
 
@@ -324,9 +324,9 @@
 	if at.Before(known.limit.statedAt) || s.Age >= LimitMemory {
 		return false
 	}
-	before, wasActive := known.limit.perSecond, known.limit.active(now)
+	before, wasActive := known.limit.perSecond, known.limit.active()
 	known.limit.state(s.LimitPerSecond, t.shareLocked(s), at, now)
-	if known.limit.perSecond != before || wasActive != known.limit.active(now) {
+	if known.limit.perSecond != before || wasActive != known.limit.active() {
 		t.opts.Logger.Info("limit of target changed", "target", s.Incarnation.ID, "born", s.Incarnation.Born, "per_second", s.LimitPerSecond,
 			"before", before, "share", known.limit.share.perSecond, "age_ms", s.Age.Milliseconds(), sourceKey, source)
 	}
@@ -347,7 +347,7 @@
 	t.vms, t.count = vms, count
 	now := t.opts.Now()
 	for i, s := range t.states {
-		if s.limit.active(now) {
+		if s.limit.active() {
 			sh := t.shareLocked(Statement{Incarnation: i, LimitPerSecond: s.limit.perSecond})
 			s.limit.state(s.limit.perSecond, sh, s.limit.statedAt, now)
 		}
--- a/eligibility/limit.go
+++ b/eligibility/limit.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// LimitMemory is how long a limit holds that the target has not named again. A VM that gets no
-	// share of a small limit learns from the others that it still holds.
+	// LimitMemory is the time without news of a limit from which the VMs without a share may try whether it still holds. A
+	// VM with a share learns it from the answers to its own requests.
 	LimitMemory = 15 * time.Second
+	// trialTurn is the time in which one VM without a share may send one request as a trial: the time over which targets
+	// count their requests, so that the trials of all VMs stay within what the bursts leave.
+	trialTurn = 4 * time.Second
 	// repeatInterval is the least time between two reports of a limit that the target names again, unchanged. A new
 	// assigner, or one that lost a report, knows the limit that much later.
 	repeatInterval = time.Second
@@ -37,6 +40,9 @@
 	// tokens is the number of requests that this VM may send, as of filledAt.
 	tokens   float64
 	filledAt time.Time
+	// trialsFrom is when the VM last had news of the limit or of its share, from which its turns for trials count. triedAt is
+	// when it last sent one; zero if it never did.
+	trialsFrom, triedAt time.Time
 	// promised is the latest instant at which a refused caller was asked to return.
 	promised time.Time
 }
@@ -46,6 +52,9 @@
 	// perSecond is the rate at which tokens are added, and burst is the highest number of them.
 	// Both are zero if the VM has no part.
 	perSecond, burst float64
+	// trialAfter is the time without news of the limit after which a VM without a part has its first turn for a trial, and
+	// trialEvery the time between two turns.
+	trialAfter, trialEvery time.Duration
 }
 
 // shareOf returns the part of the limit that the VM has, without asking the others. All parts
@@ -56,8 +65,11 @@
 	count = max(count, len(vms), 1)
 	burst := burstSeconds*perSecond + burstRequests
 	sharers := min(count, int(burst))
-	if sharers < count && rankOf(vm, target, vms) >= sharers {
-		return share{}
+	if others := count - sharers; others > 0 {
+		if rank := rankOf(vm, target, vms); rank >= sharers {
+			turn := min(rank-sharers, others-1)
+			return share{trialAfter: LimitMemory + time.Duration(turn)*trialTurn, trialEvery: time.Duration(others) * trialTurn}
+		}
 	}
 	return share{perSecond: perSecond / float64(sharers), burst: burst / float64(sharers)}
 }
@@ -79,10 +91,9 @@
 	return rank
 }
 
-// active reports whether the limit holds at the instant now.
-func (l *limit) active(now time.Time) bool {
-	return l.perSecond > 0 && now.Sub(l.statedAt) < LimitMemory
-}
+// active reports whether the limit holds. It does until the target names none: silence shows nothing, as a target that gets no
+// requests gives no answers.
+func (l *limit) active() bool { return l.perSecond > 0 }
 
 // named reports whether the target has ever named a limit.
 func (l *limit) named() bool { return !l.statedAt.IsZero() }
@@ -90,10 +101,16 @@
 // state sets what the target has named at the instant at. It starts with half of the burst, because
 // requests are on their way.
 func (l *limit) state(perSecond float64, s share, at, now time.Time) {
-	if !l.active(now) {
+	if !l.active() {
 		l.tokens, l.filledAt = s.burst/2, now
 	}
 	l.fill(now)
+	switch {
+	case s != l.share:
+		l.trialsFrom = now
+	case at.After(l.statedAt):
+		l.trialsFrom = at
+	}
 	l.perSecond, l.statedAt, l.share = perSecond, at, s
 	l.tokens = min(l.tokens, s.burst)
 }
@@ -110,7 +127,7 @@
 func (l *limit) wait(now time.Time) time.Duration {
 	l.fill(now)
 	switch {
-	case l.tokens >= 1:
+	case l.tokens >= 1 || l.mayTry(now):
 		return 0
 	case l.share.perSecond == 0:
 		return withoutShareRetryAfter
@@ -119,6 +136,21 @@
 	}
 }
 
+// mayTry reports whether the VM has no share, but a turn for a trial that it has not used.
+func (l *limit) mayTry(now time.Time) bool {
+	since := now.Sub(l.trialsFrom) - l.share.trialAfter
+	return l.share.perSecond == 0 && since >= 0 && since%l.share.trialEvery < trialTurn && now.Sub(l.triedAt) >= trialTurn
+}
+
+// take counts a request that is sent.
+func (l *limit) take(now time.Time) {
+	if l.share.perSecond == 0 {
+		l.triedAt = now
+		return
+	}
+	l.tokens--
+}
+
 // promise returns the time after which one more refused caller should return. The callers are
 // asked to return one after the other, at the rate of the tokens.
 func (l *limit) promise(now time.Time) time.Duration {
--- a/eligibility/limit_test.go
+++ b/eligibility/limit_test.go
@@ -119,7 +119,7 @@
 	}
 }
 
-func TestLimitEndsWhenTheTargetNamesNoneOrIsNotHeardOf(t *testing.T) {
+func TestLimitEndsWhenTheTargetNamesNone(t *testing.T) {
 	is := is.New(t)
 	v := newVMs(2)
 	a := v.trackers[0]
@@ -140,10 +140,34 @@
 	is.True(!refused())
 	v.name(2)
 	is.True(refused())
-	v.now = v.now.Add(time.Minute)
+	v.now = v.now.Add(time.Minute) // The target may get no requests, so that it gives no answers.
+	is.True(refused())
+	v.name(0)
 	is.True(!refused())
 }
 
+// A target that is not heard of may name its limit still. VMs without a share must not find that out all at once.
+func TestVMsWithoutAShareTryOneAfterTheOther(t *testing.T) {
+	const perSecond = 0.4
+	is := is.New(t)
+	v := newVMs(71)
+	v.name(perSecond)
+	v.run(time.Minute, rand.New(rand.NewPCG(1, 1)), 1, 1)
+	silent := v.sent[:int(eligibility.LimitMemory/step)]
+	total := 0
+	for _, n := range silent {
+		total += n
+	}
+	is.True(total <= 3+int(perSecond*eligibility.LimitMemory.Seconds()))
+	v.run(5*time.Minute, rand.New(rand.NewPCG(1, 1)), 1, 1)
+	is.True(float64(v.most()) <= 1.5*perSecond*window.Seconds()+5)
+	total = 0
+	for _, n := range v.sent {
+		total += n
+	}
+	is.True(float64(total) >= perSecond*360+68) // Each of the 68 VMs had its turn.
+}
+
 // What other VMs were told counts unless this VM was told something later.
 func TestLaterStatementCounts(t *testing.T) {
 	is := is.New(t)
--- a/shard/targets.go
+++ b/shard/targets.go
@@ -20,7 +20,7 @@
 	// too little to matter.
 	refreshInterval = 10 * time.Second
 	// limitRefreshInterval is the least time between two sendings of a limit that a target names again, unchanged. With
-	// the time between two reports of it, it has to be less than LimitMemory, after which the VMs forget it.
+	// the time between two reports of it, it has to be less than LimitMemory, after which VMs without a share try whether it holds.
 	limitRefreshInterval = eligibility.LimitMemory / 3
 	// A state is sent at once if its service time has changed by minServiceTimeChange, its share of
 	// failures by minFailureChange, or its load by minLoadChange while it is at least minBusyLoad:
