eligibility: Give a VM that knows no others no share of a limit

A target that had named a limit got more than it while VMs joined: one that had no list of the VMs yet took the whole limit as its share. The rule excuses VMs that restart, not those that join.

TestAllVMsTogetherKeepTheLimit now lets a quarter more VMs join for a second before the assigner lists them, and some while a new one counts. The others keep shares that make up the whole limit, so that such a VM now sends nothing but a trial each 15 s until its list comes.

--- a/eligibility/limit.go
+++ b/eligibility/limit.go
@@ -60,9 +60,13 @@
 // shareOf returns the part of the limit that the VM has, without asking the others. All parts
 // together make up the limit, and all bursts burstSeconds of it and burstRequests. If the
 // bursts would be less than one request, the limit is shared by the VMs that rank first for the
-// target. count is the number of VMs, of which the list may lack some.
+// target. count is the number of VMs, of which the list may lack some. If neither is known, the VM has no part: others have
+// the whole.
 func shareOf(perSecond float64, target, vm string, vms []string, count int) share {
-	count = max(count, len(vms), 1)
+	count = max(count, len(vms))
+	if count == 0 {
+		return share{trialAfter: LimitMemory, trialEvery: LimitMemory}
+	}
 	burst := burstSeconds*perSecond + burstRequests
 	sharers := min(count, int(burst))
 	if others := count - sharers; others > 0 {
--- a/eligibility/together_test.go
+++ b/eligibility/together_test.go
@@ -206,7 +206,7 @@
 	}
 }
 
-// VMs learn the limit from answers and from each other, which fails for a while; VMs are lost, and lists of VMs lack some.
+// VMs learn the limit from answers and from each other, which fails for a while; VMs join and are lost, and lists of VMs lack some.
 func TestAllVMsTogetherKeepTheLimit(t *testing.T) {
 	counts, seeds := []int{1, 9, 71, 295}, uint64(3)
 	if testing.Short() {
@@ -232,9 +232,18 @@
 	run(time.Second)
 	g.name(perSecond)
 	run(10 * time.Second)
+	for range 1 + count/4 { // They know no VMs until the next list.
+		g.join()
+	}
+	run(time.Second)
+	g.list(g.all)
+	run(5 * time.Second)
 	g.assigner = false
 	run(25 * time.Second)
 	g.assigner = true
+	for range 1 + count/10 {
+		g.join()
+	}
 	for range 10 { // A new assigner lists the VMs that have connected to it.
 		g.random.Shuffle(len(g.all), func(i, j int) { g.all[i], g.all[j] = g.all[j], g.all[i] })
 		g.list(g.all[:1+g.random.IntN(len(g.all))])
