gateway: Date what a target states from the header of its answer

An answer whose header was sent before the target named its limit, and whose body ended after that, lifted the limit for this VM, and by the assigner for all, until the next answer: what it stated was dated from the end of the body. A slow body may end seconds later, when the rule already counts.

The client now notes when the header arrived, and the limit is the one of the latest header, as between VMs.

--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -35,3 +36,30 @@
 		})
 	}
 }
+
+// An answer may end long after its header was sent, when the target did not name its limit yet.
+func TestAnswerThatEndsLateDoesNotLiftALimit(t *testing.T) {
+	is := is.New(t)
+	begun, end := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, true, func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/unsafe/slow") {
+			w.Header().Set("Server-Limit", "5.0")
+			answerOK(w, r)
+			return
+		}
+		answerOK(w, r)
+		is.NoErr(http.NewResponseController(w).Flush())
+		close(begun)
+		<-end
+	})
+	slow := make(chan int)
+	go func() { slow <- f.send("/unsafe/slow", "5").Status }()
+	<-begun
+	time.Sleep(100 * time.Millisecond) // The header arrives.
+	is.Equal(f.send("/unsafe/x", "5").Status, http.StatusOK)
+	close(end)
+	is.Equal(<-slow, http.StatusOK)
+	// This VM does not know how many share the limit, so that it has no share.
+	is.Equal(f.send("/unsafe/x", "5").Status, http.StatusServiceUnavailable)
+	is.Equal(f.requestsReceived(), 2)
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -101,6 +101,8 @@
 	// LimitPerSecond is the number of requests a second that the target takes from all VMs
 	// together; zero if it names none.
 	LimitPerSecond float64
+	// ReceivedAt is when the header of the answer arrived. Its body may end much later.
+	ReceivedAt time.Time
 	// Leaving is set if the target is about to leave.
 	Leaving bool
 	// Pause is how long the target wants no requests from this VM; zero if it states none. Only
@@ -283,6 +285,7 @@
 		if err != nil {
 			return nil, false, err
 		}
+		headAt := time.Now()
 		own := string(head.Peek(h.RequestID)) == r.ID
 		body, endStated, err := c.receiveBody(head, r.Method)
 		if err != nil {
@@ -294,6 +297,9 @@
 				return nil, false, &Failure{Sent: true, InvalidAnswer: true, Cause: err}
 			}
 			c.recordIdleLimit(head)
+			if a.Statements != nil {
+				a.Statements.ReceivedAt = headAt
+			}
 			a.OtherTarget = h.namesOtherTarget(head, r)
 			if a.NotRun {
 				c.refused = append(c.refused, r.ID)
