upstream: Take a limit of zero as one, and an unclear one as no news

A target that named the limit 0, or named one twice or as text that is no decimal number, counted as one that names none: a limit that was known before ended at once for all VMs.

Zero is a decimal number, and by the rule such a target gets 5 requests in 4 s. Limits below 0.05 a second now count as that, so that one request in 20 s notices when the limit ends. A limit that is not understood is still logged, and what was known of the target's limit holds on.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -249,6 +249,8 @@
 	// LimitPerSecond is the number of requests a second that the target takes from all VMs
 	// together; zero if it takes all.
 	LimitPerSecond float64
+	// LimitUnclear is set if what the target states of its limit could not be understood. What was known of it holds on.
+	LimitUnclear bool
 	// Age is how long ago the target stated it.
 	Age time.Duration
 	// Pause is how long the target wants no requests from this VM; zero if it states none. It
@@ -271,7 +273,7 @@
 		known = t.addStateLocked(s.Incarnation)
 	}
 	t.observePauseLocked(known, s, request)
-	if s.LimitPerSecond > 0 || known.limit.named() {
+	if !s.LimitUnclear && (s.LimitPerSecond > 0 || known.limit.named()) {
 		before := known.limit.perSecond
 		if t.mergeLimitLocked(known, s, "request", request) && (s.LimitPerSecond != before || known.limit.statedAt.Sub(known.reportedAt) >= repeatInterval) {
 			known.unreported = true
--- a/eligibility/limit_test.go
+++ b/eligibility/limit_test.go
@@ -168,6 +168,19 @@
 	is.True(float64(total) >= perSecond*360+68) // Each of the 68 VMs had its turn.
 }
 
+// A limit that cannot be understood shows neither another limit nor that there is none.
+func TestUnclearLimitChangesNothing(t *testing.T) {
+	is := is.New(t)
+	v := newVMs(1)
+	a := v.trackers[0]
+	a.Observe(eligibility.Statement{Incarnation: v.target, LimitUnclear: true}, "r")
+	is.True(!a.HasStatements())
+	v.name(2)
+	a.Observe(eligibility.Statement{Incarnation: v.target, LimitUnclear: true}, "r")
+	v.run(window, rand.New(rand.NewPCG(1, 1)), 5, 1)
+	is.True(float64(v.most()) <= 1.5*2*window.Seconds()+5)
+}
+
 // What other VMs were told counts unless this VM was told something later.
 func TestLaterStatementCounts(t *testing.T) {
 	is := is.New(t)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -103,7 +103,7 @@
 // observe passes on what the target states of itself in an answer.
 func (g *Gateway) observe(c *call, t *fleet.Target, s *upstream.Statements) {
 	g.opts.Eligibility.Observe(eligibility.Statement{
-		Incarnation: t.Incarnation(), LimitPerSecond: s.LimitPerSecond, Age: time.Since(s.ReceivedAt), Pause: s.Pause,
+		Incarnation: t.Incarnation(), LimitPerSecond: s.LimitPerSecond, LimitUnclear: s.LimitUnclear, Age: time.Since(s.ReceivedAt), Pause: s.Pause,
 	}, c.id)
 	if s.Leaving && g.opts.Directory.RecordLeaving(t.Incarnation()) {
 		g.opts.Logger.Info("target states that it leaves", "target", t.ID, "born", t.Born, "request", c.id)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -101,6 +101,8 @@
 	// LimitPerSecond is the number of requests a second that the target takes from all VMs
 	// together; zero if it names none.
 	LimitPerSecond float64
+	// LimitUnclear is set if the answer names a limit that could not be understood.
+	LimitUnclear bool
 	// ReceivedAt is when the header of the answer arrived. Its body may end much later.
 	ReceivedAt time.Time
 	// Leaving is set if the target is about to leave.
@@ -445,8 +447,13 @@
 	return a, nil
 }
 
-// maxLimit is the highest limit in requests a second that is taken as one.
-const maxLimit = 1e6
+const (
+	// minLimit is what a lower limit counts as, zero too, in requests a second: one in 20 s, far less than the five in 4 s that
+	// each target allows, so that it is noticed when the limit ends.
+	minLimit = 0.05
+	// maxLimit is the highest limit in requests a second that is taken as one.
+	maxLimit = 1e6
+)
 
 // maxPauseSeconds is the longest pause that is taken as one.
 const maxPauseSeconds = 3600
@@ -469,11 +476,12 @@
 	}
 	parse(h.Limit, func(value string) bool {
 		n, ok := parseDecimal(value)
-		if ok = ok && n > 0 && n <= maxLimit; ok {
-			s.LimitPerSecond = n
+		if ok = ok && n <= maxLimit; ok {
+			s.LimitPerSecond = max(n, minLimit)
 		}
 		return ok
 	})
+	s.LimitUnclear = len(s.Malformed) > 0
 	parse(h.Leaving, func(value string) bool {
 		s.Leaving = value == "1"
 		return s.Leaving
