eligibility: Keep a limit while the target's entry is missing

A target whose entry was gone for a moment, as after a step back of the store or missed check-ins, got a request of every VM at once when it was back, and half of a new burst: all had dropped its limit with the entry. Owners of keys get requests without an entry too.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -376,12 +376,14 @@
 	return out
 }
 
-// Retain discards the statements of the incarnations for which known returns false.
+// Retain discards the statements of the incarnations for which known returns false, unless they are recent: the entry of a target
+// that lives may be missing for a while.
 func (t *Tracker) Retain(known func(fleet.Incarnation) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i := range t.states {
-		if !known(i) {
+	now := t.opts.Now()
+	for i, s := range t.states {
+		if !known(i) && now.Sub(s.limit.statedAt) >= LimitMemory && now.After(s.pause.until) {
 			delete(t.states, i)
 		}
 	}
--- a/eligibility/limit_test.go
+++ b/eligibility/limit_test.go
@@ -168,6 +168,25 @@
 	is.True(float64(total) >= perSecond*360+68) // Each of the 68 VMs had its turn.
 }
 
+// The entry of a target that lives may be missing for a while. All VMs would send to it at once when it is back.
+func TestLimitHoldsWhileTheEntryIsMissing(t *testing.T) {
+	is := is.New(t)
+	v := newVMs(71)
+	v.name(2)
+	v.run(time.Second, rand.New(rand.NewPCG(1, 1)), 1, 1)
+	none := func(fleet.Incarnation) bool { return false }
+	for _, tr := range v.trackers {
+		tr.Retain(none)
+	}
+	v.run(3*time.Second, rand.New(rand.NewPCG(1, 1)), 1, 1)
+	is.True(float64(v.most()) <= 1.5*2*window.Seconds()+5)
+	v.now = v.now.Add(time.Minute)
+	for _, tr := range v.trackers {
+		tr.Retain(none)
+		is.True(!tr.HasStatements())
+	}
+}
+
 // A limit that cannot be understood shows neither another limit nor that there is none.
 func TestUnclearLimitChangesNothing(t *testing.T) {
 	is := is.New(t)
