platform: Take an answer for that to an order only if it certainly is

Callers saw keys given on while their last holder still worked on them. A faulty target may send an answer once more, late, where the next answer is expected. Orders had no IDs, and any valid answer on one of the three kept connections counted: the second answer to a grant passed for that to a release, which ends the hold in our books, and a late 409, 503, 429 or 400 ended the bound of a grant that the target had taken. Whether that is the cause of the users' report is open; it fits the line that they gave.

On each of the three connections the next order counted as answered, fenced or not done though the target had not answered it.

Each order now has an ID in Attempt-Id, which httpcall takes as an option (IDHeader). An answer counts if it repeats the ID, or if it has none and the order is the first on its connection, so that no earlier answer can be on it. Other answers are skipped, up to four, and the connection is closed; without a certain answer the order is unknown, never not done. A kept connection is used only if the last answer to the same path at the address had its ID, and only while it is open and has nothing to read. To a target that repeats no IDs each order therefore opens a connection: it may not fail for ever, and without an ID no other answer is certain. Orders are still sent once, within their timeout, and their connections still end with a reset.

Weighed: a wrapper of the connection as httphead.Conn cannot choose the connection or skip an answer, since HostClient has its own reader and takes any idle connection. A pool and an exchange of our own, as in upstream, would repeat the waits, dials and limits of HostClient. Its RoundTripper leaves both to us, on its pool. The cost: for a new connection beside kept ones, HostClient must first close those that are idle.

The tests of broken and of endless answers now run with IDs too.

--- a/store/httpcall/broken_answer_test.go
+++ b/store/httpcall/broken_answer_test.go
@@ -18,13 +18,15 @@
 func checkBroken(t *testing.T, o rawanswer.Options) {
 	t.Helper()
 	is := is.New(t)
-	c := New(Options{Address: rawanswer.Start(t, o), Timeout: 20 * time.Second, MaxConnections: 2})
-	for _, body := range [][]byte{[]byte("small"), make([]byte, 24<<20)} {
-		_, err := c.Write(context.Background(), Call{Method: http.MethodPut, Path: "/x", Body: body})
-		is.True(errors.Is(err, store.ErrUnknown))
+	for _, header := range []string{"", idHeader} {
+		c := New(Options{Address: rawanswer.Start(t, o), Timeout: 20 * time.Second, MaxConnections: 2, IDHeader: header})
+		for _, body := range [][]byte{[]byte("small"), make([]byte, 24<<20)} {
+			_, err := c.Write(context.Background(), Call{Method: http.MethodPut, Path: "/x", Body: body})
+			is.True(errors.Is(err, store.ErrUnknown))
+		}
+		_, err := c.Read(context.Background(), Call{Method: http.MethodGet, Path: "/x"})
+		is.True(errors.Is(err, store.ErrUnavailable))
 	}
-	_, err := c.Read(context.Background(), Call{Method: http.MethodGet, Path: "/x"})
-	is.True(errors.Is(err, store.ErrUnavailable))
 }
 
 // Status 000 was taken for 200, so that a write that the server had not done counted as done.
--- a/store/httpcall/endless_test.go
+++ b/store/httpcall/endless_test.go
@@ -68,9 +68,11 @@
 		"trailer line":    {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-T: ", "x"},
 		"trailer lines":   {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-T: 1\r\n"},
 	} {
-		t.Run(name, func(t *testing.T) {
+		check := func(t *testing.T, header string) {
 			is := is.New(t)
-			c := New(Options{Address: startEndless(t, answer[0], answer[1]), Timeout: timeout, MaxConnections: 2, MaxAnswerBytes: 64 << 10})
+			c := New(Options{
+				Address: startEndless(t, answer[0], answer[1]), Timeout: timeout, MaxConnections: 2, MaxAnswerBytes: 64 << 10, IDHeader: header,
+			})
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
@@ -81,6 +83,8 @@
 			is.True(err != nil)
 			is.True(took < 3*timeout)
 			is.True(after.TotalAlloc-before.TotalAlloc < mostAllocated)
-		})
+		}
+		t.Run(name, func(t *testing.T) { check(t, "") })
+		t.Run(name+", with IDs", func(t *testing.T) { check(t, idHeader) })
 	}
 }
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -51,6 +51,11 @@
 	// ResetOnClose makes the close of a connection discard data that the network has not
 	// delivered yet, so that a call that timed out does not arrive later.
 	ResetOnClose bool
+	// IDHeader names the header with the ID of a call, which the server repeats in its answer. If it is set, an answer counts only if
+	// it is certain that it is the answer to this call: it has the call's ID, or it has no ID and the call is the first one on its
+	// connection. If the answers to the calls of a path have no IDs, each such call opens a connection.
+	// It must not be set together with AbortOnCancel.
+	IDHeader string
 }
 
 // Client makes HTTP calls to one address.
@@ -113,6 +118,9 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 	}
+	if opts.IDHeader != "" {
+		p.http.Transport = newIdentifier(opts.IDHeader)
+	}
 	return p
 }
 
@@ -242,6 +250,9 @@
 			return nil, &dialError{cause: err}
 		}
 	}
+	if o.IDHeader != "" {
+		return &identifiedConn{Conn: conn}, nil
+	}
 	return httphead.NewConn(conn), nil
 }
 
@@ -403,6 +414,9 @@
 	if cl.ContentType != "" {
 		req.Header.SetContentType(cl.ContentType)
 	}
+	if p.opts.IDHeader != "" {
+		req.Header.Set(p.opts.IDHeader, newID())
+	}
 	if cl.Body != nil {
 		req.SetBodyRaw(cl.Body)
 	}
