shard: Log why a former owner can no longer hold a range

Callers saw two targets hold the same keys. Each former owner that stops counting now has a line with that, and each order's line its lease. No decision changes.

--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -884,6 +884,9 @@
 		"order", what, "service", service, "target", r.Order.To.ID, "from", r.Order.Keys.From,
 		"to", r.Order.Keys.To, "fence", r.Order.Fence, "term", a.term.Load(),
 	}
+	if !r.Order.Release {
+		attrs = append(attrs, "lease_ms", r.Order.LeaseDuration.Milliseconds())
+	}
 	if r.Sent > 0 {
 		a.agent.metrics.observeOrder(what, r)
 		attrs = append(attrs, "waited_ms", (r.Sent - r.Order.DueAt).Milliseconds(), "took_ms", (r.Ended - r.Sent).Milliseconds())
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -559,7 +559,13 @@
 // due release orders for the others.
 func (lm *LeaseManager) releases(s *rangeState, now time.Duration) []Order {
 	before := len(s.formerOwners)
-	s.formerOwners = slices.DeleteFunc(s.formerOwners, func(f *formerOwner) bool { return now > f.bound.until() })
+	s.formerOwners = slices.DeleteFunc(s.formerOwners, func(f *formerOwner) bool {
+		lapsed := now > f.bound.until()
+		if lapsed {
+			lm.logFormerOwner("lapsed", s, f, now)
+		}
+		return lapsed
+	})
 	if len(s.formerOwners) != before {
 		lm.tableOutdated, lm.recordOutdated = true, true
 	}
@@ -756,7 +762,12 @@
 		}
 		released = true
 		// A grant that is under way could reach a later start of the target, which does not know the release's token.
-		return len(f.bound.pending) == 0
+		settled := len(f.bound.pending) == 0
+		if settled {
+			lm.logFormerOwner("released", s, f, now, "release_fence", r.Order.Fence, "handover", r.Handover != "",
+				"release_took_ms", (r.Ended - r.Sent).Milliseconds())
+		}
+		return settled
 	})
 	if released && r.Handover != "" && r.Order.Keys == s.keys {
 		s.handover = r.Handover
@@ -766,6 +777,15 @@
 	}
 }
 
+// logFormerOwner logs why a former owner can no longer hold a range, and until when it could have, so that another target may be
+// granted it.
+func (lm *LeaseManager) logFormerOwner(reason string, s *rangeState, f *formerOwner, now time.Duration, attrs ...any) {
+	lm.opts.Logger.Info("former owner no longer holds a range", append([]any{
+		"reason", reason, "target", f.holder.ID, "from", s.keys.From, "to", s.keys.To, "fence", f.fence, "term", lm.term,
+		"own_grants_end_in_ms", (f.bound.ended - now).Milliseconds(), "predecessor_grants_end_in_ms", (f.bound.predecessor - now).Milliseconds(),
+	}, attrs...)...)
+}
+
 // handleGrant records the result of a grant for a range that its keys overlap.
 func (lm *LeaseManager) handleGrant(s *rangeState, r Result, now time.Duration) {
 	for _, f := range s.formerOwners {
