shard: Test that a target keeps each lease until its own end

The simulated targets of the histories replaced a lease by that of a later grant, so that a shorter lease ended a longer one. In the histories, a target now holds a key until the latest end of its leases, or until a release with a token above that of its latest grant. The targets of the step-back tests keep the longer lease as well.

Assigners of the histories now grant long leases while the store does not confirm their role, and some step down: they renew all owners with long leases and give the role up, and a successor takes over at once.

--- a/shard/history_stepback_test.go
+++ b/shard/history_stepback_test.go
@@ -484,9 +484,7 @@
 		if lost {
 			record = &Record{NextFence: 1}
 		}
-		a.leases = NewLeaseManager(LeaseOptions{
-			LeaseDuration: 2 * time.Second, OrderTimeout: simOrderTimeout, ReleaseTimeout: 600 * time.Millisecond,
-		}, a.role.Term, record, w.now, a.predecessor.until)
+		a.leases = NewLeaseManager(simLeases, a.role.Term, record, w.now, a.predecessor.until)
 		a.leases.BeginEra(a.role.Term, a.era)
 		if a.predecessor.silent {
 			a.leases.AllowLateOrders()
--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -31,11 +31,18 @@
 	simMaxStall = 6 * time.Second
 )
 
-// simCell is a target's lease state of a cell of keys.
+// simLeases are the leases of the assigners, in about the proportions of the default ones.
+var simLeases = LeaseOptions{
+	LeaseDuration: 2 * time.Second, LongLeaseDuration: 6 * time.Second, OrderTimeout: simOrderTimeout, ReleaseTimeout: 600 * time.Millisecond,
+}
+
+// simCell is a target's lease state of a cell of keys. Each lease lasts until its own end or a release, beside later ones.
 type simCell struct {
 	highestFence uint64
-	fence        uint64
-	heldUntil    time.Duration
+	// fence is the highest token of a grant.
+	fence uint64
+	// heldUntil is the latest end of a lease.
+	heldUntil time.Duration
 }
 
 // simTarget is a target that measures its leases by a clock that runs slow.
@@ -56,7 +63,7 @@
 	}
 	for c := from; c <= to; c++ {
 		t.cells[c].highestFence, t.cells[c].fence = fence, fence
-		t.cells[c].heldUntil = arrival + time.Duration(float64(hold)*t.clockSlowness)
+		t.cells[c].heldUntil = max(t.cells[c].heldUntil, arrival+time.Duration(float64(hold)*t.clockSlowness))
 	}
 	return true
 }
@@ -65,7 +72,10 @@
 	from, to := cellRange(keys)
 	for c := from; c <= to; c++ {
 		t.cells[c].highestFence = max(t.cells[c].highestFence, fence)
-		t.cells[c].heldUntil = min(t.cells[c].heldUntil, now)
+		// A late release does not end the lease of a later grant.
+		if fence > t.cells[c].fence {
+			t.cells[c].heldUntil = min(t.cells[c].heldUntil, now)
+		}
 	}
 }
 
@@ -159,7 +169,7 @@
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	w := newSimulatedTargets(t, seed)
-	w.startAssigner()
+	w.startAssigner(false)
 	return w
 }
 
@@ -185,21 +195,26 @@
 	return low + time.Duration(w.rng.Int64N(int64(high-low)))
 }
 
-// startAssigner starts a new assigner, which takes the record over from the store.
-func (w *simulation) startAssigner() {
-	old := role{VM: fmt.Sprint(w.term), Term: w.term}
+// startAssigner starts a new assigner, which takes the record over from the store. If settled is set, the previous one has
+// given its role up, and its orders have left its link.
+func (w *simulation) startAssigner(settled bool) {
+	old := role{VM: fmt.Sprint(w.term), Term: w.term, Settled: settled}
 	if n := len(w.assigners); n > 0 {
 		old.setEarlier(w.assigners[n-1].predecessor.until, w.now)
 	}
-	p := newPredecessor(old, w.now+simRoleLease, simOrderTimeout, false, w.now)
+	actsUntil := w.now
+	if !settled {
+		actsUntil += simRoleLease
+	}
+	p := newPredecessor(old, actsUntil, simOrderTimeout, settled, w.now)
 	w.term++
-	lm := NewLeaseManager(LeaseOptions{
-		LeaseDuration: 2 * time.Second, OrderTimeout: simOrderTimeout, ReleaseTimeout: 600 * time.Millisecond,
-	}, w.term, w.record, w.now, p.until)
-	lm.AllowLateOrders()
+	lm := NewLeaseManager(simLeases, w.term, w.record, w.now, p.until)
+	if p.silent {
+		lm.AllowLateOrders()
+	}
 	w.version++
 	w.record = lm.Record()
-	w.logf("term %d begins", w.term)
+	w.logf("term %d begins, settled: %v", w.term, settled)
 	a := &simAssigner{leases: lm, confirmed: w.now, version: w.version, predecessor: p}
 	w.assigners = append(w.assigners, a)
 	if n := len(w.assigners); n > 1 && w.chance(0.8) {
@@ -207,6 +222,20 @@
 	}
 }
 
+// stepDown makes an assigner give its role up, with long leases. Another one follows once that is written, behind its orders on
+// its link.
+func (w *simulation) stepDown(a *simAssigner) {
+	w.logf("term %d: steps down", a.leases.term)
+	a.leases.SetStoreOutage(true, w.now)
+	w.sendDue(a)
+	a.stopped = true
+	w.after(max(simOrderTimeout, a.linkBlockedUntil-w.now)+w.between(30*time.Millisecond, time.Second), func() {
+		if a == w.assigners[len(w.assigners)-1] {
+			w.startAssigner(true)
+		}
+	})
+}
+
 // stopPredecessor makes an assigner learn that it is superseded, and its successor that it has stopped.
 func (w *simulation) stopPredecessor(a, old *simAssigner) {
 	old.stopped = true
@@ -245,7 +274,10 @@
 func (w *simulation) injectFaults() {
 	if w.chance(0.004) {
 		w.assigners[len(w.assigners)-1].disconnected = true
-		w.after(w.between(10*time.Millisecond, 3*time.Second), w.startAssigner)
+		w.after(w.between(10*time.Millisecond, 3*time.Second), func() { w.startAssigner(false) })
+	}
+	if a := w.assigners[len(w.assigners)-1]; w.chance(0.002) && !a.disconnected && !a.stopped {
+		w.stepDown(a)
 	}
 	w.injectTargetFaults()
 }
@@ -272,7 +304,7 @@
 		a.linkBlockedUntil = w.now + w.between(50*time.Millisecond, 2*time.Second)
 		w.logf("term %d: the link is filled until %v", a.leases.term, a.linkBlockedUntil)
 	}
-	if !a.disconnected && a == w.assigners[len(w.assigners)-1] && w.chance(0.05) {
+	if !a.disconnected && !a.stopped && a == w.assigners[len(w.assigners)-1] && w.chance(0.05) {
 		a.confirmed = w.now
 	}
 	if w.chance(0.03) {
@@ -281,6 +313,7 @@
 	if w.chance(0.03) {
 		w.setShares(a)
 	}
+	a.leases.SetStoreOutage(w.now-a.confirmed > time.Duration(outageShare*float64(simRoleLease)), w.now)
 	w.sendDue(a)
 }
 
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -293,3 +293,46 @@
 		}
 	}
 }
+
+// takenOver returns a LeaseManager of term 2 that takes over a range of x from an assigner that has stopped at the instant zero.
+func takenOver(x Holder) *LeaseManager {
+	return NewLeaseManager(LeaseOptions{}, 2, &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{{Keys: AllKeys, Owner: x}}}, 0, 0)
+}
+
+// grantedAt moves all keys to the holder at the instant and returns when they are granted to it. The target x answers nothing.
+func grantedAt(lm *LeaseManager, to, x Holder, now time.Duration) time.Duration {
+	lm.Propose([]Move{{AllKeys, to}}, now)
+	lm.FinishProposal(true)
+	for ; ; now += 10 * time.Millisecond {
+		for _, o := range lm.DueOrders(now) {
+			if !sameTarget(o.To, x) {
+				return now
+			}
+			lm.HandleResult(Result{Order: o, Err: os.ErrDeadlineExceeded}, now)
+		}
+	}
+}
+
+// A target kept a long lease of the previous assigner beside a shorter one of its successor, which gave the keys on before its end.
+func TestHoldOfEarlierAssignerOutlastsAShorterGrant(t *testing.T) {
+	is := is.New(t)
+	x, y := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}
+	lm := takenOver(x)
+	longest := lm.maxLease(9 * time.Second)
+	answerOrders(lm, 0, "")
+	is.True(lm.OwnedRanges()[0].Settled)
+	granted := grantedAt(lm, y, x, time.Second)
+	if granted <= longest {
+		t.Errorf("the keys were granted on after %v, within the lease of %v", granted, longest)
+	}
+
+	// After a release that x has answered, its lease is over.
+	lm = takenOver(x)
+	answerOrders(lm, 0, "")
+	lm.Propose([]Move{{AllKeys, y}}, time.Second)
+	lm.FinishProposal(true)
+	answerOrders(lm, time.Second, "")
+	orders := lm.DueOrders(time.Second)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].To, y)
+}
--- a/shard/stepback_fakes_test.go
+++ b/shard/stepback_fakes_test.go
@@ -113,7 +113,8 @@
 			continue
 		}
 		p.checkGrant(i, to.ID, vm, g.Fence, now)
-		leases[i] = probedLease{g.Fence, g.Fence, now + g.LeaseDuration, vm}
+		// Each lease lasts until its own end or a release, beside later ones.
+		leases[i] = probedLease{g.Fence, g.Fence, max(leases[i].until, now+g.LeaseDuration), vm}
 		p.heldUntil[i] = max(p.heldUntil[i], leases[i].until)
 	}
 	return nil
