shard: Count leases of the previous assigner beside later ones

Cause: LeaseManager took the answer to its own grant for the end of all that the owner had from the previous assigner (bound.predecessor = 0). A target keeps the longer of two leases, so that an owner that was lost after it had answered a grant of 3 s could hold its keys for up to 9.4 s, while they went on after 3.3 s.

A lease now ends by its own time or by an answered release with a higher token, never by a later grant. Bounds of the present term did so already. finishClearing still ends the bound: it follows an answered release of all keys.

Cost: the keys of an owner that is lost soon after a take-over, and does not answer a release, wait for the longest lease that it may have from the previous assigner. All others move as before.

--- a/shard/leasebound.go
+++ b/shard/leasebound.go
@@ -9,7 +9,8 @@
 // unbounded is the bound of a lease that may still begin.
 const unbounded = time.Duration(math.MaxInt64)
 
-// leaseBound tracks the last instant at which a target may hold a range.
+// leaseBound tracks the last instant at which a target may hold a range. Its leases last side by side: each ends by its own
+// time or by an answered release with a higher token, not by a later grant.
 type leaseBound struct {
 	// ended is the bound from grants that can no longer arrive.
 	ended time.Duration
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -802,7 +802,8 @@
 		if !s.held || s.lost {
 			lm.tableOutdated = true
 		}
-		s.held, s.lost, s.failures, s.bound.predecessor = true, false, 0, 0
+		// Earlier leases that are longer, those of the previous assigner too, last on beside this one.
+		s.held, s.lost, s.failures = true, false, 0
 		// The target refuses earlier grants from now on. One that is still under way could reach a later start of it.
 		s.bound.endArrived(now, func(fence uint64) bool { return fence < r.Order.Fence && lm.callEnded(fence) })
 		s.handover = ""
