platform: Keep connections for orders to targets that repeat no IDs

A grant counts as accepted by any success; after a refusal that may be an earlier one's, it is sent again on another connection, where the answer is certain. Without that, TestOrders fails: a refusal by a higher token would be unknown.

What stays: a late second 200 to a grant passes for that to the next grant. TestOrdersToATargetThatRepeatsNoIDUseNewConnections demanded a connection for each order; in its place 29 orders have to fit on three, and TestReleasesOfATargetThatMarksNoAnswersUseNewConnections demands new ones where nothing marks an answer.

Planted: values of handovers not remembered, a release that takes any success, a doubtful refusal that counts, one that is not sent again: each fails a test.

--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -1,5 +1,5 @@
 // Package httpcall makes HTTP calls to a service of the platform or to a target. It never
-// repeats a call, and its errors state whether a failed call may have reached the server.
+// repeats a call, but those of Options.RepeatablePath, and its errors state whether a failed call may have reached the server.
 package httpcall
 
 import (
@@ -52,10 +52,16 @@
 	// delivered yet, so that a call that timed out does not arrive later.
 	ResetOnClose bool
 	// IDHeader names the header with the ID of a call, which the server repeats in its answer. If it is set, an answer counts only if
-	// it is certain that it is the answer to this call: it has the call's ID, or it has no ID and the call is the first one on its
-	// connection. If the answers to the calls of a path have no IDs, each such call opens a connection.
-	// It must not be set together with AbortOnCancel.
+	// it belongs to the call: it has the call's ID, or it has none and the call is the first one on its connection. It must not be
+	// set together with AbortOnCancel. UniqueHeader and RepeatablePath are for servers that repeat no IDs, and need IDHeader.
 	IDHeader string
+	// UniqueHeader names a header whose value differs from answer to answer. On a connection that had earlier calls, an answer with
+	// a value that none had before belongs to the call, also without an ID. Answers to calls of RepeatablePath don't have the header.
+	UniqueHeader string
+	// RepeatablePath is a path whose calls may be made again, and may count as answered although an earlier one was. On a
+	// connection that had earlier calls, an answer of success without an ID counts for them; after any other answer without one,
+	// the call is made again on another connection.
+	RepeatablePath string
 }
 
 // Client makes HTTP calls to one address.
@@ -119,7 +125,7 @@
 		RetryIfErr:                neverRetry,
 	}
 	if opts.IDHeader != "" {
-		p.http.Transport = newIdentifier(opts.IDHeader)
+		p.http.Transport = newIdentifier(opts)
 	}
 	return p
 }
--- a/store/httpcall/identify.go
+++ b/store/httpcall/identify.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,34 +27,51 @@
 // errOtherCall reports that no answer is certainly that to the call.
 var errOtherCall = errors.New("the answers belong to other calls")
 
-// identifier makes calls that have IDs. A server may send an answer once more, late, so that an answer counts only if it repeats the
-// call's ID, or if it has none and nothing was sent or received on the connection before.
+// errDoubtful reports that a call may be refused, or an earlier one was.
+var errDoubtful = errors.New("the refusal may belong to another call")
+
+// identifier makes calls that have IDs. A server may send an answer once more, late, so that an answer counts only if something shows
+// that it belongs to the call: see Options.IDHeader.
 type identifier struct {
-	header string
+	header, uniqueHeader, repeatablePath string
 
 	mu sync.Mutex
-	// repeats has, for each path, whether the server repeated the ID in its last answer.
-	repeats map[string]bool
+	// marked has, for each path, whether the last answer that belonged to its call showed so by a header.
+	marked map[string]bool
 }
 
 var _ fasthttp.RoundTripper = (*identifier)(nil)
 
-func newIdentifier(header string) *identifier {
-	return &identifier{header: header, repeats: map[string]bool{}}
+func newIdentifier(o Options) *identifier {
+	return &identifier{header: o.IDHeader, uniqueHeader: o.UniqueHeader, repeatablePath: o.RepeatablePath, marked: map[string]bool{}}
 }
 
 // newID returns the ID of a call, in hexadecimal digits.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
+// maxUniqueValues bounds the values of the unique header that are kept for a connection.
+const maxUniqueValues = 16
+
 // identifiedConn is a connection for calls that have IDs.
 type identifiedConn struct {
 	net.Conn
 	// used is set once a call may have been sent.
 	used bool
+	// uniqueValues are the values of the unique header in the answers so far.
+	uniqueValues []string
+}
+
+// isNew reports whether no earlier answer on the connection had the value of the unique header, and adds it.
+func (c *identifiedConn) isNew(value string) bool {
+	if slices.Contains(c.uniqueValues, value) {
+		return false
+	}
+	c.uniqueValues = append(c.uniqueValues, value)
+	return true
 }
 
-// RoundTrip implements fasthttp.RoundTripper. A call whose answer need not have its ID gets a new connection. Such a
-// connection is not kept.
+// RoundTrip implements fasthttp.RoundTripper. A call gets a new connection if nothing but that would show which answer is its own. One
+// whose answer is doubtful is made again.
 func (i *identifier) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	deadline := time.Now().Add(req.GetTimeOut())
 	path := string(req.URI().Path())
@@ -68,7 +86,7 @@
 		}
 		conn := cc.Conn().(*identifiedConn)
 		reused := conn.used
-		if reused && !i.repeatsID(path) || !idleconn.Usable(conn.Conn) {
+		if reused && !i.reuses(path) || !idleconn.Usable(conn.Conn) {
 			hc.CloseConn(cc)
 			if !reused {
 				return false, errors.WithMessage(errNotSent, "the connection has ended, or has data before the first call")
@@ -81,6 +99,9 @@
 		} else {
 			hc.CloseConn(cc)
 		}
+		if errors.Is(err, errDoubtful) {
+			continue // A new connection, at the latest, makes the answer certain.
+		}
 		return false, err
 	}
 }
@@ -107,21 +128,77 @@
 		if err := readAnswer(br, resp, hc.MaxResponseBodySize); err != nil {
 			return false, err
 		}
-		repeated := string(resp.Header.Peek(i.header))
-		if repeated == id {
-			i.setRepeatsID(path, true)
-			return n == 0 && br.Buffered() == 0 && !resp.ConnectionClose(), nil
-		}
-		if repeated == "" {
-			i.setRepeatsID(path, false)
-			if first && n == 0 {
-				return false, nil
-			}
+		switch i.belongs(conn, path, id, resp, first && n == 0) {
+		case own:
+			return n == 0 && br.Buffered() == 0 && !resp.ConnectionClose() && len(conn.uniqueValues) < maxUniqueValues, nil
+		case doubtful:
+			return false, errDoubtful
 		}
 	}
 	return false, errOtherCall
 }
 
+// belonging is what an answer shows of the call to which it belongs.
+type belonging int
+
+const (
+	// other answers belong to another call. That of this call may follow.
+	other belonging = iota
+	// own answers belong to the call, or do no harm if they are taken for its answer.
+	own
+	// doubtful answers may belong to the call, which is to be made again.
+	doubtful
+)
+
+// belongs tells whether an answer belongs to the call with the path and ID. first is set if nothing was sent or received on the
+// connection before the call.
+func (i *identifier) belongs(conn *identifiedConn, path, id string, resp *fasthttp.Response, first bool) belonging {
+	repeated := string(resp.Header.Peek(i.header))
+	unique := ""
+	if i.uniqueHeader != "" {
+		unique = string(resp.Header.Peek(i.uniqueHeader))
+	}
+	isNew := unique != "" && conn.isNew(unique)
+	switch {
+	case repeated == id:
+		i.setMarked(path, true)
+		return own
+	case repeated != "":
+		return other
+	case first:
+		i.setMarked(path, unique != "")
+		return own
+	case path != i.repeatablePath:
+		if isNew {
+			return own
+		}
+		return other
+	case unique != "" || i.isMarked(path):
+		return other
+	case resp.StatusCode() < http.StatusMultipleChoices:
+		return own
+	default:
+		return doubtful
+	}
+}
+
+// reuses reports whether a call of the path may be made on a connection that had earlier calls.
+func (i *identifier) reuses(path string) bool { return path == i.repeatablePath || i.isMarked(path) }
+
+// isMarked reports whether answers to calls of the path show by a header to which call they belong.
+func (i *identifier) isMarked(path string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	marked, known := i.marked[path]
+	return marked || !known && i.uniqueHeader != "" && path != i.repeatablePath
+}
+
+func (i *identifier) setMarked(path string, marked bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.marked[path] = marked
+}
+
 // readAnswer reads the next final answer, whose body has at most maxBody bytes, and checks its head.
 func readAnswer(br *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
 	for range maxInformational {
@@ -149,16 +226,3 @@
 
 // chunkedLength is the value of fasthttp.ResponseHeader.ContentLength for a body in chunks.
 const chunkedLength = -1
-
-// repeatsID reports whether the server has repeated the ID in its last answer to a call of the path.
-func (i *identifier) repeatsID(path string) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.repeats[path]
-}
-
-func (i *identifier) setRepeatsID(path string, repeats bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.repeats[path] = repeats
-}
