shard: Wait for an assigner that only the store refuses

Two assigners could send orders at the same moment: if the store refused the assigner alone, the VM that took its role over sent orders at once, while the other one still acted for what was left of its role, 0.9 s and more, and its calls for 0.8 s longer. Rule 5 of the design, that a successor sends nothing while an earlier assigner may act, did not hold on this path.

Cause: checkVacancy reads the role once more before it calls it vacant, but counted the new version as first read when this VM had begun to follow the assigner, many seconds before. actsUntil takes the earlier of that and the reported confirmation.

Cost: if only the assigner is refused, orders wait for the end of its role, 1.5 s at most after the take-over.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -417,7 +417,7 @@
 	// role and version are set if the role was read a second time.
 	role    *role
 	version store.Version
-	// seenAt is the instant at which the version of the role was first read.
+	// seenAt is the instant at which this version of the role was first read.
 	seenAt time.Duration
 }
 
@@ -454,8 +454,11 @@
 		// still has the beat that the assigner last reported as confirmed.
 		now, nowVersion, err := a.readRoleAndEra(ctx)
 		if err == nil && a.confirmedLast(now) {
+			if nowVersion != s.seen {
+				s.seen, s.seenAt = nowVersion, boottime.Now()
+			}
 			v := s.vacant("the store does not confirm the assigner", now, evidence.Silence)
-			v.role, v.version, v.seenAt = &now, nowVersion, boottime.Now()
+			v.role, v.version = &now, nowVersion
 			return v
 		}
 	}
