shard: Ask a lost owner again once its lease of this term is over

If nobody else may own the keys of a lost owner, as after a moment in which the assigner reached no target, they had no owner for up to 9.4 s after a take-over, or 11.4 s after a silent assigner, though the owner answered again.

Cause: RetryLost waits for the end of all leases, among which those of the previous assigner count since. It waits so as not to prolong the time until another target may own the keys; a lease of the previous assigner that lasts longer anyway is no reason.

TestLostOwnerIsRetriedBeforeItsLeaseOfAnEarlierAssignerEnds: the next grant was due after 9.5 s, now within 4 s. An owner that has answered nothing since the take-over is still waited for.

--- a/shard/leasebound.go
+++ b/shard/leasebound.go
@@ -37,6 +37,14 @@
 	return max(b.ended, b.predecessor)
 }
 
+// confirmed returns until without the grants of the previous assigner, if one of this assigner has arrived.
+func (b *leaseBound) confirmed() time.Duration {
+	if len(b.pending) == 0 && b.ended > 0 {
+		return b.ended
+	}
+	return b.until()
+}
+
 // expected returns until, on the assumption that the pending grants arrive within their timeouts.
 func (b *leaseBound) expected() time.Duration {
 	expected := max(b.ended, b.predecessor)
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -877,10 +877,11 @@
 }
 
 // RetryLost makes lost owners whose lease has ended due for one more grant. An owner
-// that does not answer it is lost again.
+// that does not answer it is lost again. If it has answered this assigner, leases of the
+// previous one are not waited for.
 func (lm *LeaseManager) RetryLost(now time.Duration) {
 	for _, s := range lm.ranges {
-		if s.lost && now > s.bound.until() {
+		if s.lost && now > s.bound.confirmed() {
 			s.lost, s.failures, s.next = false, maxRenewalFailures-1, now
 		}
 	}
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -336,3 +336,36 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].To, y)
 }
+
+// A lost owner without which nobody may own its keys was asked again only after the longest lease of the previous assigner.
+func TestLostOwnerIsRetriedBeforeItsLeaseOfAnEarlierAssignerEnds(t *testing.T) {
+	is := is.New(t)
+	x := Holder{ID: "x", Address: "x:1"}
+	lm := takenOver(x)
+	answerOrders(lm, 0, "")
+	now := time.Second
+	for ; lm.MayOwn(x); now += 100 * time.Millisecond {
+		answerOrders(lm, now, "x")
+	}
+	is.True(now < 2*time.Second)
+	lm.RetryLost(now)
+	is.True(!lm.MayOwn(x)) // Its keys move meanwhile, if another target may own them.
+	for ; !lm.MayOwn(x); now += 100 * time.Millisecond {
+		lm.RetryLost(now)
+	}
+	if now > 4*time.Second {
+		t.Errorf("the lost owner is asked again after %v", now)
+	}
+	answerOrders(lm, now, "")
+	is.True(lm.OwnedRanges()[0].Settled)
+
+	// One that has answered nothing since the take-over keeps the keys from others for the longest lease.
+	lm = takenOver(x)
+	for now = 0; lm.MayOwn(x); now += 100 * time.Millisecond {
+		answerOrders(lm, now, "x")
+	}
+	for ; !lm.MayOwn(x); now += 100 * time.Millisecond {
+		lm.RetryLost(now)
+	}
+	is.True(now > lm.maxLease(9*time.Second))
+}
