shard: Count late orders of the assigners before the predecessor

An assigner could count a lease as over up to 2 s early, if two assigners came soon after one that was not seen to stop, whose link held its orders.

Cause: only the LeaseManager of the next assigner added the wait in the link (AllowLateOrders). LimitPredecessor dropped it as soon as the predecessor was seen to stop, also while an assigner before that one might act; and the role passed on how long calls of earlier orders may be under way, but not how long the orders may arrive after these.

predecessor now has both instants, and the role states the second one as earlier_arrive_for_ms. It is left out once it has passed; a role of an earlier build that lacks it counts as LinkWait after the calls.

--- a/shard/agent.go
+++ b/shard/agent.go
@@ -500,7 +500,7 @@
 // releaseEarlierRole gives up the role that an earlier start of this VM had, so that
 // other VMs can take it over.
 func (a *Agent) releaseEarlierRole(ctx context.Context, r role, version store.Version) {
-	given := role{Term: r.Term, EarlierActsForMs: r.EarlierActsForMs, Settled: true, Era: r.Era, RecordsPending: r.RecordsPending}
+	given := role{Term: r.Term, EarlierActsForMs: r.EarlierActsForMs, EarlierArriveForMs: r.EarlierArriveForMs, Settled: true, Era: r.Era, RecordsPending: r.RecordsPending}
 	if _, err := putRole(ctx, a.opts.Store, given, version); err != nil {
 		a.opts.Logger.Info("could not give up the role of an earlier start", "term", r.Term, "error", err.Error())
 		return
@@ -550,7 +550,7 @@
 	start := boottime.Now()
 	p, settled := a.predecessorOf(old, version, v, start)
 	r := old.next(a.opts.VM, a.incarnation, a.opts.Address, version, a.highestTerm())
-	r.setEarlier(p.until, start)
+	r.setEarlier(p.until, p.arriveUntil, start)
 	written, err := putRole(ctx, a.opts.Store, r, version)
 	if err != nil {
 		a.opts.Logger.Info("could not take over as assigner", "term", r.Term, "reason", v.reason, "error", err.Error())
@@ -558,7 +558,7 @@
 		return
 	}
 	if settled {
-		p.until = max(p.until, boottime.Now())
+		p.extend(boottime.Now())
 	}
 	a.opts.Logger.Info("took over as assigner", "term", r.Term, "from", old.VM, "its_term", old.Term, "revision", version,
 		"of_earlier_era", old.ofEarlierEra(version), "records_pending", r.RecordsPending,
@@ -605,13 +605,13 @@
 // from an older copy of the store it is not known who was the assigner since.
 func (a *Agent) predecessorOf(old role, version store.Version, v vacancy, now time.Duration) (p predecessor, settled bool) {
 	if old.ofEarlierEra(version) {
-		p = newPredecessor(old, max(v.actsUntil, a.unknownActsUntil(v.seenAt)), a.opts.Leases.OrderTimeout, false, now)
+		p = newPredecessor(old, max(v.actsUntil, a.unknownActsUntil(v.seenAt)), a.opts.Leases, false, now)
 		p.vm = ""
 		return p, false
 	}
 	// The orders of an earlier start of this process may still wait in the link, before the write of the role.
 	settled = v.sign == evidence.Testimony || v.sign == evidence.Resignation && old.Settled
-	return newPredecessor(old, v.actsUntil, a.opts.Leases.OrderTimeout, settled, now), settled
+	return newPredecessor(old, v.actsUntil, a.opts.Leases, settled, now), settled
 }
 
 // announce notifies the other VMs that this VM is the assigner. VMs that the store refuses,
--- a/shard/agent_test.go
+++ b/shard/agent_test.go
@@ -134,7 +134,7 @@
 	is.True(v.reason != "")
 	is.Equal(v.actsUntil, s.seenAt+roleLease)
 	is.True(!v.sign.EndsLease())
-	p := newPredecessor(r, v.actsUntil, time.Millisecond, v.sign.EndsLease(), boottime.Now())
+	p := newPredecessor(r, v.actsUntil, LeaseOptions{OrderTimeout: time.Millisecond}, v.sign.EndsLease(), boottime.Now())
 	lm := NewLeaseManager(LeaseOptions{}, 2, &Record{Term: 1, Ranges: []RangeRecord{{Keys: KeyRange{0, LastKey}}}}, boottime.Now(), p.until)
 	is.Equal(len(lm.DueOrders(s.seenAt+roleLease)), 0)
 }
@@ -155,8 +155,9 @@
 // An assigner of one of the terms before the predecessor's may still act when the predecessor stops.
 func TestStopOfThePredecessorSaysNothingOfEarlierAssigners(t *testing.T) {
 	is := is.New(t)
-	const now, orderTimeout = 10 * time.Second, 800 * time.Millisecond
-	p := newPredecessor(role{VM: "b", Term: 2, EarlierActsForMs: 1500}, now+3*time.Second, orderTimeout, false, now)
+	const now = 10 * time.Second
+	opts := LeaseOptions{OrderTimeout: 800 * time.Millisecond}
+	p := newPredecessor(role{VM: "b", Term: 2, EarlierActsForMs: 1500}, now+3*time.Second, opts, false, now)
 	is.Equal(p.until, now+3800*time.Millisecond)
 	is.True(p.stopped(now + 100*time.Millisecond))
 	is.Equal(p.until, now+1500*time.Millisecond)
@@ -164,18 +165,55 @@
 
 	// What it passes on is as long when it resigns.
 	given := role{Term: 3}
-	given.setEarlier(p.until, now+1200*time.Millisecond)
+	given.setEarlier(p.until, p.arriveUntil, now+1200*time.Millisecond)
 	is.Equal(given.EarlierActsForMs, uint64(300))
-	p = newPredecessor(given, now+1200*time.Millisecond, orderTimeout, true, now+1200*time.Millisecond)
+	p = newPredecessor(given, now+1200*time.Millisecond, opts, true, now+1200*time.Millisecond)
 	is.Equal(p.until, now+1500*time.Millisecond)
 }
 
+// A successor counted on the orders of an assigner before its predecessor to have left their link once the predecessor had stopped, or
+// the calls of these orders had ended.
+func TestOrdersOfEarlierAssignersMayArriveLate(t *testing.T) {
+	is := is.New(t)
+	const now, acts, linkWait, lease = 10 * time.Second, 1500 * time.Millisecond, 2 * time.Second, 9 * time.Second
+	opts := LeaseOptions{OrderTimeout: 800 * time.Millisecond, LinkWait: linkWait, LongLeaseDuration: lease}
+	record := &Record{Term: 2, NextFence: 5, Ranges: []RangeRecord{{Keys: AllKeys, Owner: Holder{ID: "x", Address: "x:1"}}}}
+	boundOf := func(p predecessor, now time.Duration, stops bool) time.Duration {
+		lm := NewLeaseManager(opts, 3, record, now, p.until)
+		lm.AllowLateOrders(p.arriveUntil)
+		if stops {
+			is.True(p.stopped(now + 100*time.Millisecond))
+			lm.LimitPredecessor(p.until, p.arriveUntil)
+		}
+		return lm.ranges[0].bound.until()
+	}
+	longest := NewLeaseManager(opts, 1, nil, 0, 0).maxLease(lease)
+
+	// The predecessor stops while the assigner before it may act, and its report came behind its own orders only.
+	earlier := role{VM: "b", Term: 2}
+	earlier.setEarlier(now+acts, now+acts+linkWait, now)
+	is.Equal(boundOf(newPredecessor(earlier, now+3*time.Second, opts, false, now), now, true), now+acts+linkWait+longest)
+	earlier.EarlierArriveForMs = 0 // Of an earlier build.
+	is.Equal(boundOf(newPredecessor(earlier, now+3*time.Second, opts, false, now), now, true), now+acts+linkWait+longest)
+
+	// The predecessor gives its role up once the assigner before it no longer acts.
+	const given = now + acts + 100*time.Millisecond
+	r := role{Term: 2, Settled: true}
+	r.setEarlier(now+acts, now+acts+linkWait, given)
+	is.Equal(r.EarlierActsForMs, uint64(0))
+	p := newPredecessor(r, given, opts, true, given)
+	is.Equal(p.until, given)
+	is.True(!p.silent)
+	is.Equal(boundOf(p, given, false), now+acts+linkWait+longest)
+}
+
 // An assigner of an earlier build gives the role up while its last orders are in flight.
 func TestOnlyASettledPredecessorHasNoOrdersInFlight(t *testing.T) {
 	is := is.New(t)
 	const now, orderTimeout = 10 * time.Second, 800 * time.Millisecond
-	is.Equal(newPredecessor(role{Term: 2}, now, orderTimeout, false, now).until, now+orderTimeout)
-	is.Equal(newPredecessor(role{Term: 2, Settled: true}, now, orderTimeout, true, now).until, now)
+	opts := LeaseOptions{OrderTimeout: orderTimeout}
+	is.Equal(newPredecessor(role{Term: 2}, now, opts, false, now).until, now+orderTimeout)
+	is.Equal(newPredecessor(role{Term: 2, Settled: true}, now, opts, true, now).until, now)
 }
 
 // slowOrders takes a while for each order.
--- a/shard/assigner.go
+++ b/shard/assigner.go
@@ -82,8 +82,8 @@
 	beat atomic.Uint64
 	// predecessor is changed by run only.
 	predecessor predecessor
-	// predecessorUntil is predecessor.until in nanoseconds, for confirmRole.
-	predecessorUntil atomic.Int64
+	// predecessorUntil and predecessorArriveUntil are those of the predecessor in nanoseconds, for confirmRole.
+	predecessorUntil, predecessorArriveUntil atomic.Int64
 	// orderableFrom is that of the predecessor, in nanoseconds.
 	orderableFrom atomic.Int64
 	// confirm has a value if the role is to be confirmed early.
@@ -194,11 +194,22 @@
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	a.term.Store(term)
 	a.confirmedAt.Store(int64(confirmedAt))
-	a.predecessorUntil.Store(int64(p.until))
-	a.orderableFrom.Store(int64(p.orderableFrom()))
+	a.storePredecessor()
 	return a
 }
 
+// storePredecessor passes the predecessor on to confirmRole.
+func (a *assigner) storePredecessor() {
+	a.predecessorUntil.Store(int64(a.predecessor.until))
+	a.predecessorArriveUntil.Store(int64(a.predecessor.arriveUntil))
+	a.orderableFrom.Store(int64(a.predecessor.orderableFrom()))
+}
+
+// setEarlier states in a role that is written at the instant now how long orders of earlier assigners may be under way.
+func (a *assigner) setEarlier(r *role, now time.Duration) {
+	r.setEarlier(time.Duration(a.predecessorUntil.Load()), time.Duration(a.predecessorArriveUntil.Load()), now)
+}
+
 // run acts as the assigner until its context ends or another VM supersedes it, and
 // returns the reason.
 func (a *assigner) run(r role, version store.Version) error {
@@ -340,7 +351,7 @@
 		start := boottime.Now()
 		r.Beat++
 		_, r.RecordsPending = a.era.get()
-		r.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
+		a.setEarlier(&r, start)
 		written, err := putRole(ctx, a.agent.opts.Store, r, version)
 		switch {
 		case err == nil:
@@ -408,7 +419,7 @@
 		if err == nil {
 			next := found.next(r.VM, r.Incarnation, r.Address, version, a.agent.highestTerm())
 			next.Term, next.Beat = max(next.Term, nextTerm(r.Term, r.Era, version.Era())), r.Beat+1
-			next.setEarlier(time.Duration(a.predecessorUntil.Load()), start)
+			a.setEarlier(&next, start)
 			if version, err = putRole(ctx, a.agent.opts.Store, next, version); err == nil {
 				a.agent.opts.Logger.Warn("wrote the role again: the store has come back from an older copy", "term", next.Term, "earlier_term", r.Term,
 					"found_term", found.Term, "found_vm", found.VM, "revision", version)
@@ -452,7 +463,7 @@
 	defer cancel()
 	given := role{Term: r.Term, Settled: true, Era: r.Era}
 	_, given.RecordsPending = a.era.get()
-	given.setEarlier(time.Duration(a.predecessorUntil.Load()), boottime.Now())
+	a.setEarlier(&given, boottime.Now())
 	if _, err := putRole(ctx, a.agent.opts.Store, given, version); err != nil {
 		a.agent.opts.Logger.Info("could not give up the role", "error", err.Error())
 	}
@@ -516,9 +527,7 @@
 	}
 	s.leases = NewLeaseManager(a.agent.opts.Leases, a.term.Load(), record, now, a.predecessor.until)
 	s.leases.BeginEra(a.term.Load(), era)
-	if a.predecessor.silent {
-		s.leases.AllowLateOrders()
-	}
+	s.leases.AllowLateOrders(a.predecessor.arriveUntil)
 	if distrusted || lost {
 		s.leases.DistrustRecord(record.Era)
 		s.distrusted = record
@@ -929,9 +938,8 @@
 func (a *assigner) limitPredecessor(now time.Duration) {
 	a.agent.opts.Logger.Info("the previous assigner no longer acts", "vm", a.predecessor.vm, "its_term", a.predecessor.term, "term", a.term.Load(),
 		"sign", evidence.Testimony.String(), "orders_in_ms", (a.predecessor.until - now).Milliseconds())
-	a.predecessorUntil.Store(int64(a.predecessor.until))
-	a.orderableFrom.Store(int64(a.predecessor.orderableFrom()))
+	a.storePredecessor()
 	for _, s := range a.services {
-		s.leases.LimitPredecessor(a.predecessor.until)
+		s.leases.LimitPredecessor(a.predecessor.until, a.predecessor.arriveUntil)
 	}
 }
--- a/shard/history_stepback_test.go
+++ b/shard/history_stepback_test.go
@@ -127,7 +127,7 @@
 	incarnation := fmt.Sprint(w.now)
 	*vm = simVM{cutUntil: vm.cutUntil}
 	vm.agent = &Agent{incarnation: incarnation, opts: AgentOptions{
-		VM: name, RoleLease: simRoleLease, Leases: LeaseOptions{OrderTimeout: simOrderTimeout},
+		VM: name, RoleLease: simRoleLease, Leases: simLeases.withDefaults(),
 	}}
 }
 
@@ -300,7 +300,7 @@
 	start := w.now
 	p, settled := vm.agent.predecessorOf(old, version, v, start)
 	r := old.next(vm.agent.opts.VM, vm.agent.incarnation, "", version, vm.agent.highestTerm())
-	r.setEarlier(p.until, start)
+	r.setEarlier(p.until, p.arriveUntil, start)
 	vm.searching = true
 	w.put(vm, RoleKey, r, version, false, func(written store.Version, err error) {
 		vm.searching = false
@@ -308,7 +308,7 @@
 			return
 		}
 		if settled {
-			p.until = max(p.until, w.now)
+			p.extend(w.now)
 		}
 		a := &stepBackAssigner{vm: vm, role: r, stored: r, roleVersion: written, recordsPending: r.RecordsPending}
 		a.confirmed, a.predecessor, a.orderableFrom = start, p, p.orderableFrom()
@@ -360,7 +360,7 @@
 		w.logf("%s: its predecessor has stopped, orders from %v", a.role.VM, a.predecessor.until)
 		a.orderableFrom = a.predecessor.orderableFrom()
 		if a.leases != nil {
-			a.leases.LimitPredecessor(a.predecessor.until)
+			a.leases.LimitPredecessor(a.predecessor.until, a.predecessor.arriveUntil)
 		}
 	})
 }
@@ -385,7 +385,7 @@
 	w.stop(a, "resigns")
 	w.after(simOrderTimeout+30*time.Millisecond, func() {
 		given := role{Term: a.stored.Term, Settled: true, Era: a.stored.Era, RecordsPending: a.recordsPending}
-		given.setEarlier(a.predecessor.until, w.now)
+		given.setEarlier(a.predecessor.until, a.predecessor.arriveUntil, w.now)
 		w.put(a.vm, RoleKey, given, a.roleVersion, false, func(store.Version, error) {})
 	})
 }
@@ -411,7 +411,7 @@
 	start, r := w.now, a.stored
 	r.Beat++
 	r.RecordsPending = a.recordsPending
-	r.setEarlier(a.predecessor.until, start)
+	r.setEarlier(a.predecessor.until, a.predecessor.arriveUntil, start)
 	w.put(a.vm, RoleKey, r, a.roleVersion, false, func(version store.Version, err error) {
 		switch {
 		case a.stopped:
@@ -448,7 +448,7 @@
 		default:
 			next := found.next(r.VM, r.Incarnation, r.Address, version, a.vm.agent.highestTerm())
 			next.Term, next.Beat = max(next.Term, nextTerm(r.Term, r.Era, version.Era())), r.Beat+1
-			next.setEarlier(a.predecessor.until, start)
+			next.setEarlier(a.predecessor.until, a.predecessor.arriveUntil, start)
 			w.put(a.vm, RoleKey, next, version, false, func(version store.Version, err error) {
 				switch {
 				case a.stopped:
@@ -486,9 +486,7 @@
 		}
 		a.leases = NewLeaseManager(simLeases, a.role.Term, record, w.now, a.predecessor.until)
 		a.leases.BeginEra(a.role.Term, a.era)
-		if a.predecessor.silent {
-			a.leases.AllowLateOrders()
-		}
+		a.leases.AllowLateOrders(a.predecessor.arriveUntil)
 		if distrusted || lost {
 			a.leases.DistrustRecord(record.Era)
 			a.distrusted = record
--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -200,18 +200,17 @@
 func (w *simulation) startAssigner(settled bool) {
 	old := role{VM: fmt.Sprint(w.term), Term: w.term, Settled: settled}
 	if n := len(w.assigners); n > 0 {
-		old.setEarlier(w.assigners[n-1].predecessor.until, w.now)
+		p := w.assigners[n-1].predecessor
+		old.setEarlier(p.until, p.arriveUntil, w.now)
 	}
 	actsUntil := w.now
 	if !settled {
 		actsUntil += simRoleLease
 	}
-	p := newPredecessor(old, actsUntil, simOrderTimeout, settled, w.now)
+	p := newPredecessor(old, actsUntil, simLeases.withDefaults(), settled, w.now)
 	w.term++
 	lm := NewLeaseManager(simLeases, w.term, w.record, w.now, p.until)
-	if p.silent {
-		lm.AllowLateOrders()
-	}
+	lm.AllowLateOrders(p.arriveUntil)
 	w.version++
 	w.record = lm.Record()
 	w.logf("term %d begins, settled: %v", w.term, settled)
@@ -242,7 +241,7 @@
 	// It reports to its successor once its orders have ended, on the link behind them.
 	if a.predecessor.stopped(max(w.now+simOrderTimeout, old.linkBlockedUntil)) {
 		w.logf("term %d: the predecessor has stopped", a.leases.term)
-		a.leases.LimitPredecessor(a.predecessor.until)
+		a.leases.LimitPredecessor(a.predecessor.until, a.predecessor.arriveUntil)
 	}
 }
 
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -160,9 +160,9 @@
 	recordOutdated bool
 	// storeOutage is set while the store does not confirm the assigner's role.
 	storeOutage bool
-	// predecessorUntil is the last instant at which calls of the previous assigner's orders may be under way, and
-	// predecessorLinkWait how much later the orders may arrive.
-	predecessorUntil, predecessorLinkWait time.Duration
+	// predecessorUntil is the last instant at which calls of the orders of earlier assigners may be under way, and
+	// predecessorArriveUntil the last one at which the orders may arrive.
+	predecessorUntil, predecessorArriveUntil time.Duration
 	// era is the present era of the store, and recordEra the one up to which the owners in the record are known.
 	era, recordEra store.Era
 	// distrusted are the targets that may hold any key, because the record came from an older copy of the store. While there are
@@ -205,6 +205,7 @@
 	} else {
 		lm.nextFence = firstFence(term, r.Term, r.NextFence)
 		lm.predecessorUntil = max(predecessorUntil, now)
+		lm.predecessorArriveUntil = lm.predecessorUntil
 		predecessorBound := lm.predecessorBound()
 		for _, rr := range r.Ranges {
 			s := &rangeState{keys: rr.Keys, owner: rr.Owner, bound: leaseBound{predecessor: predecessorBound}, since: now}
@@ -221,7 +222,7 @@
 // predecessorBound returns the last instant at which a target may hold a range by an order of the
 // previous assigner.
 func (lm *LeaseManager) predecessorBound() time.Duration {
-	return lm.predecessorUntil + lm.predecessorLinkWait + lm.maxLease(lm.opts.LongLeaseDuration)
+	return lm.predecessorArriveUntil + lm.maxLease(lm.opts.LongLeaseDuration)
 }
 
 // BeginEra makes later records and tables those of a term and an era of the store. The next table is due.
@@ -294,10 +295,10 @@
 	}
 }
 
-// AllowLateOrders adds LinkWait to the bounds of the leases of the previous assigner. It is called before the first order if
-// that assigner has not been seen to stop.
-func (lm *LeaseManager) AllowLateOrders() {
-	lm.predecessorLinkWait = lm.opts.LinkWait
+// AllowLateOrders records that orders of earlier assigners may arrive until the instant, after their calls have ended. It is called
+// before the first order.
+func (lm *LeaseManager) AllowLateOrders(until time.Duration) {
+	lm.predecessorArriveUntil = max(lm.predecessorArriveUntil, until)
 	for _, s := range lm.ranges {
 		s.bound.predecessor = lm.predecessorBound()
 		for _, f := range s.formerOwners {
@@ -306,13 +307,14 @@
 	}
 }
 
-// LimitPredecessor records that the previous assigner sends no order that arrives after the instant: what showed that it has
-// stopped came behind its orders on its link.
-func (lm *LeaseManager) LimitPredecessor(until time.Duration) {
+// LimitPredecessor records that no call of an order of an earlier assigner is under way after the instant until, and that none of these
+// orders arrives after arriveUntil. For the previous assigner both are the same: what showed that it has stopped came behind its
+// orders on its link.
+func (lm *LeaseManager) LimitPredecessor(until, arriveUntil time.Duration) {
 	if until >= lm.predecessorUntil {
 		return
 	}
-	lm.predecessorUntil, lm.predecessorLinkWait = until, 0
+	lm.predecessorUntil, lm.predecessorArriveUntil = until, max(until, min(arriveUntil, lm.predecessorArriveUntil))
 	bound := lm.predecessorBound()
 	for _, ranges := range [][]*rangeState{lm.ranges, lm.proposed} {
 		for _, s := range ranges {
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -144,11 +144,11 @@
 	const callsEnd, lease = 4 * time.Second, 9 * time.Second
 	for _, read := range []time.Duration{time.Second, callsEnd - 1, callsEnd, callsEnd + 100*time.Millisecond, callsEnd + time.Second} {
 		lm := NewLeaseManager(LeaseOptions{LongLeaseDuration: lease}, 2, record, read, callsEnd)
-		lm.AllowLateOrders()
+		lm.AllowLateOrders(callsEnd + 2*time.Second)
 		is.True(lm.ranges[0].bound.until() >= callsEnd+2*time.Second+lease*102/100)
 		// What shows that the predecessor has stopped came behind its orders.
 		if stopped := callsEnd - 500*time.Millisecond; read < stopped {
-			lm.LimitPredecessor(stopped)
+			lm.LimitPredecessor(stopped, stopped)
 			is.Equal(lm.ranges[0].bound.until(), stopped+lm.maxLease(lease))
 		}
 	}
@@ -244,10 +244,10 @@
 	record := &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{{Keys: KeyRange{0, LastKey}, Owner: holder}}}
 	lm := NewLeaseManager(LeaseOptions{}, 2, record, time.Second, 4*time.Second)
 	is.Equal(len(lm.DueOrders(4*time.Second-1)), 0)
-	lm.LimitPredecessor(5 * time.Second) // Not earlier, so it has no effect.
+	lm.LimitPredecessor(5*time.Second, 5*time.Second) // Not earlier, so it has no effect.
 	is.Equal(len(lm.DueOrders(4*time.Second-1)), 0)
 	before := lm.ranges[0].bound.until()
-	lm.LimitPredecessor(2 * time.Second)
+	lm.LimitPredecessor(2*time.Second, 2*time.Second)
 	is.Equal(before-lm.ranges[0].bound.until(), 2*time.Second)
 	is.Equal(len(lm.DueOrders(2*time.Second-1)), 0)
 	is.Equal(len(lm.DueOrders(2*time.Second)), 1)
--- a/shard/predecessor.go
+++ b/shard/predecessor.go
@@ -12,25 +12,37 @@
 type predecessor struct {
 	vm   string
 	term uint64
-	// until is the last instant at which calls of orders of any earlier assigner may be under way.
-	until time.Duration
-	// earlierUntil is the same for the assigners before the predecessor.
-	earlierUntil time.Duration
-	// silent is set unless all these assigners were seen to stop. Their orders may wait in the links of their VMs until
-	// later.
+	// until is the last instant at which calls of orders of any earlier assigner may be under way, and arriveUntil the
+	// last one at which the orders may arrive: those of an assigner that was not seen to stop may wait in the link of its VM.
+	until, arriveUntil time.Duration
+	// earlierUntil and earlierArriveUntil are the same for the assigners before the predecessor.
+	earlierUntil, earlierArriveUntil time.Duration
+	// silent is set unless all these assigners were seen to stop.
 	silent bool
 }
 
 // newPredecessor returns the predecessor that wrote the role r. It may act until the instant. Unless it has
-// settled, an order is in flight for orderTimeout at most.
-func newPredecessor(r role, actsUntil, orderTimeout time.Duration, settled bool, now time.Duration) predecessor {
-	if settled {
-		orderTimeout = 0
+// settled, an order is in flight for the OrderTimeout at most, and waits in its link for the LinkWait at most.
+func newPredecessor(r role, actsUntil time.Duration, opts LeaseOptions, settled bool, now time.Duration) predecessor {
+	p := predecessor{vm: r.VM, term: r.Term, earlierUntil: now + milliseconds(r.EarlierActsForMs), earlierArriveUntil: now + milliseconds(r.EarlierArriveForMs)}
+	if r.EarlierActsForMs > 0 {
+		// An assigner of an earlier build does not state EarlierArriveForMs.
+		p.earlierArriveUntil = max(p.earlierArriveUntil, p.earlierUntil+opts.LinkWait)
 	}
-	earlier := now + time.Duration(r.EarlierActsForMs)*time.Millisecond
-	return predecessor{
-		vm: r.VM, term: r.Term, until: max(actsUntil+orderTimeout, earlier), earlierUntil: earlier, silent: !settled || earlier > now,
+	if settled {
+		p.until = max(actsUntil, p.earlierUntil)
+		p.arriveUntil = max(p.until, p.earlierArriveUntil)
+	} else {
+		p.until = max(actsUntil+opts.OrderTimeout, p.earlierUntil)
+		p.arriveUntil = max(p.until+opts.LinkWait, p.earlierArriveUntil)
 	}
+	p.silent = !settled || p.earlierUntil > now
+	return p
+}
+
+// extend makes the predecessor one that may act until the instant, if that is later.
+func (p *predecessor) extend(until time.Duration) {
+	p.until, p.arriveUntil = max(p.until, until), max(p.arriveUntil, until)
 }
 
 // orderableFrom returns the earliest instant of a confirmation of the role that permits orders; zero if any does. A predecessor that
@@ -56,6 +68,6 @@
 	if until >= p.until {
 		return false
 	}
-	p.until, p.silent = until, p.earlierUntil > by
+	p.until, p.arriveUntil, p.silent = until, max(until, p.earlierArriveUntil), p.earlierUntil > by
 	return true
 }
--- a/shard/role.go
+++ b/shard/role.go
@@ -34,6 +34,9 @@
 	// EarlierActsForMs is how long after this write orders of assigners of earlier terms may be in
 	// flight, in milliseconds.
 	EarlierActsForMs uint64 `json:"earlier_acts_for_ms,omitempty"`
+	// EarlierArriveForMs is how long after this write these orders may arrive, in milliseconds: they may wait in the links of
+	// their VMs after their calls have ended.
+	EarlierArriveForMs uint64 `json:"earlier_arrive_for_ms,omitempty"`
 	// Settled is set if the assigner has stepped down and no order of it is in flight.
 	Settled bool `json:"settled,omitempty"`
 	// Era is the era of the store for which the role was written. In a later era, the role comes from an older copy.
@@ -87,12 +90,19 @@
 	return term + 1
 }
 
-// setEarlier sets EarlierActsForMs for a write at the instant now, if orders of earlier assigners may
-// be in flight until the other one.
-func (r *role) setEarlier(until, now time.Duration) {
-	r.EarlierActsForMs = uint64(max((until - now + time.Millisecond - 1).Milliseconds(), 0))
+// setEarlier sets EarlierActsForMs and EarlierArriveForMs for a write at the instant now, if orders of earlier assigners may
+// be in flight until the instant until, and arrive until arriveUntil.
+func (r *role) setEarlier(until, arriveUntil, now time.Duration) {
+	r.EarlierActsForMs, r.EarlierArriveForMs = wholeMilliseconds(until-now), wholeMilliseconds(arriveUntil-now)
 }
 
+// wholeMilliseconds returns the duration rounded up, or zero if it is negative.
+func wholeMilliseconds(d time.Duration) uint64 {
+	return uint64(max((d + time.Millisecond - 1).Milliseconds(), 0))
+}
+
+func milliseconds(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 const (
 	// callTimeout is the time limit of one call to the store.
 	callTimeout = time.Second
