shard: Let targets of the histories be silent for longer than a long lease

Targets were silent for 4 s at most, so that the keys of an owner seldom went on by the end of a long lease, and a successor began at least 400 ms after the last order of an assigner that had stepped down. Now three in ten silences last up to 10 s, and the role is given up as soon as the calls have ended.

--- a/shard/history_test.go
+++ b/shard/history_test.go
@@ -26,6 +26,8 @@
 	// while a superseded assigner still acts.
 	simMinDowntime = 50 * time.Millisecond
 	simMaxDowntime = 5 * time.Second
+	// simMaxSilence is longer than a long lease, so that the keys of an owner go on without an answered release.
+	simMaxSilence = 10 * time.Second
 	// simMinStall and simMaxStall bound the time by which a starved assigner is late.
 	simMinStall = 100 * time.Millisecond
 	simMaxStall = 6 * time.Second
@@ -114,7 +116,9 @@
 	// disconnected is set once the assigner no longer reaches the store. It acts until its
 	// role lease ends, unless it is stopped.
 	disconnected, stopped bool
-	predecessor           predecessor
+	// grantsInFlight is the number of grants whose calls have not ended.
+	grantsInFlight int
+	predecessor    predecessor
 	// orderableFrom is the earliest instant of a confirmation that permits orders.
 	orderableFrom time.Duration
 	version       int
@@ -228,7 +232,16 @@
 	a.leases.SetStoreOutage(true, w.now)
 	w.sendDue(a)
 	a.stopped = true
-	w.after(max(simOrderTimeout, a.linkBlockedUntil-w.now)+w.between(30*time.Millisecond, time.Second), func() {
+	w.giveUp(a)
+}
+
+// giveUp makes the next assigner begin soon after the calls of the assigner's grants have ended.
+func (w *simulation) giveUp(a *simAssigner) {
+	if a.grantsInFlight > 0 || w.now < a.linkBlockedUntil {
+		w.after(simStep, func() { w.giveUp(a) })
+		return
+	}
+	w.after(w.between(10*time.Millisecond, 500*time.Millisecond), func() {
 		if a == w.assigners[len(w.assigners)-1] {
 			w.startAssigner(true)
 		}
@@ -285,8 +298,12 @@
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	switch {
 	case w.chance(0.003):
+		longest := 4 * time.Second
+		if w.chance(0.3) {
+			longest = simMaxSilence
+		}
 		t.silent = true
-		w.after(w.between(500*time.Millisecond, 4*time.Second), func() { t.silent = false })
+		w.after(w.between(500*time.Millisecond, longest), func() { t.silent = false })
 	case w.chance(0.003) && !t.down:
 		t.down = true
 		w.logf("%v is down", t.holder)
@@ -438,8 +455,16 @@
 		w.onSend(a, o)
 	}
 	t := w.targets[slices.IndexFunc(w.targets, func(t *simTarget) bool { return t.holder.Address == o.To.Address })]
+	if !o.Release {
+		a.grantsInFlight++
+	}
 	done := func(handover string, err error) func() {
-		return func() { w.handleResult(a, Result{Order: o, Handover: handover, Err: err}) }
+		return func() {
+			if !o.Release {
+				a.grantsInFlight--
+			}
+			w.handleResult(a, Result{Order: o, Handover: handover, Err: err})
+		}
 	}
 	unanswered := done("", os.ErrDeadlineExceeded)
 	switch {
