platform: Send orders without a request ID

Cause: gave each order an ID in Attempt-Id. At an address that a target of another service uses again, or while it does, /grant is a path like any other; without an ID the target answers 400, with one it runs the order. Targets with keys do not repeat the ID of an order, so that it served for nothing there.

Answers are now told by what they have without IDs: a release by its handover; a grant by success, or on a new connection. IDs leave httpcall, and so do the cases of the tests in which a target repeats them: no order has one any more. TestOrdersHaveNoRequestID holds the rule; TestRepeatableCallIsMadeAgainAfterADoubtfulRefusal replaces TestRefusalWithoutAnIDCountsOnANewConnection, with an answer that has to be the call's own in place of an unknown one.

--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -51,16 +51,14 @@
 	// ResetOnClose makes the close of a connection discard data that the network has not
 	// delivered yet, so that a call that timed out does not arrive later.
 	ResetOnClose bool
-	// IDHeader names the header with the ID of a call, which the server repeats in its answer. If it is set, an answer counts only if
-	// it belongs to the call: it has the call's ID, or it has none and the call is the first one on its connection. It must not be
-	// set together with AbortOnCancel. UniqueHeader and RepeatablePath are for servers that repeat no IDs, and need IDHeader.
-	IDHeader string
-	// UniqueHeader names a header whose value differs from answer to answer. On a connection that had earlier calls, an answer with
-	// a value that none had before belongs to the call, also without an ID. Answers to calls of RepeatablePath don't have the header.
+	// UniqueHeader names a header whose value differs from answer to answer. If it is set, an answer counts only if it belongs to the
+	// call, since a server may send an answer once more, late, where that to the next call is expected: the call is the first
+	// one on its connection, or the answer has the header with a value that no earlier answer there had. It must not be set
+	// together with AbortOnCancel.
 	UniqueHeader string
-	// RepeatablePath is a path whose calls may be made again, and may count as answered although an earlier one was. On a
-	// connection that had earlier calls, an answer of success without an ID counts for them; after any other answer without one,
-	// the call is made again on another connection.
+	// RepeatablePath is a path whose calls may be made again, and may count as answered although an earlier one was. Its answers don't
+	// have the unique header. On a connection that had earlier calls, an answer of success counts for them; after any other
+	// status, the call is made again on another connection.
 	RepeatablePath string
 }
 
@@ -124,8 +122,8 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 	}
-	if opts.IDHeader != "" {
-		p.http.Transport = newIdentifier(opts)
+	if opts.UniqueHeader != "" {
+		p.http.Transport = newMatcher(opts)
 	}
 	return p
 }
@@ -256,8 +254,8 @@
 			return nil, &dialError{cause: err}
 		}
 	}
-	if o.IDHeader != "" {
-		return &identifiedConn{Conn: conn}, nil
+	if o.UniqueHeader != "" {
+		return &matchedConn{Conn: conn}, nil
 	}
 	return httphead.NewConn(conn), nil
 }
@@ -420,9 +418,6 @@
 	if cl.ContentType != "" {
 		req.Header.SetContentType(cl.ContentType)
 	}
-	if p.opts.IDHeader != "" {
-		req.Header.Set(p.opts.IDHeader, newID())
-	}
 	if cl.Body != nil {
 		req.SetBodyRaw(cl.Body)
 	}
--- a/store/httpcall/identify.go
+++ b/store/httpcall/matcher.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -30,30 +28,27 @@
 // errDoubtful reports that a call may be refused, or an earlier one was.
 var errDoubtful = errors.New("the refusal may belong to another call")
 
-// identifier makes calls that have IDs. A server may send an answer once more, late, so that an answer counts only if something shows
-// that it belongs to the call: see Options.IDHeader.
-type identifier struct {
-	header, uniqueHeader, repeatablePath string
+// matcher makes calls and tells which answers are theirs. A server may send an answer once more, late, so that an answer counts only if
+// something shows that it belongs to the call: see Options.UniqueHeader.
+type matcher struct {
+	uniqueHeader, repeatablePath string
 
 	mu sync.Mutex
-	// marked has, for each path, whether the last answer that belonged to its call showed so by a header.
-	marked map[string]bool
+	// unmarked has the paths whose last certain answer had no unique header.
+	unmarked map[string]bool
 }
 
-var _ fasthttp.RoundTripper = (*identifier)(nil)
+var _ fasthttp.RoundTripper = (*matcher)(nil)
 
-func newIdentifier(o Options) *identifier {
-	return &identifier{header: o.IDHeader, uniqueHeader: o.UniqueHeader, repeatablePath: o.RepeatablePath, marked: map[string]bool{}}
+func newMatcher(o Options) *matcher {
+	return &matcher{uniqueHeader: o.UniqueHeader, repeatablePath: o.RepeatablePath, unmarked: map[string]bool{}}
 }
 
-// newID returns the ID of a call, in hexadecimal digits.
-func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
-
 // maxUniqueValues bounds the values of the unique header that are kept for a connection.
 const maxUniqueValues = 16
 
-// identifiedConn is a connection for calls that have IDs.
-type identifiedConn struct {
+// matchedConn is a connection of a matcher.
+type matchedConn struct {
 	net.Conn
 	// used is set once a call may have been sent.
 	used bool
@@ -62,8 +57,8 @@
 }
 
 // isNew reports whether no earlier answer on the connection had the value of the unique header, and adds it.
-func (c *identifiedConn) isNew(value string) bool {
-	if slices.Contains(c.uniqueValues, value) {
+func (c *matchedConn) isNew(value string) bool {
+	if value == "" || slices.Contains(c.uniqueValues, value) {
 		return false
 	}
 	c.uniqueValues = append(c.uniqueValues, value)
@@ -72,7 +67,7 @@
 
 // RoundTrip implements fasthttp.RoundTripper. A call gets a new connection if nothing but that would show which answer is its own. One
 // whose answer is doubtful is made again.
-func (i *identifier) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
+func (m *matcher) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	deadline := time.Now().Add(req.GetTimeOut())
 	path := string(req.URI().Path())
 	for {
@@ -84,16 +79,16 @@
 		if err != nil {
 			return false, err
 		}
-		conn := cc.Conn().(*identifiedConn)
+		conn := cc.Conn().(*matchedConn)
 		reused := conn.used
-		if reused && !i.reuses(path) || !idleconn.Usable(conn.Conn) {
+		if reused && !m.reuses(path) || !idleconn.Usable(conn.Conn) {
 			hc.CloseConn(cc)
 			if !reused {
 				return false, errors.WithMessage(errNotSent, "the connection has ended, or has data before the first call")
 			}
 			continue
 		}
-		keep, err := i.exchange(hc, conn, path, deadline, req, resp)
+		keep, err := m.exchange(hc, conn, path, deadline, req, resp)
 		if keep {
 			hc.ReleaseConn(cc)
 		} else {
@@ -107,7 +102,7 @@
 }
 
 // exchange sends the request on the connection and reads its answer. keep reports whether another call may be made on the connection.
-func (i *identifier) exchange(hc *fasthttp.HostClient, conn *identifiedConn, path string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) (keep bool, err error) {
+func (m *matcher) exchange(hc *fasthttp.HostClient, conn *matchedConn, path string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) (keep bool, err error) {
 	first := !conn.used
 	conn.used = true
 	if err := conn.SetDeadline(deadline); err != nil {
@@ -123,12 +118,11 @@
 	}
 	br := hc.AcquireReader(conn)
 	defer hc.ReleaseReader(br)
-	id := string(req.Header.Peek(i.header))
 	for n := range maxAnswers {
 		if err := readAnswer(br, resp, hc.MaxResponseBodySize); err != nil {
 			return false, err
 		}
-		switch i.belongs(conn, path, id, resp, first && n == 0) {
+		switch m.belongs(conn, path, resp, first && n == 0) {
 		case own:
 			return n == 0 && br.Buffered() == 0 && !resp.ConnectionClose() && len(conn.uniqueValues) < maxUniqueValues, nil
 		case doubtful:
@@ -150,30 +144,21 @@
 	doubtful
 )
 
-// belongs tells whether an answer belongs to the call with the path and ID. first is set if nothing was sent or received on the
-// connection before the call.
-func (i *identifier) belongs(conn *identifiedConn, path, id string, resp *fasthttp.Response, first bool) belonging {
-	repeated := string(resp.Header.Peek(i.header))
-	unique := ""
-	if i.uniqueHeader != "" {
-		unique = string(resp.Header.Peek(i.uniqueHeader))
-	}
-	isNew := unique != "" && conn.isNew(unique)
+// belongs tells whether an answer belongs to the call of the path. first is set if nothing was sent or received on the connection before
+// the call.
+func (m *matcher) belongs(conn *matchedConn, path string, resp *fasthttp.Response, first bool) belonging {
+	unique := string(resp.Header.Peek(m.uniqueHeader))
+	isNew := conn.isNew(unique)
 	switch {
-	case repeated == id:
-		i.setMarked(path, true)
-		return own
-	case repeated != "":
-		return other
 	case first:
-		i.setMarked(path, unique != "")
+		m.setUnmarked(path, unique == "")
 		return own
-	case path != i.repeatablePath:
+	case path != m.repeatablePath:
 		if isNew {
 			return own
 		}
 		return other
-	case unique != "" || i.isMarked(path):
+	case unique != "":
 		return other
 	case resp.StatusCode() < http.StatusMultipleChoices:
 		return own
@@ -183,20 +168,16 @@
 }
 
 // reuses reports whether a call of the path may be made on a connection that had earlier calls.
-func (i *identifier) reuses(path string) bool { return path == i.repeatablePath || i.isMarked(path) }
-
-// isMarked reports whether answers to calls of the path show by a header to which call they belong.
-func (i *identifier) isMarked(path string) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	marked, known := i.marked[path]
-	return marked || !known && i.uniqueHeader != "" && path != i.repeatablePath
+func (m *matcher) reuses(path string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return path == m.repeatablePath || !m.unmarked[path]
 }
 
-func (i *identifier) setMarked(path string, marked bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.marked[path] = marked
+func (m *matcher) setUnmarked(path string, unmarked bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unmarked[path] = unmarked
 }
 
 // readAnswer reads the next final answer, whose body has at most maxBody bytes, and checks its head.
