--- a/shard/leasebound.go
+++ b/shard/leasebound.go
@@ -9,7 +9,8 @@
 // unbounded is the bound of a lease that may still begin.
 const unbounded = time.Duration(math.MaxInt64)
 
-// leaseBound tracks the last instant at which a target may hold a range.
+// leaseBound tracks the last instant at which a target may hold a range. Its leases last side by side: each ends by its own
+// time or by an answered release with a higher token, not by a later grant.
 type leaseBound struct {
 	// ended is the bound from grants that can no longer arrive.
 	ended time.Duration
@@ -36,6 +37,14 @@
 	return max(b.ended, b.predecessor)
 }
 
+// confirmed returns until without the grants of the previous assigner, if one of this assigner has arrived.
+func (b *leaseBound) confirmed() time.Duration {
+	if len(b.pending) == 0 && b.ended > 0 {
+		return b.ended
+	}
+	return b.until()
+}
+
 // expected returns until, on the assumption that the pending grants arrive within their timeouts.
 func (b *leaseBound) expected() time.Duration {
 	expected := max(b.ended, b.predecessor)
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -144,11 +144,11 @@
 	const callsEnd, lease = 4 * time.Second, 9 * time.Second
 	for _, read := range []time.Duration{time.Second, callsEnd - 1, callsEnd, callsEnd + 100*time.Millisecond, callsEnd + time.Second} {
 		lm := NewLeaseManager(LeaseOptions{LongLeaseDuration: lease}, 2, record, read, callsEnd)
-		lm.AllowLateOrders()
+		lm.AllowLateOrders(callsEnd + 2*time.Second)
 		is.True(lm.ranges[0].bound.until() >= callsEnd+2*time.Second+lease*102/100)
 		// What shows that the predecessor has stopped came behind its orders.
 		if stopped := callsEnd - 500*time.Millisecond; read < stopped {
-			lm.LimitPredecessor(stopped)
+			lm.LimitPredecessor(stopped, stopped)
 			is.Equal(lm.ranges[0].bound.until(), stopped+lm.maxLease(lease))
 		}
 	}
@@ -244,10 +244,10 @@
 	record := &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{{Keys: KeyRange{0, LastKey}, Owner: holder}}}
 	lm := NewLeaseManager(LeaseOptions{}, 2, record, time.Second, 4*time.Second)
 	is.Equal(len(lm.DueOrders(4*time.Second-1)), 0)
-	lm.LimitPredecessor(5 * time.Second) // Not earlier, so it has no effect.
+	lm.LimitPredecessor(5*time.Second, 5*time.Second) // Not earlier, so it has no effect.
 	is.Equal(len(lm.DueOrders(4*time.Second-1)), 0)
 	before := lm.ranges[0].bound.until()
-	lm.LimitPredecessor(2 * time.Second)
+	lm.LimitPredecessor(2*time.Second, 2*time.Second)
 	is.Equal(before-lm.ranges[0].bound.until(), 2*time.Second)
 	is.Equal(len(lm.DueOrders(2*time.Second-1)), 0)
 	is.Equal(len(lm.DueOrders(2*time.Second)), 1)
@@ -293,3 +293,79 @@
 		}
 	}
 }
+
+// takenOver returns a LeaseManager of term 2 that takes over a range of x from an assigner that has stopped at the instant zero.
+func takenOver(x Holder) *LeaseManager {
+	return NewLeaseManager(LeaseOptions{}, 2, &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{{Keys: AllKeys, Owner: x}}}, 0, 0)
+}
+
+// grantedAt moves all keys to the holder at the instant and returns when they are granted to it. The target x answers nothing.
+func grantedAt(lm *LeaseManager, to, x Holder, now time.Duration) time.Duration {
+	lm.Propose([]Move{{AllKeys, to}}, now)
+	lm.FinishProposal(true)
+	for ; ; now += 10 * time.Millisecond {
+		for _, o := range lm.DueOrders(now) {
+			if !sameTarget(o.To, x) {
+				return now
+			}
+			lm.HandleResult(Result{Order: o, Err: os.ErrDeadlineExceeded}, now)
+		}
+	}
+}
+
+// A target kept a long lease of the previous assigner beside a shorter one of its successor, which gave the keys on before its end.
+func TestHoldOfEarlierAssignerOutlastsAShorterGrant(t *testing.T) {
+	is := is.New(t)
+	x, y := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}
+	lm := takenOver(x)
+	longest := lm.maxLease(9 * time.Second)
+	answerOrders(lm, 0, "")
+	is.True(lm.OwnedRanges()[0].Settled)
+	granted := grantedAt(lm, y, x, time.Second)
+	if granted <= longest {
+		t.Errorf("the keys were granted on after %v, within the lease of %v", granted, longest)
+	}
+
+	// After a release that x has answered, its lease is over.
+	lm = takenOver(x)
+	answerOrders(lm, 0, "")
+	lm.Propose([]Move{{AllKeys, y}}, time.Second)
+	lm.FinishProposal(true)
+	answerOrders(lm, time.Second, "")
+	orders := lm.DueOrders(time.Second)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].To, y)
+}
+
+// A lost owner without which nobody may own its keys was asked again only after the longest lease of the previous assigner.
+func TestLostOwnerIsRetriedBeforeItsLeaseOfAnEarlierAssignerEnds(t *testing.T) {
+	is := is.New(t)
+	x := Holder{ID: "x", Address: "x:1"}
+	lm := takenOver(x)
+	answerOrders(lm, 0, "")
+	now := time.Second
+	for ; lm.MayOwn(x); now += 100 * time.Millisecond {
+		answerOrders(lm, now, "x")
+	}
+	is.True(now < 2*time.Second)
+	lm.RetryLost(now)
+	is.True(!lm.MayOwn(x)) // Its keys move meanwhile, if another target may own them.
+	for ; !lm.MayOwn(x); now += 100 * time.Millisecond {
+		lm.RetryLost(now)
+	}
+	if now > 4*time.Second {
+		t.Errorf("the lost owner is asked again after %v", now)
+	}
+	answerOrders(lm, now, "")
+	is.True(lm.OwnedRanges()[0].Settled)
+
+	// One that has answered nothing since the take-over keeps the keys from others for the longest lease.
+	lm = takenOver(x)
+	for now = 0; lm.MayOwn(x); now += 100 * time.Millisecond {
+		answerOrders(lm, now, "x")
+	}
+	for ; !lm.MayOwn(x); now += 100 * time.Millisecond {
+		lm.RetryLost(now)
+	}
+	is.True(now > lm.maxLease(9*time.Second))
+}
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -1,5 +1,5 @@
 // Package httpcall makes HTTP calls to a service of the platform or to a target. It never
-// repeats a call, and its errors state whether a failed call may have reached the server.
+// repeats a call, but those of Options.RepeatablePath, and its errors state whether a failed call may have reached the server.
 package httpcall
 
 import (
@@ -51,6 +51,15 @@
 	// ResetOnClose makes the close of a connection discard data that the network has not
 	// delivered yet, so that a call that timed out does not arrive later.
 	ResetOnClose bool
+	// UniqueHeader names a header whose value differs from answer to answer. If it is set, an answer counts only if it belongs to the
+	// call, since a server may send an answer once more, late, where that to the next call is expected: the call is the first
+	// one on its connection, or the answer has the header with a value that no earlier answer there had. It must not be set
+	// together with AbortOnCancel.
+	UniqueHeader string
+	// RepeatablePath is a path whose calls may be made again, and may count as answered although an earlier one was. Its answers don't
+	// have the unique header. On a connection that had earlier calls, an answer of success counts for them; after any other
+	// status, the call is made again on another connection.
+	RepeatablePath string
 }
 
 // Client makes HTTP calls to one address.
@@ -113,6 +122,9 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 	}
+	if opts.UniqueHeader != "" {
+		p.http.Transport = newMatcher(opts)
+	}
 	return p
 }
 
@@ -242,6 +254,9 @@
 			return nil, &dialError{cause: err}
 		}
 	}
+	if o.UniqueHeader != "" {
+		return &matchedConn{Conn: conn}, nil
+	}
 	return httphead.NewConn(conn), nil
 }
 
