shard: Test that a long lease outlasts two take-overs

The first assigner grants 9 s, the second one grants 3 s and is gone after 2 s, before or after it has moved the keys, and the third one gives them on.

--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -369,3 +369,35 @@
 	}
 	is.True(now > lm.maxLease(9*time.Second))
 }
+
+// A long lease of the first of three assigners, of which the second one dies soon, is over before the third one gives its keys on.
+func TestHoldOutlastsTwoTakeOvers(t *testing.T) {
+	x, y := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}
+	for name, movedAt := range map[string]time.Duration{"the second one moves the keys": time.Second, "the third one does": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			first := NewLeaseManager(LeaseOptions{}, 1, nil, 0, 0)
+			first.Propose([]Move{{AllKeys, x}}, 0)
+			first.FinishProposal(true)
+			first.SetStoreOutage(true, 0)
+			answerOrders(first, 0, "")
+			holdEnds := first.ranges[0].bound.until()
+			is.Equal(holdEnds, first.maxLease(9*time.Second))
+
+			second := NewLeaseManager(LeaseOptions{}, 2, first.Record(), 0, 0)
+			answerOrders(second, 0, "")
+			record := second.Record()
+			if movedAt > 0 {
+				record = second.Propose([]Move{{AllKeys, y}}, movedAt)
+				second.FinishProposal(true)
+				answerOrders(second, movedAt, "x")
+			}
+			for _, o := range second.DueOrders(2 * time.Second) {
+				is.Equal(o.To, x)
+			}
+
+			third := NewLeaseManager(LeaseOptions{}, 3, record, 2*time.Second, 2*time.Second)
+			is.True(grantedAt(third, y, x, 2*time.Second) > holdEnds)
+		})
+	}
+}
