store/httpcall: Count a call as unknown that could not be made again

After a refusal that may be that of an earlier grant, a grant is sent again on another connection. If that one could not be opened, the grant counted as not sent, so that its lease was not counted, although the target may have taken it the first time.

TestRepeatableCallThatCannotBeMadeAgainIsUnknown failed before (not sent) and passes. go test -race ./store/httpcall ./platform: ok but the listed test.

--- a/store/httpcall/matcher.go
+++ b/store/httpcall/matcher.go
@@ -66,25 +66,37 @@
 }
 
 // RoundTrip implements fasthttp.RoundTripper. A call gets a new connection if nothing but that would show which answer is its own. One
-// whose answer is doubtful is made again.
+// whose answer is doubtful is made again; if that fails, it is unknown what became of it.
 func (m *matcher) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	deadline := time.Now().Add(req.GetTimeOut())
+	err = m.attempt(hc, deadline, req, resp)
+	for errors.Is(err, errDoubtful) {
+		if err = m.attempt(hc, deadline, req, resp); err != nil && !errors.Is(err, errDoubtful) {
+			// The error of the last attempt must not tell that the call was not sent.
+			return false, errors.Errorf("%v; again: %v", errDoubtful, err)
+		}
+	}
+	return false, err
+}
+
+// attempt makes the call once. The error is errDoubtful if the call is to be made again.
+func (m *matcher) attempt(hc *fasthttp.HostClient, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) error {
 	path := string(req.URI().Path())
 	for {
 		left := time.Until(deadline)
 		if left <= 0 {
-			return false, errors.WithMessage(errNotSent, "no time left")
+			return errors.WithMessage(errNotSent, "no time left")
 		}
 		cc, err := hc.AcquireConn(left, false)
 		if err != nil {
-			return false, err
+			return err
 		}
 		conn := cc.Conn().(*matchedConn)
 		reused := conn.used
 		if reused && !m.reuses(path) || !idleconn.Usable(conn.Conn) {
 			hc.CloseConn(cc)
 			if !reused {
-				return false, errors.WithMessage(errNotSent, "the connection has ended, or has data before the first call")
+				return errors.WithMessage(errNotSent, "the connection has ended, or has data before the first call")
 			}
 			continue
 		}
@@ -94,10 +106,7 @@
 		} else {
 			hc.CloseConn(cc)
 		}
-		if errors.Is(err, errDoubtful) {
-			continue // A new connection, at the latest, makes the answer certain.
-		}
-		return false, err
+		return err
 	}
 }
 
--- a/store/httpcall/matcher_test.go
+++ b/store/httpcall/matcher_test.go
@@ -169,6 +169,35 @@
 	is.True(errors.Is(err, store.ErrConflict))
 }
 
+// Guards against a call that was made, and counts as not made because it could not be made again.
+func TestRepeatableCallThatCannotBeMadeAgainIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		ln.Close()
+		reader := bufio.NewReader(nc)
+		for _, status := range []int{http.StatusOK, http.StatusConflict} {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(nc, answerText(status, ""))
+		}
+	}()
+	c := newMarkClient(ln.Addr().String())
+	_, err = post(c, "/again")
+	is.NoErr(err)
+	_, err = post(c, "/again")
+	is.True(errors.Is(err, store.ErrUnknown))
+}
+
 // Guards against a call that is lost on a kept connection, and one that is answered by what a server says at the end of one.
 func TestNoCallIsMadeOnAConnectionThatHasEndedOrHasData(t *testing.T) {
 	for name, end := range map[string]string{"ended": "", "data": answerText(http.StatusServiceUnavailable, "end")} {
