standin/platform: Answer a release when the work on its keys has ended

The stand-in target answered a release at once, with requests on these keys still running, and let work outlast its hold with a success. The users' targets stop new work on the keys at once, answer when the work that was running has ended, and end work that outlasts its hold with 500. So neither the soak nor the tests of the VM could show a release that takes time, or a key that is given on while its last holder works on it.

A run keeps the end of its hold, which renewals move and a release does not; the check of the hold and the begin of the run are one step now. Stop ends the runs with the process of the target. Observers are told of the end of a run.

Of the new tests, TestReleaseIsAnsweredWhenTheWorkOnItsKeysHasEnded, TestReleaseEndsWithItsCaller and TestWorkThatOutlastsItsHoldEndsWith500 fail on the target as it was.

--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -40,13 +40,16 @@
 type Observer interface {
 	// Ran reports that a request has begun to run.
 	Ran(target, id string, key uint16)
+	// Ended reports that a request that had begun to run has ended, before it is answered.
+	Ended(target, id string, key uint16)
 	// Arrived reports that a request has arrived at the target that it is for.
 	Arrived(target, id string)
 	// Answered reports that the target is about to answer a request, and whether it refuses it.
 	Answered(target, id string, refused bool)
 	// Granted reports that the target accepted a grant of the keys from to to, inclusive.
 	Granted(target string, from, to uint16, fence uint64, until time.Time)
-	// Released reports that the target accepted a release of the keys from to to, inclusive.
+	// Released reports that the target accepted a release of the keys from to to, inclusive. Requests that
+	// have begun may still run.
 	Released(target string, from, to uint16)
 }
 
@@ -62,6 +65,11 @@
 	ranges []grantedRange
 	// runs counts the runs of each request, by request id.
 	runs map[string]int
+	// running has the requests that run.
+	running map[*run]struct{}
+	// stopped is closed by stop, once.
+	stopped chan struct{}
+	stop    sync.Once
 	// hang leaves all calls without an answer.
 	hang bool
 	// loseAnswers breaks the connection after a request has run, instead of answering it.
@@ -88,9 +96,12 @@
 
 // NewTarget returns a Target that holds no keys.
 func NewTarget(opts TargetOptions) *Target {
-	return &Target{opts: opts, slots: make(chan struct{}, opts.Slots), runs: map[string]int{}}
+	return &Target{opts: opts, slots: make(chan struct{}, opts.Slots), runs: map[string]int{}, running: map[*run]struct{}{}, stopped: make(chan struct{})}
 }
 
+// Stop ends all requests that run, as the end of the target's process does. The caller closes the target's server.
+func (t *Target) Stop() { t.stop.Do(func() { close(t.stopped) }) }
+
 // Runs returns how often the request with the id has run.
 func (t *Target) Runs(id string) int {
 	t.mu.Lock()
@@ -150,6 +161,10 @@
 func (t *Target) reached(r *http.Request, arrived time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reachedLocked(r, arrived)
+}
+
+func (t *Target) reachedLocked(r *http.Request, arrived time.Time) {
 	cold := 0
 	if !arrived.Before(t.coldFrom) && arrived.Before(t.coldUntil) {
 		t.coldArrivals = append(t.coldArrivals, arrived)
@@ -188,16 +203,18 @@
 func (t *Target) Holds(key uint16) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.holdsLocked(key)
+	return time.Now().Before(t.heldUntilLocked(key))
 }
 
-func (t *Target) holdsLocked(key uint16) bool {
+// heldUntilLocked returns the end of the target's hold on the key; zero if it has none.
+func (t *Target) heldUntilLocked(key uint16) time.Time {
+	var until time.Time
 	for _, h := range t.ranges {
-		if h.from <= key && key <= h.to && time.Now().Before(h.until) {
-			return true
+		if h.from <= key && key <= h.to && h.until.After(until) {
+			until = h.until
 		}
 	}
-	return false
+	return until
 }
 
 // ServeHTTP implements http.Handler.
@@ -223,31 +240,34 @@
 // changeRange applies a grant or a release. It refuses grants whose fencing token is below
 // one that was already seen for any of the keys.
 func (t *Target) changeRange(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		From     uint16 `json:"from"`
-		Target   uint16 `json:"target"`
-		Fence    uint64 `json:"fence"`
-		HoldTime string `json:"hold_time"`
-	}
+	var body order
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	if r.URL.Path == "/release" {
-		t.endRangeLocked(body.From, body.Target, body.Fence)
-		if t.opts.Observer != nil {
-			t.opts.Observer.Released(t.opts.ID, body.From, body.Target)
-		}
-		w.Header().Set("Handover", fmt.Sprintf("%s-%d", t.opts.ID, body.Fence))
+		t.release(w, r, body)
 		return
 	}
+	t.grant(w, body)
+}
+
+// order is the body of a grant or a release. The range of keys includes both From and Target.
+type order struct {
+	From     uint16 `json:"from"`
+	Target   uint16 `json:"target"`
+	Fence    uint64 `json:"fence"`
+	HoldTime string `json:"hold_time"`
+}
+
+func (t *Target) grant(w http.ResponseWriter, body order) {
 	hold, err := time.ParseDuration(body.HoldTime)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, h := range t.ranges {
 		if h.from <= body.Target && body.From <= h.to && h.fence > body.Fence {
 			w.WriteHeader(http.StatusConflict)
@@ -257,11 +277,40 @@
 	t.endRangeLocked(body.From, body.Target, body.Fence)
 	until := time.Now().Add(hold)
 	t.ranges = append(t.ranges, grantedRange{body.From, body.Target, body.Fence, until})
+	for run := range t.running {
+		if body.From <= run.key && run.key <= body.Target && until.After(run.until) {
+			run.until = until
+		}
+	}
 	if t.opts.Observer != nil {
 		t.opts.Observer.Granted(t.opts.ID, body.From, body.Target, body.Fence, until)
 	}
 }
 
+// release ends the holds of the keys at once, and answers when the requests that run on them have ended.
+func (t *Target) release(w http.ResponseWriter, r *http.Request, body order) {
+	t.mu.Lock()
+	t.endRangeLocked(body.From, body.Target, body.Fence)
+	if t.opts.Observer != nil {
+		t.opts.Observer.Released(t.opts.ID, body.From, body.Target)
+	}
+	var ends []chan struct{}
+	for run := range t.running {
+		if body.From <= run.key && run.key <= body.Target {
+			ends = append(ends, run.ended)
+		}
+	}
+	t.mu.Unlock()
+	for _, ended := range ends {
+		select {
+		case <-ended:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	w.Header().Set("Handover", fmt.Sprintf("%s-%d", t.opts.ID, body.Fence))
+}
+
 // endRangeLocked ends the grants of the keys and keeps the fencing token for them.
 func (t *Target) endRangeLocked(from, to uint16, fence uint64) {
 	var kept []grantedRange
@@ -318,26 +367,26 @@
 	}
 	defer func() { <-t.slots }()
 	key, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 16)
-	if t.opts.Keyed && (err != nil || !t.Holds(uint16(key))) {
+	var run *run
+	if err == nil || !t.opts.Keyed {
+		run = t.begin(r, id, uint16(key), arrived)
+	}
+	if run == nil {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.reached(r, arrived)
-	t.mu.Lock()
-	t.runs[id]++
-	if t.opts.Observer != nil {
-		t.opts.Observer.Ran(t.opts.ID, id, uint16(key))
-	}
-	loseAnswer := t.loseAnswers
-	t.mu.Unlock()
-	time.Sleep(t.opts.Work)
-	if loseAnswer {
+	outlasted := t.finish(run)
+	if run.loseAnswer {
 		panic(http.ErrAbortHandler)
 	}
 	t.answer(id, false)
 	w.Header().Set("Server-Seal", t.opts.ID)
 	w.Header().Set("Instance-Load", t.load())
+	if outlasted {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	// Callers ask for long answers by the query parameter pad.
 	pad, _ := strconv.Atoi(r.URL.Query().Get("pad"))
 	fmt.Fprintf(w, "%s%s %s %s", t.opts.ID, strings.Repeat(".", min(max(pad, 0), maxPad)), r.URL.RequestURI(), body)
--- /dev/null
+++ b/standin/platform/target_test.go
@@ -0,0 +1,146 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	grantFormat   = `{"from":%d,"target":%d,"fence":%d,"hold_time":"%s"}`
+	releaseFormat = `{"from":%d,"target":%d,"fence":%d}`
+)
+
+func newKeyedTarget(work time.Duration) *Target {
+	return NewTarget(TargetOptions{ID: "t", Keyed: true, Slots: 6, Queue: 6, Work: work})
+}
+
+// sendOrder sends an order and returns its answer.
+func sendOrder(t *Target, path, format string, args ...any) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	t.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(fmt.Sprintf(format, args...))))
+	return w
+}
+
+// sendRequest sends a request for the key and returns the status.
+func sendRequest(t *Target, key int) int {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.Header.Set("Attempt-Id", fmt.Sprintf("r%d", key))
+	r.Header.Set("Shard-Key", strconv.Itoa(key))
+	t.ServeHTTP(w, r)
+	return w.Code
+}
+
+// inBackground starts the function and returns the time that it took, or will have taken.
+func inBackground(f func()) <-chan time.Duration {
+	took := make(chan time.Duration, 1)
+	began := time.Now()
+	go func() {
+		f()
+		took <- time.Since(began)
+	}()
+	synctest.Wait()
+	return took
+}
+
+// Guards against a stand-in that hides a key that is given on while its last holder still works on it: it answered a
+// release at once, with requests on the keys running.
+func TestReleaseIsAnsweredWhenTheWorkOnItsKeysHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		target := newKeyedTarget(700 * time.Millisecond)
+		is.Equal(sendOrder(target, "/grant", grantFormat, 0, 100, 1, "3s").Code, http.StatusOK)
+		var status int
+		worked := inBackground(func() { status = sendRequest(target, 50) })
+		time.Sleep(200 * time.Millisecond)
+		other := inBackground(func() { sendOrder(target, "/release", releaseFormat, 60, 100, 2) })
+		is.Equal(<-other, time.Duration(0)) // No request runs on these keys.
+		var handover string
+		first := inBackground(func() {
+			handover = sendOrder(target, "/release", releaseFormat, 0, 59, 3).Header().Get("Handover")
+		})
+		second := inBackground(func() { sendOrder(target, "/release", releaseFormat, 50, 50, 4) })
+		is.Equal(sendRequest(target, 50), http.StatusMisdirectedRequest) // New work has stopped at once.
+		is.Equal(<-first, 500*time.Millisecond)
+		is.Equal(handover, "t-3")
+		is.Equal(<-second, 500*time.Millisecond)
+		is.Equal(<-worked, 700*time.Millisecond)
+		is.Equal(status, http.StatusOK)
+	})
+}
+
+func TestReleaseEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		target := newKeyedTarget(time.Second)
+		sendOrder(target, "/grant", grantFormat, 0, 100, 1, "3s")
+		worked := inBackground(func() { sendRequest(target, 50) })
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		body := strings.NewReader(fmt.Sprintf(releaseFormat, 0, 100, 2))
+		released := inBackground(func() {
+			target.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/release", body).WithContext(ctx))
+		})
+		is.Equal(<-released, 100*time.Millisecond)
+		is.Equal(<-worked, time.Second)
+	})
+}
+
+// Guards against work that outlasts its hold and yet succeeds. A renewal prolongs it, a release does not shorten it.
+func TestWorkThatOutlastsItsHoldEndsWith500(t *testing.T) {
+	for _, tt := range []struct {
+		name            string
+		renew, released bool
+		status          int
+		took            time.Duration
+	}{
+		{"no renewal", false, false, http.StatusInternalServerError, time.Second},
+		{"released", false, true, http.StatusInternalServerError, time.Second},
+		{"renewed", true, false, http.StatusOK, 1200 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				target := newKeyedTarget(1200 * time.Millisecond)
+				sendOrder(target, "/grant", grantFormat, 0, 100, 1, "1s")
+				var status int
+				worked := inBackground(func() { status = sendRequest(target, 50) })
+				time.Sleep(500 * time.Millisecond)
+				if tt.renew {
+					sendOrder(target, "/grant", grantFormat, 0, 100, 1, "1s")
+				}
+				if tt.released {
+					released := inBackground(func() { sendOrder(target, "/release", releaseFormat, 0, 100, 2) })
+					is.Equal(<-released, 500*time.Millisecond)
+				}
+				is.Equal(<-worked, tt.took)
+				is.Equal(status, tt.status)
+			})
+		})
+	}
+}
+
+// Guards against requests that run on after their target's process has ended.
+func TestStopEndsTheRequestsThatRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		target := newKeyedTarget(time.Minute)
+		sendOrder(target, "/grant", grantFormat, 0, 100, 1, "1m")
+		worked := inBackground(func() {
+			defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+			sendRequest(target, 50)
+		})
+		time.Sleep(time.Second)
+		target.Stop()
+		is.Equal(<-worked, time.Second)
+	})
+}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -297,6 +297,7 @@
 		t.link.stopListening()
 	}
 	t.link.resetConns()
+	t.handler.Stop() // The server waits for its handlers when it is closed.
 	t.server.CloseClientConnections()
 	t.server.Close()
 }
@@ -327,6 +328,9 @@
 	}
 }
 
+// Ended implements platform.Observer.
+func (s *soak) Ended(string, string, uint16) {}
+
 // Granted implements platform.Observer.
 func (s *soak) Granted(target string, from, to uint16, fence uint64, until time.Time) {
 	s.checker.Granted(target, from, to, fence, until)
