standin/platform: Let the holds of several grants run side by side

A grant replaced a longer hold of the same keys by a shorter one, and a release lowered the token that the target had seen. With the product's own assumption built into it, the stand-in could not show a successor that counts 3 s where its predecessor had granted 9 s. The check of the soak for two holders made the same assumption, and is changed too.

TestHoldsRunSideBySide, TestGrantBelowASeenFenceIsRefused and the new case of TestCheckerReportsBrokenPromises fail on the code as it was. go test ./daemon ./platform ./cmd/basiltallyctl passes.

--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -61,8 +60,10 @@
 	mu sync.Mutex
 	// waiting is the number of requests that wait for a slot.
 	waiting int
-	// ranges are the granted and the ended ranges of keys, without overlaps.
-	ranges []grantedRange
+	// holds are what grants have given and no release has ended. Each lasts until its own end.
+	holds []hold
+	// seen are the fencing tokens with which ranges of keys were granted or released.
+	seen []seenFence
 	// runs counts the runs of each request, by request id.
 	runs map[string]int
 	// running has the requests that run.
@@ -86,14 +87,6 @@
 	readPause time.Duration
 }
 
-// grantedRange is a range of keys, both ends included, that was granted with a fencing
-// token. A zero until means that the grant has ended and only its token is kept.
-type grantedRange struct {
-	from, to uint16
-	fence    uint64
-	until    time.Time
-}
-
 // NewTarget returns a Target that holds no keys.
 func NewTarget(opts TargetOptions) *Target {
 	return &Target{opts: opts, slots: make(chan struct{}, opts.Slots), runs: map[string]int{}, running: map[*run]struct{}{}, stopped: make(chan struct{})}
@@ -206,17 +199,6 @@
 	return time.Now().Before(t.heldUntilLocked(key))
 }
 
-// heldUntilLocked returns the end of the target's hold on the key; zero if it has none.
-func (t *Target) heldUntilLocked(key uint16) time.Time {
-	var until time.Time
-	for _, h := range t.ranges {
-		if h.from <= key && key <= h.to && h.until.After(until) {
-			until = h.until
-		}
-	}
-	return until
-}
-
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
@@ -237,98 +219,6 @@
 	}
 }
 
-// changeRange applies a grant or a release. It refuses grants whose fencing token is below
-// one that was already seen for any of the keys.
-func (t *Target) changeRange(w http.ResponseWriter, r *http.Request) {
-	var body order
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if r.URL.Path == "/release" {
-		t.release(w, r, body)
-		return
-	}
-	t.grant(w, body)
-}
-
-// order is the body of a grant or a release. The range of keys includes both From and Target.
-type order struct {
-	From     uint16 `json:"from"`
-	Target   uint16 `json:"target"`
-	Fence    uint64 `json:"fence"`
-	HoldTime string `json:"hold_time"`
-}
-
-func (t *Target) grant(w http.ResponseWriter, body order) {
-	hold, err := time.ParseDuration(body.HoldTime)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, h := range t.ranges {
-		if h.from <= body.Target && body.From <= h.to && h.fence > body.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
-		}
-	}
-	t.endRangeLocked(body.From, body.Target, body.Fence)
-	until := time.Now().Add(hold)
-	t.ranges = append(t.ranges, grantedRange{body.From, body.Target, body.Fence, until})
-	for run := range t.running {
-		if body.From <= run.key && run.key <= body.Target && until.After(run.until) {
-			run.until = until
-		}
-	}
-	if t.opts.Observer != nil {
-		t.opts.Observer.Granted(t.opts.ID, body.From, body.Target, body.Fence, until)
-	}
-}
-
-// release ends the holds of the keys at once, and answers when the requests that run on them have ended.
-func (t *Target) release(w http.ResponseWriter, r *http.Request, body order) {
-	t.mu.Lock()
-	t.endRangeLocked(body.From, body.Target, body.Fence)
-	if t.opts.Observer != nil {
-		t.opts.Observer.Released(t.opts.ID, body.From, body.Target)
-	}
-	var ends []chan struct{}
-	for run := range t.running {
-		if body.From <= run.key && run.key <= body.Target {
-			ends = append(ends, run.ended)
-		}
-	}
-	t.mu.Unlock()
-	for _, ended := range ends {
-		select {
-		case <-ended:
-		case <-r.Context().Done():
-			return
-		}
-	}
-	w.Header().Set("Handover", fmt.Sprintf("%s-%d", t.opts.ID, body.Fence))
-}
-
-// endRangeLocked ends the grants of the keys and keeps the fencing token for them.
-func (t *Target) endRangeLocked(from, to uint16, fence uint64) {
-	var kept []grantedRange
-	for _, h := range t.ranges {
-		if h.to < from || to < h.from {
-			kept = append(kept, h)
-			continue
-		}
-		if h.from < from {
-			kept = append(kept, grantedRange{h.from, from - 1, h.fence, h.until})
-		}
-		if h.to > to {
-			kept = append(kept, grantedRange{to + 1, h.to, h.fence, h.until})
-		}
-	}
-	t.ranges = append(kept, grantedRange{from, to, fence, time.Time{}})
-}
-
 // runRequest runs a request, or refuses it if it is meant for another target, the queue is
 // full or the target does not hold its key.
 func (t *Target) runRequest(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/target_test.go
+++ b/standin/platform/target_test.go
@@ -144,3 +144,40 @@
 		is.Equal(<-worked, time.Second)
 	})
 }
+
+// Guards against a stand-in that takes a grant for the end of a longer one before it, which no page says. A release ends all
+// holds of its keys.
+func TestHoldsRunSideBySide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		target := newKeyedTarget(0)
+		is.Equal(sendOrder(target, "/grant", grantFormat, 0, 100, 1, "9s").Code, http.StatusOK)
+		is.Equal(sendOrder(target, "/grant", grantFormat, 0, 100, 2, "3s").Code, http.StatusOK)
+		is.Equal(sendOrder(target, "/grant", grantFormat, 50, 60, 3, "5s").Code, http.StatusOK)
+		time.Sleep(8 * time.Second)
+		is.True(target.Holds(0) && target.Holds(55))
+		is.Equal(sendRequest(target, 0), http.StatusOK)
+		is.Equal(sendOrder(target, "/release", releaseFormat, 0, 54, 4).Code, http.StatusOK)
+		is.True(!target.Holds(54) && target.Holds(55))
+		time.Sleep(time.Second)
+		is.True(!target.Holds(55))
+	})
+}
+
+func TestGrantBelowASeenFenceIsRefused(t *testing.T) {
+	is := is.New(t)
+	target := newKeyedTarget(0)
+	is.Equal(sendOrder(target, "/grant", grantFormat, 0, 100, 5, "9s").Code, http.StatusOK)
+	is.Equal(sendOrder(target, "/grant", grantFormat, 100, 200, 4, "9s").Code, http.StatusConflict)
+	is.True(!target.Holds(200))
+	is.Equal(sendOrder(target, "/grant", grantFormat, 100, 200, 5, "9s").Code, http.StatusOK)
+	// A release is never refused, and forgets no token.
+	is.Equal(sendOrder(target, "/release", releaseFormat, 0, 200, 3).Code, http.StatusOK)
+	is.True(!target.Holds(0) && !target.Holds(200))
+	is.Equal(sendOrder(target, "/grant", grantFormat, 50, 50, 4, "9s").Code, http.StatusConflict)
+	is.Equal(sendOrder(target, "/release", releaseFormat, 50, 50, 7).Code, http.StatusOK)
+	is.Equal(sendOrder(target, "/grant", grantFormat, 40, 60, 6, "9s").Code, http.StatusConflict)
+	is.Equal(sendOrder(target, "/grant", grantFormat, 51, 60, 6, "9s").Code, http.StatusOK)
+	// A second grant with the same token renews.
+	is.Equal(sendOrder(target, "/grant", grantFormat, 51, 60, 6, "9s").Code, http.StatusOK)
+}
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -98,7 +99,9 @@
 func (c *checker) Granted(target string, from, to uint16, fence uint64, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.removeHeldLocked(target, from, to)
+	// A later grant ends no earlier one.
+	now := time.Now()
+	c.holds[target] = slices.DeleteFunc(c.holds[target], func(h heldRange) bool { return !now.Before(h.until) })
 	c.holds[target] = append(c.holds[target], heldRange{from, to, until})
 	for part := int(from) * keyParts >> 16; part <= int(to)*keyParts>>16; part++ {
 		if first := uint16(part << 16 / keyParts); first < from || first > to {
--- a/standin/soak/checker_test.go
+++ b/standin/soak/checker_test.go
@@ -30,6 +30,12 @@
 			c.Granted("keyed1", 50, 200, 2, later)
 			c.Ran("keyed1", "c0.0-1", 60)
 		}, "one owner"},
+		{"two owners, by a longer hold from before the last one", func(c *checker) {
+			c.Granted("keyed0", 0, 100, 1, later)
+			c.Granted("keyed0", 0, 100, 2, time.Now())
+			c.Granted("keyed1", 50, 200, 3, later)
+			c.Ran("keyed1", "c0.0-1", 60)
+		}, "one owner"},
 		{"token not above another's", func(c *checker) {
 			c.Granted("keyed0", 0, 1<<15, 7, later)
 			c.Released("keyed0", 0, 1<<15)
