standin/platform: Let a target answer orders twice, and late

PROTOCOL lets a faulty target send more after a whole answer, also late, where the next answer is expected. The stand-in target answered each order once and named no order in it, so that an answer to a grant that passes for the answer to the next release could not be shown with it. SetExtraAnswers decides for each answer to an order whether it is sent again on its connection, and after what pause; answers to orders echo Attempt-Id if the order has one, refused ones too.

TestAnswersToOrdersEchoTheirID and TestAnswerToAnOrderIsSentAgainLate fail without the change. go test ./daemon ./platform ./cmd/... passes.

--- a/standin/platform/instance.go
+++ b/standin/platform/instance.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -118,7 +117,7 @@
 	l.server = &http.Server{
 		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { i.serve(l, w, r) }),
 		ReadHeaderTimeout: time.Minute, ConnState: l.trackConn,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnContext: ConnContext,
 	}
 	i.current = l
 	go func() { _ = l.server.Serve(ln) }() // It returns when it is closed.
--- a/standin/platform/orders.go
+++ b/standin/platform/orders.go
@@ -1,8 +1,12 @@
 package platform
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -39,34 +43,83 @@
 	return until
 }
 
-// changeRange applies a grant or a release.
+// changeRange applies a grant or a release and answers it.
 func (t *Target) changeRange(w http.ResponseWriter, r *http.Request) {
 	var body order
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	status, handover := http.StatusBadRequest, ""
+	if err := json.NewDecoder(r.Body).Decode(&body); err == nil {
+		if r.URL.Path == "/release" {
+			if !t.release(r, body) {
+				return // The caller has gone.
+			}
+			status, handover = http.StatusOK, fmt.Sprintf("%s-%d", t.opts.ID, body.Fence)
+		} else {
+			status = t.grant(body)
+		}
+	}
+	header := http.Header{}
+	if id := r.Header.Get("Attempt-Id"); id != "" {
+		header.Set("Attempt-Id", id)
+	}
+	if handover != "" {
+		header.Set("Handover", handover)
+	}
+	t.answerOrder(w, r, status, header)
+}
+
+// answerOrder answers an order, and sends the same answer again if that was drawn.
+func (t *Target) answerOrder(w http.ResponseWriter, r *http.Request, status int, header http.Header) {
+	header.Set("Content-Length", "0")
+	maps.Copy(w.Header(), header)
+	w.WriteHeader(status)
+	nc, ok := r.Context().Value(connKey{}).(net.Conn)
+	t.mu.Lock()
+	draw := t.extraAnswers
+	t.mu.Unlock()
+	if !ok || draw == nil {
 		return
 	}
-	if r.URL.Path == "/release" {
-		t.release(w, r, body)
+	pause, extra := draw()
+	if !extra || http.NewResponseController(w).Flush() != nil {
 		return
 	}
-	t.grant(w, body)
+	var answer bytes.Buffer
+	fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&answer) // A buffer takes all.
+	answer.WriteString("\r\n")
+	if pause == 0 {
+		_, _ = nc.Write(answer.Bytes()) // It fails only if the connection has ended.
+		return
+	}
+	time.AfterFunc(pause, func() { _, _ = nc.Write(answer.Bytes()) })
+}
+
+// SetExtraAnswers sets what decides whether the answer to an order is sent a second time on its connection, and how long
+// after the first time. It is called for each answer, also concurrently; nil ends the extra answers. The server of the target
+// needs ConnContext.
+func (t *Target) SetExtraAnswers(draw func() (pause time.Duration, extra bool)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.extraAnswers = draw
+}
+
+// ConnContext is the ConnContext of the http.Server of a target that sends extra answers.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
 }
 
-// grant applies a grant. It refuses one whose fencing token is below one that was already seen for any of the keys. No page
-// says that a grant ends an earlier one, so that their holds run side by side.
-func (t *Target) grant(w http.ResponseWriter, body order) {
+// grant applies a grant and returns the status of its answer. It refuses one whose fencing token is below one that was already
+// seen for any of the keys. No page says that a grant ends an earlier one, so that their holds run side by side.
+func (t *Target) grant(body order) int {
 	length, err := time.ParseDuration(body.HoldTime)
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+		return http.StatusBadRequest
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.seen {
 		if s.from <= body.Target && body.From <= s.to && s.fence > body.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
+			return http.StatusConflict
 		}
 	}
 	t.noteFenceLocked(body)
@@ -82,10 +135,12 @@
 	if t.opts.Observer != nil {
 		t.opts.Observer.Granted(t.opts.ID, body.From, body.Target, body.Fence, until)
 	}
+	return http.StatusOK
 }
 
-// release ends all holds of the keys at once, and answers when the requests that run on them have ended. It is never refused.
-func (t *Target) release(w http.ResponseWriter, r *http.Request, body order) {
+// release ends all holds of the keys at once, and returns true when the requests that run on them have ended, or false once its
+// caller has gone. It is never refused.
+func (t *Target) release(r *http.Request, body order) bool {
 	t.mu.Lock()
 	t.noteFenceLocked(body)
 	t.endHoldsLocked(body.From, body.Target)
@@ -103,10 +158,10 @@
 		select {
 		case <-ended:
 		case <-r.Context().Done():
-			return
+			return false
 		}
 	}
-	w.Header().Set("Handover", fmt.Sprintf("%s-%d", t.opts.ID, body.Fence))
+	return true
 }
 
 // noteFenceLocked records the order's fencing token, and forgets those that it makes superfluous.
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -83,6 +83,8 @@
 	// got in this time, in ascending order.
 	coldFrom, coldUntil time.Time
 	coldArrivals        []time.Time
+	// extraAnswers decides on second answers to orders; nil for none.
+	extraAnswers func() (pause time.Duration, extra bool)
 	// readPause is the pause before each piece of a request's body is read.
 	readPause time.Duration
 }
--- a/standin/platform/target_test.go
+++ b/standin/platform/target_test.go
@@ -1,8 +1,11 @@
 package platform
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -181,3 +184,80 @@
 	// A second grant with the same token renews.
 	is.Equal(sendOrder(target, "/grant", grantFormat, 51, 60, 6, "9s").Code, http.StatusOK)
 }
+
+// Guards against a stand-in that cannot answer an order twice: what reads the next answer on the connection gets the earlier one.
+func TestAnswerToAnOrderIsSentAgainLate(t *testing.T) {
+	for _, tt := range []struct {
+		name, id string
+		pause    time.Duration
+	}{
+		{"at once", "a", 0},
+		{"late", "a", 20 * time.Millisecond},
+		{"without an ID", "", 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			target := newKeyedTarget(0)
+			target.SetExtraAnswers(func() (time.Duration, bool) { return tt.pause, true })
+			server := httptest.NewUnstartedServer(target)
+			server.Config.ConnContext = ConnContext
+			server.Start()
+			defer server.Close()
+			nc, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			defer nc.Close()
+			is.NoErr(nc.SetDeadline(time.Now().Add(10 * time.Second)))
+			reader := bufio.NewReader(nc)
+			send := func(path, id, body string) {
+				if id != "" {
+					id = "Attempt-Id: " + id + "\r\n"
+				}
+				_, err := fmt.Fprintf(nc, "POST %s HTTP/1.1\r\nHost: t\r\n%sContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
+				is.NoErr(err)
+			}
+			read := func() *http.Response {
+				resp, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				is.NoErr(err)
+				return resp
+			}
+			send("/grant", tt.id, fmt.Sprintf(grantFormat, 0, 100, 1, "9s"))
+			for range 2 {
+				resp := read()
+				is.Equal(resp.StatusCode, http.StatusOK)
+				is.Equal(resp.Header.Values("Attempt-Id"), ids(tt.id))
+				is.Equal(resp.Header.Get("Handover"), "")
+			}
+			target.SetExtraAnswers(nil)
+			send("/release", tt.id, fmt.Sprintf(releaseFormat, 0, 100, 2))
+			resp := read()
+			is.Equal(resp.Header.Values("Attempt-Id"), ids(tt.id))
+			is.Equal(resp.Header.Get("Handover"), "t-2")
+			is.Equal(reader.Buffered(), 0)
+		})
+	}
+}
+
+// ids returns the values of the header of an answer to an order with the ID, which may be empty.
+func ids(id string) []string {
+	if id == "" {
+		return nil
+	}
+	return []string{id}
+}
+
+// Guards against order answers that name another order: each bears the ID of its own order, refused ones too.
+func TestAnswersToOrdersEchoTheirID(t *testing.T) {
+	is := is.New(t)
+	target := newKeyedTarget(0)
+	for i, body := range []string{fmt.Sprintf(grantFormat, 0, 100, 5, "9s"), fmt.Sprintf(grantFormat, 0, 100, 4, "9s"), "no order"} {
+		r := httptest.NewRequest(http.MethodPost, "/grant", strings.NewReader(body))
+		r.Header.Set("Attempt-Id", strconv.Itoa(i))
+		w := httptest.NewRecorder()
+		target.ServeHTTP(w, r)
+		is.Equal(w.Code, []int{http.StatusOK, http.StatusConflict, http.StatusBadRequest}[i])
+		is.Equal(w.Header().Get("Attempt-Id"), strconv.Itoa(i))
+	}
+	is.Equal(sendOrder(target, "/grant", grantFormat, 0, 100, 5, "9s").Header().Values("Attempt-Id"), nil)
+}
