standin/platform: Let some requests run long, and end hung calls with the target

All requests at a target ran for the same time, so that no release had to wait longer than its time limit while others were served. SetLongWork makes every n-th request run long, on half of the slots at most.

A call that hung ended with the context of its request only. net/http does not end that context if the caller has sent more on the connection, as a client does that takes a late extra answer for the answer to a hung order: the server could not be closed, and a soak hung for nine minutes. Stop ends such calls, and releases and requests that wait, too.

--- a/standin/platform/orders.go
+++ b/standin/platform/orders.go
@@ -50,7 +50,7 @@
 	if err := json.NewDecoder(r.Body).Decode(&body); err == nil {
 		if r.URL.Path == "/release" {
 			if !t.release(r, body) {
-				return // The caller has gone.
+				return // The caller or the target has gone.
 			}
 			status, handover = http.StatusOK, fmt.Sprintf("%s-%d", t.opts.ID, body.Fence)
 		} else {
@@ -139,7 +139,7 @@
 }
 
 // release ends all holds of the keys at once, and returns true when the requests that run on them have ended, or false once its
-// caller has gone. It is never refused.
+// caller or the target has gone. It is never refused.
 func (t *Target) release(r *http.Request, body order) bool {
 	t.mu.Lock()
 	t.noteFenceLocked(body)
@@ -159,6 +159,8 @@
 		case <-ended:
 		case <-r.Context().Done():
 			return false
+		case <-t.stopped:
+			return false
 		}
 	}
 	return true
--- a/standin/platform/run.go
+++ b/standin/platform/run.go
@@ -9,8 +9,9 @@
 type run struct {
 	id  string
 	key uint16
-	// work is how long it runs.
+	// work is how long it runs. long is set if SetLongWork has decided on that.
 	work time.Duration
+	long bool
 	// until is the end of the hold under which it runs. A release does not change it.
 	until time.Time
 	// loseAnswer breaks the connection instead of answering.
@@ -30,6 +31,13 @@
 	t.reachedLocked(r, arrived)
 	t.runs[id]++
 	run := &run{id: id, key: key, work: t.opts.Work, until: until, loseAnswer: t.loseAnswers, ended: make(chan struct{})}
+	if t.longEvery > 0 {
+		t.longBegun++
+		if t.longBegun%t.longEvery == 0 && t.longRunning < max(1, t.opts.Slots/2) {
+			run.work, run.long = t.longWork, true
+			t.longRunning++
+		}
+	}
 	t.running[run] = struct{}{}
 	if t.opts.Observer != nil {
 		t.opts.Observer.Ran(t.opts.ID, id, key)
@@ -74,6 +82,9 @@
 func (t *Target) endLocked(run *run) {
 	delete(t.running, run)
 	close(run.ended)
+	if run.long {
+		t.longRunning--
+	}
 	if t.opts.Observer != nil {
 		t.opts.Observer.Ended(t.opts.ID, run.id, run.key)
 	}
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -83,6 +83,10 @@
 	// got in this time, in ascending order.
 	coldFrom, coldUntil time.Time
 	coldArrivals        []time.Time
+	// Every longEvery-th request runs for longWork; zero for none. longBegun counts the requests meanwhile, and longRunning
+	// those that run for longWork now.
+	longEvery, longBegun, longRunning int
+	longWork                          time.Duration
 	// extraAnswers decides on second answers to orders; nil for none.
 	extraAnswers func() (pause time.Duration, extra bool)
 	// readPause is the pause before each piece of a request's body is read.
@@ -186,6 +190,14 @@
 	t.hang = hang
 }
 
+// SetLongWork makes every n-th request run for the time, but no more than half of the slots at once; zero ends it. Requests that
+// have begun run on.
+func (t *Target) SetLongWork(every int, work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.longEvery, t.longWork, t.longBegun = every, work, 0
+}
+
 // SetLoseAnswers sets whether the target runs requests but breaks the connection instead of
 // answering.
 func (t *Target) SetLoseAnswers(loseAnswers bool) {
@@ -210,7 +222,10 @@
 		// net/http detects that the caller has closed the connection only after the body was
 		// read.
 		_, _ = io.Copy(io.Discard, r.Body)
-		<-r.Context().Done()
+		select {
+		case <-r.Context().Done():
+		case <-t.stopped: // The context does not end if the caller has sent more on the connection.
+		}
 		return
 	}
 	switch r.URL.Path {
@@ -339,6 +354,8 @@
 		return true
 	case <-r.Context().Done():
 		return false
+	case <-t.stopped:
+		return false
 	}
 }
 
--- a/standin/platform/target_test.go
+++ b/standin/platform/target_test.go
@@ -132,6 +132,32 @@
 	}
 }
 
+// Guards against a server that cannot be closed, as a caller that has sent more on a hung connection does not show its end.
+func TestStopEndsHungCalls(t *testing.T) {
+	is := is.New(t)
+	target := newKeyedTarget(0)
+	target.SetHang(true)
+	server := httptest.NewServer(target)
+	nc, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer nc.Close()
+	_, err = io.WriteString(nc, strings.Repeat("POST /grant HTTP/1.1\r\nHost: t\r\nContent-Length: 0\r\n\r\n", 2))
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond) // The server has read into the second call.
+	closed := make(chan struct{})
+	go func() {
+		target.Stop()
+		server.CloseClientConnections()
+		server.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the server is not closed")
+	}
+}
+
 // Guards against requests that run on after their target's process has ended.
 func TestStopEndsTheRequestsThatRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -261,3 +287,23 @@
 	}
 	is.Equal(sendOrder(target, "/grant", grantFormat, 0, 100, 5, "9s").Header().Values("Attempt-Id"), nil)
 }
+
+func TestEveryNthRequestRunsLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		target := newKeyedTarget(0)
+		target.SetLongWork(2, time.Minute)
+		sendOrder(target, "/grant", grantFormat, 0, 100, 1, "2m")
+		var long []<-chan time.Duration
+		for range 3 {
+			is.Equal(sendRequest(target, 1), http.StatusOK)
+			long = append(long, inBackground(func() { sendRequest(target, 1) }))
+		}
+		is.Equal(sendRequest(target, 1), http.StatusOK)
+		is.Equal(sendRequest(target, 1), http.StatusOK) // Half of the slots run long.
+		target.SetLongWork(0, 0)
+		for _, took := range long {
+			is.Equal(<-took, time.Minute)
+		}
+	})
+}
