standin/soak: Check that no key is given on while its last holder works on it

The soak checked who runs requests on keys that others hold. It saw no key that a target was granted while another one, which had been told to release it, was still at work on it, before that one's hold would have run out, as OWNER has it. The checker now follows the requests that run at targets with keys and the holds under which they run, which a release does not shorten.

The two new cases of TestCheckerReportsBrokenPromises fail without the check; TestCheckerAcceptsAllowedEvents has what is allowed.

--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -15,6 +15,8 @@
 	broken []string
 	// holds are the key ranges that targets hold, by target id.
 	holds map[string][]heldRange
+	// working are the requests that run at targets with keys.
+	working []*workingRequest
 	// highestTokens is the highest fencing token with which each part of the keys was granted.
 	highestTokens [keyParts]tokenHolder
 	// runs counts the runs of each request, by request id.
@@ -39,6 +41,16 @@
 	until    time.Time
 }
 
+// workingRequest is a request that has begun to run at a target and has not ended.
+type workingRequest struct {
+	target, id string
+	key        uint16
+	// until is the end of the hold under which it runs, as if that were not released.
+	until time.Time
+	// reported is set once its key was given on.
+	reported bool
+}
+
 // tokenHolder is a target and the fencing token that it was granted.
 type tokenHolder struct {
 	target string
@@ -79,6 +91,15 @@
 	if isAtMostOnce(id) && c.runs[id] > 1 {
 		c.reportBrokenLocked("at most once: %s ran again at %s", id, target)
 	}
+	if ranges, keyed := c.holds[target]; keyed {
+		w := &workingRequest{target: target, id: id, key: key}
+		for _, h := range ranges {
+			if h.from <= key && key <= h.to && h.until.After(w.until) {
+				w.until = h.until
+			}
+		}
+		c.working = append(c.working, w)
+	}
 	if _, keyed := c.holds[target]; !keyed || time.Since(c.lateCallsAt) < lateCallSlack {
 		return
 	}
@@ -94,11 +115,44 @@
 	}
 }
 
+// Ended implements platform.Observer.
+func (c *checker) Ended(target, id string, key uint16) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.working, func(w *workingRequest) bool { return w.target == target && w.id == id && w.key == key })
+	if i >= 0 {
+		c.working = slices.Delete(c.working, i, i+1)
+	}
+}
+
+// checkGivenOnLocked checks that no other target works on the keys that a target is granted, before the hold under which it works
+// would have run out.
+func (c *checker) checkGivenOnLocked(target string, from, to uint16, fence uint64, until time.Time) {
+	excused := time.Since(c.lateCallsAt) < lateCallSlack
+	for _, w := range c.working {
+		if w.key < from || to < w.key {
+			continue
+		}
+		if w.target == target {
+			if until.After(w.until) {
+				w.until = until
+			}
+			continue
+		}
+		if left := time.Until(w.until); left > 0 && !excused && !w.reported {
+			w.reported = true
+			c.reportBrokenLocked("given on: %s was granted the keys %d to %d with token %d while %s worked on %s for key %d, whose hold would last another %s",
+				target, from, to, fence, w.target, w.id, w.key, left)
+		}
+	}
+}
+
 // Granted implements platform.Observer. It checks that a part of the keys moves to another
-// target only with a higher fencing token.
+// target only with a higher fencing token, and not while that one works on it.
 func (c *checker) Granted(target string, from, to uint16, fence uint64, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkGivenOnLocked(target, from, to, fence, until)
 	// A later grant ends no earlier one.
 	now := time.Now()
 	c.holds[target] = slices.DeleteFunc(c.holds[target], func(h heldRange) bool { return !now.Before(h.until) })
@@ -142,10 +196,11 @@
 	c.holds[target] = kept
 }
 
-// clearHeld removes the ranges that a target held before it was restarted.
+// clearHeld removes what a target held and worked on before it was restarted.
 func (c *checker) clearHeld(target string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.working = slices.DeleteFunc(c.working, func(w *workingRequest) bool { return w.target == target })
 	if _, keyed := c.holds[target]; keyed {
 		c.holds[target] = nil
 	}
--- a/standin/soak/checker_test.go
+++ b/standin/soak/checker_test.go
@@ -36,6 +36,20 @@
 			c.Granted("keyed1", 50, 200, 3, later)
 			c.Ran("keyed1", "c0.0-1", 60)
 		}, "one owner"},
+		{"given on while its last holder works", func(c *checker) {
+			c.Granted("keyed0", 0, 100, 1, later)
+			c.Ran("keyed0", "c0.0-1", 60)
+			c.Released("keyed0", 0, 100)
+			c.Granted("keyed1", 50, 200, 2, later)
+		}, "given on"},
+		{"given on while its last holder works under a renewed hold", func(c *checker) {
+			c.Granted("keyed0", 0, 100, 1, time.Now().Add(time.Millisecond))
+			c.Ran("keyed0", "c0.0-1", 60)
+			c.Granted("keyed0", 0, 100, 1, later)
+			c.Released("keyed0", 0, 100)
+			time.Sleep(2 * time.Millisecond)
+			c.Granted("keyed1", 50, 200, 2, later)
+		}, "given on"},
 		{"token not above another's", func(c *checker) {
 			c.Granted("keyed0", 0, 1<<15, 7, later)
 			c.Released("keyed0", 0, 1<<15)
@@ -69,5 +83,20 @@
 	c.Granted("keyed1", 101, 1<<15, 4, later)
 	c.Ran("keyed1", "c0.0-3", 200)
 	c.noteRefusal("c0.0-4-once", "503")
+	c.clearHeld("keyed1")
+	// Keys may be given on once the work on them has ended, once its hold has run out, and if other keys are worked on.
+	c.Granted("keyed0", 0, 1<<15, 5, time.Now().Add(time.Millisecond))
+	c.Ran("keyed0", "c0.0-5", 100)
+	c.Ran("keyed0", "c0.0-6", 200)
+	c.Ran("keyed0", "c0.0-7", 300)
+	c.Released("keyed0", 0, 250)
+	c.Ended("keyed0", "c0.0-5", 100)
+	c.Granted("keyed1", 0, 150, 6, later)
+	time.Sleep(2 * time.Millisecond)
+	c.Granted("keyed1", 151, 250, 7, later)
+	// The process of a target that was restarted works on nothing.
+	c.Ran("keyed1", "c0.0-8", 160)
+	c.clearHeld("keyed1")
+	c.Granted("keyed0", 0, 250, 8, later)
 	is.Equal(len(c.finalCheck()), 0)
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -329,7 +329,7 @@
 }
 
 // Ended implements platform.Observer.
-func (s *soak) Ended(string, string, uint16) {}
+func (s *soak) Ended(target, id string, key uint16) { s.checker.Ended(target, id, key) }
 
 // Granted implements platform.Observer.
 func (s *soak) Granted(target string, from, to uint16, fence uint64, until time.Time) {
