--- a/standin/soak/disturb.go
+++ b/standin/soak/disturb.go
@@ -44,7 +44,7 @@
 )
 
 var disturbances = []disturbance{
-	{"SIGTERM", func(s *soak, p *disturbanceParams) { s.stopNode(p) }},
+	{"SIGTERM", func(s *soak, p *disturbanceParams) { s.stopNode(s.nodes[p.node]) }},
 	{"SIGKILL", func(s *soak, p *disturbanceParams) { s.nodes[p.node].signal(syscall.SIGKILL) }},
 	{"all SIGKILL", func(s *soak, _ *disturbanceParams) {
 		for _, n := range s.nodes {
@@ -87,6 +87,11 @@
 // stepBack is drawn apart from the others, so that these stay the same for a seed.
 var stepBack = disturbance{"step back", func(s *soak, p *disturbanceParams) { s.stepBack(p) }}
 
+// allDisturbances returns all that can be chosen by Options.Only.
+func allDisturbances() []disturbance {
+	return slices.Concat(disturbances, []disturbance{stepBack}, holdFaults)
+}
+
 // Names of what also disturbs the system, from sources of its own.
 const (
 	statementsName      = "statements"
@@ -95,8 +100,8 @@
 
 // checkNames returns an error if a name is not that of a disturbance.
 func checkNames(names []string) error {
-	known := []string{stepBack.name, statementsName, crashingRequestName}
-	for _, d := range disturbances {
+	known := []string{statementsName, crashingRequestName}
+	for _, d := range allDisturbances() {
 		known = append(known, d.name)
 	}
 	for _, name := range names {
@@ -112,12 +117,12 @@
 	return len(s.opts.Only) == 0 || slices.Contains(s.opts.Only, name)
 }
 
-// drawn returns the disturbances of which each is drawn equally often: with Options.Only those, else all but the step back.
+// drawn returns the disturbances of which each is drawn equally often: with Options.Only those, else disturbances.
 func (s *soak) drawn() []disturbance {
 	if len(s.opts.Only) == 0 {
 		return disturbances
 	}
-	return slices.DeleteFunc(append(slices.Clone(disturbances), stepBack), func(d disturbance) bool { return !s.plays(d.name) })
+	return slices.DeleteFunc(allDisturbances(), func(d disturbance) bool { return !s.plays(d.name) })
 }
 
 // runDisturbances starts random disturbances, which may overlap, for Options.Length, and
@@ -135,6 +140,9 @@
 	if s.plays(statementsName) {
 		running.Go(func() { s.runStatements(ctx, s.seed, busy) })
 	}
+	if s.hasHoldFaults() {
+		running.Go(func() { s.runHoldFaults(ctx) })
+	}
 	if s.hard != nil {
 		s.hard.busy = busy
 		running.Go(func() { s.hard.run(ctx) })
@@ -187,8 +195,7 @@
 
 // stopNode stops a node by SIGTERM, as planned maintenance does. It sends SIGKILL if the
 // process has not ended after stopGrace.
-func (s *soak) stopNode(p *disturbanceParams) {
-	n := s.nodes[p.node]
+func (s *soak) stopNode(n *node) {
 	n.mu.Lock()
 	done := n.done
 	n.mu.Unlock()
--- a/standin/soak/hardload.go
+++ b/standin/soak/hardload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -154,7 +153,7 @@
 	case 0:
 		h.soak.applyStoreFault(&disturbanceParams{kind: int(length / time.Millisecond), length: length})
 	case 1:
-		if n := h.assigner(); n != nil {
+		if n := h.soak.assigner(); n != nil {
 			h.soak.logf("SIGKILL of the assigner's VM %s", n.name)
 			n.signal(syscall.SIGKILL)
 		}
@@ -254,21 +253,6 @@
 	}
 }
 
-// assigner returns the node that has the assigner's role, or nil if none has.
-func (h *hardLoad) assigner() *node {
-	var role struct {
-		VM string `json:"vm"`
-	}
-	// Without a role, or with one that cannot be decoded, no node has that name.
-	_ = json.Unmarshal(h.soak.store.Spec("basiltally-roles", "assigner"), &role)
-	for _, n := range h.soak.nodes {
-		if n.name == role.VM {
-			return n
-		}
-	}
-	return nil
-}
-
 // noteStoreFault records that a fault of the store begins (1) or ends (-1).
 func (h *hardLoad) noteStoreFault(change int) {
 	if h == nil {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -111,6 +111,8 @@
 	stated map[string]*statements
 	// crashing is set while a request comes that crashes targets.
 	crashing atomic.Pointer[crashingRequest]
+	// cutting is locked while an outage with targets cut off after it is played.
+	cutting sync.Mutex
 	// hard is nil without Options.HardLoad.
 	hard *hardLoad
 }
@@ -247,7 +249,9 @@
 	if s.hard != nil && !t.stoppedAt.IsZero() {
 		s.hard.started(t, time.Since(t.stoppedAt))
 	}
-	t.server = httptest.NewServer(t.handler)
+	t.server = httptest.NewUnstartedServer(t.handler)
+	t.server.Config.ConnContext = platform.ConnContext
+	t.server.Start()
 	s.forgetStatements(t.id)
 	s.checker.clearHeld(t.id)
 	if t.link == nil {
