--- a/standin/soak/holdfaults.go
+++ b/standin/soak/holdfaults.go
@@ -55,52 +55,72 @@
 	}
 }
 
-// keyedTargets returns the handlers of the targets with keys.
-func (s *soak) keyedTargets() []*platform.Target {
-	var handlers []*platform.Target
+// targetFaults are the faults in force at all targets with keys, also at those that start meanwhile.
+type targetFaults struct {
+	mu sync.Mutex
+	// long and extra are the numbers of faults in force. Of several, the last one counts.
+	long, extra  int
+	work         time.Duration
+	extraAnswers func() (time.Duration, bool)
+}
+
+// applyFaults applies the faults in force to a target with keys.
+func (s *soak) applyFaults(t *target) {
+	f := &s.faults
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.service != keyed {
+		return
+	}
+	h := t.current()
+	if f.long > 0 {
+		h.SetLongWork(longWorkEvery, f.work)
+	} else {
+		h.SetLongWork(0, 0)
+	}
+	if f.extra > 0 {
+		h.SetExtraAnswers(f.extraAnswers)
+	} else {
+		h.SetExtraAnswers(nil)
+	}
+}
+
+// changeFaults changes the faults in force and applies them.
+func (s *soak) changeFaults(change func(f *targetFaults)) {
+	s.faults.mu.Lock()
+	change(&s.faults)
+	s.faults.mu.Unlock()
 	for _, t := range s.targets {
-		if t.service == keyed {
-			handlers = append(handlers, t.current())
-		}
+		s.applyFaults(t)
 	}
-	return handlers
 }
 
 // playLongWork lets some requests at the targets with keys run long, some longer than a release waits.
 func (s *soak) playLongWork(p *disturbanceParams) {
 	work := minLongWork + (maxLongWork-minLongWork)*time.Duration(p.kind)/(1<<10)
-	handlers := s.keyedTargets()
 	s.logf("every %d. request runs for %v", longWorkEvery, work)
-	for _, h := range handlers {
-		h.SetLongWork(longWorkEvery, work)
-	}
+	s.changeFaults(func(f *targetFaults) { f.long, f.work = f.long+1, work })
 	time.Sleep(maxDisturbance + p.length)
-	for _, h := range handlers {
-		h.SetLongWork(0, 0)
-	}
+	s.changeFaults(func(f *targetFaults) { f.long-- })
 }
 
 // playExtraAnswers lets the targets with keys answer some orders twice, half of them late.
 func (s *soak) playExtraAnswers(p *disturbanceParams) {
-	handlers := s.keyedTargets()
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(s.seed, uint64(7000+p.kind)))
-	for _, h := range handlers {
-		h.SetExtraAnswers(func() (time.Duration, bool) {
-			mu.Lock()
-			defer mu.Unlock()
-			extra, late := rng.IntN(extraAnswerEvery) == 0, rng.IntN(2) == 0
-			pause := time.Duration(rng.Int64N(int64(maxExtraPause)))
-			if !late {
-				pause = 0
-			}
-			return pause, extra
-		})
+	draw := func() (time.Duration, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		extra, late := rng.IntN(extraAnswerEvery) == 0, rng.IntN(2) == 0
+		pause := time.Duration(rng.Int64N(int64(maxExtraPause)))
+		if !late {
+			pause = 0
+		}
+		return pause, extra
 	}
+	s.changeFaults(func(f *targetFaults) { f.extra, f.extraAnswers = f.extra+1, draw })
 	time.Sleep(maxDisturbance + p.length)
-	for _, h := range handlers {
-		h.SetExtraAnswers(nil)
-	}
+	s.changeFaults(func(f *targetFaults) { f.extra-- })
 }
 
 // playCutAfterOutage plays an outage of the store, the loss of the assigner's VM right after it, by SIGTERM or SIGKILL, and then
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -111,6 +111,7 @@
 	stated map[string]*statements
 	// crashing is set while a request comes that crashes targets.
 	crashing atomic.Pointer[crashingRequest]
+	faults   targetFaults
 	// cutting is locked while an outage with targets cut off after it is played.
 	cutting sync.Mutex
 	// hard is nil without Options.HardLoad.
@@ -246,6 +247,7 @@
 		t.incarnation = max(t.incarnation, time.Now().UnixMilli())
 	}
 	t.setHandler(platform.NewTarget(options))
+	s.applyFaults(t)
 	if s.hard != nil && !t.stoppedAt.IsZero() {
 		s.hard.started(t, time.Since(t.stoppedAt))
 	}
