--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -40,13 +39,16 @@
 type Observer interface {
 	// Ran reports that a request has begun to run.
 	Ran(target, id string, key uint16)
+	// Ended reports that a request that had begun to run has ended, before it is answered.
+	Ended(target, id string, key uint16)
 	// Arrived reports that a request has arrived at the target that it is for.
 	Arrived(target, id string)
 	// Answered reports that the target is about to answer a request, and whether it refuses it.
 	Answered(target, id string, refused bool)
 	// Granted reports that the target accepted a grant of the keys from to to, inclusive.
 	Granted(target string, from, to uint16, fence uint64, until time.Time)
-	// Released reports that the target accepted a release of the keys from to to, inclusive.
+	// Released reports that the target accepted a release of the keys from to to, inclusive. Requests that
+	// have begun may still run.
 	Released(target string, from, to uint16)
 }
 
@@ -58,10 +60,17 @@
 	mu sync.Mutex
 	// waiting is the number of requests that wait for a slot.
 	waiting int
-	// ranges are the granted and the ended ranges of keys, without overlaps.
-	ranges []grantedRange
+	// holds are what grants have given and no release has ended. Each lasts until its own end.
+	holds []hold
+	// seen are the fencing tokens with which ranges of keys were granted or released.
+	seen []seenFence
 	// runs counts the runs of each request, by request id.
 	runs map[string]int
+	// running has the requests that run.
+	running map[*run]struct{}
+	// stopped is closed by stop, once.
+	stopped chan struct{}
+	stop    sync.Once
 	// hang leaves all calls without an answer.
 	hang bool
 	// loseAnswers breaks the connection after a request has run, instead of answering it.
@@ -74,23 +83,24 @@
 	// got in this time, in ascending order.
 	coldFrom, coldUntil time.Time
 	coldArrivals        []time.Time
+	// Every longEvery-th request runs for longWork; zero for none. longBegun counts the requests meanwhile, and longRunning
+	// those that run for longWork now.
+	longEvery, longBegun, longRunning int
+	longWork                          time.Duration
+	// extraAnswers decides on second answers to orders; nil for none.
+	extraAnswers func() (pause time.Duration, extra bool)
 	// readPause is the pause before each piece of a request's body is read.
 	readPause time.Duration
 }
 
-// grantedRange is a range of keys, both ends included, that was granted with a fencing
-// token. A zero until means that the grant has ended and only its token is kept.
-type grantedRange struct {
-	from, to uint16
-	fence    uint64
-	until    time.Time
-}
-
 // NewTarget returns a Target that holds no keys.
 func NewTarget(opts TargetOptions) *Target {
-	return &Target{opts: opts, slots: make(chan struct{}, opts.Slots), runs: map[string]int{}}
+	return &Target{opts: opts, slots: make(chan struct{}, opts.Slots), runs: map[string]int{}, running: map[*run]struct{}{}, stopped: make(chan struct{})}
 }
 
+// Stop ends all requests that run, as the end of the target's process does. The caller closes the target's server.
+func (t *Target) Stop() { t.stop.Do(func() { close(t.stopped) }) }
+
 // Runs returns how often the request with the id has run.
 func (t *Target) Runs(id string) int {
 	t.mu.Lock()
@@ -150,6 +160,10 @@
 func (t *Target) reached(r *http.Request, arrived time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reachedLocked(r, arrived)
+}
+
+func (t *Target) reachedLocked(r *http.Request, arrived time.Time) {
 	cold := 0
 	if !arrived.Before(t.coldFrom) && arrived.Before(t.coldUntil) {
 		t.coldArrivals = append(t.coldArrivals, arrived)
@@ -176,6 +190,14 @@
 	t.hang = hang
 }
 
+// SetLongWork makes every n-th request run for the time, but no more than half of the slots at once; zero ends it. Requests that
+// have begun run on.
+func (t *Target) SetLongWork(every int, work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.longEvery, t.longWork, t.longBegun = every, work, 0
+}
+
 // SetLoseAnswers sets whether the target runs requests but breaks the connection instead of
 // answering.
 func (t *Target) SetLoseAnswers(loseAnswers bool) {
@@ -188,16 +210,7 @@
 func (t *Target) Holds(key uint16) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.holdsLocked(key)
-}
-
-func (t *Target) holdsLocked(key uint16) bool {
-	for _, h := range t.ranges {
-		if h.from <= key && key <= h.to && time.Now().Before(h.until) {
-			return true
-		}
-	}
-	return false
+	return time.Now().Before(t.heldUntilLocked(key))
 }
 
 // ServeHTTP implements http.Handler.
@@ -209,7 +222,10 @@
 		// net/http detects that the caller has closed the connection only after the body was
 		// read.
 		_, _ = io.Copy(io.Discard, r.Body)
-		<-r.Context().Done()
+		select {
+		case <-r.Context().Done():
+		case <-t.stopped: // The context does not end if the caller has sent more on the connection.
+		}
 		return
 	}
 	switch r.URL.Path {
@@ -220,66 +236,6 @@
 	}
 }
 
-// changeRange applies a grant or a release. It refuses grants whose fencing token is below
-// one that was already seen for any of the keys.
-func (t *Target) changeRange(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		From     uint16 `json:"from"`
-		Target   uint16 `json:"target"`
-		Fence    uint64 `json:"fence"`
-		HoldTime string `json:"hold_time"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r.URL.Path == "/release" {
-		t.endRangeLocked(body.From, body.Target, body.Fence)
-		if t.opts.Observer != nil {
-			t.opts.Observer.Released(t.opts.ID, body.From, body.Target)
-		}
-		w.Header().Set("Handover", fmt.Sprintf("%s-%d", t.opts.ID, body.Fence))
-		return
-	}
-	hold, err := time.ParseDuration(body.HoldTime)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	for _, h := range t.ranges {
-		if h.from <= body.Target && body.From <= h.to && h.fence > body.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
-		}
-	}
-	t.endRangeLocked(body.From, body.Target, body.Fence)
-	until := time.Now().Add(hold)
-	t.ranges = append(t.ranges, grantedRange{body.From, body.Target, body.Fence, until})
-	if t.opts.Observer != nil {
-		t.opts.Observer.Granted(t.opts.ID, body.From, body.Target, body.Fence, until)
-	}
-}
-
-// endRangeLocked ends the grants of the keys and keeps the fencing token for them.
-func (t *Target) endRangeLocked(from, to uint16, fence uint64) {
-	var kept []grantedRange
-	for _, h := range t.ranges {
-		if h.to < from || to < h.from {
-			kept = append(kept, h)
-			continue
-		}
-		if h.from < from {
-			kept = append(kept, grantedRange{h.from, from - 1, h.fence, h.until})
-		}
-		if h.to > to {
-			kept = append(kept, grantedRange{to + 1, h.to, h.fence, h.until})
-		}
-	}
-	t.ranges = append(kept, grantedRange{from, to, fence, time.Time{}})
-}
-
 // runRequest runs a request, or refuses it if it is meant for another target, the queue is
 // full or the target does not hold its key.
 func (t *Target) runRequest(w http.ResponseWriter, r *http.Request) {
@@ -318,26 +274,26 @@
 	}
 	defer func() { <-t.slots }()
 	key, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 16)
-	if t.opts.Keyed && (err != nil || !t.Holds(uint16(key))) {
+	var run *run
+	if err == nil || !t.opts.Keyed {
+		run = t.begin(r, id, uint16(key), arrived)
+	}
+	if run == nil {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.reached(r, arrived)
-	t.mu.Lock()
-	t.runs[id]++
-	if t.opts.Observer != nil {
-		t.opts.Observer.Ran(t.opts.ID, id, uint16(key))
-	}
-	loseAnswer := t.loseAnswers
-	t.mu.Unlock()
-	time.Sleep(t.opts.Work)
-	if loseAnswer {
+	outlasted := t.finish(run)
+	if run.loseAnswer {
 		panic(http.ErrAbortHandler)
 	}
 	t.answer(id, false)
 	w.Header().Set("Server-Seal", t.opts.ID)
 	w.Header().Set("Instance-Load", t.load())
+	if outlasted {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	// Callers ask for long answers by the query parameter pad.
 	pad, _ := strconv.Atoi(r.URL.Query().Get("pad"))
 	fmt.Fprintf(w, "%s%s %s %s", t.opts.ID, strings.Repeat(".", min(max(pad, 0), maxPad)), r.URL.RequestURI(), body)
@@ -398,6 +354,8 @@
 		return true
 	case <-r.Context().Done():
 		return false
+	case <-t.stopped:
+		return false
 	}
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -111,6 +111,9 @@
 	stated map[string]*statements
 	// crashing is set while a request comes that crashes targets.
 	crashing atomic.Pointer[crashingRequest]
+	faults   targetFaults
+	// cutting is locked while an outage with targets cut off after it is played.
+	cutting sync.Mutex
 	// hard is nil without Options.HardLoad.
 	hard *hardLoad
 }
@@ -244,10 +247,13 @@
 		t.incarnation = max(t.incarnation, time.Now().UnixMilli())
 	}
 	t.setHandler(platform.NewTarget(options))
+	s.applyFaults(t)
 	if s.hard != nil && !t.stoppedAt.IsZero() {
 		s.hard.started(t, time.Since(t.stoppedAt))
 	}
-	t.server = httptest.NewServer(t.handler)
+	t.server = httptest.NewUnstartedServer(t.handler)
+	t.server.Config.ConnContext = platform.ConnContext
+	t.server.Start()
 	s.forgetStatements(t.id)
 	s.checker.clearHeld(t.id)
 	if t.link == nil {
@@ -297,6 +303,7 @@
 		t.link.stopListening()
 	}
 	t.link.resetConns()
+	t.handler.Stop() // The server waits for its handlers when it is closed.
 	t.server.CloseClientConnections()
 	t.server.Close()
 }
@@ -327,6 +334,9 @@
 	}
 }
 
+// Ended implements platform.Observer.
+func (s *soak) Ended(target, id string, key uint16) { s.checker.Ended(target, id, key) }
+
 // Granted implements platform.Observer.
 func (s *soak) Granted(target string, from, to uint16, fence uint64, until time.Time) {
 	s.checker.Granted(target, from, to, fence, until)
