store/httpcall: Keep no connection after a refusal

A grant could count as refused, so that its lease was not counted, although its target had taken it: after a refusal that may have been an earlier one's, a second copy was sent, and the refusal of that copy (503, or 409) said nothing of the first.

No connection is kept after a refusal now. Extra answers repeat earlier ones, so that a refusal on a kept connection is the call's own, and no call has to be made twice; a refused release ends at once, too, in place of at its timeout.

--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -1,5 +1,5 @@
 // Package httpcall makes HTTP calls to a service of the platform or to a target. It never
-// repeats a call, but those of Options.RepeatablePath, and its errors state whether a failed call may have reached the server.
+// repeats a call, and its errors state whether a failed call may have reached the server.
 package httpcall
 
 import (
@@ -53,13 +53,12 @@
 	ResetOnClose bool
 	// UniqueHeader names a header whose value differs from answer to answer. If it is set, an answer counts only if it belongs to the
 	// call, since a server may send an answer once more, late, where that to the next call is expected: the call is the first
-	// one on its connection, or the answer has the header with a value that no earlier answer there had. It must not be set
-	// together with AbortOnCancel.
+	// one on its connection, or the answer has the header with a value that no earlier answer there had, or it refuses the
+	// call, as no connection is kept after a refusal. It must not be set together with AbortOnCancel.
 	UniqueHeader string
-	// RepeatablePath is a path whose calls may be made again, and may count as answered although an earlier one was. Its answers don't
-	// have the unique header. On a connection that had earlier calls, an answer of success counts for them; after any other
-	// status, the call is made again on another connection.
-	RepeatablePath string
+	// IdempotentPath is a path whose calls may count as done although only an earlier one is known to be: any success
+	// without the unique header counts for them.
+	IdempotentPath string
 }
 
 // Client makes HTTP calls to one address.
--- a/store/httpcall/matcher.go
+++ b/store/httpcall/matcher.go
@@ -25,13 +25,10 @@
 // errOtherCall reports that no answer is certainly that to the call.
 var errOtherCall = errors.New("the answers belong to other calls")
 
-// errDoubtful reports that a call may be refused, or an earlier one was.
-var errDoubtful = errors.New("the refusal may belong to another call")
-
 // matcher makes calls and tells which answers are theirs. A server may send an answer once more, late, so that an answer counts only if
 // something shows that it belongs to the call: see Options.UniqueHeader.
 type matcher struct {
-	uniqueHeader, repeatablePath string
+	uniqueHeader, idempotentPath string
 
 	mu sync.Mutex
 	// unmarked has the paths whose last certain answer had no unique header.
@@ -41,7 +38,7 @@
 var _ fasthttp.RoundTripper = (*matcher)(nil)
 
 func newMatcher(o Options) *matcher {
-	return &matcher{uniqueHeader: o.UniqueHeader, repeatablePath: o.RepeatablePath, unmarked: map[string]bool{}}
+	return &matcher{uniqueHeader: o.UniqueHeader, idempotentPath: o.IdempotentPath, unmarked: map[string]bool{}}
 }
 
 // maxUniqueValues bounds the values of the unique header that are kept for a connection.
@@ -65,38 +62,25 @@
 	return true
 }
 
-// RoundTrip implements fasthttp.RoundTripper. A call gets a new connection if nothing but that would show which answer is its own. One
-// whose answer is doubtful is made again; if that fails, it is unknown what became of it.
+// RoundTrip implements fasthttp.RoundTripper. A call gets a new connection if nothing but that would show which answer is its own.
 func (m *matcher) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	deadline := time.Now().Add(req.GetTimeOut())
-	err = m.attempt(hc, deadline, req, resp)
-	for errors.Is(err, errDoubtful) {
-		if err = m.attempt(hc, deadline, req, resp); err != nil && !errors.Is(err, errDoubtful) {
-			// The error of the last attempt must not tell that the call was not sent.
-			return false, errors.Errorf("%v; again: %v", errDoubtful, err)
-		}
-	}
-	return false, err
-}
-
-// attempt makes the call once. The error is errDoubtful if the call is to be made again.
-func (m *matcher) attempt(hc *fasthttp.HostClient, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) error {
 	path := string(req.URI().Path())
 	for {
 		left := time.Until(deadline)
 		if left <= 0 {
-			return errors.WithMessage(errNotSent, "no time left")
+			return false, errors.WithMessage(errNotSent, "no time left")
 		}
 		cc, err := hc.AcquireConn(left, false)
 		if err != nil {
-			return err
+			return false, err
 		}
 		conn := cc.Conn().(*matchedConn)
 		reused := conn.used
 		if reused && !m.reuses(path) || !idleconn.Usable(conn.Conn) {
 			hc.CloseConn(cc)
 			if !reused {
-				return errors.WithMessage(errNotSent, "the connection has ended, or has data before the first call")
+				return false, errors.WithMessage(errNotSent, "the connection has ended, or has data before the first call")
 			}
 			continue
 		}
@@ -106,7 +90,7 @@
 		} else {
 			hc.CloseConn(cc)
 		}
-		return err
+		return false, err
 	}
 }
 
@@ -131,56 +115,39 @@
 		if err := readAnswer(br, resp, hc.MaxResponseBodySize); err != nil {
 			return false, err
 		}
-		switch m.belongs(conn, path, resp, first && n == 0) {
-		case own:
-			return n == 0 && br.Buffered() == 0 && !resp.ConnectionClose() && len(conn.uniqueValues) < maxUniqueValues, nil
-		case doubtful:
-			return false, errDoubtful
+		if m.belongs(conn, path, resp, first && n == 0) {
+			// A refusal that comes once more must not meet another call.
+			return n == 0 && isSuccess(resp) && br.Buffered() == 0 && !resp.ConnectionClose() && len(conn.uniqueValues) < maxUniqueValues, nil
 		}
 	}
 	return false, errOtherCall
 }
 
-// belonging is what an answer shows of the call to which it belongs.
-type belonging int
-
-const (
-	// other answers belong to another call. That of this call may follow.
-	other belonging = iota
-	// own answers belong to the call, or do no harm if they are taken for its answer.
-	own
-	// doubtful answers may belong to the call, which is to be made again.
-	doubtful
-)
-
-// belongs tells whether an answer belongs to the call of the path. first is set if nothing was sent or received on the connection before
-// the call.
-func (m *matcher) belongs(conn *matchedConn, path string, resp *fasthttp.Response, first bool) belonging {
+// belongs reports whether an answer belongs to the call of the path, and notes what it shows. first is set if nothing was sent or
+// received on the connection before the call.
+func (m *matcher) belongs(conn *matchedConn, path string, resp *fasthttp.Response, first bool) bool {
 	unique := string(resp.Header.Peek(m.uniqueHeader))
 	isNew := conn.isNew(unique)
 	switch {
 	case first:
 		m.setUnmarked(path, unique == "")
-		return own
-	case path != m.repeatablePath:
-		if isNew {
-			return own
-		}
-		return other
-	case unique != "":
-		return other
-	case resp.StatusCode() < http.StatusMultipleChoices:
-		return own
+		return true
+	case !isSuccess(resp):
+		return true // Earlier calls on the connection were not refused.
+	case path == m.idempotentPath:
+		return unique == ""
 	default:
-		return doubtful
+		return isNew
 	}
 }
 
+func isSuccess(resp *fasthttp.Response) bool { return resp.StatusCode() < http.StatusMultipleChoices }
+
 // reuses reports whether a call of the path may be made on a connection that had earlier calls.
 func (m *matcher) reuses(path string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return path == m.repeatablePath || !m.unmarked[path]
+	return path == m.idempotentPath || !m.unmarked[path]
 }
 
 func (m *matcher) setUnmarked(path string, unmarked bool) {
