shard: Do not prolong the wait for a lost owner by asking it again

A lost owner that is asked again while its leases of the previous assigner last kept its keys from others for up to 1 s longer than those: the lease of the new grant ends later. Found by the review.

Leases of the previous assigner are not waited for only if a new lease ends before them.

--- a/shard/leasebound.go
+++ b/shard/leasebound.go
@@ -37,12 +37,9 @@
 	return max(b.ended, b.predecessor)
 }
 
-// confirmed returns until without the grants of the previous assigner, if one of this assigner has arrived.
-func (b *leaseBound) confirmed() time.Duration {
-	if len(b.pending) == 0 && b.ended > 0 {
-		return b.ended
-	}
-	return b.until()
+// endsWithPredecessor reports whether all grants of this assigner have ended at the instant, of which there was at least one.
+func (b *leaseBound) endsWithPredecessor(now time.Duration) bool {
+	return len(b.pending) == 0 && b.ended > 0 && now > b.ended
 }
 
 // expected returns until, on the assumption that the pending grants arrive within their timeouts.
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -898,12 +898,12 @@
 	return out
 }
 
-// RetryLost makes lost owners whose lease has ended due for one more grant. An owner
-// that does not answer it is lost again. If it has answered this assigner, leases of the
-// previous one are not waited for.
+// RetryLost makes lost owners whose leases have ended due for one more grant. An owner that does not answer it is lost again. Leases
+// of the previous assigner are not waited for if a new one ends before them.
 func (lm *LeaseManager) RetryLost(now time.Duration) {
+	newEnd := now + lm.opts.OrderTimeout + lm.maxLease(lm.leaseDuration(now))
 	for _, s := range lm.ranges {
-		if s.lost && now > s.bound.confirmed() {
+		if s.lost && (now > s.bound.until() || s.bound.endsWithPredecessor(now) && newEnd <= s.bound.predecessor) {
 			s.lost, s.failures, s.next = false, maxRenewalFailures-1, now
 		}
 	}
--- a/shard/leasemanager_test.go
+++ b/shard/leasemanager_test.go
@@ -401,3 +401,39 @@
 		})
 	}
 }
+
+// Guards against a lost owner that is asked again and then keeps its keys from others for longer than the previous assigner's leases do.
+func TestRetryOfALostOwnerDoesNotProlongTheWait(t *testing.T) {
+	const step = 100 * time.Millisecond
+	x, y, z := Holder{ID: "x", Address: "x:1"}, Holder{ID: "y", Address: "y:1"}, Holder{ID: "z", Address: "z:1"}
+	lm := NewLeaseManager(LeaseOptions{}, 2, &Record{Term: 1, NextFence: 5, Ranges: []RangeRecord{
+		{Keys: KeyRange{0, 99}, Owner: x}, {Keys: KeyRange{100, LastKey}, Owner: z},
+	}}, 0, 0)
+	// act answers the orders that are due, except those to the silent target, whose calls time out.
+	act := func(now time.Duration, silent Holder) {
+		for _, o := range lm.DueOrders(now) {
+			r := Result{Order: o}
+			if o.To == silent {
+				r.Err = os.ErrDeadlineExceeded
+			}
+			lm.HandleResult(r, now)
+		}
+	}
+	now := time.Duration(0)
+	for ; now < 2*time.Second; now += step {
+		act(now, Holder{})
+	}
+	for ; now < 9*time.Second; now += step {
+		act(now, x)
+		lm.RetryLost(now)
+	}
+	lm.Propose([]Move{{KeyRange{0, 99}, y}}, now)
+	lm.FinishProposal(true)
+	for !lm.OwnedRanges()[0].Settled {
+		act(now, x)
+		now += step
+	}
+	if longest := lm.maxLease(9*time.Second) + 2*step; now > longest {
+		t.Errorf("the keys have another owner after %v, more than %v", now, longest)
+	}
+}
