--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,8 @@
 soak: build
 	bin/basiltally-soak --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds.txt | paste -sd,)"
 	bin/basiltally-soak --only "step back,statements" --length 10s --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds-step-back.txt | paste -sd,)"
+	bin/basiltally-soak --only "cut after outage" --length 4s --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds-holds.txt | paste -sd,)"
+	bin/basiltally-soak --only "extra answers,long work,target leaves,target restarts" --length 14s --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds-extra-answers.txt | paste -sd,)"
 	bin/basiltally-soak --count 3
 	bin/basiltally-soak --hard-load --length 8s --seeds "$$(awk '!/^#/ && NF { print $$1 }' standin/soak/seeds-hard-load.txt | paste -sd,)"
 	bin/basiltally-soak --hard-load --count 3
