--- a/shard/leasebound.go
+++ b/shard/leasebound.go
@@ -14,7 +14,7 @@
 type leaseBound struct {
 	// ended is the bound from grants that can no longer arrive.
 	ended time.Duration
-	// predecessor is the bound from grants of the previous assigner.
+	// predecessor is the bound from grants of earlier assigners.
 	predecessor time.Duration
 	// pending are the grants that may still arrive.
 	pending []pendingGrant
@@ -37,8 +37,8 @@
 	return max(b.ended, b.predecessor)
 }
 
-// endsWithPredecessor reports whether all grants of this assigner have ended at the instant, of which there was at least one.
-func (b *leaseBound) endsWithPredecessor(now time.Duration) bool {
+// ownLeasesEnded reports whether this assigner has granted leases, which are all over at the instant.
+func (b *leaseBound) ownLeasesEnded(now time.Duration) bool {
 	return len(b.pending) == 0 && b.ended > 0 && now > b.ended
 }
 
--- a/shard/leasemanager.go
+++ b/shard/leasemanager.go
@@ -903,7 +903,7 @@
 func (lm *LeaseManager) RetryLost(now time.Duration) {
 	newEnd := now + lm.opts.OrderTimeout + lm.maxLease(lm.leaseDuration(now))
 	for _, s := range lm.ranges {
-		if s.lost && (now > s.bound.until() || s.bound.endsWithPredecessor(now) && newEnd <= s.bound.predecessor) {
+		if s.lost && (now > s.bound.until() || s.bound.ownLeasesEnded(now) && newEnd <= s.bound.predecessor) {
 			s.lost, s.failures, s.next = false, maxRenewalFailures-1, now
 		}
 	}
